--- /dev/null
+++ b/src/crocusspindle/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decide everything the fleet decides, without input or output."""
--- /dev/null
+++ b/src/crocusspindle/errors.py
@@ -0,0 +1,65 @@
+"""Hold the exception tree and the findings that checks collect."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class Finding:
+    """Describe one fault of an input and its place.
+
+    ``line`` counts from 1; 0 means that the place has no line.
+    """
+
+    source: str
+    path: str
+    message: str
+    line: int = 0
+
+    def __str__(self) -> str:
+        place = f"{self.source}:{self.line}" if self.line else self.source
+        return f"{place}: {self.path}: {self.message}"
+
+
+class CrocusspindleError(Exception):
+    """Root of every error that this package raises on purpose."""
+
+
+class InvalidInputError(CrocusspindleError):
+    """Report all findings of a rejected input together."""
+
+    def __init__(self, findings: Sequence[Finding]) -> None:
+        super().__init__("\n".join(str(finding) for finding in findings))
+        self.findings = tuple(findings)
+
+
+class SettingsError(InvalidInputError):
+    """Report settings that cannot be used."""
+
+
+class TicketError(InvalidInputError):
+    """Report a change ticket that cannot be accepted."""
+
+
+class TicketConflictError(CrocusspindleError):
+    """Report a ticket number that already holds different content."""
+
+
+class PlatformError(CrocusspindleError):
+    """Root of the errors of the platform's service."""
+
+
+class PlatformUnavailableError(PlatformError):
+    """Report a call that certainly had no effect."""
+
+
+class PlatformUnknownError(PlatformError):
+    """Report a call whose effect is unknown, as after a lost answer."""
+
+
+class PeerError(CrocusspindleError):
+    """Report a peer that did not answer in time or answered nonsense."""
+
+
+class KernelError(CrocusspindleError):
+    """Report services that cannot be found, started or stopped."""
--- /dev/null
+++ b/src/crocusspindle/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Reach the platform's table, object store and host list."""
--- /dev/null
+++ b/src/crocusspindle/services/__init__.py
@@ -0,0 +1,1 @@
+"""Connect the decisions to sockets, peers and the platform."""
--- /dev/null
+++ b/src/crocusspindle/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the generated messages that nodes exchange."""
--- /dev/null
+++ b/src/crocusspindle_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform, targets, callers and bad networks in tests."""
