--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the fleet: decisions in virtual time, processes on loopback."""
