--- /dev/null
+++ b/src/crocusspindle/core/ticket_schema.py
@@ -0,0 +1,335 @@
+"""Define change tickets: their typed content, their documents and their hash.
+
+A ticket carries the whole new state of everything that it touches, so that a
+node which applies tickets in order needs nothing else to know the outcome.
+"""
+
+import hashlib
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Annotated, Any, Final, Literal
+
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    StringConstraints,
+    TypeAdapter,
+    ValidationError,
+)
+
+from crocusspindle.core.model import (
+    Approval,
+    Customer,
+    CustomerKey,
+    KeyState,
+    Route,
+    Service,
+)
+from crocusspindle.core.ticket_document import LineMap, load_document
+from crocusspindle.errors import Finding, TicketError
+from crocusspindle.ids import CustomerId, KeyDigest, ServiceId, TicketNumber
+
+MAX_ENTRIES: Final = 10_000
+"""Entries of one ticket; a larger change is cut into several, so that applying
+one ticket never holds up a node's requests for more than tens of ms."""
+
+Name = Annotated[
+    str, StringConstraints(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$", max_length=128)
+]
+Text = Annotated[str, StringConstraints(min_length=1, max_length=4096)]
+HexDigest = Annotated[str, StringConstraints(pattern=r"^[0-9a-fA-F]{64}$")]
+Prefix = Annotated[str, StringConstraints(pattern=r"^/[^\s?#]*$", max_length=1024)]
+Method = Annotated[str, StringConstraints(pattern=r"^[A-Z]+$", max_length=32)]
+Rate = Annotated[float, Field(gt=0, le=1e9, allow_inf_nan=False, strict=True)]
+
+
+class _Strict(BaseModel):
+    """Refuse unknown keys and silent conversions between types."""
+
+    model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
+
+
+class _Customer(_Strict):
+    rate_per_s: Rate
+    burst: Annotated[int, Field(ge=1, le=1_000_000_000)]
+    weight: Annotated[float, Field(gt=0, le=1e6, allow_inf_nan=False)] = 1.0
+
+
+class _Key(_Strict):
+    customer: Name
+    state: Literal["active", "withdrawn"]
+
+
+class _Service(_Strict):
+    floor_fraction: Annotated[float, Field(ge=0, le=1, allow_inf_nan=False)] = 0.5
+    timeout_ms: Annotated[float, Field(gt=0, le=3_600_000, allow_inf_nan=False)] = (
+        10_000.0
+    )
+    hedge: bool = True
+
+
+class _Route(_Strict):
+    service: Name
+    idempotent_methods: Annotated[list[Method], Field(max_length=32)] = ["GET", "HEAD"]
+
+
+class _Approval(_Strict):
+    approved_by: Text
+
+
+class _Document(_Strict):
+    number: Annotated[int, Field(ge=1, le=2**53)]
+    author: Text
+    reason: Text
+    customers: dict[Name, _Customer | None] = {}
+    keys: dict[HexDigest, _Key | None] = {}
+    services: dict[Name, _Service | None] = {}
+    routes: dict[Prefix, _Route | None] = {}
+    approvals: dict[Name, dict[Name, _Approval | None]] = {}
+
+
+_DOCUMENT: Final = TypeAdapter(_Document)
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class ApprovalId:
+    """Name the approval of one calling customer by the owner of one service."""
+
+    service: ServiceId
+    customer: CustomerId
+
+
+@dataclass(frozen=True, slots=True)
+class States:
+    """Hold the whole new states that a ticket sets, in order of their names."""
+
+    customers: tuple[Customer, ...] = ()
+    keys: tuple[CustomerKey, ...] = ()
+    services: tuple[Service, ...] = ()
+    routes: tuple[Route, ...] = ()
+    approvals: tuple[Approval, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Removals:
+    """Hold the names that a ticket removes, in order."""
+
+    customers: tuple[CustomerId, ...] = ()
+    keys: tuple[KeyDigest, ...] = ()
+    services: tuple[ServiceId, ...] = ()
+    routes: tuple[str, ...] = ()
+    approvals: tuple[ApprovalId, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """Hold one numbered change: whole states to set and names to remove."""
+
+    number: TicketNumber
+    author: str
+    reason: str
+    set: States = field(default_factory=States)
+    remove: Removals = field(default_factory=Removals)
+
+
+def parse_ticket(document: bytes | str | Mapping[str, Any], source: str) -> Ticket:
+    """Parse a ticket from YAML, JSON or a mapping.
+
+    Raises ``TicketError`` with every finding of the document.
+    """
+    content, lines = load_document(document, source)
+    try:
+        parsed = _DOCUMENT.validate_python(content)
+    except ValidationError as error:
+        raise TicketError(_findings(error, source, lines)) from None
+    ticket = _ticket(parsed)
+    findings = _shape_findings(parsed, source, lines)
+    if findings:
+        raise TicketError(findings)
+    return ticket
+
+
+def encode_ticket(ticket: Ticket) -> bytes:
+    """Encode a ticket to its one canonical form, a JSON document."""
+    document = {
+        "number": ticket.number,
+        "author": ticket.author,
+        "reason": ticket.reason,
+        "customers": _customers(ticket),
+        "keys": _keys(ticket),
+        "services": _services(ticket),
+        "routes": _routes(ticket),
+        "approvals": _approvals(ticket),
+    }
+    return json.dumps(
+        document, sort_keys=True, separators=(",", ":"), ensure_ascii=False
+    ).encode()
+
+
+def decode_ticket(content: bytes) -> Ticket:
+    """Decode a ticket from the bytes of a row or a peer.
+
+    Raises ``TicketError``. A node that is too old to know a newer field stops here
+    and turns unfit, rather than apply half of a ticket.
+    """
+    return parse_ticket(content, "stored ticket")
+
+
+def content_hash(ticket: Ticket) -> bytes:
+    """Return the SHA-256 digest of the canonical form, author included."""
+    return hashlib.sha256(encode_ticket(ticket)).digest()
+
+
+def _findings(
+    error: ValidationError, source: str, lines: LineMap
+) -> tuple[Finding, ...]:
+    found = []
+    for fault in error.errors(include_url=False, include_input=False):
+        place = tuple(part for part in fault["loc"] if part != "[key]")
+        path = ".".join(str(part) for part in place) or "document"
+        found.append(Finding(source, path, fault["msg"], lines.line(place)))
+    return tuple(found)
+
+
+def _shape_findings(
+    parsed: _Document, source: str, lines: LineMap
+) -> tuple[Finding, ...]:
+    found = []
+    entries = len(parsed.customers) + len(parsed.keys) + len(parsed.services)
+    entries += len(parsed.routes)
+    entries += sum(len(callers) for callers in parsed.approvals.values())
+    if entries == 0:
+        found.append(Finding(source, "document", "changes nothing", 1))
+    if entries > MAX_ENTRIES:
+        message = f"has {entries} entries, more than {MAX_ENTRIES}"
+        found.append(Finding(source, "document", message, 1))
+    if len({digest.lower() for digest in parsed.keys}) != len(parsed.keys):
+        place = lines.line(("keys",))
+        found.append(Finding(source, "keys", "names one digest twice", place))
+    return tuple(found)
+
+
+def _ticket(parsed: _Document) -> Ticket:
+    return Ticket(
+        TicketNumber(parsed.number),
+        parsed.author,
+        parsed.reason,
+        _states(parsed),
+        _removals(parsed),
+    )
+
+
+def _states(parsed: _Document) -> States:
+    return States(
+        customers=tuple(
+            Customer(CustomerId(name), state.rate_per_s, state.burst, state.weight)
+            for name, state in sorted(parsed.customers.items())
+            if state is not None
+        ),
+        keys=tuple(
+            CustomerKey(
+                KeyDigest(bytes.fromhex(digest)),
+                CustomerId(state.customer),
+                KeyState(state.state),
+            )
+            for digest, state in sorted(_lowered(parsed.keys).items())
+            if state is not None
+        ),
+        services=tuple(
+            Service(
+                ServiceId(name), state.floor_fraction, state.timeout_ms, state.hedge
+            )
+            for name, state in sorted(parsed.services.items())
+            if state is not None
+        ),
+        routes=tuple(
+            Route(prefix, ServiceId(state.service), frozenset(state.idempotent_methods))
+            for prefix, state in sorted(parsed.routes.items())
+            if state is not None
+        ),
+        approvals=tuple(
+            Approval(ServiceId(service), CustomerId(customer), state.approved_by)
+            for service, callers in sorted(parsed.approvals.items())
+            for customer, state in sorted(callers.items())
+            if state is not None
+        ),
+    )
+
+
+def _removals(parsed: _Document) -> Removals:
+    return Removals(
+        customers=tuple(map(CustomerId, _removed(parsed.customers))),
+        keys=tuple(
+            KeyDigest(bytes.fromhex(name)) for name in _removed(_lowered(parsed.keys))
+        ),
+        services=tuple(map(ServiceId, _removed(parsed.services))),
+        routes=tuple(_removed(parsed.routes)),
+        approvals=tuple(
+            ApprovalId(ServiceId(service), CustomerId(customer))
+            for service, callers in sorted(parsed.approvals.items())
+            for customer in _removed(callers)
+        ),
+    )
+
+
+def _removed(entries: Mapping[str, object | None]) -> list[str]:
+    return sorted(name for name, state in entries.items() if state is None)
+
+
+def _lowered(keys: Mapping[str, _Key | None]) -> dict[str, _Key | None]:
+    return {digest.lower(): state for digest, state in keys.items()}
+
+
+def _customers(ticket: Ticket) -> dict[str, Any]:
+    entries: dict[str, Any] = dict.fromkeys(ticket.remove.customers)
+    for customer in ticket.set.customers:
+        entries[customer.customer] = {
+            "rate_per_s": float(customer.rate_per_s),
+            "burst": customer.burst,
+            "weight": float(customer.weight),
+        }
+    return entries
+
+
+def _keys(ticket: Ticket) -> dict[str, Any]:
+    entries: dict[str, Any] = {digest.hex(): None for digest in ticket.remove.keys}
+    for key in ticket.set.keys:
+        entries[key.digest.hex()] = {
+            "customer": key.customer,
+            "state": key.state.value,
+        }
+    return entries
+
+
+def _services(ticket: Ticket) -> dict[str, Any]:
+    entries: dict[str, Any] = dict.fromkeys(ticket.remove.services)
+    for service in ticket.set.services:
+        entries[service.service] = {
+            "floor_fraction": float(service.floor_fraction),
+            "timeout_ms": float(service.timeout_ms),
+            "hedge": service.hedge,
+        }
+    return entries
+
+
+def _routes(ticket: Ticket) -> dict[str, Any]:
+    entries: dict[str, Any] = dict.fromkeys(ticket.remove.routes)
+    for route in ticket.set.routes:
+        entries[route.prefix] = {
+            "service": route.service,
+            "idempotent_methods": sorted(route.idempotent_methods),
+        }
+    return entries
+
+
+def _approvals(ticket: Ticket) -> dict[str, dict[str, Any]]:
+    entries: dict[str, dict[str, Any]] = {}
+    for removed in ticket.remove.approvals:
+        entries.setdefault(removed.service, {})[removed.customer] = None
+    for approval in ticket.set.approvals:
+        entries.setdefault(approval.service, {})[approval.customer] = {
+            "approved_by": approval.approved_by
+        }
+    return entries
--- /dev/null
+++ b/tests/core/test_tickets.py
@@ -0,0 +1,365 @@
+import json
+from collections.abc import Collection
+from dataclasses import replace
+
+import pytest
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from crocusspindle.core.members import MemberView, ViewMember
+from crocusspindle.core.model import Customer
+from crocusspindle.core.ticket_schema import (
+    States,
+    Ticket,
+    content_hash,
+    decode_ticket,
+    encode_ticket,
+    parse_ticket,
+)
+from crocusspindle.core.tickets import (
+    MAX_PENDING,
+    Submission,
+    SubmissionOutcome,
+    SubmissionStep,
+    TicketLog,
+    in_force,
+    references_check,
+)
+from crocusspindle.errors import TicketConflictError, TicketError
+from crocusspindle.ids import (
+    CustomerId,
+    DomainId,
+    KeyDigest,
+    MemberId,
+    ServiceId,
+    TicketNumber,
+    ViewNumber,
+)
+
+DIGEST = "ab" * 32
+DOCUMENT = f"""\
+number: 17
+author: ops@bengkel
+reason: show day
+customers:
+  club-a: {{rate_per_s: 5, burst: 10}}
+  club-b: null
+keys:
+  {DIGEST}: {{customer: club-a, state: active}}
+services:
+  katalog: {{floor_fraction: 0.5, timeout_ms: 2000, hedge: true}}
+routes:
+  /katalog/: {{service: katalog, idempotent_methods: [GET, HEAD]}}
+approvals:
+  katalog: {{club-a: {{approved_by: owner@katalog}}, club-b: null}}
+"""
+
+
+def ticket(number: int, rate_per_s: float = 1.0) -> Ticket:
+    state = Customer(CustomerId("club-a"), rate_per_s, 2)
+    return Ticket(TicketNumber(number), "ops", "test", States(customers=(state,)))
+
+
+class Directory:
+    def __init__(self, customers: Collection[str] = (), services: Collection[str] = ()):
+        self.customers, self.services = set(customers), set(services)
+        self.keys: dict[KeyDigest, CustomerId] = {}
+        self.routes: dict[str, list[str]] = {}
+
+    def has_customer(self, customer: CustomerId) -> bool:
+        return customer in self.customers
+
+    def has_service(self, service: ServiceId) -> bool:
+        return service in self.services
+
+    def key_customer(self, digest: KeyDigest) -> CustomerId | None:
+        return self.keys.get(digest)
+
+    def route_prefixes(self, service: ServiceId) -> Collection[str]:
+        return self.routes.get(service, [])
+
+
+def test_whole_states_and_removals_are_parsed_and_survive_the_row() -> None:
+    parsed = parse_ticket(DOCUMENT, "17.yaml")
+    assert parsed.set.customers == (Customer(CustomerId("club-a"), 5.0, 10, 1.0),)
+    assert parsed.remove.customers == ("club-b",)
+    assert parsed.set.keys[0].digest == bytes.fromhex(DIGEST)
+    assert [(a.service, a.customer) for a in parsed.remove.approvals] == [
+        ("katalog", "club-b")
+    ]
+    assert decode_ticket(encode_ticket(parsed)) == parsed
+    as_json = json.dumps(json.loads(encode_ticket(parsed)), indent=2)
+    assert content_hash(parse_ticket(as_json, "17.json")) == content_hash(parsed)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "path", "line"),
+    [
+        ("rate_per_s: 5", "rate_per_s: 0", "customers.club-a.rate_per_s", 5),
+        ("rate_per_s: 5", "rate_per_s: .nan", "customers.club-a.rate_per_s", 5),
+        ("rate_per_s: 5", "rate_per_s: '5'", "customers.club-a.rate_per_s", 5),
+        ("burst: 10", "burst: 2.5", "customers.club-a.burst", 5),
+        ("burst: 10", "burst: true", "customers.club-a.burst", 5),
+        ("burst: 10", "bust: 10", "customers.club-a.bust", 5),
+        (DIGEST, "secret-key", "keys.secret-key", 8),
+        ("state: active", "state: on", "keys." + DIGEST + ".state", 8),
+        ("0.5", "1.5", "services.katalog.floor_fraction", 10),
+        ("[GET, HEAD]", "[GET, 1]", "routes./katalog/.idempotent_methods.1", 12),
+        ("number: 17", "number: 0", "number", 1),
+        ("author: ops@bengkel", "author: ''", "author", 2),
+        ("reason:", "raison:", "raison", 3),
+    ],
+)
+def test_each_fault_is_found_with_its_line(
+    old: str, new: str, path: str, line: int
+) -> None:
+    with pytest.raises(TicketError) as caught:
+        parse_ticket(DOCUMENT.replace(old, new), "17.yaml")
+    assert (path, line) in [(f.path, f.line) for f in caught.value.findings]
+
+
+def test_all_findings_come_together() -> None:
+    broken = DOCUMENT.replace("burst: 10", "burst: 0").replace("0.5", "-1")
+    with pytest.raises(TicketError) as caught:
+        parse_ticket(broken, "17.yaml")
+    assert [f.line for f in caught.value.findings] == [5, 10]
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        DOCUMENT.replace("club-b: null", "club-a: null", 1),
+        "[" * 5000,
+        "a: &x [1]\nb: *x",
+        "a: b: c",
+        b"\xff\xfe\x00",
+        "",
+        "number: 1\nauthor: a\nreason: r\n",
+        "? [a]\n: 1\n",
+        f"number: 1\nauthor: a\nreason: r\nkeys:\n  {DIGEST}: null\n"
+        f"  {DIGEST.upper()}: null\n",
+    ],
+)
+def test_text_that_could_mislead_is_refused(document: str | bytes) -> None:
+    """A key that stands twice, an alias or a digest in two spellings would let the
+    loader pick one of two states in silence, and an operator would believe in the
+    other."""
+    with pytest.raises(TicketError):
+        parse_ticket(document, "ticket")
+
+
+def test_references_to_what_is_not_configured_are_found() -> None:
+    parsed = parse_ticket(DOCUMENT, "17.yaml")
+    assert not references_check(parsed, Directory(customers=["club-b"]))
+    lacking = replace(parsed, set=replace(parsed.set, customers=(), services=()))
+    paths = {finding.path for finding in references_check(lacking, Directory())}
+    assert paths == {
+        f"keys.{DIGEST}",
+        "routes./katalog/",
+        "approvals.katalog.club-a",
+        "customers.club-b",
+    }
+
+
+def test_a_key_never_moves_and_a_routed_service_stays() -> None:
+    directory = Directory(["club-a", "club-b"], ["katalog"])
+    directory.keys[KeyDigest(bytes.fromhex(DIGEST))] = CustomerId("club-b")
+    directory.routes["katalog"] = ["/k/"]
+    parsed = parse_ticket(
+        f"number: 1\nauthor: a\nreason: r\nservices: {{katalog: null}}\n"
+        f"keys: {{{DIGEST}: {{customer: club-a, state: active}}}}\n",
+        "1.yaml",
+    )
+    found = [finding.path for finding in references_check(parsed, directory)]
+    assert found == [f"keys.{DIGEST}", "services.katalog"]
+
+
+class LastWriterState:
+    """Baseline: apply whatever comes, as the latest word."""
+
+    def __init__(self) -> None:
+        self.state = 0
+
+    def offer(self, number: int) -> None:
+        self.state = number
+
+
+def reverts(orders: list[int]) -> bool:
+    naive, before = LastWriterState(), 0
+    for number in orders:
+        naive.offer(number)
+        if naive.state < before:
+            return True
+        before = naive.state
+    return False
+
+
+@settings(max_examples=300, derandomize=True)
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(["offer", "install", "head"]), st.integers(1, 12)),
+        max_size=60,
+    )
+)
+@example([("offer", 2), ("offer", 1), ("offer", 1), ("install", 1), ("offer", 3)])
+@example([("offer", 3), ("install", 5), ("offer", 4), ("install", 2), ("offer", 6)])
+def test_tickets_are_never_skipped_reordered_or_reverted(
+    events: list[tuple[str, int]],
+) -> None:
+    """Gossip arrives late, a snapshot is older than what a node has, a read of the
+    table is repeated. A node that took the latest word would bring back a withdrawn
+    key."""
+    log, state = TicketLog(), 0
+    for kind, number in events:
+        before = log.applied
+        if kind == "offer":
+            ready = log.offer(ticket(number))
+        elif kind == "install":
+            installed = log.install(TicketNumber(number))
+            assert (installed is None) == (number <= before)
+            state = state if installed is None else number
+            ready = installed or []
+        else:
+            log.saw_head(TicketNumber(number))
+            ready = []
+        for one in ready:
+            assert one.number == state + 1
+            state = one.number
+        assert log.applied == state >= before
+        assert not set(log.missing()) & set(range(1, state + 1))
+    for number in log.missing():
+        log.offer(ticket(number))
+    assert log.applied == log.head_seen
+
+
+def test_the_latest_word_reverts() -> None:
+    assert reverts([1, 2, 1])
+
+
+def test_other_content_under_a_known_number_is_a_conflict() -> None:
+    """A peer relays a ticket that was written nowhere, because its writer lost the
+    race for the number. Nodes that took it would serve another state than the rest
+    for good."""
+    log = TicketLog()
+    log.offer(ticket(1))
+    with pytest.raises(TicketConflictError):
+        log.offer(ticket(1, rate_per_s=9))
+    log.offer(ticket(3))
+    with pytest.raises(TicketConflictError):
+        log.offer(ticket(3, rate_per_s=9))
+    assert log.missing() == [2, 3]
+
+
+def test_a_long_gap_is_held_in_bounded_memory() -> None:
+    log = TicketLog()
+    for number in range(2, MAX_PENDING + 50):
+        log.offer(ticket(number))
+    assert len(log.offer(ticket(1))) == MAX_PENDING + 1
+    assert log.missing()[0] == MAX_PENDING + 2
+
+
+class Table:
+    """Hold one row; a write may land late, after its answer was lost."""
+
+    def __init__(self) -> None:
+        self.row: bytes | None = None
+        self.late: list[bytes] = []
+
+    def put(self, content: bytes) -> bool:
+        if self.row is None:
+            self.row = content
+            return True
+        return False
+
+    def land(self) -> None:
+        for content in self.late:
+            self.put(content)
+        self.late.clear()
+
+
+def drive(submission: Submission, table: Table, faults: list[str]) -> None:
+    content = content_hash(submission.ticket)
+    for fault in [*faults, *[""] * 20]:
+        if submission.step is SubmissionStep.DONE:
+            return
+        if fault == "land":
+            table.land()
+        elif fault == "unavailable":
+            submission.call_unavailable(0.0)
+        elif submission.step is SubmissionStep.READ_BACK:
+            read_back(submission, table, fault)
+        elif fault == "lost after":
+            table.put(content)
+            submission.call_unknown(0.0)
+        elif fault == "lost before":
+            table.late.append(content)
+            submission.call_unknown(0.0)
+        elif table.put(content):
+            submission.put_applied()
+        else:
+            assert table.row is not None
+            submission.row_found(table.row)
+
+
+def read_back(submission: Submission, table: Table, fault: str) -> None:
+    if fault:
+        submission.call_unavailable(0.0)
+    elif table.row is None:
+        submission.row_absent()
+    else:
+        submission.row_found(table.row)
+
+
+FAULT = st.sampled_from(["", "lost after", "lost before", "unavailable", "land"])
+
+
+@settings(max_examples=400, derandomize=True)
+@given(st.lists(FAULT, max_size=10), st.lists(FAULT, max_size=10), st.booleans())
+@example(["lost before", "", "unavailable"] + ["unavailable"] * 4, ["land"], False)
+def test_racing_operators_hear_what_the_table_holds(
+    first: list[str], second: list[str], same: bool
+) -> None:
+    """Two operators name the same number, and answers are lost before or after the
+    write. One who hears a false conflict, or a false success, works on with a state
+    that the fleet does not have."""
+    table = Table()
+    rivals = [
+        Submission(ticket(1), 1e9),
+        Submission(ticket(1, 1.0 if same else 2.0), 1e9),
+    ]
+    for submission, faults in zip(rivals, [first, second], strict=True):
+        drive(submission, table, faults)
+    table.land()
+    for submission in rivals:
+        content = content_hash(submission.ticket)
+        if submission.outcome is SubmissionOutcome.ACCEPTED:
+            assert table.row == content
+        elif submission.outcome is SubmissionOutcome.CONFLICT:
+            assert table.row not in (None, content)
+        elif submission.outcome is SubmissionOutcome.NOT_WRITTEN:
+            assert table.row != content or same
+        again = Submission(submission.ticket, 1e9)
+        drive(again, table, [])
+        if submission.outcome is SubmissionOutcome.ACCEPTED:
+            assert again.outcome is SubmissionOutcome.ACCEPTED
+
+
+def test_a_gap_is_refused_and_the_deadline_ends_the_tries() -> None:
+    submission = Submission(ticket(5), 100.0)
+    assert submission.step is SubmissionStep.READ_PREDECESSOR
+    submission.predecessor_read(False)
+    assert submission.outcome is SubmissionOutcome.GAP
+    late = Submission(ticket(1), 100.0)
+    late.call_unavailable(150.0)
+    assert late.outcome is SubmissionOutcome.NOT_WRITTEN
+
+
+def test_in_force_waits_for_every_member_that_may_serve() -> None:
+    members = tuple(
+        ViewMember(MemberId(name), DomainId("d"), "r", "", "", 0) for name in "abc"
+    )
+    view = MemberView(ViewNumber(1), members)
+    known = {MemberId("a"): TicketNumber(4), MemberId("b"): TicketNumber(3)}
+    assert not in_force(TicketNumber(3), known, view, [])
+    assert in_force(TicketNumber(3), known, view, [MemberId("c")])
+    assert not in_force(TicketNumber(4), known, view, [MemberId("c")])
