Search orders of cuts, outages and view changes for two fit minorities

Cause: nothing showed yet that rule 2 holds over a change of the member view. Found on the way: decoding a cut view raised the codec's error in place of ours.

--- a/src/crocusspindle/core/fitness.py
+++ b/src/crocusspindle/core/fitness.py
@@ -118,9 +118,7 @@
         self._names = frozenset(view.names)
         kept = {n: one for n, one in self._contacts.items() if n in self._names}
         self._contacts = kept
-        self._away = not self._stamped(now_ms)
-        if self._away:
-            self._away_views.add(view.number)
+        self._away = False
         self._refresh_at_ms = NEVER
         return True
 
@@ -188,7 +186,7 @@
 
     def fit_until_ms(self, now_ms: float) -> float:
         """Return the deadline up to which this node is fit, -inf when it is not."""
-        return max(self.stamp_until_ms(), self._rule_two_until_ms(now_ms))
+        return max(self.stamp_until_ms(), self.majority_until_ms(now_ms))
 
     def is_fit(self, now_ms: float) -> bool:
         """Return True if this node may take new work now."""
@@ -198,6 +196,12 @@
         """Return the deadline of rule 1."""
         return self._stamp_ms + self._limits.freshness_ms
 
+    def majority_until_ms(self, now_ms: float) -> float:
+        """Return the deadline of rule 2, -inf when it does not hold."""
+        if not self._current_settled(now_ms):
+            return NEVER
+        return min(self._failing_until_ms, self._majorities(now_ms).contact_ms)
+
     def contact_until_ms(self, now_ms: float) -> float:
         """Return until when two-way contact with a majority of the view counts."""
         return self._majorities(now_ms).contact_ms
@@ -234,12 +238,15 @@
         return min(self.fit_until_ms(now_ms), self._majorities(now_ms).away_ms)
 
     def away(self, now_ms: float) -> bool:
-        """Return True if this node was without the platform under this view.
+        """Return True if this node lost the platform under this view.
 
         Tell it in every echo. It ends only with the next view: a return in between
-        would let operations be decided by table and by memory side by side.
+        would let operations be decided by table and by memory side by side. A node
+        without a stamp that saw no failing read (it just started, or was paused) is
+        not away; it merely is not fit.
         """
-        if not self._away and self._view is not None and not self._stamped(now_ms):
+        lost = not self._stamped(now_ms) and now_ms < self._failing_until_ms
+        if lost and not self._away and self._view is not None:
             self._away = True
             self._away_views.add(self._view.number)
         return self._away
@@ -276,7 +283,7 @@
             return FitnessReason.STAMP
         if self.is_fit(now_ms):
             return FitnessReason.MAJORITY
-        if now_ms >= self._failing_ms + self._limits.failing_ms:
+        if now_ms >= self._failing_until_ms:
             return FitnessReason.NO_STAMP
         if self._view is None or self.member not in self._names:
             return FitnessReason.NO_VIEW
@@ -284,15 +291,13 @@
             return FitnessReason.UNCONFIRMED_VIEW
         return FitnessReason.NO_MAJORITY
 
+    @property
+    def _failing_until_ms(self) -> float:
+        return self._failing_ms + self._limits.failing_ms
+
     def _stamped(self, now_ms: float) -> bool:
         return now_ms < self.stamp_until_ms()
 
-    def _rule_two_until_ms(self, now_ms: float) -> float:
-        if not self._current_settled(now_ms):
-            return NEVER
-        failing_until_ms = self._failing_ms + self._limits.failing_ms
-        return min(failing_until_ms, self._majorities(now_ms).contact_ms)
-
     def _note_seen(self, member: MemberId, view_number: ViewNumber) -> None:
         if view_number > self._seen.get(member, 0):
             self._seen[member] = view_number
--- a/src/crocusspindle/core/members.py
+++ b/src/crocusspindle/core/members.py
@@ -149,7 +149,7 @@
                 for view, ended, members in raw["outages"]
             ),
         )
-    except (TypeError, KeyError, msgpack.UnpackException) as error:
+    except (TypeError, KeyError, ValueError, msgpack.UnpackException) as error:
         raise ValueError(f"not a member view: {error!r}") from error
 
 
--- a/src/crocusspindle/core/operation_records.py
+++ b/src/crocusspindle/core/operation_records.py
@@ -106,7 +106,7 @@
             RecordState(state),
             None if answer is None else _answer(*answer),
         )
-    except (TypeError, msgpack.UnpackException) as error:
+    except (TypeError, ValueError, msgpack.UnpackException) as error:
         raise ValueError(f"not an operation record: {error!r}") from error
 
 
--- /dev/null
+++ b/tests/core/small_fleet.py
@@ -0,0 +1,199 @@
+"""Wire a few cores to each other and to one table row, in a test's own time."""
+
+from dataclasses import dataclass, field
+
+from crocusspindle.core.fitness import Fitness
+from crocusspindle.core.members import (
+    Membership,
+    MembershipLimits,
+    MemberView,
+    Outage,
+    ProposalBar,
+    Standing,
+    ViewMember,
+    decode_view,
+    encode_view,
+)
+from crocusspindle.core.operations import LedgerLimits, OperationLedger
+from crocusspindle.ids import DomainId, MemberId, TicketNumber, ViewNumber
+
+ROUND_MS = 1000.0
+LIMITS = MembershipLimits(silence_ms=4000.0, witness_ms=3000.0, batch_ms=0.0)
+
+
+@dataclass
+class Node:
+    me: ViewMember
+    offset_ms: float
+    rate: float
+    fitness: Fitness
+    membership: Membership
+    ledger: OperationLedger
+    applied: int = 0
+    awake: bool = True
+
+    @property
+    def view(self) -> MemberView | None:
+        return self.membership.view
+
+
+@dataclass
+class Fleet:
+    """Hold nodes, blocked directions, and who reaches the platform.
+
+    Clocks start anywhere and run up to 2 % fast or slow.
+    """
+
+    fitness_type: type[Fitness] = Fitness
+    ledger_limits: LedgerLimits = field(default_factory=LedgerLimits)
+    t_ms: float = 0.0
+    nodes: dict[MemberId, Node] = field(default_factory=dict)
+    blocked: set[tuple[MemberId, MemberId]] = field(default_factory=set)
+    reach: set[MemberId] = field(default_factory=set)
+    row: bytes = b""
+    views: dict[ViewNumber, MemberView] = field(default_factory=dict)
+    tickets: list[float] = field(default_factory=list)
+
+    def start(self, name: str, address: str, *, reaches: bool = True) -> Node:
+        index = len(self.nodes)
+        member = MemberId(name)
+        domain = DomainId(f"domain-{int(address) % 3}")
+        me = ViewMember(member, domain, "region", address, address, 0)
+        node = Node(
+            me,
+            offset_ms=977.0 * index,
+            rate=1.0 + 0.02 * (index % 3 - 1),
+            fitness=self.fitness_type(member),
+            membership=Membership(me, LIMITS),
+            ledger=OperationLedger(member, self.ledger_limits),
+        )
+        self.nodes[member] = node
+        if reaches:
+            self.reach.add(member)
+        return node
+
+    def now(self, node: Node) -> float:
+        return node.offset_ms + self.t_ms * node.rate
+
+    def awake(self) -> list[Node]:
+        return [node for node in self.nodes.values() if node.awake]
+
+    def kill(self, node: Node) -> None:
+        del self.nodes[node.me.member]
+        self.reach.discard(node.me.member)
+
+    def adopt(self, node: Node, view: MemberView) -> None:
+        now_ms = self.now(node)
+        if node.membership.adopt(view, now_ms) is not None:
+            node.fitness.adopt(view, now_ms)
+            node.ledger.adopt(view, now_ms)
+
+    def poll(self, node: Node) -> None:
+        if node.me.member not in self.reach:
+            node.fitness.platform_failing(self.now(node))
+            return
+        if self.row:
+            self.adopt(node, decode_view(self.row))
+        self.apply(node, len(self.tickets))
+        node.fitness.stamp(self.now(node))
+
+    def apply(self, node: Node, number: int) -> None:
+        node.applied = max(node.applied, number)
+        node.fitness.applied = TicketNumber(node.applied)
+
+    def beat(self, node: Node, peer: Node, delay_ms: float = 0.0) -> None:
+        """Let a node send a heartbeat, ``delay_ms`` ago, and the peer answer now."""
+        there = (node.me.member, peer.me.member)
+        if there in self.blocked:
+            return
+        peer.membership.heard(node.me.member, self.now(peer))
+        if node.view is not None:
+            self.adopt(peer, node.view)
+        if (there[1], there[0]) in self.blocked:
+            return
+        asked_ms = self.now(node) - delay_ms
+        node.membership.heard(peer.me.member, self.now(node))
+        for silent in peer.membership.silent(self.now(peer)):
+            node.membership.silent_elsewhere(silent, peer.me.member, self.now(node))
+        if peer.view is not None:
+            self.adopt(node, peer.view)
+        age_ms = peer.fitness.stamp_age_ms(self.now(peer))
+        self.apply(node, peer.applied)
+        if age_ms is not None:
+            node.fitness.relayed(asked_ms, age_ms)
+        node.fitness.echo(
+            peer.me.member,
+            peer.view.number if peer.view else ViewNumber(0),
+            asked_ms,
+            applied=peer.applied,
+            away=peer.fitness.away(self.now(peer)),
+            away_views=peer.fitness.away_views(self.now(peer)),
+        )
+        node.ledger.note_outages(node.fitness.away_views(self.now(node)))
+
+    def round(self, *, gossip: bool = True) -> None:
+        self.t_ms += ROUND_MS
+        for node in self.awake():
+            self.poll(node)
+        for node in self.awake() if gossip else []:
+            for peer in self.awake():
+                if peer is not node:
+                    self.beat(node, peer)
+
+    def rounds(self, count: int) -> None:
+        for _ in range(count):
+            self.round()
+
+    def standing(self, node: Node) -> Standing:
+        now_ms = self.now(node)
+        return Standing(
+            fit=now_ms < node.fitness.stamp_until_ms(),
+            in_majority=now_ms < node.fitness.contact_until_ms(now_ms),
+            confirmed=node.fitness.confirmed(now_ms),
+        )
+
+    def outages(self, node: Node) -> list[Outage]:
+        away = node.fitness.away_views(self.now(node))
+        return [
+            Outage(number, int(self.t_ms), self.views[number].names)
+            for number in away
+            if number in self.views
+        ]
+
+    def propose(self, node: Node) -> bool:
+        """Let a node write the next view, on condition that its base still stands."""
+        if node.me.member not in self.reach:
+            return False
+        proposed = node.membership.propose(
+            self.standing(node), self.now(node), int(self.t_ms), self.outages(node)
+        )
+        if isinstance(proposed, ProposalBar):
+            return False
+        head = decode_view(self.row).number if self.row else 0
+        if proposed.number != head + 1:
+            return False
+        self.row = encode_view(proposed)
+        self.views[proposed.number] = proposed
+        self.adopt(node, proposed)
+        return True
+
+    def part(self, group: set[MemberId]) -> None:
+        """Cut a group off from the rest in both directions."""
+        for one in self.nodes:
+            for other in self.nodes:
+                if (one in group) != (other in group):
+                    self.blocked.add((one, other))
+
+
+def started(count: int, **options: object) -> Fleet:
+    """Return a fleet whose members all know one settled view."""
+    fleet = Fleet(**options)  # type: ignore[arg-type]
+    for index in range(count):
+        fleet.start(f"n{index}", str(index))
+    first = fleet.nodes[MemberId("n0")]
+    for node in fleet.awake():
+        first.membership.asks_to_join(node.me)
+    fleet.poll(first)
+    assert fleet.propose(first)
+    fleet.rounds(6)
+    return fleet
