--- /dev/null
+++ b/src/crocusspindle_standins/relay.py
@@ -0,0 +1,98 @@
+"""Relay TCP connections of a test and drop or silence either direction."""
+
+import asyncio
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final
+
+CHUNK_BYTES: Final = 65536
+
+
+class Direction(Enum):
+    """Tell which way of a relayed connection is meant."""
+
+    TO_SERVER = "to_server"
+    TO_CLIENT = "to_client"
+
+
+@dataclass
+class Relay:
+    """Forward connections to one server; a cut direction swallows its bytes.
+
+    A cut leaves the connections open and says nothing to either end, as a
+    network element does that has lost track of them.
+    """
+
+    host: str
+    port: int
+    target_port: int
+
+    def __post_init__(self) -> None:
+        self._cut: set[Direction] = set()
+        self._silenced: set[int] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._connections = 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen for connections."""
+        self._server = await asyncio.start_server(self._accept, self.host, self.port)
+
+    async def stop(self) -> None:
+        """Close the listener and every connection."""
+        if self._server is not None:
+            self._server.close()
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def cut(self, *directions: Direction) -> None:
+        """Swallow every byte of these directions, on all connections."""
+        self._cut.update(directions)
+
+    def heal(self) -> None:
+        """Let bytes through again; connections silenced before stay silent."""
+        self._cut.clear()
+
+    def silence_open(self) -> None:
+        """Make every open connection mute for good; new ones work."""
+        self._silenced.update(range(self._connections))
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        number = self._connections
+        self._connections += 1
+        task = asyncio.current_task()
+        if task is not None:
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                self.host, self.target_port
+            )
+        except OSError:
+            writer.close()
+            return
+        await asyncio.gather(
+            self._pump(number, Direction.TO_SERVER, reader, far_writer),
+            self._pump(number, Direction.TO_CLIENT, far_reader, writer),
+            return_exceptions=True,
+        )
+
+    async def _pump(
+        self,
+        number: int,
+        direction: Direction,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        try:
+            while chunk := await reader.read(CHUNK_BYTES):
+                if direction in self._cut or number in self._silenced:
+                    continue
+                writer.write(chunk)
+                await writer.drain()
+        finally:
+            if direction not in self._cut and number not in self._silenced:
+                writer.close()
--- /dev/null
+++ b/src/crocusspindle_standins/target.py
@@ -0,0 +1,195 @@
+"""Stand in for one target: slots, cold start, shedding and gray failures.
+
+``PUT /-/control`` takes a JSON object with any of the fields of ``Faults``.
+``GET /-/executions`` answers what ran here: the judge of "not run" and of "at
+most once". ``GET /-/health`` answers 200 whatever the faults are.
+"""
+
+import asyncio
+import hashlib
+import random
+from collections import Counter
+from dataclasses import asdict, dataclass, field, replace
+from typing import Final
+
+import fire
+from aiohttp import web
+
+from crocusspindle_standins.server import run_server
+
+NOT_RUN: Final = {"Target-Outcome": "not-run"}
+REQUEST_ID: Final = "Crocusspindle-Request-Id"
+SILENCE_S: Final = 3600.0
+FILLER: Final = b"x" * 65536
+
+
+@dataclass(frozen=True)
+class Faults:
+    """Tell how the target misbehaves; fractions are of the requests."""
+
+    fail_fraction: float = 0.0
+    hang_fraction: float = 0.0
+    cut_fraction: float = 0.0
+    cross_fraction: float = 0.0
+    slow_factor: float = 1.0
+    draining: bool = False
+
+
+@dataclass
+class Judge:
+    """Count what ran, for whom, and whether a key was ever seen."""
+
+    operations: Counter[str] = field(default_factory=Counter)
+    requests: Counter[str] = field(default_factory=Counter)
+    customers: Counter[str] = field(default_factory=Counter)
+    keys_seen: int = 0
+    shed: int = 0
+    overruns: int = 0
+    ran_at_unix_ms: dict[str, list[float]] = field(default_factory=dict)
+
+    def note(self, request: web.Request) -> None:
+        """Record that a request began to run."""
+        headers = request.headers
+        if "Authorization" in headers:
+            self.keys_seen += 1
+        self.customers[headers.get("Crocusspindle-Customer", "")] += 1
+        self.requests[headers.get("Test-Request", "")] += 1
+        if "Idempotency-Key" in headers:
+            self.operations[headers["Idempotency-Key"]] += 1
+
+
+class TargetServer:
+    """Run requests in a few slots and fail as it is told to."""
+
+    def __init__(
+        self, service: str, slots: int, work_ms: float, queue: int, seed: int
+    ) -> None:
+        self.service = service
+        self.slots = asyncio.Semaphore(slots)
+        self.slot_count = slots
+        self.work_ms = work_ms
+        self.queue = queue
+        self.random = random.Random(seed)
+        self.faults = Faults()
+        self.judge = Judge()
+        self.present = 0
+
+    async def serve(self, request: web.Request) -> web.StreamResponse:
+        """Run one request in a slot, or shed it."""
+        if self.faults.draining or self.present >= self.slot_count + self.queue:
+            self.judge.shed += 1
+            return web.Response(status=503, headers=NOT_RUN | {"Retry-After": "1"})
+        self.present += 1
+        if self.present > self.slot_count:
+            self.judge.overruns += 1
+        try:
+            async with self.slots:
+                return await self.run(request)
+        finally:
+            self.present -= 1
+
+    async def run(self, request: web.Request) -> web.StreamResponse:
+        """Do the work of one request and answer it."""
+        digest = hashlib.sha256()
+        size = 0
+        async for chunk in request.content.iter_any():
+            digest.update(chunk)
+            size += len(chunk)
+        self.judge.note(request)
+        if self._happens(self.faults.hang_fraction):
+            await asyncio.sleep(SILENCE_S)
+        work_ms = self.random.expovariate(1.0) * self.work_ms
+        await asyncio.sleep(work_ms * self.faults.slow_factor / 1e3)
+        if self._happens(self.faults.fail_fraction):
+            return web.Response(status=500, text="the target failed")
+        return await self.answer(request, digest.hexdigest(), size)
+
+    def _happens(self, fraction: float) -> bool:
+        return fraction > 0 and self.random.random() < fraction
+
+    async def answer(
+        self, request: web.Request, digest: str, size: int
+    ) -> web.StreamResponse:
+        """Answer with what ran, so that a caller can tell its own answer."""
+        content = {
+            "service": self.service,
+            "customer": request.headers.get("Crocusspindle-Customer", ""),
+            "request": request.headers.get("Test-Request", ""),
+            "body_sha256": digest,
+            "body_bytes": size,
+        }
+        headers = {REQUEST_ID: request.headers.get(REQUEST_ID, "")}
+        if self._happens(self.faults.cross_fraction):
+            headers[REQUEST_ID] = "another"
+            content["request"] = "another"
+        filler = int(request.query.get("answer_bytes", "0"))
+        if self._happens(self.faults.cut_fraction):
+            return await self._cut(request, headers)
+        if not filler:
+            return web.json_response(content, headers=headers)
+        return await self._stream(request, headers, filler)
+
+    async def _cut(
+        self, request: web.Request, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers=headers | {"Content-Length": "1000"})
+        await response.prepare(request)
+        await response.write(b"cut short")
+        if request.transport is not None:
+            request.transport.abort()
+        return response
+
+    async def _stream(
+        self, request: web.Request, headers: dict[str, str], size: int
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers=headers | {"Content-Length": str(size)})
+        await response.prepare(request)
+        while size:
+            part = FILLER[:size]
+            await response.write(part)
+            size -= len(part)
+        return response
+
+    async def health(self, _request: web.Request) -> web.Response:
+        """Claim to be well: the health endpoint of a gray target lies."""
+        return web.json_response({"status": "ok"})
+
+    async def control(self, request: web.Request) -> web.Response:
+        """Change the faults."""
+        self.faults = replace(self.faults, **await request.json())
+        return web.Response()
+
+    async def executions(self, _request: web.Request) -> web.Response:
+        """Answer what ran here."""
+        return web.json_response(asdict(self.judge))
+
+    def app(self) -> web.Application:
+        """Build the application of the stand-in."""
+        app = web.Application(client_max_size=1 << 30)
+        app.add_routes(
+            [
+                web.get("/-/health", self.health),
+                web.put("/-/control", self.control),
+                web.get("/-/executions", self.executions),
+                web.route("*", "/{path:.*}", self.serve),
+            ]
+        )
+        return app
+
+
+def main(
+    port: int,
+    service: str = "katalog",
+    slots: int = 2,
+    work_ms: float = 20.0,
+    queue: int = 2,
+    seed: int = 1,
+    host: str = "127.0.0.1",
+) -> None:
+    """Serve one target until a signal ends the process."""
+    server = TargetServer(service, slots, work_ms, queue, seed)
+    run_server(server.app(), host, port)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
