--- /dev/null
+++ b/tests/product/test_settings.py
@@ -0,0 +1,67 @@
+import pytest
+
+from crocusspindle.errors import SettingsError
+from crocusspindle.settings import check_settings, fleet_key, load_settings
+from crocusspindle.settings_schema import FleetSettings
+
+GOOD = """\
+node: {name: a1, domain: d1}
+caller: {host: 127.0.0.1, port: 0}
+peer: {host: 127.0.0.1, port: 0}
+operator:
+  host: 127.0.0.1
+  port: 0
+  principals:
+    - {name: ops, role: operator, key_sha256: "%s"}
+fleet: {name: demo, key_env: FLEET_KEY}
+platform: {adapter: http, url: "http://127.0.0.1:1"}
+""" % ("0" * 64)
+
+
+def test_defaults_and_platform_options():
+    settings = check_settings(GOOD, "a.yaml")
+    assert settings.timings.freshness_ms == 4_000
+    assert settings.limits.group_targets == 16
+    assert settings.platform.options == {"url": "http://127.0.0.1:1"}
+    with pytest.raises(Exception, match="frozen"):
+        settings.node.name = "b"
+
+
+def test_all_findings_come_together_with_their_lines():
+    text = GOOD.replace("role: operator", "role: boss").replace(
+        "port: 0}\npeer", "prot: 0}\npeer"
+    )
+    text += "timings: {poll_ms: 3000}\nextra: 1\nextra: 2\n"
+    with pytest.raises(SettingsError) as error:
+        check_settings(text, "a.yaml")
+    places = [(finding.line, finding.path) for finding in error.value.findings]
+    assert places == [
+        (2, "caller.port"),
+        (2, "caller.prot"),
+        (8, "operator.principals[0].role"),
+        (11, "timings"),
+        (13, "extra"),
+        (13, "extra"),
+    ]
+    assert str(error.value.findings[1]) == "a.yaml:2: caller.prot: unknown key"
+
+
+@pytest.mark.parametrize("text", ["", "- a", "a: [", "1: 2", "a: !!python/name:os.x"])
+def test_what_is_no_mapping_is_refused(text):
+    with pytest.raises(SettingsError):
+        check_settings(text, "a.yaml")
+
+
+def test_a_file_that_is_missing_is_a_finding(tmp_path):
+    with pytest.raises(SettingsError, match="cannot be read"):
+        load_settings(tmp_path / "none.yaml")
+
+
+def test_fleet_key_from_file_or_environment(tmp_path):
+    file = tmp_path / "key"
+    file.write_text("k" * 20 + "\n")
+    assert fleet_key(FleetSettings(name="f", key_file=file)) == b"k" * 20
+    by_env = FleetSettings(name="f", key_env="K")
+    assert fleet_key(by_env, {"K": "x" * 16}) == b"x" * 16
+    with pytest.raises(SettingsError):
+        fleet_key(by_env, {"K": "short"})
