--- /dev/null
+++ b/src/crocusspindle/services/control.py
@@ -0,0 +1,287 @@
+"""Hold what this node knows of the fleet, and whether it may act on it."""
+
+import time
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from crocusspindle.clock import now_ms
+from crocusspindle.core.directory import Directory
+from crocusspindle.core.fitness import Fitness, FitnessLimits
+from crocusspindle.core.members import (
+    Membership,
+    MembershipLimits,
+    MemberView,
+    ViewMember,
+    encode_view,
+)
+from crocusspindle.core.model import KeyState, Target
+from crocusspindle.core.ticket_schema import Ticket, encode_ticket
+from crocusspindle.core.tickets import TicketLog
+from crocusspindle.ids import (
+    CustomerId,
+    KeyDigest,
+    MemberId,
+    ServiceId,
+    TicketNumber,
+    ViewNumber,
+)
+from crocusspindle.kernel import Service
+from crocusspindle.logs import Logger, log_state_change
+from crocusspindle.settings_schema import TimingSettings
+from crocusspindle.wire import fleet_pb2 as wire
+
+TAIL_KEPT: Final = 1_000
+"""Applied tickets kept for peers that lag: several hours of an ordinary day. Who
+lags further starts from a snapshot."""
+MISSED_CONTACTS: Final = 6
+
+
+def unix_ms() -> int:
+    """Return the wall clock, for records that people read and coarse ages."""
+    return time.time_ns() // 1_000_000
+
+
+@dataclass(frozen=True)
+class Change:
+    """Tell what one applied ticket changed, for those who act on it."""
+
+    ticket: Ticket
+    withdrawn: tuple[KeyDigest, ...]
+    barred: tuple[tuple[ServiceId, CustomerId], ...]
+    """Customers whose approval for a service was taken back."""
+
+
+class ControlService(Service):
+    """Apply views, tickets and host lists, and judge this node's own fitness."""
+
+    name = "control"
+
+    def __init__(self, me: ViewMember, timings: TimingSettings) -> None:
+        self.me = me
+        self.directory = Directory()
+        self.log = TicketLog()
+        limits = FitnessLimits(
+            freshness_ms=timings.freshness_ms,
+            contact_ms=timings.heartbeat_ms * MISSED_CONTACTS,
+            failing_ms=timings.freshness_ms,
+        )
+        self.fitness = Fitness(me.member, limits)
+        self.membership = Membership(me, MembershipLimits())
+        self.draining = False
+        self.targets: Mapping[ServiceId, tuple[Target, ...]] = {}
+        self._tail: dict[TicketNumber, bytes] = {}
+        self._was_fit = False
+        self._failing = False
+        self._on_change: list[Callable[[Change], None]] = []
+        self._on_view: list[Callable[[MemberView], None]] = []
+        self._on_targets: list[Callable[[], None]] = []
+        self._on_behind: Callable[[MemberId], None] = lambda member: None
+        self._logger = Logger("control")
+
+    def watch(
+        self,
+        change: Callable[[Change], None] | None = None,
+        view: Callable[[MemberView], None] | None = None,
+        targets: Callable[[], None] | None = None,
+        behind: Callable[[MemberId], None] | None = None,
+    ) -> None:
+        """Call back on applied tickets, new views and new host lists.
+
+        ``behind`` is called with a peer that has applied more than this node.
+        """
+        if change is not None:
+            self._on_change.append(change)
+        if view is not None:
+            self._on_view.append(view)
+        if targets is not None:
+            self._on_targets.append(targets)
+        if behind is not None:
+            self._on_behind = behind
+
+    @property
+    def view(self) -> MemberView | None:
+        """Return the agreed member view, or None before the first one."""
+        return self.membership.view
+
+    def fit_until_ms(self) -> float:
+        """Return the deadline up to which this node may take new work."""
+        return self.fitness.fit_until_ms(now_ms())
+
+    def is_fit(self) -> bool:
+        """Return True if this node may begin new work now."""
+        return now_ms() < self.fit_until_ms()
+
+    def key_active(self, credential: bytes) -> bool:
+        """Return True if the key is still in use."""
+        return self.directory.key_active(KeyDigest(credential))
+
+    def adopt_view(self, view: MemberView) -> None:
+        """Adopt a view unless it is older than the present one."""
+        now = now_ms()
+        if self.membership.adopt(view, now) is None:
+            return
+        self.fitness.adopt(view, now)
+        log_state_change(
+            self._logger, "view adopted", view=view.number, members=len(view.members)
+        )
+        for call in self._on_view:
+            call(view)
+
+    def take_tickets(self, tickets: Iterable[Ticket]) -> None:
+        """Apply tickets in order; raise ``TicketConflictError`` on rewritten ones."""
+        for offered in tickets:
+            for ticket in self.log.offer(offered):
+                self._apply(ticket)
+
+    def take_targets(self, targets: Iterable[Target]) -> None:
+        """Take a host list of the platform."""
+        grouped: dict[ServiceId, list[Target]] = {}
+        for target in targets:
+            grouped.setdefault(target.service, []).append(target)
+        self.targets = {
+            service: tuple(sorted(members, key=lambda target: target.target))
+            for service, members in grouped.items()
+        }
+        for call in self._on_targets:
+            call()
+
+    def stamped(self, read_began_ms: float) -> None:
+        """Note a whole read of the platform whose content is applied."""
+        self.fitness.stamp(read_began_ms)
+        self._failing = False
+        self.note_fitness()
+
+    def platform_failed(self, at_ms: float) -> None:
+        """Note that a read of the platform failed."""
+        self.fitness.platform_failing(at_ms)
+        self._failing = True
+        self.note_fitness()
+
+    def note_fitness(self) -> None:
+        """Log when this node turns fit or unfit."""
+        fit = self.is_fit()
+        if fit == self._was_fit:
+            return
+        self._was_fit = fit
+        reason = self.fitness.reason(now_ms()).value
+        log_state_change(self._logger, "fit" if fit else "unfit", reason=reason)
+
+    def standing(self) -> wire.Standing:
+        """Return what this node says of itself in a heartbeat."""
+        now = now_ms()
+        age_ms = self.fitness.stamp_age_ms(now)
+        view = self.view
+        return wire.Standing(
+            view_number=0 if view is None else view.number,
+            applied_ticket=self.log.applied,
+            draining=self.draining,
+            fit=now < self.fitness.fit_until_ms(now),
+            has_stamp=age_ms is not None,
+            stamp_age_ms=age_ms or 0.0,
+            silent=self.membership.silent(now),
+            platform_failing=self._failing,
+            away=self.fitness.away(now),
+            away_views=sorted(self.fitness.away_views(now)),
+        )
+
+    def echoed(self, member: MemberId, standing: wire.Standing, sent_ms: float) -> None:
+        """Take a beat of ours that came back, sent at ``sent_ms``."""
+        self.heard(member, standing)
+        self.fitness.applied = self.log.applied
+        self.fitness.echo(
+            member,
+            ViewNumber(standing.view_number),
+            sent_ms,
+            applied=standing.applied_ticket,
+            away=standing.away,
+            away_views=[ViewNumber(view) for view in standing.away_views],
+        )
+        if standing.platform_failing:
+            self.fitness.platform_failing(sent_ms)
+        if self._behind(standing):
+            self._on_behind(member)
+        elif standing.has_stamp:
+            self.fitness.relayed(sent_ms, standing.stamp_age_ms)
+        self.note_fitness()
+
+    def heard(self, member: MemberId, standing: wire.Standing) -> None:
+        """Take the word of a peer, without proof that it hears us."""
+        now = now_ms()
+        self.membership.heard(member, now)
+        for silent in standing.silent:
+            self.membership.silent_elsewhere(MemberId(silent), member, now)
+
+    def tail(self, after: TicketNumber, limit: int) -> list[bytes] | None:
+        """Return applied tickets after a number, None if no longer kept."""
+        if after >= self.log.applied:
+            return []
+        wanted = range(after + 1, min(self.log.applied, after + limit) + 1)
+        found = [self._tail.get(TicketNumber(number)) for number in wanted]
+        present = [content for content in found if content is not None]
+        return present if len(present) == len(found) else None
+
+    def install(self, number: TicketNumber, content: bytes) -> bool:
+        """Start from a snapshot; return False if it is not newer."""
+        directory = Directory.load(content)
+        ready = self.log.install(number)
+        if ready is None:
+            return False
+        self.directory = directory
+        for ticket in ready:
+            self._apply(ticket)
+        return True
+
+    def view_bytes(self) -> bytes:
+        """Return the encoded view, empty before the first one."""
+        return b"" if self.view is None else encode_view(self.view)
+
+    def _behind(self, standing: wire.Standing) -> bool:
+        view_number = 0 if self.view is None else self.view.number
+        return (
+            standing.applied_ticket > self.log.applied
+            or standing.view_number > view_number
+        )
+
+    def _apply(self, ticket: Ticket) -> None:
+        # An approval that went also bars what the customer has queued there.
+        change = Change(
+            ticket,
+            withdrawn=tuple(
+                key.digest for key in ticket.set.keys if key.state is KeyState.WITHDRAWN
+            )
+            + ticket.remove.keys,
+            barred=tuple(
+                (approval.service, approval.customer)
+                for approval in ticket.remove.approvals
+            ),
+        )
+        apply_ticket(ticket, self.directory)
+        self._tail[ticket.number] = encode_ticket(ticket)
+        self._tail.pop(TicketNumber(ticket.number - TAIL_KEPT), None)
+        for call in self._on_change:
+            call(change)
+
+
+def apply_ticket(ticket: Ticket, directory: Directory) -> None:
+    """Bring a directory to the state after a ticket."""
+    for customer in ticket.set.customers:
+        directory.put_customer(customer)
+    for service in ticket.set.services:
+        directory.put_service(service)
+    for key in ticket.set.keys:
+        directory.put_key(key)
+    for route in ticket.set.routes:
+        directory.put_route(route)
+    for approval in ticket.set.approvals:
+        directory.put_approval(approval)
+    for gone in ticket.remove.approvals:
+        directory.remove_approval(gone.service, gone.customer)
+    for prefix in ticket.remove.routes:
+        directory.remove_route(prefix)
+    for digest in ticket.remove.keys:
+        directory.remove_key(digest)
+    for service_id in ticket.remove.services:
+        directory.remove_service(service_id)
+    for customer_id in ticket.remove.customers:
+        directory.remove_customer(customer_id)
--- /dev/null
+++ b/src/crocusspindle/services/links.py
@@ -0,0 +1,127 @@
+"""Carry hand-over frames between an entry and a home, near or far."""
+
+import asyncio
+from typing import Final, Protocol
+
+from grpclib.client import Stream as ClientStream
+from grpclib.server import Stream as ServerStream
+
+from crocusspindle.errors import PeerError
+from crocusspindle.wire import fleet_pb2 as wire
+
+FRAMES_UNDER_WAY: Final = 4
+"""Frames of up to 64 KB that one side may be ahead within a process."""
+
+
+class EntryLink(Protocol):
+    """Hold the entry's end of one request."""
+
+    async def send(self, frame: wire.HandOverFrame) -> None:
+        """Send a frame to the home."""
+
+    async def receive(self) -> wire.AnswerFrame:
+        """Return the next frame; raise ``PeerError`` when there is none."""
+
+
+class HomeLink(Protocol):
+    """Hold the home's end of one request."""
+
+    async def send(self, frame: wire.AnswerFrame) -> None:
+        """Send a frame to the entry."""
+
+    async def receive(self) -> wire.HandOverFrame:
+        """Return the next frame; raise ``PeerError`` when there is none."""
+
+
+class RemoteEntryLink:
+    """Reach a home on another node."""
+
+    def __init__(
+        self, stream: ClientStream[wire.HandOverFrame, wire.AnswerFrame]
+    ) -> None:
+        self._stream = stream
+
+    async def send(self, frame: wire.HandOverFrame) -> None:
+        """Send a frame to the home."""
+        await self._stream.send_message(frame)
+
+    async def receive(self) -> wire.AnswerFrame:
+        """Return the next frame; raise ``PeerError`` when there is none."""
+        frame = await self._stream.recv_message()
+        if frame is None:
+            raise PeerError("the home ended the stream")
+        return frame
+
+
+class RemoteHomeLink:
+    """Reach the entry on another node."""
+
+    def __init__(
+        self, stream: ServerStream[wire.HandOverFrame, wire.AnswerFrame]
+    ) -> None:
+        self._stream = stream
+
+    async def send(self, frame: wire.AnswerFrame) -> None:
+        """Send a frame to the entry."""
+        await self._stream.send_message(frame)
+
+    async def receive(self) -> wire.HandOverFrame:
+        """Return the next frame; raise ``PeerError`` when there is none."""
+        frame = await self._stream.recv_message()
+        if frame is None:
+            raise PeerError("the entry ended the stream")
+        return frame
+
+
+class LocalLink:
+    """Join an entry and a home of the same process."""
+
+    def __init__(self) -> None:
+        self._to_home: asyncio.Queue[wire.HandOverFrame] = asyncio.Queue(
+            FRAMES_UNDER_WAY
+        )
+        self._to_entry: asyncio.Queue[wire.AnswerFrame] = asyncio.Queue(
+            FRAMES_UNDER_WAY
+        )
+        self.entry = LocalEntryLink(self._to_home, self._to_entry)
+        self.home = LocalHomeLink(self._to_home, self._to_entry)
+
+
+class LocalEntryLink:
+    """Hold the entry's end within one process."""
+
+    def __init__(
+        self,
+        to_home: asyncio.Queue[wire.HandOverFrame],
+        to_entry: asyncio.Queue[wire.AnswerFrame],
+    ) -> None:
+        self._to_home = to_home
+        self._to_entry = to_entry
+
+    async def send(self, frame: wire.HandOverFrame) -> None:
+        """Send a frame to the home."""
+        await self._to_home.put(frame)
+
+    async def receive(self) -> wire.AnswerFrame:
+        """Return the next frame."""
+        return await self._to_entry.get()
+
+
+class LocalHomeLink:
+    """Hold the home's end within one process."""
+
+    def __init__(
+        self,
+        to_home: asyncio.Queue[wire.HandOverFrame],
+        to_entry: asyncio.Queue[wire.AnswerFrame],
+    ) -> None:
+        self._to_home = to_home
+        self._to_entry = to_entry
+
+    async def send(self, frame: wire.AnswerFrame) -> None:
+        """Send a frame to the entry."""
+        await self._to_entry.put(frame)
+
+    async def receive(self) -> wire.HandOverFrame:
+        """Return the next frame."""
+        return await self._to_home.get()
