--- a/src/crocusspindle/settings_schema.py
+++ b/src/crocusspindle/settings_schema.py
@@ -276,8 +276,12 @@
 class LogSettings(Section):
     """Choose format and level of the log."""
 
-    format: LogFormat = Field(LogFormat.TEXT, description="Format of log lines.")
-    level: LogLevel = Field(LogLevel.INFO, description="Least severe level written.")
+    format: LogFormat = Field(
+        default=LogFormat.TEXT, description="Format of log lines."
+    )
+    level: LogLevel = Field(
+        default=LogLevel.INFO, description="Least severe level written."
+    )
 
 
 class NodeSettings(Section):
