Add the command line, the operator port and TLS that reloads

A certificate is first loaded into a spare context, because loading one that does not match its key leaves a context that fails every handshake.

--- /dev/null
+++ b/src/crocusspindle/__main__.py
@@ -0,0 +1,18 @@
+"""Start the command line of crocusspindle."""
+
+import os
+import sys
+
+# uvloop opens an io_uring descriptor when it is imported without this.
+os.environ["UV_USE_IO_URING"] = "0"
+
+
+def main() -> None:
+    """Run the command that the command line names."""
+    from crocusspindle import cli  # noqa: PLC0415
+
+    sys.exit(cli.run())
+
+
+if __name__ == "__main__":
+    main()
--- a/src/crocusspindle/errors.py
+++ b/src/crocusspindle/errors.py
@@ -61,5 +61,13 @@
     """Report a peer that did not answer in time or answered nonsense."""
 
 
+class NotFitError(CrocusspindleError):
+    """Report a node that may not take this work now, and when to come back."""
+
+    def __init__(self, reason: str, retry_after_ms: float) -> None:
+        super().__init__(reason)
+        self.retry_after_ms = retry_after_ms
+
+
 class KernelError(CrocusspindleError):
     """Report services that cannot be found, started or stopped."""
--- /dev/null
+++ b/src/crocusspindle/instruments.py
@@ -0,0 +1,213 @@
+"""Declare the metrics of a node."""
+
+from typing import Final
+
+from crocusspindle.metrics import InstrumentKind, declare
+
+REQUESTS: Final = declare(
+    "requests",
+    InstrumentKind.COUNTER,
+    unit="requests",
+    labels=("service", "outcome"),
+    meaning="Callers' requests that ended at this entry, by service and outcome.",
+    when_rising="Compare the outcomes: more `unknown` points at targets or peers "
+    "that go silent, more `not-run` at overload or an unfit node.",
+)
+CUSTOMER_REQUESTS: Final = declare(
+    "customer_requests",
+    InstrumentKind.COUNTER,
+    unit="requests",
+    labels=("customer", "outcome"),
+    meaning="Callers' requests that ended at this entry, by customer and outcome.",
+    when_rising="One customer alone: see the page on a tenant over its rate.",
+)
+REFUSALS: Final = declare(
+    "refusals",
+    InstrumentKind.COUNTER,
+    unit="requests",
+    labels=("service", "reason"),
+    meaning="Requests that were refused and not run, by reason.",
+    when_rising="Go by the reason: `rate` and `key` concern one customer, `queue` and "
+    "`deadline` the service's capacity, `unfit` this node.",
+)
+REQUEST_MS: Final = declare(
+    "request_ms",
+    InstrumentKind.HISTOGRAM,
+    unit="ms",
+    labels=("service",),
+    meaning="Time from a request's head to the end of its answer at the entry.",
+    when_rising="Look at `queue_wait_ms` (too few slots) and `attempt_ms` (slow "
+    "targets); what remains is the fleet's own.",
+)
+QUEUE_WAIT_MS: Final = declare(
+    "queue_wait_ms",
+    InstrumentKind.HISTOGRAM,
+    unit="ms",
+    labels=("service",),
+    meaning="Time that requests waited at their home for a slot.",
+    when_rising="The service needs more targets, or some are ejected: see `status`.",
+)
+QUEUED: Final = declare(
+    "queued",
+    InstrumentKind.GAUGE,
+    unit="requests",
+    labels=("service",),
+    meaning="Requests that wait at this home.",
+    when_rising="As for `queue_wait_ms`.",
+)
+ATTEMPTS: Final = declare(
+    "attempts",
+    InstrumentKind.COUNTER,
+    unit="attempts",
+    labels=("service", "result"),
+    meaning="Sendings of a request to a target, by result.",
+    when_rising="More failures: see `status` for the evidence on each target.",
+)
+ATTEMPT_MS: Final = declare(
+    "attempt_ms",
+    InstrumentKind.HISTOGRAM,
+    unit="ms",
+    labels=("service",),
+    meaning="Time from sending a request to a target to the head of its answer.",
+    when_rising="Targets are slow: see the page on gray targets.",
+)
+RETRIES: Final = declare(
+    "retries",
+    InstrumentKind.COUNTER,
+    unit="attempts",
+    labels=("service",),
+    meaning="Idempotent requests that were sent again after a failure.",
+    when_rising="Targets fail; the budget `limits.retry_fraction` bounds the load.",
+)
+HEDGES: Final = declare(
+    "hedges",
+    InstrumentKind.COUNTER,
+    unit="attempts",
+    labels=("service",),
+    meaning="Second sendings of a slow idempotent request to another target.",
+    when_rising="A few targets are slow; the budget `limits.hedge_fraction` bounds it.",
+)
+EJECTIONS: Final = declare(
+    "ejections",
+    InstrumentKind.COUNTER,
+    unit="targets",
+    labels=("service", "cause"),
+    meaning="Targets taken out of work by their home.",
+    when_rising="See the page on gray targets.",
+)
+EJECTED: Final = declare(
+    "ejected",
+    InstrumentKind.GAUGE,
+    unit="targets",
+    labels=("service",),
+    meaning="Targets that get no work from this home now.",
+    when_rising="Near the service's floor nothing more is ejected: mend targets first.",
+)
+FIT: Final = declare(
+    "fit",
+    InstrumentKind.GAUGE,
+    unit="1",
+    meaning="1 while the node may take new work, else 0.",
+    when_rising="0 on some nodes: see the page on partitions; 0 on all: the platform "
+    "is away and no majority is in contact.",
+)
+STAMP_AGE_MS: Final = declare(
+    "stamp_age_ms",
+    InstrumentKind.GAUGE,
+    unit="ms",
+    meaning="Age of the node's freshness stamp.",
+    when_rising="On one node it is cut off; on all, the platform is away.",
+)
+MEMBERS: Final = declare(
+    "members",
+    InstrumentKind.GAUGE,
+    unit="nodes",
+    meaning="Live members in the node's view.",
+    when_rising="Fewer than hosts: look for nodes that are down or cut off.",
+)
+TICKET: Final = declare(
+    "ticket",
+    InstrumentKind.GAUGE,
+    unit="number",
+    meaning="Number of the last ticket that the node applied.",
+    when_rising="It rises with each ticket; a node that stays behind is cut off.",
+)
+TICKET_DELAY_MS: Final = declare(
+    "ticket_delay_ms",
+    InstrumentKind.HISTOGRAM,
+    unit="ms",
+    meaning="Time from a ticket's record to its application on this node.",
+    when_rising="Above 17,000 the bound is missed: look at `platform_call_ms`, then at "
+    "`peers`.",
+)
+PLATFORM_CALLS: Final = declare(
+    "platform_calls",
+    InstrumentKind.COUNTER,
+    unit="calls",
+    labels=("call", "result"),
+    meaning="Calls to the platform, by result.",
+    when_rising="More `unavailable` or `unknown`: see the page on the platform away.",
+)
+PLATFORM_CALL_MS: Final = declare(
+    "platform_call_ms",
+    InstrumentKind.HISTOGRAM,
+    unit="ms",
+    labels=("call",),
+    meaning="Time of calls to the platform.",
+    when_rising="The platform is slow; tickets take longer to be in force.",
+)
+PEERS: Final = declare(
+    "peers",
+    InstrumentKind.GAUGE,
+    unit="connections",
+    meaning="Peers in two-way contact.",
+    when_rising="Fewer than in `members`: see the page on partitions.",
+)
+GOSSIP_BYTES: Final = declare(
+    "gossip_bytes",
+    InstrumentKind.COUNTER,
+    unit="bytes",
+    labels=("direction",),
+    meaning="Bytes of gossip between nodes.",
+    when_rising="Above 20,000 a second the budget of a node is missed: look for "
+    "members that come and go.",
+)
+SHARE_REFUSALS: Final = declare(
+    "share_refusals",
+    InstrumentKind.COUNTER,
+    unit="requests",
+    labels=("customer",),
+    meaning="Requests refused for lack of tokens at the holder asked.",
+    when_rising="Compare with the customer's rate: within it, tokens lie elsewhere.",
+)
+SHARE_LOANS: Final = declare(
+    "share_loans",
+    InstrumentKind.COUNTER,
+    unit="loans",
+    meaning="Loans of tokens between holders of shares.",
+    when_rising="Callers keep old addresses, or holders were replaced.",
+)
+OPERATIONS_KEPT: Final = declare(
+    "operations_kept",
+    InstrumentKind.GAUGE,
+    unit="operations",
+    meaning="Operation keys whose outcome this node keeps.",
+    when_rising="Memory is bounded by `limits.operation_memory_bytes`; at the bound "
+    "new operations are refused.",
+)
+CALLER_CONNECTIONS: Final = declare(
+    "caller_connections",
+    InstrumentKind.GAUGE,
+    unit="connections",
+    meaning="Open connections of callers.",
+    when_rising="At `caller.max_connections` new ones are refused: callers should keep "
+    "connections, or more entry hosts are needed.",
+)
+OPERATOR_CALLS: Final = declare(
+    "operator_calls",
+    InstrumentKind.COUNTER,
+    unit="calls",
+    labels=("status",),
+    meaning="Calls at the operator port, by HTTP status.",
+    when_rising="More 401: somebody tries keys; more 409: operators race.",
+)
--- /dev/null
+++ b/src/crocusspindle/operator_client.py
@@ -0,0 +1,153 @@
+"""Call the operator port and the callers' address list over HTTP."""
+
+import asyncio
+import json
+import ssl
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Final
+
+import aiohttp
+
+from crocusspindle.errors import CrocusspindleError, Finding
+from crocusspindle.exit_codes import ExitCode
+
+WHERE_PATH: Final = "/.well-known/crocusspindle/where"
+CALL_TIMEOUT_S: Final = 20.0
+CONNECT_TIMEOUT_S: Final = 5.0
+IN_FORCE_POLL_S: Final = 0.25
+
+_CODE_BY_STATUS: Final = {
+    400: ExitCode.FINDINGS,
+    401: ExitCode.NOT_ALLOWED,
+    403: ExitCode.NOT_ALLOWED,
+    404: ExitCode.NOT_FOUND,
+    409: ExitCode.CONFLICT,
+    413: ExitCode.FINDINGS,
+    503: ExitCode.COME_BACK,
+    504: ExitCode.UNKNOWN,
+}
+
+
+class CommandError(CrocusspindleError):
+    """End a command with an exit code and findings."""
+
+    def __init__(
+        self,
+        message: str,
+        code: ExitCode,
+        findings: tuple[Finding, ...] = (),
+        retry_after_s: int | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.code = code
+        self.findings = findings
+        self.retry_after_s = retry_after_s
+
+
+@dataclass(frozen=True)
+class Endpoint:
+    """Name a port, the key to show and the authority that signs its certificate."""
+
+    url: str
+    key: str
+    ca_file: Path | None = None
+
+    @classmethod
+    def from_config(
+        cls, url: str | None, key_file: str | None, ca_file: str | None
+    ) -> "Endpoint":
+        """Read the key; raise ``CommandError`` when something is not given."""
+        if not url:
+            raise CommandError("give the URL of a node's port", ExitCode.USAGE)
+        if not key_file:
+            raise CommandError("give the file that holds your key", ExitCode.USAGE)
+        try:
+            key = Path(key_file).read_text(encoding="utf-8").strip()
+        except (OSError, UnicodeDecodeError) as error:
+            raise CommandError(f"key file: {error}", ExitCode.USAGE) from error
+        base = url if "://" in url else f"http://{url}"
+        return cls(base.rstrip("/"), key, Path(ca_file) if ca_file else None)
+
+
+async def call(
+    endpoint: Endpoint, method: str, path: str, body: bytes | None = None
+) -> dict[str, Any]:
+    """Make one call; raise ``CommandError`` unless it succeeds."""
+    timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
+    headers = {"Authorization": f"Bearer {endpoint.key}"}
+    try:
+        tls = ssl.create_default_context(cafile=endpoint.ca_file)
+        connector = aiohttp.TCPConnector(ssl=tls)
+        async with (
+            aiohttp.ClientSession(timeout=timeout, connector=connector) as session,
+            session.request(
+                method,
+                endpoint.url + path,
+                data=body,
+                headers=headers,
+                allow_redirects=False,
+            ) as response,
+        ):
+            return _result(response.status, response.headers, await response.text())
+    except (aiohttp.ClientConnectorError, aiohttp.InvalidURL) as error:
+        raise CommandError(f"not reached: {error}", ExitCode.COME_BACK) from error
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        # Only a submitted ticket can have taken effect without our knowing.
+        lost = method == "POST" and path == "/v1/tickets"
+        code = ExitCode.UNKNOWN if lost else ExitCode.COME_BACK
+        advice = "; submit the same ticket again" if lost else ""
+        message = f"no answer: {error or type(error).__name__}{advice}"
+        raise CommandError(message, code) from error
+
+
+async def wait_in_force(
+    endpoint: Endpoint, number: int, wait_ms: float
+) -> dict[str, Any]:
+    """Ask for a ticket until it is in force everywhere or the wait is over."""
+    loop = asyncio.get_running_loop()
+    deadline_s = loop.time() + wait_ms / 1000
+    waits_for = "an answer"
+    while True:
+        try:
+            record = await call(endpoint, "GET", f"/v1/tickets/{number}")
+        except CommandError as error:
+            # The ticket is recorded. To end with the code of this call would tell
+            # the operator that nothing was done.
+            waits_for = str(error)
+        else:
+            if record.get("in_force"):
+                return record
+            waits_for = ", ".join(record.get("waiting_for", ())) or "unknown members"
+        if loop.time() >= deadline_s:
+            message = f"ticket {number} is recorded, but waits for {waits_for}"
+            raise CommandError(message, ExitCode.NOT_IN_FORCE)
+        await asyncio.sleep(IN_FORCE_POLL_S)
+
+
+def _result(status: int, headers: Mapping[str, str], text: str) -> dict[str, Any]:
+    try:
+        data = json.loads(text)
+    except ValueError:
+        data = {"error": text[:200] or f"status {status}"}
+    if status < 300 and isinstance(data, dict):  # noqa: PLR2004
+        return data
+    if not isinstance(data, dict):
+        data = {}
+    found = tuple(
+        Finding(
+            str(item.get("source", "")),
+            str(item.get("path", "")),
+            str(item.get("message", "")),
+            int(item.get("line", 0)),
+        )
+        for item in data.get("findings", ())
+    )
+    wait = headers.get("Retry-After", "")
+    raise CommandError(
+        str(data.get("error", f"status {status}")),
+        _CODE_BY_STATUS.get(status, ExitCode.FAILED),
+        found,
+        int(wait) if wait.isdigit() else None,
+    )
--- /dev/null
+++ b/src/crocusspindle/services/operator_rights.py
@@ -0,0 +1,53 @@
+"""Decide what a principal may do at the operator port."""
+
+import hashlib
+import hmac
+from collections.abc import Sequence
+from typing import Final
+
+from crocusspindle.errors import Finding
+from crocusspindle.services.operator_api import TicketSummary, Touch, TouchKind
+from crocusspindle.settings_schema import Principal, Role
+
+SOURCE: Final = "ticket"
+
+
+def find_principal(principals: Sequence[Principal], key: str) -> Principal | None:
+    """Return whose key it is, in a time that does not depend on the key.
+
+    A comparison that ends at the first differing byte lets an attacker find a
+    digest step by step by timing refusals.
+    """
+    digest = hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
+    found = None
+    for principal in principals:
+        if hmac.compare_digest(principal.key_sha256, digest):
+            found = principal
+    return found
+
+
+def check_rights(principal: Principal, summary: TicketSummary) -> list[Finding]:
+    """Return a finding for each part of a ticket that the principal may not change."""
+    findings = []
+    for touch in summary.touches:
+        message = _refusal(principal, touch)
+        if message:
+            findings.append(Finding(SOURCE, touch.path, message, touch.line))
+    if principal.role is Role.VIEWER and not findings:
+        findings.append(Finding(SOURCE, ".", "viewers submit no tickets"))
+    return findings
+
+
+def _refusal(principal: Principal, touch: Touch) -> str | None:
+    if principal.role is Role.VIEWER:
+        return "viewers submit no tickets"
+    if principal.role is Role.OPERATOR:
+        # An operator who could approve would take the owner's decision away.
+        if touch.kind is TouchKind.APPROVAL_GIVEN:
+            return f"only the owner of {touch.service} gives this approval"
+        return None
+    if touch.kind is TouchKind.OTHER:
+        return "owners change only approvals of their services"
+    if touch.service not in principal.services:
+        return f"{principal.name} does not own {touch.service}"
+    return None
--- /dev/null
+++ b/tests/product/test_tls.py
@@ -0,0 +1,138 @@
+import asyncio
+import datetime
+import ssl
+
+import pytest
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
+
+from crocusspindle.errors import SettingsError
+from crocusspindle.settings_schema import PeerTlsSettings, TlsSettings
+from crocusspindle.tls import CertificateReloader, peer_client_context, server_context
+
+START = datetime.datetime(2020, 1, 1, tzinfo=datetime.UTC)
+DAYS = datetime.timedelta(days=36_500)
+
+
+def name_of(text):
+    return x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, text)])
+
+
+def make(name, authority=None):
+    """Return a key and a certificate, signed by itself or by an authority."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    issuer_key, issuer = authority or (key, None)
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name_of(name))
+        .issuer_name(issuer.subject if issuer else name_of(name))
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(START)
+        .not_valid_after(START + DAYS)
+        .add_extension(x509.BasicConstraints(authority is None, None), critical=True)
+        .sign(issuer_key, hashes.SHA256())
+    )
+    return key, certificate
+
+
+def write(folder, pair, stem="node"):
+    key, certificate = pair
+    certificate_file, key_file = folder / f"{stem}.pem", folder / f"{stem}.key"
+    certificate_file.write_bytes(certificate.public_bytes(serialization.Encoding.PEM))
+    key_file.write_bytes(
+        key.private_bytes(
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+    )
+    return certificate_file, key_file
+
+
+@pytest.fixture
+def authority(tmp_path):
+    pair = make("authority")
+    write(tmp_path, pair, "ca")
+    return pair
+
+
+async def shown(port, context):
+    """Return the name that a server shows in a new handshake."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port, ssl=context)
+    der = writer.get_extra_info("ssl_object").getpeercert(binary_form=True)
+    assert await reader.read(2) == b"ok"
+    writer.close()
+    subject = x509.load_der_x509_certificate(der).subject
+    return subject.get_attributes_for_oid(NameOID.COMMON_NAME)[0].value
+
+
+async def serve(context):
+    async def answer(reader, writer):
+        writer.write(b"ok")
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0, ssl=context)
+    return server, server.sockets[0].getsockname()[1]
+
+
+async def test_new_certificate_is_shown_without_restart(tmp_path):
+    """An operator puts a new certificate and then its key in place of the old.
+
+    In between the two do not match. Callers must see the old certificate until
+    both are there, then the new one, and no handshake may fail.
+    """
+    files = write(tmp_path, make("old"))
+    watched = server_context(TlsSettings(certificate_file=files[0], key_file=files[1]))
+    reloader = CertificateReloader([watched])
+    anyone = ssl.create_default_context()
+    anyone.check_hostname, anyone.verify_mode = False, ssl.CERT_NONE
+    server, port = await serve(watched.context)
+    assert await shown(port, anyone) == "old"
+
+    (tmp_path / "later").mkdir()
+    new_files = write(tmp_path / "later", make("new"))
+    new_files[0].rename(files[0])
+    reloader.reload_changed()
+    assert await shown(port, anyone) == "old"
+
+    new_files[1].rename(files[1])
+    reloader.reload_changed()
+    assert await shown(port, anyone) == "new"
+    assert not watched.changed()
+    server.close()
+
+
+async def test_peers_must_be_of_the_fleet(tmp_path, authority):
+    """A stranger who reaches the peer port has a certificate of its own making.
+
+    Served, it could hand in requests past all keys and rates.
+    """
+
+    def settings(stem, pair):
+        certificate_file, key_file = write(tmp_path, pair, stem)
+        return PeerTlsSettings(
+            certificate_file=certificate_file,
+            key_file=key_file,
+            ca_file=tmp_path / "ca.pem",
+        )
+
+    node = settings("a1", make("a1", authority))
+    server, port = await serve(server_context(node).context)
+    peer = settings("a2", make("a2", authority))
+    assert await shown(port, peer_client_context(peer).context) == "a1"
+    stranger = settings("b1", make("b1"))
+    with pytest.raises((ssl.SSLError, ConnectionError, AssertionError)):
+        await shown(port, peer_client_context(stranger).context)
+    server.close()
+
+
+def test_files_that_do_not_match_are_a_finding(tmp_path):
+    certificate_file, _ = write(tmp_path, make("a"))
+    _, key_file = write(tmp_path, make("b"), "other")
+    with pytest.raises(SettingsError, match="tls"):
+        server_context(
+            TlsSettings(certificate_file=certificate_file, key_file=key_file)
+        )
