--- a/src/crocusspindle/services/control.py
+++ b/src/crocusspindle/services/control.py
@@ -15,7 +15,7 @@
     ViewMember,
     encode_view,
 )
-from crocusspindle.core.model import KeyState, Target
+from crocusspindle.core.model import Customer, KeyState, Target
 from crocusspindle.core.ticket_schema import Ticket, encode_ticket
 from crocusspindle.core.tickets import TicketLog
 from crocusspindle.ids import (
@@ -50,6 +50,8 @@
     withdrawn: tuple[KeyDigest, ...]
     barred: tuple[tuple[ServiceId, CustomerId], ...]
     """Customers whose approval for a service was taken back."""
+    former_limits: Mapping[CustomerId, Customer]
+    """What the directory held of the ticket's customers before it."""
 
 
 class ControlService(Service):
@@ -245,6 +247,10 @@
 
     def _apply(self, ticket: Ticket) -> None:
         # An approval that went also bars what the customer has queued there.
+        former = [
+            self.directory.customer(customer.customer)
+            for customer in ticket.set.customers
+        ]
         change = Change(
             ticket,
             withdrawn=tuple(
@@ -255,6 +261,7 @@
                 (approval.service, approval.customer)
                 for approval in ticket.remove.approvals
             ),
+            former_limits={held.customer: held for held in former if held},
         )
         apply_ticket(ticket, self.directory)
         self._tail[ticket.number] = encode_ticket(ticket)
--- /dev/null
+++ b/src/crocusspindle/services/hand_over.py
@@ -0,0 +1,283 @@
+"""Hand a caller's request from its entry to a home, and to the next one if needed."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AsyncExitStack, suppress
+from dataclasses import dataclass, field
+from typing import Final
+
+from crocusspindle.clock import now_ms, remaining_s
+from crocusspindle.core.decisions import Outcome
+from crocusspindle.core.rendezvous import order
+from crocusspindle.errors import PeerError
+from crocusspindle.ids import CustomerId, MemberId, ServiceId
+from crocusspindle.kernel import Service
+from crocusspindle.services.control import ControlService
+from crocusspindle.services.handed_over import GivenUp
+from crocusspindle.services.home import HOME_UNFIT, HomeService
+from crocusspindle.services.links import EntryLink, LocalLink, RemoteEntryLink
+from crocusspindle.services.peers import PEER_FAILURES, Peers
+from crocusspindle.settings_schema import TimingSettings
+from crocusspindle.wire import fleet_pb2 as wire
+
+CHUNK_BYTES: Final = 65_536
+HOMES_TRIED: Final = 3
+"""The first home is silent, the second may have died with it in one rack; a third
+silent one means that this entry is cut off, and other entries serve better."""
+
+FINAL_GRACE_S: Final = 0.25
+"""A home ends every request by its deadline; its word needs a hop or two to here."""
+
+RETRY_MS: Final = 1_000.0
+
+
+@dataclass(frozen=True)
+class CallerRequest:
+    """Hold an admitted request; ``rest`` yields what follows the buffered body."""
+
+    request: str
+    customer: CustomerId
+    service: ServiceId
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+    weight: float
+    deadline_ms: float
+    idempotent: bool
+    may_hedge: bool
+    credential: bytes
+    body: bytes = b""
+    rest: AsyncIterator[bytes] | None = None
+    begin: Callable[[], Awaitable[GivenUp | None]] | None = None
+    """Asked before the first sending to a target is allowed; a word ends it."""
+
+    @property
+    def has_body(self) -> bool:
+        """Return True if a body goes with the request."""
+        return bool(self.body) or self.rest is not None
+
+    @property
+    def replayable(self) -> bool:
+        """Return True if another home may run it after one has begun to."""
+        return self.idempotent and self.rest is None
+
+
+@dataclass
+class HomeAnswer:
+    """Hold the head of an answer whose parts are still to be read."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    outcome: Outcome | None
+    _link: EntryLink
+    _request: str
+
+    async def parts(self) -> AsyncIterator[bytes]:
+        """Yield the body; raise ``PeerError`` unless the answer came whole."""
+        while True:
+            frame = await self._link.receive()
+            kind = frame.WhichOneof("frame")
+            if kind == "chunk":
+                yield frame.chunk
+            elif kind == "end" and frame.end.request == self._request:
+                return
+            else:
+                raise PeerError("the answer broke off")
+
+
+@dataclass
+class Handling:
+    """Follow one request through the homes it was handed to."""
+
+    call: CallerRequest
+    granted: bool = False
+    """Whether a home was allowed to send it: from here it may have run."""
+    stack: AsyncExitStack = field(default_factory=AsyncExitStack)
+
+    async def close(self) -> None:
+        """Release the link to the home; what it still runs is withdrawn."""
+        await self.stack.aclose()
+
+    @property
+    def outcome(self) -> Outcome:
+        """Return what is known of the request when its home is lost."""
+        return Outcome.UNKNOWN if self.granted else Outcome.NOT_RUN
+
+
+class HandOverService(Service):
+    """Choose homes for requests and follow their answers."""
+
+    name = "hand_over"
+    needs = ("control", "peers", "home")
+
+    def __init__(
+        self,
+        control: ControlService,
+        peers: Peers,
+        home: HomeService,
+        timings: TimingSettings,
+    ) -> None:
+        self._control = control
+        self._peers = peers
+        self._home = home
+        self._timings = timings
+
+    async def run(self, handling: Handling) -> HomeAnswer | GivenUp:
+        """Return the answer's head or the final word, by the deadline.
+
+        A home that is silent, unfit or gone is passed over for the next one, but
+        only while the request provably has not begun or may run twice.
+        """
+        call = handling.call
+        last: GivenUp | None = None
+        for home in self._homes(call.service, 0)[:HOMES_TRIED]:
+            if now_ms() >= call.deadline_ms:
+                break
+            try:
+                link = await self._open(handling, home)
+                found = await self._negotiate(handling, link)
+            except PEER_FAILURES:
+                await handling.stack.aclose()
+                if handling.granted and not call.replayable:
+                    return self._given_up(handling, "home-lost")
+                continue
+            if isinstance(found, GivenUp) and found.reason == HOME_UNFIT:
+                last = found
+                await handling.stack.aclose()
+                continue
+            return found
+        return last or self._given_up(handling, "no-home")
+
+    def _given_up(self, handling: Handling, reason: str) -> GivenUp:
+        return GivenUp(handling.outcome, reason, now_ms() + RETRY_MS)
+
+    def _homes(self, service: ServiceId, group: int) -> list[MemberId]:
+        """Return the nodes that may be the group's home, best first."""
+        view, me = self._control.view, self._control.me.member
+        if view is None:
+            return [me]
+        ranked = order(f"{service}/{group}".encode(), view.names)
+        return [
+            member
+            for member in ranked
+            if (member == me and not self._control.draining)
+            or self._peers.usable(member)
+        ] or [me]
+
+    async def _open(self, handling: Handling, home: MemberId) -> EntryLink:
+        if home == self._control.me.member:
+            local = LocalLink()
+            serving = asyncio.create_task(self._serve_local(local))
+            handling.stack.push_async_callback(_cancelled, serving)
+            return local.entry
+        stub = self._peers.stub(home)
+        stream = await handling.stack.enter_async_context(
+            stub.HandOver.open(metadata=self._peers.metadata)
+        )
+        return RemoteEntryLink(stream)
+
+    async def _serve_local(self, local: LocalLink) -> None:
+        with suppress(PeerError):
+            await self._home.serve(local.home)
+
+    async def _negotiate(
+        self, handling: Handling, link: EntryLink
+    ) -> HomeAnswer | GivenUp:
+        call = handling.call
+        async with asyncio.timeout(self._timings.hand_over_ms / 1e3):
+            await link.send(wire.HandOverFrame(head=_head(call)))
+            frame = await link.receive()
+        try:
+            async with asyncio.timeout(remaining_s(call.deadline_ms) + FINAL_GRACE_S):
+                return await self._await_answer(handling, link, frame)
+        except TimeoutError:
+            # The home should have ended it by now: it is silent, and the caller
+            # gets the word that holds at this moment.
+            return self._given_up(handling, "home-silent")
+
+    async def _await_answer(
+        self, handling: Handling, link: EntryLink, frame: wire.AnswerFrame
+    ) -> HomeAnswer | GivenUp:
+        call = handling.call
+        while True:
+            kind = frame.WhichOneof("frame")
+            if kind == "head":
+                return _answer(frame.head, link, call)
+            if kind == "refusal":
+                return _refusal(frame.refusal)
+            if kind == "claim":
+                word = await self._allow(handling, link)
+                if word is not None:
+                    return word
+            elif kind != "queued":
+                raise PeerError(f"a home must not send {kind} first")
+            frame = await link.receive()
+
+    async def _allow(self, handling: Handling, link: EntryLink) -> GivenUp | None:
+        """Let the home send the request, unless there is a word against it."""
+        call = handling.call
+        word = await call.begin() if call.begin and not handling.granted else None
+        if word is not None:
+            await link.send(wire.HandOverFrame(withdraw=wire.Withdraw()))
+            return word
+        handling.granted = True
+        await link.send(wire.HandOverFrame(grant=wire.Grant()))
+        if call.has_body:
+            sending = asyncio.create_task(_send_body(call, link))
+            handling.stack.push_async_callback(_cancelled, sending)
+        return None
+
+
+async def _cancelled(task: asyncio.Task[None]) -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+async def _send_body(call: CallerRequest, link: EntryLink) -> None:
+    for first in range(0, len(call.body), CHUNK_BYTES):
+        chunk = call.body[first : first + CHUNK_BYTES]
+        await link.send(wire.HandOverFrame(chunk=chunk))
+    if call.rest is not None:
+        async for part in call.rest:
+            await link.send(wire.HandOverFrame(chunk=part))
+    await link.send(wire.HandOverFrame(body_end=wire.BodyEnd()))
+
+
+def _head(call: CallerRequest) -> wire.RequestHead:
+    head = wire.RequestHead(
+        request=call.request,
+        customer=call.customer,
+        service=call.service,
+        method=call.method,
+        path=call.path,
+        weight=call.weight,
+        remaining_ms=max(0.0, call.deadline_ms - now_ms()),
+        idempotent=call.idempotent,
+        may_hedge=call.may_hedge,
+        credential=call.credential,
+        body_whole=call.rest is None,
+        has_body=call.has_body,
+    )
+    head.headers.extend(wire.Header(name=name, value=text) for name, text in call.headers)
+    return head
+
+
+def _answer(head: wire.AnswerHead, link: EntryLink, call: CallerRequest) -> HomeAnswer:
+    # An answer under another request's id must not reach this caller.
+    if head.request != call.request:
+        raise PeerError("the home answered another request")
+    return HomeAnswer(
+        status=head.status,
+        headers=[(header.name, header.value) for header in head.headers],
+        outcome=Outcome(head.outcome) if head.outcome else None,
+        _link=link,
+        _request=call.request,
+    )
+
+
+def _refusal(refusal: wire.Refusal) -> GivenUp:
+    return GivenUp(
+        outcome=Outcome(refusal.outcome),
+        reason=refusal.reason,
+        retry_at_ms=now_ms() + refusal.retry_after_ms,
+    )
--- /dev/null
+++ b/src/crocusspindle/services/home.py
@@ -0,0 +1,229 @@
+"""Serve as the home of groups of targets: one runner for each group."""
+
+import asyncio
+import random
+from contextlib import suppress
+from dataclasses import asdict
+from itertools import count
+from typing import Any, Final
+
+from crocusspindle import instruments
+from crocusspindle.clock import now_ms
+from crocusspindle.core.decisions import Outcome
+from crocusspindle.core.health import GroupHealth
+from crocusspindle.core.health_state import (
+    Ejected,
+    EjectionWithheld,
+    GroupSuspect,
+    HealthChange,
+    HealthSettings,
+    Restored,
+)
+from crocusspindle.core.home_settings import HomeSettings
+from crocusspindle.core.model import Service as ServiceLimits
+from crocusspindle.core.model import Target
+from crocusspindle.errors import PeerError
+from crocusspindle.ids import MemberId, RequestId, ServiceId, TargetId
+from crocusspindle.kernel import Service
+from crocusspindle.logs import Logger, log_state_change
+from crocusspindle.metrics import Metrics
+from crocusspindle.services.control import Change, ControlService
+from crocusspindle.services.group_runner import GroupRunner
+from crocusspindle.services.handed_over import (
+    Answered,
+    GivenUp,
+    HandedOver,
+    first_frame,
+    send_answer,
+    send_refusal,
+)
+from crocusspindle.services.links import HomeLink
+from crocusspindle.services.peers import PEER_FAILURES, Peers
+from crocusspindle.services.targets import TargetClient
+from crocusspindle.settings_schema import LimitSettings
+from crocusspindle.wire import fleet_pb2 as wire
+
+Group = tuple[ServiceId, int]
+
+HOME_UNFIT: Final = "home-unfit"
+OPINION_MS: Final = 250.0
+"""A try from another failure domain takes about 25 ms and two hops of 1.5 ms."""
+
+
+class HomeService(Service):
+    """Queue, place and dispatch requests that entries hand over."""
+
+    name = "home"
+    needs = ("control", "peers")
+
+    def __init__(
+        self,
+        control: ControlService,
+        peers: Peers,
+        limits: LimitSettings,
+        metrics: Metrics,
+    ) -> None:
+        self._control = control
+        self._peers = peers
+        self._limits = limits
+        self._metrics = metrics
+        self._client = TargetClient()
+        self._runners: dict[Group, GroupRunner] = {}
+        self._numbers = count(1)
+        self._logger = Logger("home")
+        control.watch(change=self._change, targets=self._take_targets)
+
+    async def start(self) -> None:
+        """Open the client for targets."""
+        await self._client.start()
+
+    async def stop(self) -> None:
+        """Close every group and the client."""
+        for runner in self._runners.values():
+            await runner.close()
+        await self._client.stop()
+
+    @property
+    def busy(self) -> bool:
+        """Return True while requests wait or run here."""
+        return any(runner.busy for runner in self._runners.values())
+
+    async def serve(self, link: HomeLink) -> None:
+        """Take one request from its entry and send its final answer."""
+        head = await first_frame(link)
+        request = HandedOver(
+            number=RequestId(next(self._numbers)),
+            head=head,
+            link=link,
+            deadline_ms=now_ms() + head.remaining_ms,
+            final=asyncio.get_running_loop().create_future(),
+        )
+        if not self._control.is_fit():
+            unfit = GivenUp(Outcome.NOT_RUN, HOME_UNFIT, now_ms())
+            await send_refusal(request, unfit, now_ms())
+            return
+        runner = self._runner((ServiceId(head.service), head.group))
+        runner.arrive(request)
+        try:
+            await self._see_through(runner, request)
+        finally:
+            runner.withdraw(request)
+            runner.forget(request)
+
+    async def _see_through(self, runner: GroupRunner, request: HandedOver) -> None:
+        if not request.final.done():
+            queued = wire.Queued(wait_ms=runner.load().wait_ms_estimate)
+            await request.link.send(wire.AnswerFrame(queued=queued))
+        reader = asyncio.create_task(request.read())
+        try:
+            await asyncio.wait(
+                {reader, request.final}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if request.final.done():
+                await self._send_final(request, request.final.result())
+        finally:
+            reader.cancel()
+            with suppress(asyncio.CancelledError, *PEER_FAILURES):
+                await reader
+
+    async def _send_final(
+        self, request: HandedOver, final: Answered | GivenUp
+    ) -> None:
+        if isinstance(final, GivenUp):
+            await send_refusal(request, final, now_ms())
+            return
+        through = False
+        try:
+            await send_answer(request, final)
+            through = True
+        finally:
+            request.end_answer(through)
+
+    async def try_target(self, target: TargetId, remaining_ms: float) -> bool:
+        """Return True if this node reaches a target, as a second opinion."""
+        return await self._client.try_target(target, now_ms() + remaining_ms)
+
+    def status(self) -> list[dict[str, Any]]:
+        """Return what operators see of the groups homed here."""
+        found = []
+        for (service, group), runner in self._runners.items():
+            home, health = runner.status()
+            found.append(
+                {
+                    "service": service,
+                    "group": group,
+                    "home": asdict(home),
+                    "targets": [asdict(target) for target in health],
+                }
+            )
+        return found
+
+    def _runner(self, group: Group) -> GroupRunner:
+        runner = self._runners.get(group)
+        if runner is not None:
+            return runner
+        service = self._control.directory.service(group[0]) or ServiceLimits(group[0])
+        health = GroupHealth.from_config(HealthSettings(), service.floor_fraction)
+        settings = HomeSettings(
+            domain=self._control.me.domain,
+            retry_fraction=self._limits.retry_fraction,
+            hedge_fraction=self._limits.hedge_fraction,
+        )
+        runner = GroupRunner(
+            name=f"{group[0]}/{group[1]}",
+            settings=settings,
+            health=health,
+            client=self._client,
+            rights=self._control,
+            generator=random.Random(),
+            on_health=self._note_health,
+            opinion=self._opinion,
+        )
+        self._runners[group] = runner
+        runner.set_targets(self._targets_of(group))
+        return runner
+
+    def _targets_of(self, group: Group) -> tuple[Target, ...]:
+        return tuple(self._control.targets.get(group[0], ()))
+
+    def _take_targets(self) -> None:
+        for group, runner in self._runners.items():
+            runner.set_targets(self._targets_of(group))
+
+    def _change(self, change: Change) -> None:
+        # A request may wait up to its deadline, and its key go meanwhile.
+        for runner in self._runners.values():
+            for digest in change.withdrawn:
+                runner.revoke(digest)
+
+    async def _opinion(self, target: TargetId) -> bool:
+        """Ask a node of another failure domain to try a target."""
+        for member in self._askable():
+            with suppress(*PEER_FAILURES):
+                async with asyncio.timeout(OPINION_MS / 1e3):
+                    reply = await self._peers.stub(member).TryTarget(
+                        wire.TryTargetRequest(
+                            target=target, remaining_ms=OPINION_MS / 2
+                        ),
+                        metadata=self._peers.metadata,
+                    )
+                return bool(reply.reached)
+        raise PeerError("no node of another failure domain answered")
+
+    def _askable(self) -> list[MemberId]:
+        own = self._control.me.domain
+        others = [
+            member.member
+            for member in self._peers.members()
+            if member.domain != own and self._peers.usable(member.member)
+        ]
+        random.shuffle(others)
+        return others[:2]
+
+    def _note_health(self, runner: GroupRunner, change: HealthChange) -> None:
+        kind = type(change).__name__
+        service = runner.name.rpartition("/")[0]
+        self._metrics.add(instruments.HEALTH_CHANGES, service=service, change=kind)
+        if isinstance(change, Ejected | EjectionWithheld | Restored | GroupSuspect):
+            fields = asdict(change)
+            log_state_change(self._logger, kind, group=runner.name, **fields)
--- /dev/null
+++ b/src/crocusspindle/services/ports.py
@@ -0,0 +1,248 @@
+"""Open the ports of a node: callers, peers, operators and metrics."""
+
+import asyncio
+import hmac
+import socket
+import ssl
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from aiohttp import web
+from grpclib.const import Status
+from grpclib.events import RecvRequest, listen
+from grpclib.exceptions import GRPCError
+from grpclib.server import Server, Stream
+
+from crocusspindle.clock import now_ms
+from crocusspindle.errors import PeerError
+from crocusspindle.ids import CustomerId, MemberId, TargetId, TicketNumber
+from crocusspindle.kernel import Service
+from crocusspindle.services.control import ControlService
+from crocusspindle.services.entry import EntryService
+from crocusspindle.services.home import HomeService
+from crocusspindle.services.links import RemoteHomeLink
+from crocusspindle.services.peers import FLEET_KEY_HEADER, wire_configuration
+from crocusspindle.services.rates import RatesService
+from crocusspindle.settings_schema import CallerSettings
+from crocusspindle.wire import fleet_pb2 as wire
+from crocusspindle.wire.fleet_grpc import FleetBase
+
+BUSY_LOOK_S: Final = 0.05
+TAIL_MAX: Final = 500
+
+
+class PeerServer(FleetBase):
+    """Answer the calls of other nodes."""
+
+    def __init__(
+        self, control: ControlService, rates: RatesService, home: HomeService
+    ) -> None:
+        self._control = control
+        self._rates = rates
+        self._home = home
+
+    async def Heartbeat(self, stream: Stream[wire.Beat, wire.Echo]) -> None:
+        """Echo the beats of a peer for as long as it sends them."""
+        async for beat in stream:
+            self._control.heard(MemberId(beat.member), beat.standing)
+            echo = wire.Echo(
+                member=self._control.me.member,
+                sequence=beat.sequence,
+                standing=self._control.standing(),
+            )
+            await stream.send_message(echo)
+
+    async def HandOver(
+        self, stream: Stream[wire.HandOverFrame, wire.AnswerFrame]
+    ) -> None:
+        """Serve a request as the home of its targets."""
+        try:
+            await self._home.serve(RemoteHomeLink(stream))
+        except PeerError as error:
+            raise GRPCError(Status.ABORTED, str(error)) from error
+
+    async def Lend(self, stream: Stream[wire.LendRequest, wire.LendReply]) -> None:
+        """Lend tokens of a customer's share."""
+        asked = await _request(stream)
+        loan = self._rates.lend(CustomerId(asked.customer), asked.missing)
+        await stream.send_message(
+            wire.LendReply(
+                amount=loan.amount,
+                refill_per_s=loan.refill_per_s,
+                retry_after_ms=loan.retry_after_ms,
+                available=loan.available,
+                grace_ms=loan.grace_ms,
+            )
+        )
+
+    async def Tail(self, stream: Stream[wire.TailRequest, wire.TailReply]) -> None:
+        """Give applied tickets, the view and the age of this node's stamp."""
+        asked = await _request(stream)
+        after, limit = TicketNumber(asked.after), min(asked.limit, TAIL_MAX)
+        age_ms = self._control.fitness.stamp_age_ms(now_ms())
+        reply = wire.TailReply(
+            tickets=self._control.tail(after, limit) or [],
+            view=self._control.view_bytes(),
+            has_stamp=age_ms is not None,
+            stamp_age_ms=age_ms or 0.0,
+            applied_ticket=self._control.log.applied,
+        )
+        await stream.send_message(reply)
+
+    async def Snapshot(
+        self, stream: Stream[wire.SnapshotRequest, wire.SnapshotReply]
+    ) -> None:
+        """Give the whole directory as of the last applied ticket."""
+        await _request(stream)
+        reply = wire.SnapshotReply(
+            applied_ticket=self._control.log.applied,
+            content=self._control.directory.dump(),
+        )
+        await stream.send_message(reply)
+
+    async def TryTarget(
+        self, stream: Stream[wire.TryTargetRequest, wire.TryTargetReply]
+    ) -> None:
+        """Try a target for a home in another failure domain."""
+        asked = await _request(stream)
+        began_ms = now_ms()
+        reached = await self._home.try_target(
+            TargetId(asked.target), asked.remaining_ms
+        )
+        reply = wire.TryTargetReply(reached=reached, latency_ms=now_ms() - began_ms)
+        await stream.send_message(reply)
+
+    async def Begin(self, stream: Stream[wire.BeginRequest, wire.BeginReply]) -> None:
+        """Refuse: operations are not kept by this version."""
+        raise GRPCError(Status.UNIMPLEMENTED)
+
+    async def RecordBegun(
+        self, stream: Stream[wire.RecordBegunRequest, wire.RecordBegunReply]
+    ) -> None:
+        """Refuse: operations are not kept by this version."""
+        raise GRPCError(Status.UNIMPLEMENTED)
+
+    async def Settle(
+        self, stream: Stream[wire.SettleRequest, wire.SettleReply]
+    ) -> None:
+        """Refuse: operations are not kept by this version."""
+        raise GRPCError(Status.UNIMPLEMENTED)
+
+
+async def _request(stream: Stream[wire.Message, wire.Message]) -> wire.Message:
+    asked = await stream.recv_message()
+    if asked is None:
+        raise GRPCError(Status.INVALID_ARGUMENT, "the request is missing")
+    return asked
+
+
+class PeerPort(Service):
+    """Serve the port for the other nodes."""
+
+    name = "peer_port"
+    needs = ("control", "rates", "home")
+
+    def __init__(
+        self,
+        listening: socket.socket,
+        server: PeerServer,
+        proof: str,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._socket = listening
+        self._server = Server([server], config=wire_configuration())
+        self._proof = proof
+        self._tls = tls
+
+    async def start(self) -> None:
+        """Listen for peers."""
+        listen(self._server, RecvRequest, self._check)
+        await self._server.start(sock=self._socket, ssl=self._tls)
+
+    async def stop(self) -> None:
+        """Close the port and its connections."""
+        self._server.close()
+        await self._server.wait_closed()
+
+    async def _check(self, event: RecvRequest) -> None:
+        shown = str(event.metadata.get(FLEET_KEY_HEADER, ""))
+        if not hmac.compare_digest(shown.encode(), self._proof.encode()):
+            raise GRPCError(Status.UNAUTHENTICATED, "not a node of this fleet")
+
+
+class CallerPort(Service):
+    """Serve the port for callers, and empty it ahead of a planned stop."""
+
+    name = "caller_port"
+    needs = ("entry", "follower")
+
+    def __init__(
+        self,
+        listening: socket.socket,
+        settings: CallerSettings,
+        entry: EntryService,
+        home: HomeService,
+        where_max_age_ms: float,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._socket = listening
+        self._settings = settings
+        self._entry = entry
+        self._home = home
+        self._where_max_age_ms = where_max_age_ms
+        self._tls = tls
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self) -> None:
+        """Listen for callers."""
+        server = web.Server(
+            self._entry.handle,  # type: ignore[arg-type]
+            access_log=None,
+            handler_cancellation=True,
+            max_line_size=self._settings.max_header_bytes,
+            max_field_size=self._settings.max_header_bytes,
+        )
+        self._runner = web.ServerRunner(server)
+        await self._runner.setup()
+        await web.SockSite(self._runner, self._socket, ssl_context=self._tls).start()
+
+    async def drain(self) -> None:
+        """Serve on while callers may keep our address, then finish what runs."""
+        until_ms = now_ms() + self._where_max_age_ms
+        while now_ms() < until_ms or self._entry.running or self._home.busy:
+            await asyncio.sleep(BUSY_LOOK_S)
+
+    async def stop(self) -> None:
+        """Close the port."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+
+class HttpPort(Service):
+    """Serve an application of operators or of the metrics scraper."""
+
+    name = "http_port"
+
+    def __init__(
+        self,
+        listening: socket.socket,
+        app: Callable[[], Awaitable[web.Application]],
+        needs: tuple[str, ...] = (),
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._socket = listening
+        self._app = app
+        self.needs = needs  # type: ignore[misc]
+        self._tls = tls
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        self._runner = web.AppRunner(await self._app(), access_log=None)
+        await self._runner.setup()
+        await web.SockSite(self._runner, self._socket, ssl_context=self._tls).start()
+
+    async def stop(self) -> None:
+        """Close the port."""
+        if self._runner is not None:
+            await self._runner.cleanup()
--- /dev/null
+++ b/src/crocusspindle/services/rates.py
@@ -0,0 +1,128 @@
+"""Take tokens for requests from the fleet's shares, here or at other holders."""
+
+import asyncio
+from typing import Final
+
+from crocusspindle import instruments
+from crocusspindle.clock import now_ms
+from crocusspindle.core.holders import holders_of
+from crocusspindle.core.loans import Borrow, Loan, OverRate, SpendResult, Spent, Unfit
+from crocusspindle.core.members import MemberView
+from crocusspindle.core.model import Customer
+from crocusspindle.core.shares import ShareLedger, ShareSettings
+from crocusspindle.ids import CustomerId, MemberId
+from crocusspindle.kernel import Service
+from crocusspindle.metrics import Metrics
+from crocusspindle.services.control import Change, ControlService
+from crocusspindle.services.peers import PEER_FAILURES, Peers
+from crocusspindle.settings_schema import TimingSettings
+from crocusspindle.wire import fleet_pb2 as wire
+
+LEND_TIMEOUT_S: Final = 0.1
+"""A loan takes a round trip of 3 ms between failure domains; a holder that needs
+30 times that is paused or gone, and another one is asked."""
+
+ACTIVATION_S: Final = 0.25
+
+
+class RatesService(Service):
+    """Spend, lend and borrow the tokens of customers."""
+
+    name = "rates"
+    needs = ("control", "peers")
+
+    def __init__(
+        self,
+        control: ControlService,
+        peers: Peers,
+        timings: TimingSettings,
+        metrics: Metrics,
+    ) -> None:
+        self._control = control
+        self._peers = peers
+        self._metrics = metrics
+        self._ledger = ShareLedger.from_config(
+            ShareSettings(lease_ms=timings.freshness_ms),
+            control.me.member,
+            self._limit_of,
+        )
+        control.watch(change=self._change, view=self._take_view)
+
+    async def start(self) -> None:
+        """Begin to watch for views that a majority knows."""
+        self.spawn(self._activate())
+
+    async def spend(self, customer: CustomerId) -> Spent | OverRate | Unfit:
+        """Take one token, borrowing what is missing from other holders."""
+        result = self._ledger.spend(customer, self._control.fit_until_ms(), now_ms())
+        while isinstance(result, Borrow):
+            result = await self._borrow(customer, result)
+        return result
+
+    def refund(self, customer: CustomerId, spent: Spent) -> None:
+        """Put back the token of a request that certainly was not run."""
+        self._ledger.refund(customer, spent.spent_at_ms, now_ms())
+
+    def lend(self, customer: CustomerId, missing: float) -> Loan:
+        """Lend tokens to another member."""
+        self._metrics.add(instruments.SHARE_LOANS)
+        fit_until_ms = self._control.fit_until_ms()
+        return self._ledger.lend(customer, missing, fit_until_ms, now_ms())
+
+    def holders(self, customer: Customer) -> tuple[MemberId, ...]:
+        """Return the members that hold a customer's shares."""
+        view = self._control.view
+        if view is None:
+            return ()
+        return holders_of(
+            customer.customer, customer.rate_per_s, customer.burst, view.members
+        )
+
+    def status(self) -> object:
+        """Return what operators see of the shares held here."""
+        return self._ledger.snapshot(now_ms())
+
+    def _limit_of(self, customer: CustomerId) -> Customer | None:
+        return self._control.directory.customer(customer)
+
+    async def _borrow(self, customer: CustomerId, asked: Borrow) -> SpendResult:
+        lender = asked.holders[0]
+        asked_ms = now_ms()
+        try:
+            if not self._peers.connected(lender):
+                return self._ledger.lost(customer, lender, asked_ms, now_ms())
+            async with asyncio.timeout(LEND_TIMEOUT_S):
+                reply = await self._peers.stub(lender).Lend(
+                    wire.LendRequest(customer=customer, missing=asked.missing),
+                    metadata=self._peers.metadata,
+                )
+        except PEER_FAILURES:
+            # The lender may have subtracted the tokens: they are lost, not made.
+            return self._ledger.lost(customer, lender, asked_ms, now_ms())
+        loan = Loan(
+            amount=reply.amount,
+            refill_per_s=reply.refill_per_s,
+            retry_after_ms=reply.retry_after_ms,
+            available=reply.available,
+            grace_ms=reply.grace_ms,
+        )
+        return self._ledger.borrowed(customer, loan, lender, asked_ms, now_ms())
+
+    def _change(self, change: Change) -> None:
+        now = now_ms()
+        for customer in change.ticket.set.customers:
+            former = change.former_limits.get(customer.customer)
+            self._ledger.set_limit(customer, now, former, is_new=former is None)
+        for removed in change.ticket.remove.customers:
+            self._ledger.remove_limit(removed, now)
+
+    def _take_view(self, view: MemberView) -> None:
+        self._ledger.set_view(view.number, view.members, now_ms())
+
+    async def _activate(self) -> None:
+        # A new holder may spend once no majority can carry its forerunner.
+        while True:
+            view = self._control.view
+            if view is not None and self._control.fitness.majority_at(view.number):
+                self._ledger.activate(view.number, now_ms())
+            await asyncio.sleep(ACTIVATION_S)
