--- /dev/null
+++ b/src/crocusspindle/core/shares.py
@@ -0,0 +1,301 @@
+"""Decide whether a customer's request is within its rate over the whole fleet.
+
+A customer's rate and burst are cut into equal shares, each held by one member
+(`holders`). A share admits from its own bucket; what is missing is borrowed from
+the other holders, which subtract before they send. `bucket` gives the sum that
+bounds what all admit together. Each event keeps that sum:
+
+- Loan: taken from the lender's bucket, and its room stays reserved for the grace;
+  later its value shrinks by the lender's refill over the whole round trip. A lost
+  loan or answer loses tokens and makes none.
+- Refund: only while the bucket has not been full since the token was taken.
+- Change of view: a new holder opens empty, one lease after a majority has moved on,
+  when the former holder cannot be fit any more. Its loans have died by then.
+- Change of rate: lower takes effect at once. With an equal number of holders the
+  shares in transit add up to at most the larger of old and new. With another number
+  of holders a larger share waits one lease, for the holders that it replaces.
+- Restart: a new member, so a new holder. Pause past the lease: the stamp is checked
+  when a token is taken, so a woken holder takes none.
+- Two holders in dispute: the older one is not fit, or the newer one is not open.
+
+All times are the own monotonic clock. Clocks may drift by a fraction ``drift``:
+refills are slowed and waits lengthened by it.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from crocusspindle.core.bucket import LoanPot, ShareBucket
+from crocusspindle.core.held import HeldShares, ShareSettings
+from crocusspindle.core.holders import ViewMember
+from crocusspindle.core.loans import (
+    MAX_GRACE_MS,
+    MIN_GRACE_MS,
+    Borrow,
+    LedgerStatus,
+    LenderNote,
+    Loan,
+    OverRate,
+    ShareStatus,
+    SpendResult,
+    Spent,
+    Unfit,
+)
+from crocusspindle.core.model import Customer
+from crocusspindle.core.rendezvous import score
+from crocusspindle.ids import CustomerId, MemberId, ViewNumber
+
+BATCH_MS: Final = 100.0
+"""A holder that runs dry borrows for so much of its share's rate at once.
+
+Made for a large customer whose callers all use one entry: at 64/s a share, six
+requests go with one message. Small customers never borrow more than they miss.
+"""
+
+MAX_BORROWERS: Final = 4_096
+"""Customers whose lenders are remembered; forgetting one loses no token owed."""
+
+LISTED_SHARES: Final = 20
+"""Shares that the status shows one by one, the emptiest first."""
+
+
+@dataclass(slots=True)
+class _Account:
+    pot: LoanPot
+    lenders: dict[MemberId, LenderNote]
+
+
+class ShareLedger:
+    """Hold this member's shares and what it knows about the other holders."""
+
+    def __init__(
+        self,
+        settings: ShareSettings,
+        me: MemberId,
+        limit_of: Callable[[CustomerId], Customer | None] | None = None,
+    ) -> None:
+        self._settings = settings
+        self._me = me
+        self._shares = HeldShares(settings, me, limit_of)
+        self._accounts: OrderedDict[CustomerId, _Account] = OrderedDict()
+        self._fit_until_ms = -float("inf")
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: ShareSettings,
+        me: MemberId,
+        limit_of: Callable[[CustomerId], Customer | None] | None = None,
+    ) -> "ShareLedger":
+        """Make the ledger of a member.
+
+        ``limit_of`` looks a customer up where all are kept; without it the ledger
+        keeps what `set_limit` gives.
+        """
+        return cls(settings, me, limit_of)
+
+    def set_limit(
+        self,
+        customer: Customer,
+        now_ms: float,
+        former: Customer | None = None,
+        is_new: bool = False,
+    ) -> None:
+        """Apply a ticket's rate and burst; see `HeldShares.set_limit`."""
+        self._shares.set_limit(customer, now_ms, former, is_new)
+
+    def remove_limit(self, customer: CustomerId, now_ms: float) -> None:
+        """Apply a ticket that removes a customer."""
+        self._accounts.pop(customer, None)
+        self._shares.remove_limit(customer, now_ms)
+
+    def set_view(
+        self, view_number: ViewNumber, members: Sequence[ViewMember], now_ms: float
+    ) -> None:
+        """Take the next member view; see `HeldShares.set_view`."""
+        self._shares.set_view(view_number, members, now_ms)
+
+    def activate(self, view_number: ViewNumber, now_ms: float) -> None:
+        """Note that no former holder can renew its fitness; see `HeldShares`."""
+        self._shares.activate(view_number, now_ms)
+
+    def spend(
+        self, customer: CustomerId, fit_until_ms: float, now_ms: float
+    ) -> SpendResult:
+        """Take one token for a request, or tell whom to ask for what is missing."""
+        self._fit_until_ms = fit_until_ms
+        return self._spend(customer, now_ms)
+
+    def _spend(self, customer: CustomerId, now_ms: float) -> SpendResult:
+        # The process may have been paused since the stamp was looked at: it counts
+        # at the moment at which the token is taken.
+        if now_ms > self._fit_until_ms:
+            return Unfit()
+        limit = self._shares.limit_of(customer)
+        if limit is None or limit.rate_per_s <= 0 or self._shares.view_number is None:
+            return OverRate(now_ms + self._settings.lease_ms)
+        store = self._shares.open_bucket(limit, now_ms) or self._account(customer).pot
+        own = store.tokens(now_ms)
+        if own >= 1.0:
+            store.take(1.0)
+            return Spent(now_ms)
+        return self._ask(limit, 1.0 - own, store, now_ms)
+
+    def _ask(
+        self,
+        limit: Customer,
+        need: float,
+        store: "ShareBucket | LoanPot",
+        now_ms: float,
+    ) -> SpendResult:
+        """Choose the next lender by what each is thought to have.
+
+        Made for a customer far over its rate: lenders that said they are empty are
+        not asked again before they can have refilled, so refusals cost no message.
+        """
+        holders = self._shares.holders(limit)
+        lenders = self._account(limit.customer).lenders
+        cap, rate_per_ms = self._shares.share(limit, len(holders))
+        has: dict[MemberId, float] = {}
+        for holder in holders:
+            if holder != self._me:
+                note = lenders.get(holder)
+                has[holder] = note.estimate(cap, rate_per_ms, now_ms) if note else cap
+        total = sum(has.values())
+        if total < need:
+            return OverRate(self._retry_at_ms(limit, need - total, now_ms))
+        ranked = sorted(
+            has, key=lambda holder: (-has[holder], score(self._me.encode(), holder))
+        )
+        first = ranked[0]
+        if has[first] < need:
+            return Borrow(tuple(ranked), has[first])
+        return Borrow(tuple(ranked), need + self._batch(store, rate_per_ms, need))
+
+    def _batch(
+        self, store: "ShareBucket | LoanPot", rate_per_ms: float, need: float
+    ) -> float:
+        batch = rate_per_ms * BATCH_MS
+        if not isinstance(store, ShareBucket) or batch < 1.0:
+            return 0.0
+        return max(0.0, min(batch, store.room() - 1.0))
+
+    def _retry_at_ms(self, limit: Customer, missing: float, now_ms: float) -> float:
+        rate_per_ms = limit.rate_per_s / 1000.0 * (1 - self._settings.drift)
+        return now_ms + max(1.0, missing / rate_per_ms)
+
+    def lend(
+        self, customer: CustomerId, missing: float, fit_until_ms: float, now_ms: float
+    ) -> Loan:
+        """Subtract tokens for another member and return them as a loan.
+
+        A loan covers what one request misses or is nothing: fractions handed to a
+        node that cannot complete them would be lost, and a customer that retries
+        often would starve below its rate. Above that at most half is lent.
+        """
+        self._fit_until_ms = fit_until_ms
+        limit = self._shares.limit_of(customer)
+        bucket = self._shares.open_bucket(limit, now_ms) if limit else None
+        if now_ms > fit_until_ms or limit is None or bucket is None:
+            return Loan(0.0, 0.0, self._settings.lease_ms)
+        has = bucket.tokens(now_ms)
+        nominal_per_s = bucket.rate_per_ms * 1000.0 / (1 - self._settings.drift)
+        retry_after_ms = max(1.0, (1.0 - has) / bucket.rate_per_ms)
+        need = min(missing, 1.0)
+        if has < need:
+            return Loan(0.0, nominal_per_s, retry_after_ms, has)
+        amount = max(need, min(missing, has / 2))
+        grace_ms = self._grace_ms(bucket, has)
+        bucket.take(amount)
+        bucket.reserve(amount, now_ms + grace_ms * (1 + self._settings.drift))
+        return Loan(amount, nominal_per_s, retry_after_ms, has - amount, grace_ms)
+
+    def _grace_ms(self, bucket: ShareBucket, has: float) -> float:
+        """Return how long a loan's room stays reserved.
+
+        As long as the bucket would not be full anyway, the reservation costs
+        nothing; a full one forgoes the shortest grace.
+        """
+        free_ms = (bucket.room() - has) / bucket.rate_per_ms
+        return min(MAX_GRACE_MS, max(MIN_GRACE_MS, free_ms))
+
+    def borrowed(
+        self,
+        customer: CustomerId,
+        loan: Loan,
+        lender: MemberId,
+        asked_at_ms: float,
+        now_ms: float,
+    ) -> SpendResult:
+        """Credit a loan and try again to take a token.
+
+        The loan is worth what its lender cannot have refilled meanwhile. The time
+        counts from the question: the loan was made after it.
+        """
+        drift = self._settings.drift
+        late_ms = (now_ms - asked_at_ms) * (1 + drift) - loan.grace_ms * (1 - drift)
+        decay_per_ms = loan.refill_per_s / 1000.0
+        value = loan.amount - decay_per_ms * max(0.0, late_ms)
+        self._note(customer, lender, now_ms).quote(loan.available, now_ms)
+        limit = self._shares.limit_of(customer)
+        if limit is not None and value > 0.0:
+            bucket = self._shares.open_bucket(limit, now_ms)
+            if bucket is not None:
+                bucket.put(value, now_ms)
+            else:
+                pot = self._account(customer).pot
+                pot.put(lender, value, decay_per_ms, now_ms)
+        return self._spend(customer, now_ms)
+
+    def lost(
+        self, customer: CustomerId, lender: MemberId, asked_at_ms: float, now_ms: float
+    ) -> SpendResult:
+        """Note a question without an answer and try the other lenders."""
+        self._note(customer, lender, asked_at_ms).silent(now_ms)
+        return self._spend(customer, now_ms)
+
+    def refund(self, customer: CustomerId, spent_at_ms: float, now_ms: float) -> None:
+        """Put back the token of a request that was refused later as not run."""
+        limit = self._shares.limit_of(customer)
+        if limit is None:
+            return
+        bucket = self._shares.open_bucket(limit, now_ms)
+        if bucket is not None:
+            bucket.put_back(spent_at_ms, now_ms)
+            return
+        # Borrowed from holders that refill at the whole rate together at most.
+        rate_per_ms = limit.rate_per_s / 1000.0
+        value = 1.0 - rate_per_ms * (now_ms - spent_at_ms) * (1 + self._settings.drift)
+        if value > 0.0:
+            self._account(customer).pot.put("", value, rate_per_ms, now_ms)
+
+    def _account(self, customer: CustomerId) -> _Account:
+        account = self._accounts.get(customer)
+        if account is None:
+            account = self._accounts[customer] = _Account(LoanPot(), {})
+            if len(self._accounts) > MAX_BORROWERS:
+                self._accounts.popitem(last=False)
+        return account
+
+    def _note(self, customer: CustomerId, lender: MemberId, at_ms: float) -> LenderNote:
+        lenders = self._account(customer).lenders
+        return lenders.setdefault(lender, LenderNote(0.0, at_ms))
+
+    def snapshot(self, now_ms: float) -> LedgerStatus:
+        """Return counts and the emptiest shares."""
+        shares = [
+            ShareStatus(
+                name, held.bucket.tokens(now_ms), held.bucket.cap, held.opens_at_ms
+            )
+            for name, held in self._shares.shares().items()
+        ]
+        shares.sort(key=lambda share: share.tokens / (share.cap or 1.0))
+        return LedgerStatus(
+            view_number=self._shares.view_number or 0,
+            held=len(shares),
+            waiting=sum(share.opens_at_ms > now_ms for share in shares),
+            borrowing=len(self._accounts),
+            emptiest=tuple(shares[:LISTED_SHARES]),
+        )
--- /dev/null
+++ b/tests/core/test_shares.py
@@ -0,0 +1,137 @@
+import pytest
+
+from crocusspindle.core.held import ShareSettings
+from crocusspindle.core.holders import ViewMember, holder_count, holders_of
+from crocusspindle.core.loans import Borrow, Loan, OverRate, Spent, Unfit
+from crocusspindle.core.model import Customer
+from crocusspindle.core.shares import ShareLedger
+from crocusspindle.ids import CustomerId, DomainId, MemberId, ViewNumber
+
+FOREVER = float("inf")
+SETTINGS = ShareSettings(lease_ms=3_000.0, drift=0.0)
+MEMBERS = [
+    ViewMember(MemberId(f"n{number}"), DomainId(f"d{number % 3}"))
+    for number in range(6)
+]
+CLUB = Customer(CustomerId("club"), 1.0, 2)
+HOLDERS = holders_of(CLUB.customer, CLUB.rate_per_s, CLUB.burst, MEMBERS)
+OUTSIDER = next(each.member for each in MEMBERS if each.member not in HOLDERS)
+
+
+def ledger_of(member: MemberId, customer: Customer = CLUB) -> ShareLedger:
+    """Return a ledger that has opened at 0 and is full at 100,000."""
+    ledger = ShareLedger.from_config(SETTINGS, member)
+    ledger.set_view(ViewNumber(1), MEMBERS, -10_000.0)
+    ledger.activate(ViewNumber(1), -10_000.0)
+    ledger.set_limit(customer, -10_000.0)
+    return ledger
+
+
+@pytest.mark.parametrize(
+    ("rate_per_s", "burst", "count"),
+    [(0.2, 1, 1), (1, 2, 2), (20, 40, 2), (500, 1_000, 8), (9_000, 3, 3), (1, 0, 1)],
+)
+def test_small_customers_are_cut_into_few_shares(rate_per_s, burst, count):
+    assert holder_count(rate_per_s, burst) == count
+
+
+def test_holders_are_in_different_domains_and_move_little():
+    members = [
+        ViewMember(MemberId(f"n{number}"), DomainId(f"d{number % 4}"))
+        for number in range(40)
+    ]
+    domain_of = {each.member: each.domain for each in members}
+    moved = 0
+    for number in range(2_000):
+        name = CustomerId(f"club-{number}")
+        before = holders_of(name, 1.0, 2, members)
+        after = holders_of(name, 1.0, 2, members[1:])
+        assert len({domain_of[each] for each in before}) == 2
+        if "n0" not in before:
+            assert after == before
+        moved += before != after
+    assert moved == pytest.approx(2_000 * 2 / 40, rel=0.3)
+
+
+def test_two_halves_make_a_whole_token_at_a_third_node():
+    first, second = (ledger_of(each) for each in HOLDERS)
+    outsider = ledger_of(OUTSIDER)
+    now_ms = 100_000.0
+    for ledger in (first, second):
+        assert isinstance(ledger.spend(CLUB.customer, FOREVER, now_ms), Spent)
+    now_ms += 1_000.0  # Half a token each.
+    ledgers = dict(zip(HOLDERS, (first, second), strict=True))
+    result = outsider.spend(CLUB.customer, FOREVER, now_ms)
+    for _ in range(4):
+        if not isinstance(result, Borrow):
+            break
+        lender = result.holders[0]
+        loan = ledgers[lender].lend(CLUB.customer, result.missing, FOREVER, now_ms)
+        result = outsider.borrowed(CLUB.customer, loan, lender, now_ms, now_ms)
+    assert isinstance(result, Spent)
+    for lender, ledger in ledgers.items():
+        assert ledger.lend(CLUB.customer, 0.01, FOREVER, now_ms).amount == 0.0, lender
+
+
+def test_nothing_is_spent_past_the_stamp():
+    # A holder is paused past its lease; the next holder has opened. Woken up, it
+    # would spend the same tokens again and the customer would get two bursts.
+    ledger = ledger_of(HOLDERS[0])
+    assert ledger.spend(CLUB.customer, 99_999.0, 100_000.0) == Unfit()
+    assert ledger.lend(CLUB.customer, 1.0, 99_999.0, 100_000.0).amount == 0.0
+    loan = Loan(1.0, 0.5, 0.0)
+    asked_ms = 99_990.0
+    result = ledger.borrowed(CLUB.customer, loan, HOLDERS[1], asked_ms, 100_000.0)
+    assert result == Unfit()
+
+
+def test_a_late_loan_is_worth_what_its_lender_has_not_refilled():
+    # A loan of one token takes a second to arrive. Its lender has refilled half a
+    # token meanwhile; credited in full, a token and a half would exist in a share
+    # of one.
+    outsider = ledger_of(OUTSIDER)
+    loan = Loan(1.0, 0.5, 1_000.0)
+    outsider.spend(CLUB.customer, FOREVER, 9_000.0)
+    result = outsider.borrowed(CLUB.customer, loan, HOLDERS[0], 9_000.0, 10_000.0)
+    assert isinstance(result, Borrow)
+    assert result.missing == pytest.approx(0.5)
+
+
+def test_an_over_rate_customer_costs_no_message_per_refusal():
+    outsider = ledger_of(OUTSIDER)
+    now_ms = 100_000.0
+    for holder in HOLDERS:
+        outsider.borrowed(CLUB.customer, Loan(0.0, 0.5, 0.0), holder, now_ms, now_ms)
+    results = [
+        outsider.spend(CLUB.customer, FOREVER, now_ms + step) for step in range(900)
+    ]
+    assert {type(each) for each in results} == {OverRate}
+    assert results[0].retry_at_ms == pytest.approx(now_ms + 1_000.0)
+
+
+def test_a_new_holder_opens_empty_after_the_lease():
+    ledger = ShareLedger.from_config(SETTINGS, HOLDERS[0])
+    ledger.set_limit(CLUB, 0.0)
+    ledger.set_view(ViewNumber(1), MEMBERS, 0.0)
+    assert isinstance(ledger.spend(CLUB.customer, FOREVER, 9_000.0), Borrow)
+    ledger.activate(ViewNumber(1), 10_000.0)
+    opens_at_ms = 10_000.0 + SETTINGS.wait_ms
+    ledger.lost(CLUB.customer, HOLDERS[1], opens_at_ms, opens_at_ms)
+    early_ms = opens_at_ms + 1_900.0
+    ledger.lost(CLUB.customer, HOLDERS[1], early_ms, early_ms)
+    assert not isinstance(ledger.spend(CLUB.customer, FOREVER, early_ms), Spent)
+    late_ms = opens_at_ms + 2_000.0
+    assert isinstance(ledger.spend(CLUB.customer, FOREVER, late_ms), Spent)
+
+
+def test_a_refund_after_the_bucket_was_full_makes_no_token():
+    # A burst is admitted and refused two seconds later. The bucket has filled up
+    # meanwhile; with the tokens put back, two bursts would pass at once.
+    ledger = ledger_of(HOLDERS[0])
+    spent = ledger.spend(CLUB.customer, FOREVER, 100_000.0)
+    assert spent == Spent(100_000.0)
+    assert isinstance(ledger.spend(CLUB.customer, FOREVER, 102_500.0), Spent)
+    ledger.refund(CLUB.customer, spent.spent_at_ms, 102_500.0)
+    assert not isinstance(ledger.spend(CLUB.customer, FOREVER, 102_500.0), Spent)
+    ledger.refund(CLUB.customer, 102_500.0, 102_600.0)
+    assert isinstance(ledger.spend(CLUB.customer, FOREVER, 102_600.0), Spent)
