--- a/src/crocusspindle/services/control.py
+++ b/src/crocusspindle/services/control.py
@@ -7,6 +7,7 @@
 
 from crocusspindle.clock import now_ms
 from crocusspindle.core.directory import Directory
+from crocusspindle.core.directory_dump import load
 from crocusspindle.core.fitness import Fitness, FitnessLimits
 from crocusspindle.core.members import (
     Membership,
@@ -116,7 +117,8 @@
 
     def key_active(self, credential: bytes) -> bool:
         """Return True if the key is still in use."""
-        return self.directory.key_active(KeyDigest(credential))
+        key = self.directory.key(KeyDigest(credential))
+        return key is not None and key.state is KeyState.ACTIVE
 
     def adopt_view(self, view: MemberView) -> None:
         """Adopt a view unless it is older than the present one."""
@@ -225,7 +227,7 @@
 
     def install(self, number: TicketNumber, content: bytes) -> bool:
         """Start from a snapshot; return False if it is not newer."""
-        directory = Directory.load(content)
+        directory = load(content)
         ready = self.log.install(number)
         if ready is None:
             return False
--- a/src/crocusspindle/services/entry.py
+++ b/src/crocusspindle/services/entry.py
@@ -11,10 +11,11 @@
 
 from crocusspindle import instruments
 from crocusspindle.clock import now_ms
+from crocusspindle.core.decisions import Outcome
+from crocusspindle.core.directory import digest_of
 from crocusspindle.core.loans import OverRate, Spent, Unfit
 from crocusspindle.core.model import Customer, Route
 from crocusspindle.core.rendezvous import order
-from crocusspindle.core.decisions import Outcome
 from crocusspindle.ids import CustomerId, MemberId
 from crocusspindle.kernel import Service
 from crocusspindle.metrics import Metrics
@@ -119,7 +120,7 @@
         customer = None if customer_id is None else directory.customer(customer_id)
         if scheme.lower() != "bearer" or customer is None:
             raise RefusedError(words.UNAUTHENTICATED)
-        return customer, directory.digest_of(key.strip())
+        return customer, digest_of(key.strip())
 
     def _route(self, request: web.BaseRequest, customer: Customer) -> Route:
         route = self._control.directory.route(request.path)
--- a/src/crocusspindle/services/ports.py
+++ b/src/crocusspindle/services/ports.py
@@ -14,6 +14,7 @@
 from grpclib.server import Server, Stream
 
 from crocusspindle.clock import now_ms
+from crocusspindle.core.directory_dump import dump
 from crocusspindle.errors import PeerError
 from crocusspindle.ids import CustomerId, MemberId, TargetId, TicketNumber
 from crocusspindle.kernel import Service
@@ -96,7 +97,7 @@
         await _request(stream)
         reply = wire.SnapshotReply(
             applied_ticket=self._control.log.applied,
-            content=self._control.directory.dump(),
+            content=dump(self._control.directory),
         )
         await stream.send_message(reply)
 
--- a/src/crocusspindle/services/rates.py
+++ b/src/crocusspindle/services/rates.py
@@ -5,11 +5,13 @@
 
 from crocusspindle import instruments
 from crocusspindle.clock import now_ms
-from crocusspindle.core.holders import holders_of
+from crocusspindle.core.holders import Placement, holder_count
+from crocusspindle.core.holders import ViewMember as Holder
 from crocusspindle.core.loans import Borrow, Loan, OverRate, SpendResult, Spent, Unfit
 from crocusspindle.core.members import MemberView
 from crocusspindle.core.model import Customer
-from crocusspindle.core.shares import ShareLedger, ShareSettings
+from crocusspindle.core.held import ShareSettings
+from crocusspindle.core.shares import ShareLedger
 from crocusspindle.ids import CustomerId, MemberId
 from crocusspindle.kernel import Service
 from crocusspindle.metrics import Metrics
@@ -46,6 +48,7 @@
             control.me.member,
             self._limit_of,
         )
+        self._placement = Placement(())
         control.watch(change=self._change, view=self._take_view)
 
     async def start(self) -> None:
@@ -71,12 +74,8 @@
 
     def holders(self, customer: Customer) -> tuple[MemberId, ...]:
         """Return the members that hold a customer's shares."""
-        view = self._control.view
-        if view is None:
-            return ()
-        return holders_of(
-            customer.customer, customer.rate_per_s, customer.burst, view.members
-        )
+        count = holder_count(customer.rate_per_s, customer.burst)
+        return self._placement.holders(customer.customer, count)
 
     def status(self) -> object:
         """Return what operators see of the shares held here."""
@@ -117,7 +116,9 @@
             self._ledger.remove_limit(removed, now)
 
     def _take_view(self, view: MemberView) -> None:
-        self._ledger.set_view(view.number, view.members, now_ms())
+        holders = [Holder(one.member, one.domain) for one in view.members]
+        self._placement = Placement(holders)
+        self._ledger.set_view(view.number, holders, now_ms())
 
     async def _activate(self) -> None:
         # A new holder may spend once no majority can carry its forerunner.
