--- /dev/null
+++ b/src/crocusspindle/services/assembly.py
@@ -0,0 +1,116 @@
+"""Build the services of one node from its settings."""
+
+import secrets
+import socket
+
+from aiohttp import web
+
+from crocusspindle.core.members import ViewMember
+from crocusspindle.errors import Finding, SettingsError
+from crocusspindle.ids import DomainId, MemberId
+from crocusspindle.kernel import Kernel
+from crocusspindle.metrics import Metrics, metrics_app
+from crocusspindle.platform.adapter import Platform, adapters
+from crocusspindle.services.backend import BackendService
+from crocusspindle.services.control import ControlService, unix_ms
+from crocusspindle.services.entry import EntryService
+from crocusspindle.services.follower import FollowerService
+from crocusspindle.services.hand_over import HandOverService
+from crocusspindle.services.home import HomeService
+from crocusspindle.services.operator_port import operator_app
+from crocusspindle.services.peers import Peers, fleet_proof
+from crocusspindle.services.ports import CallerPort, HttpPort, PeerPort, PeerServer
+from crocusspindle.services.rates import RatesService
+from crocusspindle.settings import fleet_key
+from crocusspindle.settings_schema import NodeSettings
+
+BACKLOG = 512
+
+__all__ = ["build"]
+
+
+def build(settings: NodeSettings) -> Kernel:
+    """Return the kernel of a node whose services are ready to start.
+
+    Raises ``SettingsError`` for an unknown platform adapter and ``OSError`` for a
+    port that is taken.
+    """
+    caller = _listen(settings.caller.host, settings.caller.port)
+    peer = _listen(settings.peer.host, settings.peer.port)
+    operator = _listen(settings.operator.host, settings.operator.port)
+    me = _member(settings, caller, peer)
+    proof = fleet_proof(fleet_key(settings.fleet), settings.fleet.name)
+    metrics = Metrics(settings.node.name, settings.node.domain)
+    platform = _platform(settings)
+    timings, limits = settings.timings, settings.limits
+
+    kernel = Kernel(timings.drain_ms)
+    control = ControlService(me, timings)
+    peers = Peers(me.member, proof, timings, control)
+    rates = RatesService(control, peers, timings, metrics)
+    home = HomeService(control, peers, limits, metrics)
+    follower = FollowerService(control, peers, platform, timings, limits)
+    hand_over = HandOverService(control, peers, home, timings)
+    entry = EntryService(settings, control, peers, rates, hand_over, metrics)
+    backend = BackendService(control, peers, rates, home, platform, timings)
+    server = PeerServer(control, rates, home)
+    caller_port = CallerPort(
+        caller, settings.caller, entry, home, timings.where_max_age_ms
+    )
+
+    async def operators() -> web.Application:
+        return operator_app(backend, settings.operator.principals, metrics)
+
+    async def scrape() -> web.Application:
+        return metrics_app(metrics)
+
+    kernel.add("control", control)
+    kernel.add("peers", peers)
+    kernel.add("rates", rates)
+    kernel.add("home", home)
+    kernel.add("peer_port", PeerPort(peer, server, proof))
+    kernel.add("follower", follower)
+    kernel.add("hand_over", hand_over)
+    kernel.add("entry", entry)
+    kernel.add("backend", backend)
+    kernel.add("caller_port", caller_port)
+    kernel.add("operator_port", HttpPort(operator, operators, ("backend",)))
+    if settings.metrics is not None:
+        scraped = _listen(settings.metrics.host, settings.metrics.port)
+        kernel.add("metrics_port", HttpPort(scraped, scrape))
+    return kernel
+
+
+def _member(
+    settings: NodeSettings, caller: socket.socket, peer: socket.socket
+) -> ViewMember:
+    advertised = settings.caller.advertise or _address(caller)
+    return ViewMember(
+        member=MemberId(f"{settings.node.name}-{secrets.token_hex(4)}"),
+        domain=DomainId(settings.node.domain),
+        region=settings.node.region,
+        caller_address=advertised,
+        peer_address=_address(peer),
+        joined_unix_ms=unix_ms(),
+    )
+
+
+def _platform(settings: NodeSettings) -> Platform:
+    known = adapters()
+    name = settings.platform.adapter
+    if name not in known:
+        names = ", ".join(sorted(known))
+        finding = Finding("settings", "platform.adapter", f"must be one of {names}")
+        raise SettingsError([finding])
+    return known[name].from_config(settings.platform.options)
+
+
+def _listen(host: str, port: int) -> socket.socket:
+    listening = socket.create_server((host, port), backlog=BACKLOG, reuse_port=False)
+    listening.setblocking(False)
+    return listening
+
+
+def _address(listening: socket.socket) -> str:
+    host, port = listening.getsockname()[:2]
+    return f"{host}:{port}"
--- a/src/crocusspindle/services/backend.py
+++ b/src/crocusspindle/services/backend.py
@@ -6,7 +6,6 @@
 from typing import Any, Final
 
 from crocusspindle.clock import now_ms
-from crocusspindle.core.directory import Directory
 from crocusspindle.core.members import MemberView
 from crocusspindle.core.ticket_schema import (
     Ticket,
@@ -20,6 +19,7 @@
     SubmissionOutcome,
     SubmissionStep,
     in_force,
+    references_check,
 )
 from crocusspindle.errors import (
     Finding,
@@ -47,9 +47,16 @@
 )
 from crocusspindle.services.peers import Peers
 from crocusspindle.services.rates import RatesService
+from crocusspindle.services.ticket_apply import (
+    DirectoryFacts,
+    changes_of,
+    states_of,
+)
 from crocusspindle.settings_schema import Principal, TimingSettings
 
 AUDIT: Final = "audit"
+CUT_OFF: Final = "this node may be cut off; ask another one"
+RETRY_MS: Final = 1_000.0
 SUBMISSION_MS: Final = 8_000.0
 """Six platform calls of a second each and a margin."""
 
@@ -91,7 +98,7 @@
             self._check_state(ticket)
         before = states_of(ticket, self._control.directory)
         if now_ms() >= self._control.fitness.changes_until_ms(now_ms()):
-            raise NotFitError("this node may be cut off; ask another one")
+            raise NotFitError(CUT_OFF, RETRY_MS)
         submission = Submission(ticket, now_ms() + SUBMISSION_MS)
         while submission.step is not SubmissionStep.DONE:
             await self._step(submission)
@@ -155,14 +162,18 @@
     def _check_state(self, ticket: Ticket) -> None:
         """Check a ticket against the state before it; raise ``TicketError``."""
         if not self._control.is_fit():
-            raise NotFitError("this node may be cut off; ask another one")
+            raise NotFitError(CUT_OFF, RETRY_MS)
         expected = self._control.log.applied + 1
         if ticket.number < expected:
             return
         if ticket.number > expected:
             message = f"the next number is {expected}"
             raise TicketError([Finding("ticket", "number", message)])
-        findings = self._control.directory.check(changes_of(ticket))
+        directory = self._control.directory
+        findings = [
+            *references_check(ticket, DirectoryFacts(directory)),
+            *directory.check(changes_of(ticket)),
+        ]
         if findings:
             raise TicketError(findings)
 
--- a/src/crocusspindle/services/control.py
+++ b/src/crocusspindle/services/control.py
@@ -29,6 +29,7 @@
 )
 from crocusspindle.kernel import Service
 from crocusspindle.logs import Logger, log_state_change
+from crocusspindle.services.ticket_apply import changes_of
 from crocusspindle.settings_schema import TimingSettings
 from crocusspindle.wire import fleet_pb2 as wire
 
@@ -265,32 +266,8 @@
             ),
             former_limits={held.customer: held for held in former if held},
         )
-        apply_ticket(ticket, self.directory)
+        self.directory.apply(changes_of(ticket))
         self._tail[ticket.number] = encode_ticket(ticket)
         self._tail.pop(TicketNumber(ticket.number - TAIL_KEPT), None)
         for call in self._on_change:
             call(change)
-
-
-def apply_ticket(ticket: Ticket, directory: Directory) -> None:
-    """Bring a directory to the state after a ticket."""
-    for customer in ticket.set.customers:
-        directory.put_customer(customer)
-    for service in ticket.set.services:
-        directory.put_service(service)
-    for key in ticket.set.keys:
-        directory.put_key(key)
-    for route in ticket.set.routes:
-        directory.put_route(route)
-    for approval in ticket.set.approvals:
-        directory.put_approval(approval)
-    for gone in ticket.remove.approvals:
-        directory.remove_approval(gone.service, gone.customer)
-    for prefix in ticket.remove.routes:
-        directory.remove_route(prefix)
-    for digest in ticket.remove.keys:
-        directory.remove_key(digest)
-    for service_id in ticket.remove.services:
-        directory.remove_service(service_id)
-    for customer_id in ticket.remove.customers:
-        directory.remove_customer(customer_id)
--- a/src/crocusspindle/services/entry.py
+++ b/src/crocusspindle/services/entry.py
@@ -174,11 +174,15 @@
         # shares. Its callers learn at once where else to go.
         view = self._control.view
         others = [] if view is None else order(customer.encode(), view.names)
-        elsewhere = [
-            member.caller_address
-            for name in others
-            if (member := view.find(name)) and name != self._control.me.member
-        ] if view is not None else []
+        elsewhere = (
+            [
+                member.caller_address
+                for name in others
+                if (member := view.find(name)) and name != self._control.me.member
+            ]
+            if view is not None
+            else []
+        )
         detail = "this node is cut off; other addresses: " + ", ".join(elsewhere[:3])
         retry_at_ms = now_ms() + self._settings.timings.heartbeat_ms
         raise RefusedError(Word(503, "unfit", detail, retry_at_ms=retry_at_ms))
@@ -283,9 +287,7 @@
         retry_at_ms = now_ms() + self._settings.timings.heartbeat_ms
         if isinstance(result, OverRate):
             retry_at_ms = result.retry_at_ms
-            self._metrics.add(
-                instruments.SHARE_REFUSALS, customer=customer.customer
-            )
+            self._metrics.add(instruments.SHARE_REFUSALS, customer=customer.customer)
         raise RefusedError(
             Word(
                 429,
--- a/src/crocusspindle/services/hand_over.py
+++ b/src/crocusspindle/services/hand_over.py
@@ -258,7 +258,9 @@
         body_whole=call.rest is None,
         has_body=call.has_body,
     )
-    head.headers.extend(wire.Header(name=name, value=text) for name, text in call.headers)
+    head.headers.extend(
+        wire.Header(name=name, value=text) for name, text in call.headers
+    )
     return head
 
 
--- a/src/crocusspindle/services/home.py
+++ b/src/crocusspindle/services/home.py
@@ -126,9 +126,7 @@
             with suppress(asyncio.CancelledError, *PEER_FAILURES):
                 await reader
 
-    async def _send_final(
-        self, request: HandedOver, final: Answered | GivenUp
-    ) -> None:
+    async def _send_final(self, request: HandedOver, final: Answered | GivenUp) -> None:
         if isinstance(final, GivenUp):
             await send_refusal(request, final, now_ms())
             return
--- a/src/crocusspindle/services/peers.py
+++ b/src/crocusspindle/services/peers.py
@@ -143,6 +143,11 @@
         """Return the followed members that have not echoed for too long."""
         return [name for name, peer in self._peers.items() if self._silent(peer)]
 
+    def silence_ms(self, member: MemberId) -> float:
+        """Return for how long a peer has not echoed."""
+        peer = self._peers.get(member)
+        return float("inf") if peer is None else now_ms() - peer.echoed_ms
+
     def standing(self, member: MemberId) -> wire.Standing | None:
         """Return what a peer last said of itself."""
         peer = self._peers.get(member)
--- a/src/crocusspindle/services/rates.py
+++ b/src/crocusspindle/services/rates.py
@@ -5,12 +5,12 @@
 
 from crocusspindle import instruments
 from crocusspindle.clock import now_ms
+from crocusspindle.core.held import ShareSettings
 from crocusspindle.core.holders import Placement, holder_count
 from crocusspindle.core.holders import ViewMember as Holder
 from crocusspindle.core.loans import Borrow, Loan, OverRate, SpendResult, Spent, Unfit
 from crocusspindle.core.members import MemberView
 from crocusspindle.core.model import Customer
-from crocusspindle.core.held import ShareSettings
 from crocusspindle.core.shares import ShareLedger
 from crocusspindle.ids import CustomerId, MemberId
 from crocusspindle.kernel import Service
