--- a/src/crocusspindle/cli.py
+++ b/src/crocusspindle/cli.py
@@ -1,4 +1,8 @@
-"""Offer the commands of crocusspindle."""
+"""Offer the commands of crocusspindle.
+
+Only ``node`` and ``check-settings`` import packages with native parts, so that the
+others run from the binary without unpacking anything.
+"""
 
 import asyncio
 import json
@@ -28,7 +32,6 @@
     call,
     wait_in_force,
 )
-from crocusspindle.settings import load_settings
 
 NAME: Final = "crocusspindle"
 OPERATOR_ENV: Final = "CROCUSSPINDLE_OPERATOR"
@@ -135,6 +138,8 @@
         """Check a settings file and report all findings."""
 
         def work() -> dict[str, Any]:
+            from crocusspindle.settings import load_settings  # noqa: PLC0415
+
             checked = load_settings(str(settings))
             return {"settings": str(settings), "node": checked.node.name, "ok": True}
 
@@ -239,6 +244,7 @@
 def _run_node(path: str) -> None:
     from crocusspindle import kernel  # noqa: PLC0415
     from crocusspindle.logs import set_up_logs  # noqa: PLC0415
+    from crocusspindle.settings import load_settings  # noqa: PLC0415
 
     assembly = import_module("crocusspindle.services.assembly")
     settings = load_settings(path)
