--- a/src/crocusspindle/instruments.py
+++ b/src/crocusspindle/instruments.py
@@ -211,3 +211,11 @@
     meaning="Calls at the operator port, by HTTP status.",
     when_rising="More 401: somebody tries keys; more 409: operators race.",
 )
+HEALTH_CHANGES: Final = declare(
+    "health_changes",
+    InstrumentKind.COUNTER,
+    unit="changes",
+    labels=("service", "change"),
+    meaning="Changes in how homes here judge targets, by kind.",
+    when_rising="See the page on gray targets; `GroupSuspect` points at the path.",
+)
--- a/src/crocusspindle/services/follower.py
+++ b/src/crocusspindle/services/follower.py
@@ -33,6 +33,9 @@
 FLEET: Final = "fleet"
 VIEW: Final = "view"
 PAGE: Final = 200
+VIEWS_KEPT: Final = 64
+"""Member lists kept to record an outage under them once the platform is back."""
+
 OWN_READ_FRACTION: Final = 0.5
 """A node that learns from peers reads the platform itself once its stamp is this
 part of its life old: the pollers of its domain may all be gone at once."""
@@ -64,6 +67,7 @@
         self._limits = limits
         self._view_version = ABSENT
         self._asking: set[MemberId] = set()
+        self._names: dict[ViewNumber, tuple[MemberId, ...]] = {}
         self._stopping = False
         self._logger = Logger("follower")
         control.watch(behind=self._ask, view=self._follow)
@@ -93,6 +97,9 @@
         return now_ms() + self._timings.platform_timeout_ms
 
     def _follow(self, view: MemberView) -> None:
+        self._names[view.number] = view.names
+        while len(self._names) > VIEWS_KEPT:
+            del self._names[min(self._names)]
         self._peers.follow(view.members)
 
     def _polls(self) -> bool:
@@ -121,7 +128,7 @@
                     await self._propose()
             except PlatformError as error:
                 self._control.platform_failed(began_ms)
-                self._logger.debug("platform: {}", error)
+                self._logger.debug(f"platform: {error}")
             except TicketConflictError as error:
                 log_state_change(self._logger, "ticket conflict", error=str(error))
 
@@ -162,10 +169,11 @@
         standing = Standing(
             fit=now < fitness.stamp_until_ms(),
             in_majority=now < fitness.contact_until_ms(now),
-            confirmed=fitness.majority_at(view_number),
+            confirmed=fitness.majority_at(view_number, now),
+        )
+        proposed = control.membership.propose(
+            standing, now, unix_ms(), self._outages(now)
         )
-        outage = self._outage(now)
-        proposed = control.membership.propose(standing, now, unix_ms(), outage)
         if isinstance(proposed, ProposalBar):
             return
         result = await self._platform.put(
@@ -173,11 +181,13 @@
         )
         self._take_view_row(result.current)
 
-    def _outage(self, now: float) -> Outage | None:
-        view = self._control.view
-        if view is None or not self._control.fitness.away(now):
-            return None
-        return Outage(view.number, unix_ms(), view.names)
+    def _outages(self, now: float) -> list[Outage]:
+        """Return the views under which members acted without the platform."""
+        return [
+            Outage(number, unix_ms(), self._names[number])
+            for number in self._control.fitness.away_views(now)
+            if number in self._names
+        ]
 
     def _ask(self, member: MemberId) -> None:
         if member in self._asking:
@@ -197,7 +207,7 @@
                 )
             self._take_tail(reply, asked_ms)
         except (*PEER_FAILURES, TicketConflictError, ValueError) as error:
-            self._logger.debug("tail of {}: {}", member, error)
+            self._logger.debug(f"tail of {member}: {error}")
         finally:
             self._asking.discard(member)
 
--- a/src/crocusspindle/services/group_runner.py
+++ b/src/crocusspindle/services/group_runner.py
@@ -143,12 +143,12 @@
 
     def load(self) -> HomeLoad:
         """Return how loaded the group is."""
-        return self._home.load(now_ms())
+        return self._home.load()
 
     def status(self) -> tuple[HomeStatus, tuple[TargetHealth, ...]]:
         """Return what operators see of the group."""
         now = now_ms()
-        return self._home.status(now), self._health.snapshot(now)
+        return self._home.snapshot(), self._health.snapshot(now)
 
     def _carry_out(self, decisions: Iterable[Decision]) -> None:
         for decision in decisions:
--- a/src/crocusspindle/services/home.py
+++ b/src/crocusspindle/services/home.py
@@ -116,9 +116,8 @@
             await request.link.send(wire.AnswerFrame(queued=queued))
         reader = asyncio.create_task(request.read())
         try:
-            await asyncio.wait(
-                {reader, request.final}, return_when=asyncio.FIRST_COMPLETED
-            )
+            waiting: set[asyncio.Future[Any]] = {reader, request.final}
+            await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
             if request.final.done():
                 await self._send_final(request, request.final.result())
         finally:
--- a/src/crocusspindle/services/ports.py
+++ b/src/crocusspindle/services/ports.py
@@ -5,7 +5,7 @@
 import socket
 import ssl
 from collections.abc import Awaitable, Callable
-from typing import Final
+from typing import Any, Final, TypeVar
 
 from aiohttp import web
 from grpclib.const import Status
@@ -28,6 +28,8 @@
 from crocusspindle.wire import fleet_pb2 as wire
 from crocusspindle.wire.fleet_grpc import FleetBase
 
+Asked = TypeVar("Asked")
+
 BUSY_LOOK_S: Final = 0.05
 TAIL_MAX: Final = 500
 
@@ -130,7 +132,7 @@
         raise GRPCError(Status.UNIMPLEMENTED)
 
 
-async def _request(stream: Stream[wire.Message, wire.Message]) -> wire.Message:
+async def _request(stream: Stream[Asked, Any]) -> Asked:
     asked = await stream.recv_message()
     if asked is None:
         raise GRPCError(Status.INVALID_ARGUMENT, "the request is missing")
@@ -197,7 +199,7 @@
     async def start(self) -> None:
         """Listen for callers."""
         server = web.Server(
-            self._entry.handle,  # type: ignore[arg-type]
+            self._entry.handle,
             access_log=None,
             handler_cancellation=True,
             max_line_size=self._settings.max_header_bytes,
--- a/src/crocusspindle/services/rates.py
+++ b/src/crocusspindle/services/rates.py
@@ -8,7 +8,15 @@
 from crocusspindle.core.held import ShareSettings
 from crocusspindle.core.holders import Placement, holder_count
 from crocusspindle.core.holders import ViewMember as Holder
-from crocusspindle.core.loans import Borrow, Loan, OverRate, SpendResult, Spent, Unfit
+from crocusspindle.core.loans import (
+    Borrow,
+    LedgerStatus,
+    Loan,
+    OverRate,
+    SpendResult,
+    Spent,
+    Unfit,
+)
 from crocusspindle.core.members import MemberView
 from crocusspindle.core.model import Customer
 from crocusspindle.core.shares import ShareLedger
@@ -77,7 +85,7 @@
         count = holder_count(customer.rate_per_s, customer.burst)
         return self._placement.holders(customer.customer, count)
 
-    def status(self) -> object:
+    def status(self) -> LedgerStatus:
         """Return what operators see of the shares held here."""
         return self._ledger.snapshot(now_ms())
 
@@ -124,6 +132,8 @@
         # A new holder may spend once no majority can carry its forerunner.
         while True:
             view = self._control.view
-            if view is not None and self._control.fitness.majority_at(view.number):
+            if view is not None and self._control.fitness.majority_at(
+                view.number, now_ms()
+            ):
                 self._ledger.activate(view.number, now_ms())
             await asyncio.sleep(ACTIVATION_S)
--- a/src/crocusspindle/services/ticket_apply.py
+++ b/src/crocusspindle/services/ticket_apply.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection
 from typing import Any
 
-from crocusspindle.core.directory import Change, Directory, Put, Remove
+from crocusspindle.core.directory import Change, Directory, Item, Put, Remove
 from crocusspindle.core.model import (
     Approval,
     Customer,
@@ -45,16 +45,9 @@
 def changes_of(ticket: Ticket) -> list[Change]:
     """Return the directory's changes in an order that keeps references whole."""
     put, gone = ticket.set, ticket.remove
-    changes: list[Change] = [
-        Put(item)
-        for item in (
-            *put.customers,
-            *put.services,
-            *put.keys,
-            *put.routes,
-            *put.approvals,
-        )
-    ]
+    items: list[Item] = [*put.customers, *put.services, *put.keys]
+    items += [*put.routes, *put.approvals]
+    changes: list[Change] = [Put(item) for item in items]
     changes += [
         Remove(Approval(approval.service, approval.customer, ""))
         for approval in gone.approvals
