--- a/src/crocusspindle/services/assembly.py
+++ b/src/crocusspindle/services/assembly.py
@@ -1,10 +1,14 @@
 """Build the services of one node from its settings."""
 
+import pkgutil
 import secrets
 import socket
+from importlib import import_module
+from typing import Final
 
 from aiohttp import web
 
+from crocusspindle import platform as platform_package
 from crocusspindle.core.members import ViewMember
 from crocusspindle.errors import Finding, SettingsError
 from crocusspindle.ids import DomainId, MemberId
@@ -24,7 +28,7 @@
 from crocusspindle.settings import fleet_key
 from crocusspindle.settings_schema import NodeSettings
 
-BACKLOG = 512
+BACKLOG: Final = 512
 
 __all__ = ["build"]
 
@@ -52,7 +56,7 @@
     follower = FollowerService(control, peers, platform, timings, limits)
     hand_over = HandOverService(control, peers, home, timings)
     entry = EntryService(settings, control, peers, rates, hand_over, metrics)
-    backend = BackendService(control, peers, rates, home, platform, timings)
+    backend = BackendService(control, peers, rates, home, follower, platform, timings)
     server = PeerServer(control, rates, home)
     caller_port = CallerPort(
         caller, settings.caller, entry, home, timings.where_max_age_ms
@@ -96,6 +100,10 @@
 
 
 def _platform(settings: NodeSettings) -> Platform:
+    # Every module of the package registers its adapter: a new platform takes one
+    # file and no change elsewhere.
+    for module in pkgutil.iter_modules(platform_package.__path__):
+        import_module(f"{platform_package.__name__}.{module.name}")
     known = adapters()
     name = settings.platform.adapter
     if name not in known:
--- a/src/crocusspindle/services/backend.py
+++ b/src/crocusspindle/services/backend.py
@@ -35,7 +35,7 @@
 from crocusspindle.logs import Logger, log_state_change
 from crocusspindle.platform.adapter import ABSENT, Platform, Row
 from crocusspindle.services.control import ControlService, unix_ms
-from crocusspindle.services.follower import TICKETS, ticket_key
+from crocusspindle.services.follower import TICKETS, FollowerService, ticket_key
 from crocusspindle.services.home import HomeService
 from crocusspindle.services.operator_api import (
     AuditEntry,
@@ -73,6 +73,7 @@
         peers: Peers,
         rates: RatesService,
         home: HomeService,
+        follower: FollowerService,
         platform: Platform,
         timings: TimingSettings,
     ) -> None:
@@ -80,6 +81,7 @@
         self._peers = peers
         self._rates = rates
         self._home = home
+        self._follower = follower
         self._platform = platform
         self._timings = timings
         self._logger = Logger("backend")
@@ -87,12 +89,14 @@
     async def validate(self, document: bytes) -> TicketSummary:
         """Return what a ticket would change against the state before its number."""
         ticket = parse_ticket(document, "ticket")
+        await self._follower.catch_up()
         self._check_state(ticket)
         return TicketSummary(ticket.number, content_hash(ticket).hex(), touches(ticket))
 
     async def submit(self, document: bytes, principal: Principal) -> SubmitResult:
         """Record a ticket; the same content again succeeds."""
         ticket = replace(parse_ticket(document, "ticket"), author=principal.name)
+        await self._follower.catch_up()
         repeated = self._control.log.applied >= ticket.number
         if not repeated:
             self._check_state(ticket)
@@ -103,6 +107,7 @@
         while submission.step is not SubmissionStep.DONE:
             await self._step(submission)
         self._conclude(submission)
+        self._control.take_tickets([ticket])
         if not repeated:
             await self._write_audit(ticket, principal, before)
         return SubmitResult(ticket.number, content_hash(ticket).hex(), repeated)
--- a/src/crocusspindle/services/control.py
+++ b/src/crocusspindle/services/control.py
@@ -21,6 +21,7 @@
 from crocusspindle.core.tickets import TicketLog
 from crocusspindle.ids import (
     CustomerId,
+    DomainId,
     KeyDigest,
     MemberId,
     ServiceId,
@@ -190,6 +191,32 @@
             away_views=sorted(self.fitness.away_views(now)),
         )
 
+    def joining(self) -> wire.Joining | None:
+        """Return where this node is while it is not in the view."""
+        me, view = self.me, self.view
+        if self.draining or view is None or view.find(me.member) is not None:
+            return None
+        return wire.Joining(
+            domain=me.domain,
+            region=me.region,
+            caller_address=me.caller_address,
+            peer_address=me.peer_address,
+            joined_unix_ms=me.joined_unix_ms,
+        )
+
+    def take_joining(self, member: MemberId, joining: wire.Joining) -> None:
+        """Take a new node's wish: one view then takes in all that start at once."""
+        self.membership.asks_to_join(
+            ViewMember(
+                member,
+                DomainId(joining.domain),
+                joining.region,
+                joining.caller_address,
+                joining.peer_address,
+                joining.joined_unix_ms,
+            )
+        )
+
     def echoed(self, member: MemberId, standing: wire.Standing, sent_ms: float) -> None:
         """Take a beat of ours that came back, sent at ``sent_ms``."""
         self.heard(member, standing)
--- a/src/crocusspindle/services/follower.py
+++ b/src/crocusspindle/services/follower.py
@@ -145,6 +145,11 @@
         if tickets_done:
             self._control.stamped(began_ms)
 
+    async def catch_up(self) -> None:
+        """Read the ticket log now, if the platform answers."""
+        with suppress(PlatformError):
+            await self._read_tickets()
+
     async def _read_tickets(self) -> bool:
         while True:
             after = ticket_key(self._control.log.applied)
@@ -193,9 +198,9 @@
         if member in self._asking:
             return
         self._asking.add(member)
-        self.spawn(self._catch_up(member))
+        self.spawn(self._learn(member))
 
-    async def _catch_up(self, member: MemberId) -> None:
+    async def _learn(self, member: MemberId) -> None:
         """Learn view and tickets from a peer that is ahead."""
         try:
             stub = self._peers.stub(member)
--- a/src/crocusspindle/services/peers.py
+++ b/src/crocusspindle/services/peers.py
@@ -67,6 +67,9 @@
     def standing(self) -> wire.Standing:
         """Return what this node says of itself now."""
 
+    def joining(self) -> wire.Joining | None:
+        """Return where this node is while it is not in the view."""
+
     def echoed(self, member: MemberId, standing: wire.Standing, sent_ms: float) -> None:
         """Take a beat of ours that came back, sent at ``sent_ms``."""
 
@@ -202,7 +205,10 @@
                 sequence += 1
                 sent_ms = now_ms()
                 beat = wire.Beat(
-                    member=self.me, sequence=sequence, standing=self._control.standing()
+                    member=self.me,
+                    sequence=sequence,
+                    standing=self._control.standing(),
+                    joining=self._control.joining(),
                 )
                 async with asyncio.timeout(self._silence_ms() / 1e3):
                     await stream.send_message(beat)
--- a/src/crocusspindle/services/ports.py
+++ b/src/crocusspindle/services/ports.py
@@ -48,6 +48,8 @@
         """Echo the beats of a peer for as long as it sends them."""
         async for beat in stream:
             self._control.heard(MemberId(beat.member), beat.standing)
+            if beat.HasField("joining"):
+                self._control.take_joining(MemberId(beat.member), beat.joining)
             echo = wire.Echo(
                 member=self._control.me.member,
                 sequence=beat.sequence,
@@ -212,7 +214,9 @@
     async def drain(self) -> None:
         """Serve on while callers may keep our address, then finish what runs."""
         until_ms = now_ms() + self._where_max_age_ms
-        while now_ms() < until_ms or self._entry.running or self._home.busy:
+        await asyncio.sleep(max(0.0, until_ms - now_ms()) / 1e3)
+        while self._entry.running or self._home.busy:  # noqa: ASYNC110
+            # Both change with every request: an event each would cost more.
             await asyncio.sleep(BUSY_LOOK_S)
 
     async def stop(self) -> None:
--- /dev/null
+++ b/src/crocusspindle_standins/fleet.py
@@ -0,0 +1,333 @@
+"""Run a whole fleet on loopback: platform, nodes, targets and an operator."""
+
+import asyncio
+import hashlib
+import signal
+import tempfile
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Final, Self
+
+import aiohttp
+import yaml
+
+from crocusspindle_standins.processes import (
+    HOST,
+    Processes,
+    Running,
+    free_ports,
+    get_json,
+    put_json,
+    until_served,
+)
+
+OPERATOR_KEY: Final = "operator-key-of-the-stand-in"
+FLEET_KEY: Final = "fleet-key-of-the-stand-in"
+SETTLE_S: Final = 20.0
+
+
+def sha256(text: str) -> str:
+    """Return the hex digest of a key."""
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+@dataclass(frozen=True)
+class TargetGroup:
+    """Describe the targets of one service."""
+
+    service: str
+    targets: int
+    slots: int
+    work_ms: float
+    queue: int = 2
+
+
+@dataclass(frozen=True)
+class Layout:
+    """Describe a test fleet."""
+
+    nodes: int
+    domains: int
+    groups: tuple[TargetGroup, ...]
+    timings: Mapping[str, float] = field(default_factory=dict)
+
+
+@dataclass
+class Node:
+    """Hold one node's ports and process."""
+
+    name: str
+    domain: str
+    caller_port: int
+    peer_port: int
+    operator_port: int
+    metrics_port: int
+    running: Running | None = None
+    settings: Path | None = None
+    advertise: str | None = None
+
+    @property
+    def caller_url(self) -> str:
+        """Return the address for callers."""
+        return f"http://{HOST}:{self.caller_port}"
+
+    @property
+    def operator_url(self) -> str:
+        """Return the address for operators."""
+        return f"http://{HOST}:{self.operator_port}"
+
+
+@dataclass
+class TargetProcess:
+    """Hold one target's address and process."""
+
+    service: str
+    port: int
+    domain: str
+    slots: int
+    running: Running
+
+    @property
+    def name(self) -> str:
+        """Return the target's id."""
+        return f"{HOST}:{self.port}"
+
+    @property
+    def url(self) -> str:
+        """Return the target's address."""
+        return f"http://{HOST}:{self.port}"
+
+
+class Fleet:
+    """Start a fleet, give it tickets and break it."""
+
+    def __init__(self, layout: Layout, folder: Path) -> None:
+        self.layout = layout
+        self.processes = Processes(folder)
+        self.folder = folder
+        self.nodes: list[Node] = []
+        self.targets: list[TargetProcess] = []
+        self.platform_port = 0
+        self.session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=10, sock_connect=1)
+        )
+        self._ticket = 0
+        self._hosts: list[dict[str, Any]] = []
+
+    async def __aenter__(self) -> Self:
+        try:
+            await self.start()
+        except BaseException:
+            await self.close()
+            raise
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        await self.close()
+
+    @classmethod
+    def temporary(cls, layout: Layout) -> "Fleet":
+        """Return a fleet whose files live in a new temporary folder."""
+        return cls(layout, Path(tempfile.mkdtemp(prefix="crocusspindle-")))
+
+    @property
+    def platform_url(self) -> str:
+        """Return the address of the platform's stand-in."""
+        return f"http://{HOST}:{self.platform_port}"
+
+    async def start(self) -> None:
+        """Start every process and wait until the nodes agree on a view."""
+        await self._start_platform()
+        await asyncio.gather(self._start_targets(), self._start_nodes())
+        await self.until_agreed()
+
+    async def close(self) -> None:
+        """End every process."""
+        await self.processes.stop_all()
+        await self.session.close()
+
+    async def _start_platform(self) -> None:
+        (self.platform_port,) = free_ports(1)
+        await self.processes.start(
+            "platform",
+            "crocusspindle_standins.platform",
+            "--port",
+            self.platform_port,
+        )
+        await until_served(self.session, f"{self.platform_url}/control")
+
+    async def _start_targets(self) -> None:
+        wanted = [
+            (group, number)
+            for group in self.layout.groups
+            for number in range(group.targets)
+        ]
+        ports = free_ports(len(wanted))
+        for seed, ((group, number), port) in enumerate(zip(wanted, ports, strict=True)):
+            domain = f"domain-{number % self.layout.domains}"
+            running = await self.processes.start(
+                f"{group.service}-{number}",
+                "crocusspindle_standins.target",
+                *("--port", port, "--service", group.service),
+                *("--slots", group.slots, "--work_ms", group.work_ms),
+                *("--queue", group.queue, "--seed", seed),
+            )
+            self.targets.append(
+                TargetProcess(group.service, port, domain, group.slots, running)
+            )
+        await asyncio.gather(
+            *(until_served(self.session, f"{t.url}/-/health") for t in self.targets)
+        )
+        self._hosts = [
+            {
+                "target": target.name,
+                "service": target.service,
+                "domain": target.domain,
+                "slots": target.slots,
+                "state": "live",
+            }
+            for target in self.targets
+        ]
+        await self.platform(hosts=self._hosts)
+
+    async def _start_nodes(self) -> None:
+        for number in range(self.layout.nodes):
+            caller, peer, operator, metrics = free_ports(4)
+            domain = f"domain-{number % self.layout.domains}"
+            self.nodes.append(
+                Node(f"node-{number}", domain, caller, peer, operator, metrics)
+            )
+        await asyncio.gather(*(self.start_node(node) for node in self.nodes))
+
+    async def start_node(self, node: Node) -> None:
+        """Start a node, or start it again."""
+        node.settings = self.folder / f"{node.name}.yaml"
+        node.settings.write_text(yaml.safe_dump(self._settings(node)))
+        node.running = await self.processes.start(
+            node.name, "crocusspindle", "node", "--settings", node.settings
+        )
+        await until_served(self.session, node.caller_url)
+
+    def _settings(self, node: Node) -> dict[str, Any]:
+        key_file = self.folder / "fleet.key"
+        key_file.write_text(FLEET_KEY)
+        caller: dict[str, Any] = {"host": HOST, "port": node.caller_port}
+        if node.advertise is not None:
+            caller["advertise"] = node.advertise
+        return {
+            "node": {"name": node.name, "domain": node.domain},
+            "caller": caller,
+            "peer": {"host": HOST, "port": node.peer_port},
+            "operator": {
+                "host": HOST,
+                "port": node.operator_port,
+                "principals": self._principals(),
+            },
+            "metrics": {"host": HOST, "port": node.metrics_port},
+            "fleet": {"name": "stand-in", "key_file": str(key_file)},
+            "platform": {"adapter": "http", "url": self.platform_url},
+            "timings": dict(self.layout.timings),
+            "log": {"format": "json"},
+        }
+
+    def _principals(self) -> list[dict[str, Any]]:
+        services = [group.service for group in self.layout.groups]
+        return [
+            {
+                "name": "operator",
+                "role": "operator",
+                "key_sha256": sha256(OPERATOR_KEY),
+            },
+            {
+                "name": "owner",
+                "role": "owner",
+                "services": services,
+                "key_sha256": sha256("owner-" + OPERATOR_KEY),
+            },
+        ]
+
+    async def until_agreed(self) -> None:
+        """Wait until every running node is fit under a view of all of them."""
+        names = [node for node in self.nodes if node.running and node.running.alive]
+        async with asyncio.timeout(SETTLE_S):
+            while True:
+                found = await asyncio.gather(*(self.status(node) for node in names))
+                sizes = [len(one["members"]) for one in found]
+                usable = all(
+                    one["fit"] and not any(m["silent"] for m in one["members"])
+                    for one in found
+                )
+                if usable and set(sizes) == {len(names)}:
+                    return
+                await asyncio.sleep(0.1)
+
+    async def status(self, node: Node) -> Any:
+        """Return what a node tells operators."""
+        headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+        url = f"{node.operator_url}/v1/status"
+        async with self.session.get(url, headers=headers) as response:
+            response.raise_for_status()
+            return await response.json()
+
+    async def ticket(
+        self, node: Node, principal: str = "operator", **content: Any
+    ) -> int:
+        """Submit the next ticket through a node and return its number."""
+        number = self._ticket + 1
+        document = {
+            "number": number,
+            "author": principal,
+            "reason": "stand-in",
+            **content,
+        }
+        await self.submit(node, document, principal)
+        self._ticket = number
+        return number
+
+    async def submit(
+        self, node: Node, document: Mapping[str, Any], principal: str = "operator"
+    ) -> None:
+        """Submit a ticket as it is; raise on a refusal."""
+        key = OPERATOR_KEY if principal == "operator" else "owner-" + OPERATOR_KEY
+        async with self.session.post(
+            f"{node.operator_url}/v1/tickets",
+            data=yaml.safe_dump(dict(document)),
+            headers={"Authorization": f"Bearer {key}"},
+        ) as response:
+            if response.status >= 400:  # noqa: PLR2004
+                raise RuntimeError(f"{response.status}: {await response.text()}")
+
+    async def until_in_force(self, number: int, nodes: Iterable[Node]) -> None:
+        """Wait until nodes have applied a ticket."""
+        async with asyncio.timeout(SETTLE_S):
+            for node in nodes:
+                while (await self.status(node))["applied_ticket"] < number:
+                    await asyncio.sleep(0.05)
+
+    async def platform(self, **control: Any) -> None:
+        """Change how the platform's stand-in behaves."""
+        await put_json(self.session, f"{self.platform_url}/control", control)
+
+    async def target_fault(self, target: TargetProcess, **faults: Any) -> None:
+        """Change how a target fails."""
+        await put_json(self.session, f"{target.url}/-/control", faults)
+
+    async def leave(self, target: TargetProcess) -> None:
+        """Let the host list say that a target leaves."""
+        for host in self._hosts:
+            if host["target"] == target.name:
+                host["state"] = "leaving"
+        await self.platform(hosts=self._hosts)
+
+    async def executions(self) -> list[Any]:
+        """Return what ran at each living target."""
+        living = [target for target in self.targets if target.running.alive]
+        return await asyncio.gather(
+            *(get_json(self.session, f"{one.url}/-/executions") for one in living)
+        )
+
+    def kill(self, node: Node) -> None:
+        """End a node at once, without a word."""
+        if node.running is not None:
+            node.running.signal(signal.SIGKILL)
--- /dev/null
+++ b/src/crocusspindle_standins/processes.py
@@ -0,0 +1,111 @@
+"""Start the processes of a test fleet on loopback and end them by their id."""
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Final
+
+import aiohttp
+
+HOST: Final = "127.0.0.1"
+START_S: Final = 20.0
+STOP_S: Final = 5.0
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free at this moment."""
+    held = [socket.create_server((HOST, 0)) for _ in range(count)]
+    ports = [one.getsockname()[1] for one in held]
+    for one in held:
+        one.close()
+    return ports
+
+
+@dataclass
+class Running:
+    """Hold one process of the test fleet and where its output goes."""
+
+    name: str
+    process: asyncio.subprocess.Process
+    log: Path
+
+    @property
+    def alive(self) -> bool:
+        """Return True while the process has not ended."""
+        return self.process.returncode is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process, unless it has ended."""
+        if self.alive:
+            self.process.send_signal(number)
+
+    async def wait(self, timeout_s: float) -> int | None:
+        """Return the exit code, or None if the process runs on."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self.process.wait()
+        except TimeoutError:
+            return None
+
+
+@dataclass
+class Processes:
+    """Start processes of one test and end all of them."""
+
+    folder: Path
+    running: dict[str, Running] = field(default_factory=dict)
+
+    async def start(self, name: str, module: str, *arguments: object) -> Running:
+        """Run a module of this project as a process of its own."""
+        log = self.folder / f"{name}.log"
+        with log.open("ab") as output:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                module,
+                *(str(argument) for argument in arguments),
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+                env=os.environ | {"UV_USE_IO_URING": "0"},
+            )
+        found = Running(name, process, log)
+        self.running[name] = found
+        return found
+
+    async def stop_all(self) -> None:
+        """End every process that this object started."""
+        for one in self.running.values():
+            one.signal(signal.SIGCONT)
+            one.signal(signal.SIGKILL)
+        for one in self.running.values():
+            await one.wait(STOP_S)
+
+
+async def until_served(session: aiohttp.ClientSession, url: str) -> None:
+    """Wait until an address answers anything; raise ``TimeoutError`` if it doesn't."""
+    async with asyncio.timeout(START_S):
+        while True:
+            try:
+                async with session.get(url) as response:
+                    await response.read()
+                    return
+            except (aiohttp.ClientError, OSError):
+                await asyncio.sleep(0.05)
+
+
+async def put_json(session: aiohttp.ClientSession, url: str, content: Any) -> None:
+    """Put JSON to a stand-in's control address."""
+    async with session.put(url, json=content) as response:
+        response.raise_for_status()
+
+
+async def get_json(session: aiohttp.ClientSession, url: str) -> Any:
+    """Return the JSON of a stand-in's control address."""
+    async with session.get(url) as response:
+        response.raise_for_status()
+        return await response.json()
