--- /dev/null
+++ b/benchmarks/health_trial.py
@@ -0,0 +1,224 @@
+"""Put one group's health judging through faults in virtual time.
+
+One queue feeds the slots of one group, as at its home; nothing else of the fleet is
+modelled.
+"""
+
+import heapq
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from crocusspindle.core.health import GroupHealth
+from crocusspindle.core.health_state import (
+    HealthChange,
+    HealthSettings,
+    Outcome,
+    Sample,
+    SecondOpinionWanted,
+)
+from crocusspindle.core.model import Target
+from crocusspindle.ids import DomainId, ServiceId, TargetId
+
+TICK_MS = 100.0
+OPINION_MS = 30.0
+MEAN_WORK_MS = 50.0
+HEALTHY_ERROR_RATE = 0.01
+TIMEOUT_MS = 10_000.0
+
+Behaviour = Callable[[Random, float], tuple[Outcome, float]]
+
+
+def healthy(rng: Random, now_ms: float) -> tuple[Outcome, float]:
+    """Work as a healthy target does."""
+    return failing(HEALTHY_ERROR_RATE)(rng, now_ms)
+
+
+def failing(rate: float) -> Behaviour:
+    """Return the behaviour of a target that fails a fraction of its work."""
+
+    def work(rng: Random, now_ms: float) -> tuple[Outcome, float]:
+        outcome = Outcome.ERROR if rng.random() < rate else Outcome.OK
+        return outcome, rng.expovariate(1.0 / MEAN_WORK_MS)
+
+    return work
+
+
+def slow(factor: float) -> Behaviour:
+    """Return the behaviour of a target that takes longer for all its work."""
+
+    def work(rng: Random, now_ms: float) -> tuple[Outcome, float]:
+        outcome, latency_ms = healthy(rng, now_ms)
+        return outcome, factor * latency_ms
+
+    return work
+
+
+def silent(rng: Random, now_ms: float) -> tuple[Outcome, float]:
+    """Never answer."""
+    return Outcome.TIMEOUT, TIMEOUT_MS
+
+
+def since(begin_ms: float, bad: Behaviour) -> Behaviour:
+    """Return a behaviour that is healthy before a time and bad after it."""
+    return lambda rng, now_ms: (bad if now_ms >= begin_ms else healthy)(rng, now_ms)
+
+
+def flapping(begin_ms: float, half_period_ms: float, bad: Behaviour) -> Behaviour:
+    """Return a behaviour that is bad and healthy by turns."""
+
+    def work(rng: Random, now_ms: float) -> tuple[Outcome, float]:
+        turn = (now_ms - begin_ms) // half_period_ms
+        is_bad = now_ms >= begin_ms and turn % 2 == 0
+        return (bad if is_bad else healthy)(rng, now_ms)
+
+    return work
+
+
+def make_targets(count: int, slots: int) -> list[Target]:
+    """Return the targets of one group."""
+    service, domain = ServiceId("katalog"), DomainId("d1")
+    return [
+        Target(TargetId(f"10.0.0.{i}:80"), service, domain, slots) for i in range(count)
+    ]
+
+
+@dataclass
+class HealthTrial:
+    """Drive a judge with the work of one group and note what it decides."""
+
+    targets: list[Target]
+    load: float
+    seed: int
+    judge: GroupHealth
+    behaviours: dict[TargetId, Behaviour] = field(default_factory=dict)
+    reached_elsewhere: bool = False
+    now_ms: float = 0.0
+    changes: list[tuple[float, HealthChange]] = field(default_factory=list)
+    failures: int = 0
+    works: int = 0
+
+    @classmethod
+    def from_config(
+        cls,
+        count: int,
+        slots: int,
+        *,
+        load: float = 0.7,
+        seed: int = 0,
+        floor_fraction: float = 0.5,
+        settings: HealthSettings | None = None,
+    ) -> "HealthTrial":
+        """Make a trial of one group under a load, as a fraction of its slots."""
+        judge = GroupHealth.from_config(settings or HealthSettings(), floor_fraction)
+        return cls(make_targets(count, slots), load, seed, judge)
+
+    def __post_init__(self) -> None:
+        self._rng = Random(self.seed)
+        self._order = 0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._queue: deque[float] = deque()
+        self._running: dict[TargetId, dict[int, float]] = {
+            target.target: {} for target in self.targets
+        }
+        total_slots = sum(target.slots for target in self.targets)
+        self._gap_ms = MEAN_WORK_MS / (self.load * total_slots)
+        self._note(self.judge.set_targets(self.targets, 0.0))
+        self._at(0.0, self._arrive)
+        self._at(0.0, self._tick)
+
+    def run_until(self, end_ms: float) -> None:
+        """Let virtual time pass."""
+        while self._events and self._events[0][0] <= end_ms:
+            self.now_ms, _, act = heapq.heappop(self._events)
+            act()
+        self.now_ms = end_ms
+
+    def first(self, kind: type, target: TargetId | None = None) -> float | None:
+        """Return the time of the first change of a kind."""
+        return next(iter(self.times(kind, target)), None)
+
+    def times(self, kind: type, target: TargetId | None = None) -> list[float]:
+        """Return the times of all changes of a kind."""
+        return [
+            at_ms
+            for at_ms, change in self.changes
+            if isinstance(change, kind)
+            and (target is None or getattr(change, "target", None) == target)
+        ]
+
+    def _at(self, at_ms: float, act: Callable[[], None]) -> None:
+        self._order += 1
+        heapq.heappush(self._events, (at_ms, self._order, act))
+
+    def _note(self, changes: list[HealthChange]) -> None:
+        for change in changes:
+            self.changes.append((self.now_ms, change))
+            if isinstance(change, SecondOpinionWanted):
+                self._ask(change.target)
+
+    def _ask(self, target: TargetId) -> None:
+        def answer() -> None:
+            reached = self.reached_elsewhere
+            self._note(self.judge.second_opinion(target, reached, self.now_ms))
+
+        self._at(self.now_ms + OPINION_MS, answer)
+
+    def _arrive(self) -> None:
+        self._at(self.now_ms + self._rng.expovariate(1.0 / self._gap_ms), self._arrive)
+        self._queue.append(self.now_ms)
+        self._place()
+
+    def _tick(self) -> None:
+        self._at(self.now_ms + TICK_MS, self._tick)
+        self._note(self.judge.tick(self.now_ms))
+        for target, begun in self._running.items():
+            ages_ms = [self.now_ms - at_ms for at_ms in begun.values()]
+            self._note(self.judge.outstanding(target, ages_ms, self.now_ms))
+        # Nobody waits longer than his deadline.
+        while self._queue and self._queue[0] < self.now_ms - TIMEOUT_MS:
+            self._queue.popleft()
+        self._place()
+
+    def _place(self) -> None:
+        while self._queue:
+            target = self._pick()
+            if target is None:
+                return
+            self._queue.popleft()
+            self._send(target)
+
+    def _pick(self) -> TargetId | None:
+        best, best_score = None, 0.0
+        for target in self.targets:
+            name = target.target
+            running = len(self._running[name])
+            if running >= target.slots:
+                continue
+            weight = self.judge.weight(name, self.now_ms)
+            if self.judge.wants_trial(name, self.now_ms):
+                weight = 2.0
+            score = weight * (target.slots - running) * (0.5 + self._rng.random())
+            if score > best_score:
+                best, best_score = name, score
+        return best
+
+    def _send(self, target: TargetId) -> None:
+        behaviour = self.behaviours.get(target, healthy)
+        outcome, latency_ms = behaviour(self._rng, self.now_ms)
+        self._order += 1
+        attempt = self._order
+        self._running[target][attempt] = self.now_ms
+        if self.judge.wants_trial(target, self.now_ms):
+            self.judge.trial_sent(target, self.now_ms)
+
+        def end() -> None:
+            del self._running[target][attempt]
+            self.works += 1
+            self.failures += outcome is not Outcome.OK
+            sample = Sample(target, outcome, latency_ms)
+            self._note(self.judge.observe(sample, self.now_ms))
+            self._place()
+
+        self._at(self.now_ms + latency_ms, end)
--- /dev/null
+++ b/tests/core/test_health.py
@@ -0,0 +1,158 @@
+"""Put health judging through the failures of targets, in virtual time."""
+
+import pytest
+
+from benchmarks.health_trial import (
+    Behaviour,
+    HealthTrial,
+    failing,
+    flapping,
+    healthy,
+    silent,
+    since,
+    slow,
+)
+from crocusspindle.core.health_state import (
+    Ejected,
+    GroupSuspect,
+    HealthState,
+    Outcome,
+    ProbationBegan,
+    Restored,
+    Sample,
+    SecondOpinionWanted,
+)
+
+BEGIN_MS = 20_000.0
+
+
+def run_trial(
+    bad: Behaviour, bad_targets: int = 1, seed: int = 1, reached: bool = False
+) -> HealthTrial:
+    trial = HealthTrial.from_config(count=8, slots=2, seed=seed)
+    trial.reached_elsewhere = reached
+    for target in trial.targets[:bad_targets]:
+        trial.behaviours[target.target] = bad
+    trial.run_until(BEGIN_MS + 30_000.0)
+    return trial
+
+
+@pytest.mark.parametrize(
+    ("bad", "bound_ms"),
+    [
+        (failing(0.1), 12_000.0),
+        (failing(0.3), 2_000.0),
+        (failing(1.0), 500.0),
+        (slow(5.0), 4_000.0),
+        (silent, 1_500.0),
+    ],
+    ids=["10 %", "30 %", "100 %", "slow x5", "silent"],
+)
+@pytest.mark.parametrize("seed", range(2))
+def test_gray_target_is_ejected(bad: Behaviour, bound_ms: float, seed: int) -> None:
+    # A target goes on answering health checks and fails some of its real work, or
+    # goes slow, or answers nothing more. Callers see errors or wait now and then,
+    # and nobody else is at fault.
+    trial = run_trial(since(BEGIN_MS, bad), seed=seed)
+    gray = trial.targets[0].target
+    at_ms = trial.first(Ejected, gray)
+    assert at_ms is not None
+    assert 0.0 <= at_ms - BEGIN_MS <= bound_ms
+    assert trial.times(Ejected) == trial.times(Ejected, gray)
+
+
+@pytest.mark.parametrize(
+    ("bad", "suspects_group"),
+    [(failing(0.5), False), (slow(5.0), True), (silent, True)],
+    ids=["errors", "slow", "silent"],
+)
+def test_fault_of_all_ejects_nobody(bad: Behaviour, suspects_group: bool) -> None:
+    # A dependency that all targets share fails, or this home loses its own way to
+    # them. Every target looks bad at once, and ejecting some would only press the
+    # same work upon the others.
+    trial = run_trial(since(BEGIN_MS, bad), bad_targets=8)
+    assert trial.times(Ejected) == []
+    assert bool(trial.times(GroupSuspect)) == suspects_group
+
+
+def test_callers_own_errors_eject_nobody() -> None:
+    # A customer sends nothing but wrong requests, and chance or its own routing
+    # leads them all to one target. The target answers 4xx and is well.
+    trial = run_trial(healthy)
+    target = trial.targets[0].target
+    for outcome in [Outcome.CALLER_ERROR, Outcome.SHED] * 500:
+        assert trial.judge.observe(Sample(target, outcome, 5.0), trial.now_ms) == []
+
+
+def test_target_reached_from_elsewhere_blames_the_path() -> None:
+    # The way from this home to one target is cut in one direction. From here the
+    # target looks dead; a node in another failure domain gets through.
+    trial = run_trial(since(BEGIN_MS, silent), reached=True)
+    asked_ms = trial.first(SecondOpinionWanted, trial.targets[0].target)
+    assert asked_ms is not None
+    assert trial.first(GroupSuspect) is not None
+
+
+def test_one_silent_connection_ejects_nobody() -> None:
+    # Something between home and target has lost track of one open connection. Its
+    # request hangs for good while the target answers all others.
+    trial = run_trial(healthy)
+    target = trial.targets[0].target
+    for step in range(100):
+        now_ms = trial.now_ms + 100.0 * step
+        assert trial.judge.outstanding(target, [100.0 * step], now_ms) == []
+        assert trial.judge.observe(Sample(target, Outcome.OK, 40.0), now_ms) == []
+
+
+def test_flapping_target_stays_out_longer_each_time() -> None:
+    # A target is bad for 6 s and well for 6 s by turns. Each return lets it fail
+    # callers again until it is found again.
+    trial = HealthTrial.from_config(count=8, slots=2, seed=3)
+    gray = trial.targets[0].target
+    trial.behaviours[gray] = flapping(BEGIN_MS, 6_000.0, failing(1.0))
+    trial.run_until(BEGIN_MS + 120_000.0)
+    lengths_ms = [
+        change.until_ms - at_ms
+        for at_ms, change in trial.changes
+        if isinstance(change, Ejected)
+    ]
+    assert len(lengths_ms) >= 3
+    assert lengths_ms == sorted(lengths_ms)
+    assert lengths_ms[2] > 3.0 * lengths_ms[0]
+    bad_share = sum(min(ms, 120_000.0) for ms in lengths_ms) / 120_000.0
+    assert bad_share > 0.5
+
+
+def test_mended_target_comes_back_by_trials() -> None:
+    # A target fails all work for 10 s and is well again. Its capacity must come
+    # back, with few callers put at risk.
+    trial = HealthTrial.from_config(count=8, slots=2, seed=4)
+    gray = trial.targets[0].target
+    trial.behaviours[gray] = lambda rng, now_ms: (
+        failing(1.0) if BEGIN_MS <= now_ms < BEGIN_MS + 3_000.0 else healthy
+    )(rng, now_ms)
+    trial.run_until(BEGIN_MS + 30_000.0)
+    kinds = [type(change) for _, change in trial.changes]
+    assert kinds == [Ejected, ProbationBegan, Restored]
+    assert trial.judge.weight(gray, trial.now_ms) == 1.0
+
+
+def test_health_check_that_lies_keeps_nobody_in_service() -> None:
+    # The target's health endpoint answers that all is well while real work fails.
+    trial = HealthTrial.from_config(count=8, slots=2, seed=5)
+    gray = trial.targets[0].target
+    trial.behaviours[gray] = since(BEGIN_MS, failing(0.3))
+    for now_ms in range(0, 40_000, 250):
+        trial.run_until(float(now_ms))
+        assert trial.judge.probe(gray, True, trial.now_ms) == []
+    health = {row.target: row for row in trial.judge.snapshot(trial.now_ms)}
+    assert health[gray].state in (HealthState.EJECTED, HealthState.PROBATION)
+
+
+def test_health_check_ejects_nobody() -> None:
+    # The health endpoint lags behind or fails by itself while real work goes well.
+    trial = run_trial(healthy)
+    target = trial.targets[0].target
+    for step in range(1_000):
+        assert trial.judge.probe(target, False, trial.now_ms + step) == []
+    assert trial.judge.weight(target, trial.now_ms + 1_000.0) == 1.0
--- /dev/null
+++ b/tests/core/test_health_floor.py
@@ -0,0 +1,164 @@
+"""Search for orders of events that break the floor of healthy capacity."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from benchmarks.health_trial import HealthTrial, failing, make_targets, since
+from crocusspindle.core.health import GroupHealth
+from crocusspindle.core.health_state import (
+    Ejected,
+    EjectionWithheld,
+    HealthSettings,
+    HealthState,
+    Outcome,
+    Sample,
+)
+from crocusspindle.core.model import Target, TargetState
+from crocusspindle.ids import TargetId
+
+OUT = (HealthState.EJECTED, HealthState.PROBATION)
+FLOOR = 0.5
+HOMES = 2
+
+
+def out_of_service(judge: GroupHealth, now_ms: float) -> set[TargetId]:
+    return {row.target for row in judge.snapshot(now_ms) if row.state in OUT}
+
+
+def serving_fraction(targets: list[Target], out: set[TargetId]) -> float:
+    live = [t for t in targets if t.state is TargetState.LIVE]
+    serving = sum(t.slots for t in live if t.target not in out)
+    return serving / sum(t.slots for t in live)
+
+
+class TwoHomes(RuleBasedStateMachine):
+    """Let two homes judge the same group, each on evidence of its own."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_ms = 0.0
+        self.targets = make_targets(8, 2)
+        config = HealthSettings(threshold_nats=6.0, contrast_nats=2.0)
+        self.homes = [GroupHealth.from_config(config, FLOOR) for _ in range(HOMES)]
+        self.list_targets()
+
+    def list_targets(self) -> None:
+        for home in self.homes:
+            home.set_targets(self.targets, self.now_ms)
+
+    @rule(
+        home=st.integers(0, HOMES - 1),
+        number=st.integers(0, 9),
+        outcome=st.sampled_from(Outcome),
+        count=st.integers(1, 12),
+    )
+    def work(self, home: int, number: int, outcome: Outcome, count: int) -> None:
+        name = self.targets[number % len(self.targets)].target
+        for _ in range(count):
+            self.now_ms += 5.0
+            self.homes[home].observe(Sample(name, outcome, 50.0), self.now_ms)
+
+    @rule(
+        home=st.integers(0, HOMES - 1),
+        number=st.integers(0, 9),
+        seen=st.booleans(),
+    )
+    def look(self, home: int, number: int, seen: bool) -> None:
+        name = self.targets[number % len(self.targets)].target
+        judge = self.homes[home]
+        judge.second_opinion(name, seen, self.now_ms)
+        judge.probe(name, seen, self.now_ms)
+        judge.outstanding(name, [60_000.0 * seen] * 2, self.now_ms)
+
+    @rule(step_ms=st.sampled_from([100.0, 1_000.0, 20_000.0]))
+    def tick(self, step_ms: float) -> None:
+        self.now_ms += step_ms
+        for home in self.homes:
+            home.tick(self.now_ms)
+
+    @rule(count=st.integers(1, 10), slots=st.integers(1, 6), leaving=st.integers(0, 3))
+    def change_targets(self, count: int, slots: int, leaving: int) -> None:
+        self.targets = [
+            Target(
+                t.target,
+                t.service,
+                t.domain,
+                t.slots,
+                TargetState.LEAVING if i < min(leaving, count - 1) else t.state,
+            )
+            for i, t in enumerate(make_targets(count, slots))
+        ]
+        self.list_targets()
+
+    @invariant()
+    def floor_holds_for_both_homes_together(self) -> None:
+        out: set[TargetId] = set()
+        for home in self.homes:
+            out |= out_of_service(home, self.now_ms)
+        assert serving_fraction(self.targets, out) >= FLOOR
+
+
+TestTwoHomes = TwoHomes.TestCase
+TestTwoHomes.settings = settings(
+    max_examples=60, stateful_step_count=40, derandomize=True, deadline=None
+)
+
+
+def two_cut_homes(homes_at_once: int) -> tuple[float, list[HealthTrial]]:
+    trials = []
+    out: set[TargetId] = set()
+    for seed, bad in enumerate([slice(0, 4), slice(4, 8)]):
+        config = HealthSettings(homes_at_once=homes_at_once)
+        trial = HealthTrial.from_config(8, 2, seed=seed, settings=config)
+        for target in trial.targets[bad]:
+            trial.behaviours[target.target] = since(5_000.0, failing(1.0))
+        trial.run_until(9_000.0)
+        out |= out_of_service(trial.judge, trial.now_ms)
+        trials.append(trial)
+    return serving_fraction(trials[0].targets, out), trials
+
+
+def test_two_homes_with_different_evidence_keep_the_floor() -> None:
+    # A cut between failure domains leaves two homes for one group. Each sees the
+    # half of the targets beyond the cut fail and would eject it, and no target
+    # would be left in the service of both. The naive rule, with the whole cap for
+    # each home, is put to the same test first.
+    naive, _ = two_cut_homes(homes_at_once=1)
+    assert naive < FLOOR
+    shared, trials = two_cut_homes(homes_at_once=2)
+    assert shared >= FLOOR
+    for trial in trials:
+        assert trial.times(EjectionWithheld)
+
+
+@pytest.mark.parametrize("rates", [[1.0] * 8, [0.4] * 5 + [1.0] * 2 + [0.01]])
+def test_panic_keeps_the_least_bad(rates: list[float]) -> None:
+    # Nearly all targets of a group go bad, by different degrees. Those that do some
+    # work must keep serving, and those that do none are the first to go.
+    trial = HealthTrial.from_config(count=8, slots=2, seed=1)
+    for target, rate in zip(trial.targets, rates, strict=True):
+        trial.behaviours[target.target] = since(5_000.0, failing(rate))
+    trial.run_until(9_900.0)
+    out = out_of_service(trial.judge, trial.now_ms)
+    worst = {t.target for t, r in zip(trial.targets, rates, strict=True) if r == 1.0}
+    assert out <= worst
+    assert serving_fraction(trial.targets, out) >= FLOOR
+
+
+def test_reserve_ends_with_its_deadline() -> None:
+    # The home that holds the reserve is paused past its deadline, while another
+    # home takes the reserve over. Waking up it must not keep both shares out.
+    trial = HealthTrial.from_config(count=8, slots=2, seed=2)
+    trial.judge.hold_reserve(9_000.0, 0.0)
+    for target in trial.targets[:4]:
+        trial.behaviours[target.target] = since(5_000.0, failing(1.0))
+    trial.run_until(8_900.0)
+    bad = [target.target for target in trial.targets[:4]]
+    assert out_of_service(trial.judge, 8_900.0) == set(bad)
+    assert [trial.judge.weight(name, 8_900.0) for name in bad] == [0.0] * 4
+    assert all(trial.judge.weight(name, 60_000.0) > 0.0 for name in bad)
+    trial.judge.tick(60_000.0)
+    assert len(out_of_service(trial.judge, 60_000.0)) == 2
+    assert trial.first(Ejected) is not None
