--- a/src/crocusspindle/services/backend.py
+++ b/src/crocusspindle/services/backend.py
@@ -1,5 +1,6 @@
 """Do the work of the operator port: submit tickets, keep the trail, tell status."""
 
+import asyncio
 import json
 from collections.abc import Mapping, Sequence
 from dataclasses import asdict, replace
@@ -57,6 +58,7 @@
 AUDIT: Final = "audit"
 CUT_OFF: Final = "this node may be cut off; ask another one"
 RETRY_MS: Final = 1_000.0
+HEARTBEATS_WAITED: Final = 6
 SUBMISSION_MS: Final = 8_000.0
 """Six platform calls of a second each and a margin."""
 
@@ -101,8 +103,7 @@
         if not repeated:
             self._check_state(ticket)
         before = states_of(ticket, self._control.directory)
-        if now_ms() >= self._control.fitness.changes_until_ms(now_ms()):
-            raise NotFitError(CUT_OFF, RETRY_MS)
+        await self._until_allowed()
         submission = Submission(ticket, now_ms() + SUBMISSION_MS)
         while submission.step is not SubmissionStep.DONE:
             await self._step(submission)
@@ -182,6 +183,18 @@
         if findings:
             raise TicketError(findings)
 
+    async def _until_allowed(self) -> None:
+        """Wait for a majority that knows the present view.
+
+        For about two heartbeats after each change of view no majority has shown
+        that it knows it; an operator should not have to try again for that.
+        """
+        give_up_ms = now_ms() + self._timings.heartbeat_ms * HEARTBEATS_WAITED
+        while now_ms() >= self._control.fitness.changes_until_ms(now_ms()):
+            if now_ms() >= give_up_ms:
+                raise NotFitError(CUT_OFF, RETRY_MS)
+            await asyncio.sleep(self._timings.heartbeat_ms / 4e3)
+
     async def _step(self, submission: Submission) -> None:
         number = submission.ticket.number
         key = ticket_key(number)
--- a/src/crocusspindle/services/hand_over.py
+++ b/src/crocusspindle/services/hand_over.py
@@ -96,7 +96,9 @@
 
     async def close(self) -> None:
         """Release the link to the home; what it still runs is withdrawn."""
-        await self.stack.aclose()
+        # A connection that broke meanwhile is released all the same.
+        with suppress(*PEER_FAILURES):
+            await self.stack.aclose()
 
     @property
     def outcome(self) -> Outcome:
@@ -137,13 +139,13 @@
                 link = await self._open(handling, home)
                 found = await self._negotiate(handling, link)
             except PEER_FAILURES:
-                await handling.stack.aclose()
+                await handling.close()
                 if handling.granted and not call.replayable:
                     return self._given_up(handling, "home-lost")
                 continue
             if isinstance(found, GivenUp) and found.reason == HOME_UNFIT:
                 last = found
-                await handling.stack.aclose()
+                await handling.close()
                 continue
             return found
         return last or self._given_up(handling, "no-home")
@@ -174,7 +176,9 @@
         stream = await handling.stack.enter_async_context(
             stub.HandOver.open(metadata=self._peers.metadata)
         )
-        return RemoteEntryLink(stream)
+        link = RemoteEntryLink(stream)
+        handling.stack.push_async_callback(link.close)
+        return link
 
     async def _serve_local(self, local: LocalLink) -> None:
         with suppress(PeerError):
--- a/src/crocusspindle/services/links.py
+++ b/src/crocusspindle/services/links.py
@@ -12,6 +12,8 @@
 FRAMES_UNDER_WAY: Final = 4
 """Frames of up to 64 KB that one side may be ahead within a process."""
 
+LAST_FRAMES: Final = ("end", "refusal")
+
 
 class EntryLink(Protocol):
     """Hold the entry's end of one request."""
@@ -40,6 +42,7 @@
         self, stream: ClientStream[wire.HandOverFrame, wire.AnswerFrame]
     ) -> None:
         self._stream = stream
+        self._whole = False
 
     async def send(self, frame: wire.HandOverFrame) -> None:
         """Send a frame to the home."""
@@ -50,8 +53,16 @@
         frame = await self._stream.recv_message()
         if frame is None:
             raise PeerError("the home ended the stream")
+        self._whole = frame.WhichOneof("frame") in LAST_FRAMES
         return frame
 
+    async def close(self) -> None:
+        """End the stream, or cancel it while the home still works on it."""
+        if self._whole:
+            await self._stream.end()
+        else:
+            await self._stream.cancel()
+
 
 class RemoteHomeLink:
     """Reach the entry on another node."""
--- a/src/crocusspindle/services/ports.py
+++ b/src/crocusspindle/services/ports.py
@@ -215,7 +215,7 @@
         """Serve on while callers may keep our address, then finish what runs."""
         until_ms = now_ms() + self._where_max_age_ms
         await asyncio.sleep(max(0.0, until_ms - now_ms()) / 1e3)
-        while self._entry.running or self._home.busy:  # noqa: ASYNC110
+        while self._entry.running or self._home.busy:
             # Both change with every request: an event each would cost more.
             await asyncio.sleep(BUSY_LOOK_S)
 
