--- a/src/crocusspindle/core/placement.py
+++ b/src/crocusspindle/core/placement.py
@@ -58,8 +58,11 @@
     for slots, weight in candidates:
         if slots.target.target in tried or not has_room(slots, weight, now_ms):
             continue
+        # What runs, not what would run: an idle target whose limit is still being
+        # learnt must not lose to an idle one whose limit is known, or it would
+        # never get the requests to learn from.
         rank = (
-            (slots.running + 1) / (slots.limit * weight),
+            (slots.running + 1.0 - min(weight, 1.0)) / (slots.limit * weight),
             slots.target.domain != domain,
             slots.last_dispatch_ms,
         )
--- a/src/crocusspindle/services/entry.py
+++ b/src/crocusspindle/services/entry.py
@@ -18,6 +18,7 @@
 from crocusspindle.core.rendezvous import order
 from crocusspindle.ids import CustomerId, MemberId
 from crocusspindle.kernel import Service
+from crocusspindle.logs import Logger, log_state_change
 from crocusspindle.metrics import Metrics
 from crocusspindle.services import words
 from crocusspindle.services.control import ControlService
@@ -78,6 +79,7 @@
         self._rates = rates
         self._hand_over = hand_over
         self._metrics = metrics
+        self._logger = Logger("entry")
         self._numbers = itertools.count(1)
         self._prefix = secrets.token_hex(6)
         self.running = 0
@@ -99,6 +101,12 @@
             reason = refused.word.reason
             self._metrics.add(instruments.REFUSALS, service=service, reason=reason)
             response = refused.word.response(name)
+        except Exception as error:
+            # A fault of ours must not leave the caller guessing: what it asked for
+            # may have run.
+            log_state_change(self._logger, "request failed", error=repr(error))
+            self._logger.debug("request failed", exc_info=True)
+            response = words.INTERNAL.response(name)
         finally:
             self.running -= 1
         self._count(response, service, began_ms)
--- a/src/crocusspindle/services/links.py
+++ b/src/crocusspindle/services/links.py
@@ -42,11 +42,13 @@
         self, stream: ClientStream[wire.HandOverFrame, wire.AnswerFrame]
     ) -> None:
         self._stream = stream
+        self._sent = False
         self._whole = False
 
     async def send(self, frame: wire.HandOverFrame) -> None:
         """Send a frame to the home."""
         await self._stream.send_message(frame)
+        self._sent = True
 
     async def receive(self) -> wire.AnswerFrame:
         """Return the next frame; raise ``PeerError`` when there is none."""
@@ -60,7 +62,7 @@
         """End the stream, or cancel it while the home still works on it."""
         if self._whole:
             await self._stream.end()
-        else:
+        elif self._sent:
             await self._stream.cancel()
 
 
--- a/src/crocusspindle/services/words.py
+++ b/src/crocusspindle/services/words.py
@@ -88,6 +88,12 @@
     "the key is missing, unknown or withdrawn",
     headers={"WWW-Authenticate": "Bearer"},
 )
+INTERNAL: Final = Word(
+    500,
+    "internal",
+    "the node failed; the request may have run",
+    outcome=Outcome.UNKNOWN,
+)
 NO_ROUTE: Final = Word(404, "route", "no service is reached by this path")
 NOT_APPROVED: Final = Word(403, "approval", "the service's owner has not approved you")
 SLOW_SENDER: Final = Word(408, "slow-sender", "the body did not arrive in time")
--- /dev/null
+++ b/src/crocusspindle_standins/demo.py
@@ -0,0 +1,442 @@
+"""Show a fleet at work while it is broken, and judge what its callers got."""
+
+import asyncio
+import json
+import random
+import shutil
+import statistics
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from datetime import datetime
+from pathlib import Path
+from typing import Any, Final
+
+import aiohttp
+import fire
+from hdrh.histogram import HdrHistogram
+
+from crocusspindle_standins.callers import (
+    Addresses,
+    Caller,
+    CustomerPlan,
+    Sent,
+    Verdict,
+    most_over_rate,
+)
+from crocusspindle_standins.fleet import Fleet, Layout, TargetGroup, sha256
+
+SEED: Final = 20261202
+SHARES_OPEN_S: Final = 6.5
+"""New holders of shares wait out a lease of 4 s before they spend."""
+SIDE_BY_SIDE: Final = 200
+ECHO: Final = "echo"
+
+
+@dataclass(frozen=True)
+class Deployment:
+    """Describe targets and customers of a demonstration."""
+
+    layout: Layout
+    customers: tuple[CustomerPlan, ...]
+    gray_service: str
+
+
+def _customers(
+    services: tuple[str, ...], orders: tuple[str, ...], scale: float
+) -> tuple[CustomerPlan, ...]:
+    """Return eight customers, a few of them large, and one five times over."""
+    rates = (20.0, 15.0, 10.0, 4.0, 3.0, 2.0, 2.0, 1.0)
+    plans = []
+    for number, rate in enumerate(rates):
+        sent = rate * (5.0 if number == 2 else 0.7)  # noqa: PLR2004
+        plans.append(
+            CustomerPlan(
+                customer=f"customer-{number}",
+                key=f"{number:04d}-key-of-customer-{number}",
+                rate_per_s=rate * scale,
+                burst=max(2, int(2 * rate * scale)),
+                sends_per_s=sent * scale,
+                services=services,
+                post_services=orders,
+            )
+        )
+    return tuple(plans)
+
+
+def _small() -> Deployment:
+    groups = (
+        TargetGroup("katalog", 4, 2, 20.0),
+        TargetGroup("bayaran", 4, 2, 20.0),
+        TargetGroup(ECHO, 2, 32, 0.0, queue=64),
+    )
+    customers = _customers(("katalog", "bayaran"), ("bayaran",), 1.0)
+    return Deployment(Layout(6, 3, groups), customers, "katalog")
+
+
+def _bengkel() -> Deployment:
+    groups = (
+        TargetGroup("katalog", 8, 2, 40.0),
+        TargetGroup("bayaran", 15, 2, 40.0),
+        TargetGroup("galeri", 8, 2, 40.0),
+        TargetGroup(ECHO, 2, 32, 0.0, queue=64),
+    )
+    services = ("katalog", "bayaran", "galeri")
+    customers = _customers(services, ("bayaran", "galeri"), 2.0)
+    return Deployment(Layout(12, 4, groups), customers, "katalog")
+
+
+def _port_louis() -> Deployment:
+    groups = (
+        TargetGroup("schedule-desk", 10, 6, 40.0),
+        TargetGroup("order-desk", 15, 6, 40.0),
+        TargetGroup("depot-records", 6, 6, 40.0),
+        TargetGroup(ECHO, 2, 32, 0.0, queue=64),
+    )
+    services = ("schedule-desk", "order-desk", "depot-records")
+    customers = _customers(services, ("order-desk",), 2.0)
+    return Deployment(Layout(12, 3, groups), customers, "order-desk")
+
+
+DEPLOYMENTS: Final = {
+    "small": _small,
+    "bengkel": _bengkel,
+    "port-louis": _port_louis,
+}
+
+
+@dataclass
+class Events:
+    """Note when the demonstration broke what; seconds of the wall clock."""
+
+    gray_target: str = ""
+    gray_unix_s: float = 0.0
+    withdrawn_key: str = ""
+    withdrawn_s: float = 0.0
+    killed: str = ""
+
+
+@dataclass
+class SideBySide:
+    """Hold latencies of the same request, direct and through the fleet, in ms."""
+
+    direct_ms: list[float] = field(default_factory=list)
+    fleet_ms: list[float] = field(default_factory=list)
+
+    def added_ms(self, percent: float) -> float:
+        """Return what the fleet adds at a percentile."""
+        return _percentile(self.fleet_ms, percent) - _percentile(
+            self.direct_ms, percent
+        )
+
+
+def _percentile(values_ms: Iterable[float], percent: float) -> float:
+    histogram = HdrHistogram(1, 3_600_000_000, 3)
+    for value_ms in values_ms:
+        histogram.record_value(max(1, int(value_ms * 1e3)))
+    return float(histogram.get_value_at_percentile(percent)) / 1e3
+
+
+class Demo:
+    """Run one demonstration from its set-up to its report."""
+
+    def __init__(self, deployment: Deployment, duration_s: float, fleet: Fleet) -> None:
+        self.deployment = deployment
+        self.duration_s = duration_s
+        self.fleet = fleet
+        self.events = Events()
+        self.callers: list[Caller] = []
+        self.side_by_side = SideBySide()
+
+    def say(self, text: str) -> None:
+        """Print a line for people."""
+        print(text, flush=True)
+
+    async def run(self) -> dict[str, Any]:
+        """Return the measured fields."""
+        await self._set_up()
+        async with aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        ) as session:
+            await self._compare(session)
+            await self._load(session)
+        return await self._report()
+
+    async def _set_up(self) -> None:
+        fleet, deployment = self.fleet, self.deployment
+        self.say(
+            f"{len(fleet.nodes)} nodes in {deployment.layout.domains} failure domains, "
+            f"{len(fleet.targets)} targets"
+        )
+        services = [group.service for group in deployment.layout.groups]
+        number = await fleet.ticket(
+            fleet.nodes[0],
+            services={service: {"timeout_ms": 4000.0} for service in services},
+            routes={f"/{service}/": {"service": service} for service in services},
+        )
+        number = await fleet.ticket(
+            fleet.nodes[1],
+            customers={
+                plan.customer: {
+                    "rate_per_s": plan.rate_per_s,
+                    "burst": plan.burst,
+                }
+                for plan in deployment.customers
+            }
+            | {"observer": {"rate_per_s": 400.0, "burst": 400}},
+            keys={
+                sha256(plan.key): {"customer": plan.customer, "state": "active"}
+                for plan in deployment.customers
+            }
+            | {sha256("observer-key"): {"customer": "observer", "state": "active"}},
+        )
+        approved = {"approved_by": "owner"}
+        names = [plan.customer for plan in deployment.customers] + ["observer"]
+        number = await fleet.ticket(
+            fleet.nodes[2],
+            "owner",
+            approvals={service: dict.fromkeys(names, approved) for service in services},
+        )
+        await fleet.until_in_force(number, fleet.nodes)
+        self.say(f"tickets 1 to {number} are in force on every node")
+        await asyncio.sleep(SHARES_OPEN_S)
+
+    async def _compare(self, session: aiohttp.ClientSession) -> None:
+        """Send the same request in turn to a target and through the fleet."""
+        target = next(one for one in self.fleet.targets if one.service == ECHO)
+        direct = f"{target.url}/{ECHO}/x"
+        headers = {"Authorization": "Bearer observer-key"}
+        nodes = self.fleet.nodes
+        for number in range(SIDE_BY_SIDE):
+            through = f"{nodes[number % len(nodes)].caller_url}/{ECHO}/x"
+            self.side_by_side.direct_ms.append(await _timed(session, direct, {}))
+            self.side_by_side.fleet_ms.append(await _timed(session, through, headers))
+            await asyncio.sleep(0.002)
+
+    async def _load(self, session: aiohttp.ClientSession) -> None:
+        first = tuple(f"127.0.0.1:{node.caller_port}" for node in self.fleet.nodes)
+        generator = random.Random(SEED)
+        for plan in self.deployment.customers:
+            seeds = list(first)
+            generator.shuffle(seeds)
+            self.callers.append(
+                Caller(
+                    plan,
+                    session,
+                    Addresses(tuple(seeds)),
+                    random.Random(generator.random()),
+                )
+            )
+        until_s = time.monotonic() + self.duration_s
+        breaking = asyncio.create_task(self._break_things())
+        await asyncio.gather(*(caller.run(until_s) for caller in self.callers))
+        await breaking
+
+    async def _break_things(self) -> None:
+        step_s = self.duration_s / 5
+        await asyncio.sleep(step_s)
+        await self._withdraw_key()
+        await asyncio.sleep(step_s)
+        self._kill_node()
+        await asyncio.sleep(step_s / 2)
+        await self._turn_gray()
+
+    async def _withdraw_key(self) -> None:
+        plan = self.deployment.customers[1]
+        await self.fleet.ticket(
+            self.fleet.nodes[0],
+            keys={sha256(plan.key): {"customer": plan.customer, "state": "withdrawn"}},
+        )
+        self.events.withdrawn_key = plan.key
+        self.events.withdrawn_s = time.monotonic()
+        self.say(f"the key of {plan.customer} is withdrawn")
+
+    def _kill_node(self) -> None:
+        node = self.fleet.nodes[-1]
+        self.fleet.kill(node)
+        self.events.killed = node.name
+        self.say(f"{node.name} is killed")
+
+    async def _turn_gray(self) -> None:
+        service = self.deployment.gray_service
+        target = next(one for one in self.fleet.targets if one.service == service)
+        await self.fleet.target_fault(target, fail_fraction=0.3)
+        self.events.gray_target = target.name
+        self.events.gray_unix_s = time.time()
+        self.say(f"{target.name} of {service} fails 30 % of its work, health check ok")
+
+    async def _report(self) -> dict[str, Any]:
+        records = [one for caller in self.callers for one in caller.records]
+        verdicts = Counter(one.verdict for one in records)
+        judged = await self.fleet.executions()
+        ran = Counter[str]()
+        operations = Counter[str]()
+        for one in judged:
+            ran.update(one["requests"])
+            operations.update(one["operations"])
+        misled = [
+            one
+            for one in records
+            if one.verdict in (Verdict.REFUSED, Verdict.OVER_RATE) and ran[one.request]
+        ]
+        keys_seen = sum(one["keys_seen"] for one in judged)
+        detected_ms, false_ejections = self._ejections()
+        latencies = [r.latency_ms for r in records if r.verdict is Verdict.ANSWERED]
+        for one in records:
+            if one.verdict is Verdict.WRONG:
+                self.say(f"wrong: {one}")
+        for one in misled:
+            self.say(f"refused as not run, but ran: {one}")
+        refusals = Counter(r.reason for r in records if r.verdict is Verdict.REFUSED)
+        self.say(f"refusals by reason: {dict(refusals)}")
+        lost = Counter(r.reason for r in records if r.verdict is Verdict.NO_ANSWER)
+        self.say(f"callers without an answer: {dict(lost)}")
+        self.say(
+            f"the killed node's part: {self.events.killed}; p50 direct "
+            f"{statistics.median(self.side_by_side.direct_ms):.2f} ms, through the "
+            f"fleet {statistics.median(self.side_by_side.fleet_ms):.2f} ms; p99 added "
+            f"by both hops {self.side_by_side.added_ms(99):.2f} ms"
+        )
+        return {
+            "requests": len(records),
+            "answered": verdicts[Verdict.ANSWERED],
+            "wrong": verdicts[Verdict.WRONG] + len(misled) + keys_seen,
+            "refused_within_rate": self._within_rate(records),
+            "refused_over_rate": self._over_rate_refusals(records),
+            "refused_key": sum(r.reason == "key" for r in records),
+            "refused_load": sum(
+                r.verdict is Verdict.REFUSED and r.reason != "key" for r in records
+            ),
+            "unknown": verdicts[Verdict.UNKNOWN] + verdicts[Verdict.NO_ANSWER],
+            "ran_twice": sum(count > 1 for count in operations.values()),
+            "over_rate": self._over_rate(),
+            "key_withdrawn_to_last_served_ms": self._last_served_ms(records),
+            "gray_detected_ms": detected_ms,
+            "false_ejections": false_ejections,
+            "p50_ms": round(_percentile(latencies, 50), 2),
+            "p99_ms": round(_percentile(latencies, 99), 2),
+            "added_p50_ms": round(self.side_by_side.added_ms(50), 2),
+            "added_p99_ms": round(self.side_by_side.added_ms(99), 2),
+            "worst_customer_answered": self._worst_customer(),
+        }
+
+    def _well_behaved(self) -> list[Caller]:
+        return [
+            caller
+            for caller in self.callers
+            if caller.plan.sends_per_s <= caller.plan.rate_per_s
+            and caller.plan.key != self.events.withdrawn_key
+        ]
+
+    def _worst_customer(self) -> float:
+        """Return the least answered fraction of a customer within its rate."""
+        return round(
+            min(
+                sum(r.verdict is Verdict.ANSWERED for r in caller.records)
+                / max(1, len(caller.records))
+                for caller in self._well_behaved()
+            ),
+            4,
+        )
+
+    def _within_rate(self, records: Sequence[Sent]) -> int:
+        names = {caller.plan.customer for caller in self._well_behaved()}
+        return sum(
+            r.verdict is Verdict.OVER_RATE and r.customer in names for r in records
+        )
+
+    def _over_rate_refusals(self, records: Sequence[Sent]) -> int:
+        refused = sum(r.verdict is Verdict.OVER_RATE for r in records)
+        return refused - self._within_rate(records)
+
+    def _over_rate(self) -> int:
+        """Return how many customers got more than burst and rate in any window."""
+        return sum(
+            most_over_rate(caller.records, caller.plan.rate_per_s, caller.plan.burst)
+            >= 1.0
+            for caller in self.callers
+        )
+
+    def _last_served_ms(self, records: Sequence[Sent]) -> float:
+        """Return when the last request with the withdrawn key was still taken."""
+        served = [
+            one.sent_s
+            for one in records
+            if one.key == self.events.withdrawn_key and one.verdict is Verdict.ANSWERED
+        ]
+        late_s = max(served, default=0.0) - self.events.withdrawn_s
+        return round(max(0.0, late_s) * 1e3, 1)
+
+    def _ejections(self) -> tuple[float | None, int]:
+        """Return how soon the gray target was ejected, and false ejections."""
+        detected_ms: float | None = None
+        false_ejections = 0
+        for node in self.fleet.nodes:
+            log = self.fleet.folder / f"{node.name}.log"
+            for line in log.read_text().splitlines():
+                entry = json.loads(line) if line.startswith("{") else {}
+                if entry.get("message") != "Ejected":
+                    continue
+                at_unix_s = datetime.fromisoformat(entry["time"]).timestamp()
+                gray = entry["target"] == self.events.gray_target
+                if gray and at_unix_s >= self.events.gray_unix_s:
+                    late_ms = (at_unix_s - self.events.gray_unix_s) * 1e3
+                    detected_ms = min(detected_ms or late_ms, late_ms)
+                else:
+                    false_ejections += 1
+        return detected_ms and round(detected_ms, 1), false_ejections
+
+
+async def _timed(
+    session: aiohttp.ClientSession, url: str, headers: dict[str, str]
+) -> float:
+    began_s = time.perf_counter()
+    async with session.get(url, headers=headers) as response:
+        await response.read()
+        response.raise_for_status()
+    return (time.perf_counter() - began_s) * 1e3
+
+
+async def _main(
+    deployment: Deployment, duration_s: float, folder: Path
+) -> dict[str, Any]:
+    async with Fleet(deployment.layout, folder) as fleet:
+        return await Demo(deployment, duration_s, fleet).run()
+
+
+def main(
+    duration_s: float = 20.0, deployment: str = "small", logs: str | None = None
+) -> None:
+    """Run the demonstration; end with 1 if a promise was broken.
+
+    Parameters
+    ----------
+    duration_s
+        How long callers send.
+    deployment
+        ``small``, ``bengkel`` or ``port-louis``.
+    logs
+        Folder that keeps the processes' logs; else they are removed.
+    """
+    if deployment not in DEPLOYMENTS:
+        names = ", ".join(DEPLOYMENTS)
+        print(f"deployment {deployment!r} must be one of {names}", file=sys.stderr)
+        sys.exit(2)
+    print(f"seed {SEED}", flush=True)
+    folder = Path(logs or tempfile.mkdtemp(prefix="crocusspindle-"))
+    folder.mkdir(parents=True, exist_ok=True)
+    try:
+        measured = asyncio.run(_main(DEPLOYMENTS[deployment](), duration_s, folder))
+    finally:
+        if logs is None:
+            shutil.rmtree(folder, ignore_errors=True)
+    print(json.dumps(measured))
+    broken = [name for name in ("wrong", "ran_twice", "over_rate") if measured[name]]
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/src/crocusspindle_standins/fleet.py
+++ b/src/crocusspindle_standins/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import json
 import signal
 import tempfile
 from collections.abc import Iterable, Mapping
@@ -149,13 +150,13 @@
 
     async def _start_platform(self) -> None:
         (self.platform_port,) = free_ports(1)
-        await self.processes.start(
+        running = await self.processes.start(
             "platform",
             "crocusspindle_standins.platform",
             "--port",
             self.platform_port,
         )
-        await until_served(self.session, f"{self.platform_url}/control")
+        await until_served(self.session, f"{self.platform_url}/control", running)
 
     async def _start_targets(self) -> None:
         wanted = [
@@ -177,7 +178,10 @@
                 TargetProcess(group.service, port, domain, group.slots, running)
             )
         await asyncio.gather(
-            *(until_served(self.session, f"{t.url}/-/health") for t in self.targets)
+            *(
+                until_served(self.session, f"{one.url}/-/health", one.running)
+                for one in self.targets
+            )
         )
         self._hosts = [
             {
@@ -207,7 +211,7 @@
         node.running = await self.processes.start(
             node.name, "crocusspindle", "node", "--settings", node.settings
         )
-        await until_served(self.session, node.caller_url)
+        await until_served(self.session, node.caller_url, node.running)
 
     def _settings(self, node: Node) -> dict[str, Any]:
         key_file = self.folder / "fleet.key"
@@ -292,7 +296,7 @@
         key = OPERATOR_KEY if principal == "operator" else "owner-" + OPERATOR_KEY
         async with self.session.post(
             f"{node.operator_url}/v1/tickets",
-            data=yaml.safe_dump(dict(document)),
+            data=json.dumps(document),
             headers={"Authorization": f"Bearer {key}"},
         ) as response:
             if response.status >= 400:  # noqa: PLR2004
--- a/src/crocusspindle_standins/processes.py
+++ b/src/crocusspindle_standins/processes.py
@@ -1,10 +1,13 @@
 """Start the processes of a test fleet on loopback and end them by their id."""
 
 import asyncio
+import itertools
 import os
+import secrets
 import signal
 import socket
 import sys
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, Final
@@ -16,13 +19,21 @@
 STOP_S: Final = 5.0
 
 
+PORTS: Final = range(11_000, 32_000)
+"""Below the ports that outgoing connections take for themselves."""
+
+_candidates: Final = itertools.cycle(PORTS)
+_first: Final = secrets.randbelow(len(PORTS))
+
+
 def free_ports(count: int) -> list[int]:
-    """Return ports that are free at this moment."""
-    held = [socket.create_server((HOST, 0)) for _ in range(count)]
-    ports = [one.getsockname()[1] for one in held]
-    for one in held:
-        one.close()
-    return ports
+    """Return ports that are free now and that this process gave out to nobody."""
+    found: list[int] = []
+    while len(found) < count:
+        port = PORTS[(next(_candidates) + _first) % len(PORTS)]
+        with suppress(OSError), socket.create_server((HOST, port)):
+            found.append(port)
+    return found
 
 
 @dataclass
@@ -86,10 +97,17 @@
             await one.wait(STOP_S)
 
 
-async def until_served(session: aiohttp.ClientSession, url: str) -> None:
-    """Wait until an address answers anything; raise ``TimeoutError`` if it doesn't."""
+async def until_served(
+    session: aiohttp.ClientSession, url: str, running: Running
+) -> None:
+    """Wait until a process answers anything at its address.
+
+    Raises ``TimeoutError``, or ``RuntimeError`` with its log when it ended.
+    """
     async with asyncio.timeout(START_S):
         while True:
+            if not running.alive:
+                raise RuntimeError(f"{running.name} ended: {running.log.read_text()}")
             try:
                 async with session.get(url) as response:
                     await response.read()
--- a/src/crocusspindle_standins/target.py
+++ b/src/crocusspindle_standins/target.py
@@ -9,7 +9,7 @@
 import hashlib
 import random
 from collections import Counter
-from dataclasses import asdict, dataclass, field, replace
+from dataclasses import dataclass, field, replace
 from typing import Final
 
 import fire
@@ -45,7 +45,6 @@
     keys_seen: int = 0
     shed: int = 0
     overruns: int = 0
-    ran_at_unix_ms: dict[str, list[float]] = field(default_factory=dict)
 
     def note(self, request: web.Request) -> None:
         """Record that a request began to run."""
@@ -161,7 +160,7 @@
 
     async def executions(self, _request: web.Request) -> web.Response:
         """Answer what ran here."""
-        return web.json_response(asdict(self.judge))
+        return web.json_response(vars(self.judge))
 
     def app(self) -> web.Application:
         """Build the application of the stand-in."""
