--- a/src/crocusspindle/core/ejection.py
+++ b/src/crocusspindle/core/ejection.py
@@ -6,9 +6,8 @@
 
 A home that may eject any targets of capacity c can do so on other evidence than the
 other home, so both together can take out 2c. Without a word between them the floor
-f holds for both only if c <= (1 - f) / 2: that is the share of each. The rest is a
-reserve for the one home that holds it, until a deadline; who holds it must be
-agreed through the platform's table, whose numbered views name one holder at a time.
+f holds for both only if c <= (1 - f) / 2, and then it always holds. A larger share
+needs an agreement on which home has it; docs/design/health.md weighs that.
 """
 
 from collections.abc import Mapping
@@ -41,7 +40,6 @@
         self._records = records
         self._floor_fraction = floor_fraction
         self._homes_at_once = homes_at_once
-        self.reserve_until_ms = float("-inf")
 
     def live(self) -> list[TargetRecord]:
         """Return the targets that count as capacity."""
@@ -57,27 +55,23 @@
         out = [record for record in self.live() if record.state not in IN_SERVICE]
         return sorted(out, key=lambda record: record.loss)
 
-    def spare_slots(self, now_ms: float) -> int:
+    def spare_slots(self) -> int:
         """Return the slots that may still go, below 0 if too many are out."""
         total_slots = sum(record.target.slots for record in self.live())
-        removable = (1.0 - self._floor_fraction) * total_slots
-        if now_ms >= self.reserve_until_ms:
-            removable /= self._homes_at_once
+        removable_slots = (1.0 - self._floor_fraction) * total_slots
         # Rounded down, but for the noise of fractions such as (1 - 0.8) * 10.
-        limit_slots = int(removable + 1e-9)
+        limit_slots = int(removable_slots / self._homes_at_once + 1e-9)
         return limit_slots - sum(record.target.slots for record in self.removed())
 
-    def has_room(self, record: TargetRecord, now_ms: float) -> bool:
+    def has_room(self, record: TargetRecord) -> bool:
         """Return True if a target in service may be ejected."""
         if record.target.state is TargetState.LEAVING:
             return True
-        return record.target.slots <= self.spare_slots(now_ms)
+        return record.target.slots <= self.spare_slots()
 
-    def lesser_evil(
-        self, record: TargetRecord, loss: float, now_ms: float
-    ) -> TargetRecord | None:
+    def lesser_evil(self, record: TargetRecord, loss: float) -> TargetRecord | None:
         """Return an ejected target so much less bad that it should serve instead."""
-        missing_slots = record.target.slots - self.spare_slots(now_ms)
+        missing_slots = record.target.slots - self.spare_slots()
         for other in self.removed():
             if other.loss + LOSS_MARGIN > loss:
                 return None
--- a/src/crocusspindle/core/health.py
+++ b/src/crocusspindle/core/health.py
@@ -81,20 +81,12 @@
             record.target = target
         return self._hold_floor(now_ms)
 
-    def hold_reserve(self, until_ms: float, now_ms: float) -> list[HealthChange]:
-        """Let this home eject the other homes' shares, too, until a deadline."""
-        self._budget.reserve_until_ms = until_ms
-        return self._hold_floor(now_ms)
-
     def observe(self, sample: Sample, now_ms: float) -> list[HealthChange]:
         """Take one ended sending of real work into account."""
         record = self._records.get(sample.target)
-        if record is None:
+        if record is None or record.is_stale(sample.latency_ms, now_ms):
             return []
         hazard = self._reference.latency.hazard(sample.latency_ms)
-        if record.state is HealthState.EJECTED:
-            # Sent before the ejection: it says nothing that is not known.
-            return []
         if record.state is HealthState.PROBATION:
             return self._judge_trial(record, sample, hazard, now_ms)
         self._peers.add(sample.outcome, hazard, now_ms)
@@ -112,7 +104,8 @@
         record = self._records.get(target)
         if record is None or record.state is HealthState.EJECTED:
             return []
-        record.evidence.wait(ages_ms, self._reference, now_ms)
+        fresh_ms = [age for age in ages_ms if not record.is_stale(age, now_ms)]
+        record.evidence.wait(fresh_ms, self._reference, now_ms)
         if record.state is HealthState.PROBATION:
             if record.evidence.silent_nats >= self._settings.trial_fail_nats:
                 return self._eject(record, now_ms)
@@ -174,9 +167,7 @@
             return 0.0
         settings = self._settings
         if record.state is HealthState.EJECTED:
-            # The reserve may have lapsed while this process was paused.
-            over = self._budget.spare_slots(now_ms) < 0
-            return settings.suspect_weight if over else 0.0
+            return 0.0
         if record.state is HealthState.PROBATION:
             return settings.probation_weight
         if record.state is HealthState.SUSPECT:
@@ -225,7 +216,7 @@
     ) -> list[HealthChange]:
         if record.state is not HealthState.SUSPECT:
             return []
-        if nats > self._settings.threshold_nats / 2.0:
+        if nats > self._settings.threshold_nats / 2.0 or now_ms < record.until_ms:
             return []
         record.trust(now_ms)
         return [Restored(record.target.target)]
@@ -265,29 +256,31 @@
         if record.state is HealthState.PROBATION:
             return [record.eject(evidence, now_ms)]
         changes: list[HealthChange] = []
-        if not self._budget.has_room(record, now_ms):
-            lesser = self._budget.lesser_evil(record, evidence.loss, now_ms)
+        if not self._budget.has_room(record):
+            lesser = self._budget.lesser_evil(record, evidence.loss)
             if lesser is None:
-                return self._withhold(record, evidence)
+                return self._withhold(record, evidence, now_ms)
             changes.append(lesser.keep_in_service(now_ms))
         changes.append(record.eject(evidence, now_ms))
         return changes
 
-    def _withhold(self, record: TargetRecord, evidence: Evidence) -> list[HealthChange]:
-        record.state = HealthState.SUSPECT
-        if record.withheld:
+    def _withhold(
+        self, record: TargetRecord, evidence: Evidence, now_ms: float
+    ) -> list[HealthChange]:
+        was_withheld = record.withheld
+        record.withhold(now_ms)
+        if was_withheld:
             return []
-        record.withheld = True
         return [EjectionWithheld(record.target.target, evidence)]
 
     def _hold_floor(self, now_ms: float) -> list[HealthChange]:
         """Return the least bad targets to service until the floor holds.
 
-        Targets leave the list and the reserve lapses while others are ejected.
+        Targets leave the list while others are ejected.
         """
         changes: list[HealthChange] = []
         for record in self._budget.removed():
-            if self._budget.spare_slots(now_ms) >= 0:
+            if self._budget.spare_slots() >= 0:
                 break
             changes.append(record.keep_in_service(now_ms))
         return changes
--- a/src/crocusspindle/core/target_record.py
+++ b/src/crocusspindle/core/target_record.py
@@ -37,6 +37,7 @@
         self._relapses = 0.0
         self._relapsed_at_ms = now_ms
         self._cold_until_ms = now_ms
+        self._judged_since_ms = float("-inf")
         self._trial_error_nats = 0.0
         self._trial_slow_nats = 0.0
 
@@ -72,9 +73,24 @@
     def keep_in_service(self, now_ms: float) -> Restored:
         """Serve with a bad target since the floor allows no other."""
         self.trust(now_ms)
+        self.withhold(now_ms)
+        return Restored(self.target.target)
+
+    def withhold(self, now_ms: float) -> None:
+        """Doubt the target for at least the time of an ejection."""
         self.state = HealthState.SUSPECT
         self.withheld = True
-        return Restored(self.target.target)
+        self.until_ms = now_ms + self._settings.ejection_ms
+
+    def is_stale(self, age_ms: float, now_ms: float) -> bool:
+        """Return True if a request was sent before the target was last ejected.
+
+        A silent target's requests end by timeout, seconds after its ejection, and
+        would speak against it when it is well again.
+        """
+        if self.state is HealthState.EJECTED:
+            return True
+        return now_ms - age_ms < self._judged_since_ms
 
     def eject(self, evidence: Evidence, now_ms: float) -> Ejected:
         """Take the target out, for longer after each relapse."""
@@ -96,6 +112,7 @@
         """Let the target prove itself by trials."""
         self.state = HealthState.PROBATION
         self.evidence.clear(now_ms)
+        self._judged_since_ms = now_ms
         self.until_ms = now_ms + self._settings.longest_probation_ms
         self.next_trial_ms = now_ms
         self._trial_error_nats = 0.0
