--- a/src/crocusspindle/errors.py
+++ b/src/crocusspindle/errors.py
@@ -64,7 +64,7 @@
 class NotFitError(CrocusspindleError):
     """Report a node that may not take this work now, and when to come back."""
 
-    def __init__(self, reason: str, retry_after_ms: float) -> None:
+    def __init__(self, reason: str, retry_after_ms: float = 1_000.0) -> None:
         super().__init__(reason)
         self.retry_after_ms = retry_after_ms
 
--- a/src/crocusspindle/instruments.py
+++ b/src/crocusspindle/instruments.py
@@ -87,13 +87,13 @@
     meaning="Second sendings of a slow idempotent request to another target.",
     when_rising="A few targets are slow; the budget `limits.hedge_fraction` bounds it.",
 )
-EJECTIONS: Final = declare(
-    "ejections",
+HEALTH_CHANGES: Final = declare(
+    "health_changes",
     InstrumentKind.COUNTER,
-    unit="targets",
-    labels=("service", "cause"),
-    meaning="Targets taken out of work by their home.",
-    when_rising="See the page on gray targets.",
+    unit="changes",
+    labels=("service", "change"),
+    meaning="Targets whose state of health their home changed, by the new state.",
+    when_rising="More ejections: see the page on gray targets.",
 )
 EJECTED: Final = declare(
     "ejected",
