--- a/src/crocusspindle/instruments.py
+++ b/src/crocusspindle/instruments.py
@@ -27,8 +27,9 @@
     unit="requests",
     labels=("service", "reason"),
     meaning="Requests that were refused and not run, by reason.",
-    when_rising="Go by the reason: `rate` and `key` concern one customer, `queue` and "
-    "`deadline` the service's capacity, `unfit` this node.",
+    when_rising="Go by the reason: `rate` and `key` concern one customer; "
+    "`queue-full`, `wait-too-long` and `deadline-unreachable` the service's capacity, `no-target` "
+    "its targets, `unfit` this node.",
 )
 REQUEST_MS: Final = declare(
     "request_ms",
--- a/src/crocusspindle/tls.py
+++ b/src/crocusspindle/tls.py
@@ -10,7 +10,7 @@
 from crocusspindle.errors import Finding, SettingsError
 from crocusspindle.kernel import Service
 from crocusspindle.logs import Logger, log_state_change
-from crocusspindle.settings_schema import PeerTlsSettings, TlsSettings
+from crocusspindle.settings_schema import NodeSettings, PeerTlsSettings, TlsSettings
 
 RELOAD_PERIOD_S: Final = 1.0
 
@@ -122,6 +122,43 @@
             self.reload_changed()
 
 
+@dataclass(frozen=True)
+class NodeTls:
+    """Hold the contexts of a node's ports and the service that reloads them.
+
+    A port without TLS in the settings has None.
+    """
+
+    caller: ssl.SSLContext | None
+    operator: ssl.SSLContext | None
+    peer_server: ssl.SSLContext | None
+    peer_client: ssl.SSLContext | None
+    reloader: CertificateReloader
+
+    @classmethod
+    def from_config(cls, settings: NodeSettings) -> "NodeTls":
+        """Load all certificates; raise ``SettingsError`` with all findings."""
+        wanted = (
+            (settings.caller.tls, ssl.PROTOCOL_TLS_SERVER),
+            (settings.operator.tls, ssl.PROTOCOL_TLS_SERVER),
+            (settings.peer.tls, ssl.PROTOCOL_TLS_SERVER),
+            (settings.peer.tls, ssl.PROTOCOL_TLS_CLIENT),
+        )
+        loaded: list[WatchedContext | None] = []
+        findings: list[Finding] = []
+        for part, protocol in wanted:
+            try:
+                found = part and WatchedContext.from_config(part, protocol)
+                loaded.append(found)
+            except SettingsError as error:
+                findings += [one for one in error.findings if one not in findings]
+        if findings:
+            raise SettingsError(findings)
+        caller, operator, server, client = (one and one.context for one in loaded)
+        reloader = CertificateReloader([one for one in loaded if one is not None])
+        return cls(caller, operator, server, client, reloader)
+
+
 def _new_context(protocol: int) -> ssl.SSLContext:
     context = ssl.SSLContext(protocol)
     context.minimum_version = ssl.TLSVersion.TLSv1_2
