--- a/src/crocusspindle/instruments.py
+++ b/src/crocusspindle/instruments.py
@@ -28,8 +28,8 @@
     labels=("service", "reason"),
     meaning="Requests that were refused and not run, by reason.",
     when_rising="Go by the reason: `rate` and `key` concern one customer; "
-    "`queue-full`, `wait-too-long` and `deadline-unreachable` the service's capacity, `no-target` "
-    "its targets, `unfit` this node.",
+    "`queue-full`, `wait-too-long` and `deadline-unreachable` the service's "
+    "capacity, `no-target` its targets, `unfit` this node.",
 )
 REQUEST_MS: Final = declare(
     "request_ms",
@@ -88,14 +88,6 @@
     meaning="Second sendings of a slow idempotent request to another target.",
     when_rising="A few targets are slow; the budget `limits.hedge_fraction` bounds it.",
 )
-HEALTH_CHANGES: Final = declare(
-    "health_changes",
-    InstrumentKind.COUNTER,
-    unit="changes",
-    labels=("service", "change"),
-    meaning="Targets whose state of health their home changed, by the new state.",
-    when_rising="More ejections: see the page on gray targets.",
-)
 EJECTED: Final = declare(
     "ejected",
     InstrumentKind.GAUGE,
