--- a/src/crocusspindle/cli.py
+++ b/src/crocusspindle/cli.py
@@ -10,7 +10,6 @@
 import sys
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import asdict
-from importlib import import_module
 from pathlib import Path
 from typing import Any, Final
 
@@ -244,9 +243,9 @@
 def _run_node(path: str) -> None:
     from crocusspindle import kernel  # noqa: PLC0415
     from crocusspindle.logs import set_up_logs  # noqa: PLC0415
+    from crocusspindle.services import assembly  # noqa: PLC0415
     from crocusspindle.settings import load_settings  # noqa: PLC0415
 
-    assembly = import_module("crocusspindle.services.assembly")
     settings = load_settings(path)
     set_up_logs(settings.log)
     kernel.run(lambda: assembly.build(settings))
--- a/src/crocusspindle/instruments.py
+++ b/src/crocusspindle/instruments.py
@@ -125,14 +125,6 @@
     meaning="Number of the last ticket that the node applied.",
     when_rising="It rises with each ticket; a node that stays behind is cut off.",
 )
-TICKET_DELAY_MS: Final = declare(
-    "ticket_delay_ms",
-    InstrumentKind.HISTOGRAM,
-    unit="ms",
-    meaning="Time from a ticket's record to its application on this node.",
-    when_rising="Above 17,000 the bound is missed: look at `platform_call_ms`, then at "
-    "`peers`.",
-)
 PLATFORM_CALLS: Final = declare(
     "platform_calls",
     InstrumentKind.COUNTER,
@@ -156,15 +148,6 @@
     meaning="Peers in two-way contact.",
     when_rising="Fewer than in `members`: see the page on partitions.",
 )
-GOSSIP_BYTES: Final = declare(
-    "gossip_bytes",
-    InstrumentKind.COUNTER,
-    unit="bytes",
-    labels=("direction",),
-    meaning="Bytes of gossip between nodes.",
-    when_rising="Above 20,000 a second the budget of a node is missed: look for "
-    "members that come and go.",
-)
 SHARE_REFUSALS: Final = declare(
     "share_refusals",
     InstrumentKind.COUNTER,
@@ -180,14 +163,6 @@
     meaning="Loans of tokens between holders of shares.",
     when_rising="Callers keep old addresses, or holders were replaced.",
 )
-OPERATIONS_KEPT: Final = declare(
-    "operations_kept",
-    InstrumentKind.GAUGE,
-    unit="operations",
-    meaning="Operation keys whose outcome this node keeps.",
-    when_rising="Memory is bounded by `limits.operation_memory_bytes`; at the bound "
-    "new operations are refused.",
-)
 CALLER_CONNECTIONS: Final = declare(
     "caller_connections",
     InstrumentKind.GAUGE,
--- a/src/crocusspindle/metrics.py
+++ b/src/crocusspindle/metrics.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Observation
-from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics import Histogram, MeterProvider
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import CollectorRegistry, generate_latest
@@ -96,7 +96,7 @@
         self._provider = MeterProvider(
             metric_readers=[reader],
             resource=Resource({"service.name": node, "failure.domain": domain}),
-            views=[View(instrument_name="*_ms", aggregation=buckets)],
+            views=[View(instrument_type=Histogram, aggregation=buckets)],
             shutdown_on_exit=False,
         )
         self._meter = self._provider.get_meter("crocusspindle")
--- a/src/crocusspindle/platform/adapter.py
+++ b/src/crocusspindle/platform/adapter.py
@@ -39,10 +39,6 @@
     ``PlatformUnknownError`` when a write may have taken effect.
     """
 
-    @classmethod
-    def from_config(cls, options: Mapping[str, Any]) -> Self:
-        """Build the adapter from the options under ``platform`` in the settings."""
-
     async def get(self, table: str, key: str, deadline_ms: float) -> Row | None:
         """Return one row, or None when there is none."""
 
@@ -70,11 +66,19 @@
     async def hosts(self, deadline_ms: float) -> Sequence[Target]:
         """Return the lagging list of live and leaving target hosts."""
 
+
+class PlatformAdapter(Platform, Protocol):
+    """Meet one kind of platform; this is what a new platform's module brings."""
+
+    @classmethod
+    def from_config(cls, options: Mapping[str, Any]) -> Self:
+        """Build the adapter from the options under ``platform`` in the settings."""
+
     async def close(self) -> None:
         """Release the connections."""
 
 
-_ADAPTERS: Final[dict[str, type[Platform]]] = {}
+_ADAPTERS: Final[dict[str, type[PlatformAdapter]]] = {}
 Adapter = TypeVar("Adapter", bound=type[Any])
 
 
@@ -88,6 +92,6 @@
     return add
 
 
-def adapters() -> Mapping[str, type[Platform]]:
+def adapters() -> Mapping[str, type[PlatformAdapter]]:
     """Return the registered adapters by name."""
     return _ADAPTERS
--- a/src/crocusspindle/services/assembly.py
+++ b/src/crocusspindle/services/assembly.py
@@ -14,19 +14,22 @@
 from crocusspindle.ids import DomainId, MemberId
 from crocusspindle.kernel import Kernel
 from crocusspindle.metrics import Metrics, metrics_app
-from crocusspindle.platform.adapter import Platform, adapters
+from crocusspindle.platform.adapter import PlatformAdapter, adapters
 from crocusspindle.services.backend import BackendService
 from crocusspindle.services.control import ControlService, unix_ms
 from crocusspindle.services.entry import EntryService
 from crocusspindle.services.follower import FollowerService
+from crocusspindle.services.gauges import watch_node
 from crocusspindle.services.hand_over import HandOverService
 from crocusspindle.services.home import HomeService
 from crocusspindle.services.operator_port import operator_app
 from crocusspindle.services.peers import Peers, fleet_proof
+from crocusspindle.services.platform_service import PlatformService
 from crocusspindle.services.ports import CallerPort, HttpPort, PeerPort, PeerServer
 from crocusspindle.services.rates import RatesService
 from crocusspindle.settings import fleet_key
 from crocusspindle.settings_schema import NodeSettings
+from crocusspindle.tls import NodeTls
 
 BACKLOG: Final = 512
 
@@ -45,12 +48,13 @@
     me = _member(settings, caller, peer)
     proof = fleet_proof(fleet_key(settings.fleet), settings.fleet.name)
     metrics = Metrics(settings.node.name, settings.node.domain)
-    platform = _platform(settings)
+    tls = NodeTls.from_config(settings)
+    platform = PlatformService(_platform(settings), metrics)
     timings, limits = settings.timings, settings.limits
 
     kernel = Kernel(timings.drain_ms)
     control = ControlService(me, timings)
-    peers = Peers(me.member, proof, timings, control)
+    peers = Peers(me.member, proof, timings, control, tls.peer_client)
     rates = RatesService(control, peers, timings, metrics)
     home = HomeService(control, peers, limits, metrics)
     follower = FollowerService(control, peers, platform, timings, limits)
@@ -59,8 +63,9 @@
     backend = BackendService(control, peers, rates, home, follower, platform, timings)
     server = PeerServer(control, rates, home)
     caller_port = CallerPort(
-        caller, settings.caller, entry, home, timings.where_max_age_ms
+        caller, settings.caller, entry, home, timings.where_max_age_ms, tls.caller
     )
+    watch_node(metrics, control, peers, home, lambda: caller_port.connections)
 
     async def operators() -> web.Application:
         return operator_app(backend, settings.operator.principals, metrics)
@@ -68,17 +73,20 @@
     async def scrape() -> web.Application:
         return metrics_app(metrics)
 
+    kernel.add("platform", platform)
+    kernel.add("certificates", tls.reloader)
     kernel.add("control", control)
     kernel.add("peers", peers)
     kernel.add("rates", rates)
     kernel.add("home", home)
-    kernel.add("peer_port", PeerPort(peer, server, proof))
+    kernel.add("peer_port", PeerPort(peer, server, proof, tls.peer_server))
     kernel.add("follower", follower)
     kernel.add("hand_over", hand_over)
     kernel.add("entry", entry)
     kernel.add("backend", backend)
     kernel.add("caller_port", caller_port)
-    kernel.add("operator_port", HttpPort(operator, operators, ("backend",)))
+    operator_port = HttpPort(operator, operators, ("backend",), tls.operator)
+    kernel.add("operator_port", operator_port)
     if settings.metrics is not None:
         scraped = _listen(settings.metrics.host, settings.metrics.port)
         kernel.add("metrics_port", HttpPort(scraped, scrape))
@@ -99,7 +107,7 @@
     )
 
 
-def _platform(settings: NodeSettings) -> Platform:
+def _platform(settings: NodeSettings) -> PlatformAdapter:
     # Every module of the package registers its adapter: a new platform takes one
     # file and no change elsewhere.
     for module in pkgutil.iter_modules(platform_package.__path__):
--- a/src/crocusspindle/services/entry.py
+++ b/src/crocusspindle/services/entry.py
@@ -86,10 +86,11 @@
         """Answer one request of a caller."""
         name = f"{self._prefix}-{next(self._numbers)}"
         began_ms = now_ms()
-        service = "none"
+        service, caller = "none", "none"
         self.running += 1
         try:
             customer, credential = self._authenticate(request)
+            caller = customer.customer
             if request.path.startswith(OWN_PATHS):
                 return self._own(request, customer)
             route = self._route(request, customer)
@@ -101,14 +102,17 @@
             response = refused.word.response(name)
         finally:
             self.running -= 1
-        self._count(response, service, began_ms)
+        self._count(response, service, caller, began_ms)
         return response
 
     def _count(
-        self, response: web.StreamResponse, service: str, began_ms: float
+        self, response: web.StreamResponse, service: str, caller: str, began_ms: float
     ) -> None:
         outcome = response.headers.get(words.OUTCOME, words.RAN)
         self._metrics.add(instruments.REQUESTS, service=service, outcome=outcome)
+        self._metrics.add(
+            instruments.CUSTOMER_REQUESTS, customer=caller, outcome=outcome
+        )
         self._metrics.record(
             instruments.REQUEST_MS, now_ms() - began_ms, service=service
         )
--- a/src/crocusspindle/services/follower.py
+++ b/src/crocusspindle/services/follower.py
@@ -50,7 +50,7 @@
     """Read the platform or ask peers, and keep this node in the view."""
 
     name = "follower"
-    needs = ("control", "peers")
+    needs = ("platform", "control", "peers")
 
     def __init__(
         self,
--- a/src/crocusspindle/services/group_runner.py
+++ b/src/crocusspindle/services/group_runner.py
@@ -35,6 +35,7 @@
 from crocusspindle.core.model import Target
 from crocusspindle.errors import PeerError
 from crocusspindle.ids import AttemptId, CustomerId, RequestId, TargetId
+from crocusspindle.services.group_meter import GroupMeter
 from crocusspindle.services.handed_over import (
     Answered,
     GivenUp,
@@ -78,6 +79,7 @@
         generator: random.Random,
         on_health: HealthSink,
         opinion: OpinionSource,
+        meter: GroupMeter,
     ) -> None:
         self.name = name
         self._home = Home.from_config(settings, health, generator)
@@ -86,6 +88,7 @@
         self._rights = rights
         self._on_health = on_health
         self._opinion = opinion
+        self._meter = meter
         self._requests: dict[RequestId, HandedOver] = {}
         self._attempts: dict[AttemptId, asyncio.Task[None]] = {}
         self._results: dict[AttemptId, AttemptResult] = {}
@@ -117,6 +120,7 @@
     def arrive(self, request: HandedOver) -> None:
         """Take a request; its final answer comes through its future."""
         self._requests[request.number] = request
+        self._meter.arrived(request.number, now_ms())
         head = request.head
         arrival = Arrival(
             request=request.number,
@@ -136,6 +140,7 @@
     def forget(self, request: HandedOver) -> None:
         """Drop a request whose answer is through."""
         self._requests.pop(request.number, None)
+        self._meter.forget(request.number)
 
     def revoke(self, credential: bytes) -> None:
         """Give up what is queued under a withdrawn key."""
@@ -158,6 +163,7 @@
     def _carry_out_one(self, decision: Decision) -> None:
         match decision:
             case Dispatch():
+                self._meter.began(decision.request, decision.attempt, now_ms())
                 task = asyncio.create_task(self._attempt(decision))
                 self._attempts[decision.attempt] = task
             case Cancel(attempt):
@@ -265,6 +271,7 @@
         self, dispatch: Dispatch, result: AttemptResult, latency_ms: float
     ) -> None:
         now = now_ms()
+        self._meter.ended(dispatch.request, dispatch.attempt, result.end, now)
         if result.answer is not None:
             self._results[dispatch.attempt] = result
         judged = _judged(result)
--- a/src/crocusspindle/services/home.py
+++ b/src/crocusspindle/services/home.py
@@ -9,7 +9,7 @@
 
 from crocusspindle import instruments
 from crocusspindle.clock import now_ms
-from crocusspindle.core.decisions import Outcome
+from crocusspindle.core.decisions import HomeStatus, Outcome
 from crocusspindle.core.health import GroupHealth
 from crocusspindle.core.health_state import (
     Ejected,
@@ -18,6 +18,7 @@
     HealthChange,
     HealthSettings,
     Restored,
+    TargetHealth,
 )
 from crocusspindle.core.home_settings import HomeSettings
 from crocusspindle.core.model import Service as ServiceLimits
@@ -28,6 +29,7 @@
 from crocusspindle.logs import Logger, log_state_change
 from crocusspindle.metrics import Metrics
 from crocusspindle.services.control import Change, ControlService
+from crocusspindle.services.group_meter import GroupMeter
 from crocusspindle.services.group_runner import GroupRunner
 from crocusspindle.services.handed_over import (
     Answered,
@@ -140,6 +142,15 @@
         """Return True if this node reaches a target, as a second opinion."""
         return await self._client.try_target(target, now_ms() + remaining_ms)
 
+    def groups(
+        self,
+    ) -> list[tuple[ServiceId, HomeStatus, tuple[TargetHealth, ...]]]:
+        """Return the groups homed here as they stand."""
+        return [
+            (service, *runner.status())
+            for (service, _), runner in self._runners.items()
+        ]
+
     def status(self) -> list[dict[str, Any]]:
         """Return what operators see of the groups homed here."""
         found = []
@@ -175,6 +186,7 @@
             generator=random.Random(),
             on_health=self._note_health,
             opinion=self._opinion,
+            meter=GroupMeter(group[0], self._metrics),
         )
         self._runners[group] = runner
         runner.set_targets(self._targets_of(group))
--- a/src/crocusspindle/services/ports.py
+++ b/src/crocusspindle/services/ports.py
@@ -18,6 +18,7 @@
 from crocusspindle.errors import PeerError
 from crocusspindle.ids import CustomerId, MemberId, TargetId, TicketNumber
 from crocusspindle.kernel import Service
+from crocusspindle.services import words
 from crocusspindle.services.control import ControlService
 from crocusspindle.services.entry import EntryService
 from crocusspindle.services.home import HomeService
@@ -198,10 +199,16 @@
         self._tls = tls
         self._runner: web.ServerRunner | None = None
 
+    @property
+    def connections(self) -> int:
+        """Return the number of open connections of callers."""
+        server = None if self._runner is None else self._runner.server
+        return 0 if server is None else len(server.connections)
+
     async def start(self) -> None:
         """Listen for callers."""
         server = web.Server(
-            self._entry.handle,
+            self._handle,
             access_log=None,
             handler_cancellation=True,
             max_line_size=self._settings.max_header_bytes,
@@ -211,6 +218,15 @@
         await self._runner.setup()
         await web.SockSite(self._runner, self._socket, ssl_context=self._tls).start()
 
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        # Each open connection holds memory. Above the bound a caller gets a true
+        # word and goes elsewhere, before the node is lost with all it serves.
+        if self.connections > self._settings.max_connections:
+            response = words.TOO_MANY_CONNECTIONS.response("none")
+            response.force_close()
+            return response
+        return await self._entry.handle(request)
+
     async def drain(self) -> None:
         """Serve on while callers may keep our address, then finish what runs."""
         until_ms = now_ms() + self._where_max_age_ms
--- a/src/crocusspindle/services/words.py
+++ b/src/crocusspindle/services/words.py
@@ -98,3 +98,6 @@
 BAD_OPERATION_KEY: Final = Word(
     400, "operation-key", "Idempotency-Key must have 1 to 200 visible characters"
 )
+TOO_MANY_CONNECTIONS: Final = Word(
+    503, "connections", "this node has too many connections; use another address"
+)
--- a/src/crocusspindle/tls.py
+++ b/src/crocusspindle/tls.py
@@ -148,13 +148,16 @@
         findings: list[Finding] = []
         for part, protocol in wanted:
             try:
-                found = part and WatchedContext.from_config(part, protocol)
-                loaded.append(found)
+                loaded.append(
+                    None if part is None else WatchedContext.from_config(part, protocol)
+                )
             except SettingsError as error:
                 findings += [one for one in error.findings if one not in findings]
         if findings:
             raise SettingsError(findings)
-        caller, operator, server, client = (one and one.context for one in loaded)
+        caller, operator, server, client = (
+            None if one is None else one.context for one in loaded
+        )
         reloader = CertificateReloader([one for one in loaded if one is not None])
         return cls(caller, operator, server, client, reloader)
 
--- a/tests/product/test_docs.py
+++ b/tests/product/test_docs.py
@@ -5,7 +5,7 @@
 import pytest
 import yaml
 
-from crocusspindle import cli
+from crocusspindle import cli, instruments
 from crocusspindle.docs_reference import PAGES, node_instruments, settings_page
 from crocusspindle.exit_codes import ExitCode
 from crocusspindle.settings_schema import NodeSettings
@@ -23,6 +23,14 @@
     assert page == PAGES[name](), "run scripts/docs"
 
 
+def test_every_metric_is_filled():
+    names = vars(instruments)
+    sources = [file.read_text() for file in ROOT.glob("src/crocusspindle/**/*.py")]
+    for instrument in node_instruments():
+        name = next(key for key, value in names.items() if value is instrument)
+        assert any(f"instruments.{name}" in source for source in sources), name
+
+
 @pytest.mark.parametrize("doc", DOCS, ids=lambda doc: str(doc.relative_to(ROOT)))
 def test_what_docs_name_exists(doc):
     text = doc.read_text(encoding="utf-8")
