Leave no accepted change out of the audit trail

An entry is lost when the node that took the ticket dies before it wrote one. The trail is now read along the tickets, which tell who and what. Owners approve in their own name only, and status answers are strict JSON.

--- a/src/crocusspindle/services/backend.py
+++ b/src/crocusspindle/services/backend.py
@@ -25,7 +25,6 @@
 from crocusspindle.errors import (
     Finding,
     NotFitError,
-    PlatformError,
     PlatformUnavailableError,
     PlatformUnknownError,
     TicketConflictError,
@@ -33,8 +32,8 @@
 )
 from crocusspindle.ids import MemberId, TicketNumber
 from crocusspindle.kernel import Service
-from crocusspindle.logs import Logger, log_state_change
 from crocusspindle.platform.adapter import ABSENT, Platform, Row
+from crocusspindle.services.audit import AuditTrail
 from crocusspindle.services.control import ControlService, unix_ms
 from crocusspindle.services.follower import TICKETS, FollowerService, ticket_key
 from crocusspindle.services.home import HomeService
@@ -55,7 +54,6 @@
 )
 from crocusspindle.settings_schema import Principal, TimingSettings
 
-AUDIT: Final = "audit"
 CUT_OFF: Final = "this node may be cut off; ask another one"
 RETRY_MS: Final = 1_000.0
 HEARTBEATS_WAITED: Final = 6
@@ -86,7 +84,7 @@
         self._follower = follower
         self._platform = platform
         self._timings = timings
-        self._logger = Logger("backend")
+        self._audit = AuditTrail(platform, timings.platform_timeout_ms)
 
     async def validate(self, document: bytes) -> TicketSummary:
         """Return what a ticket would change against the state before its number."""
@@ -110,7 +108,7 @@
         self._conclude(submission)
         self._control.take_tickets([ticket])
         if not repeated:
-            await self._write_audit(ticket, principal, before)
+            await self._audit.write(ticket, principal, before, unix_ms())
         return SubmitResult(ticket.number, content_hash(ticket).hex(), repeated)
 
     async def ticket(self, number: TicketNumber) -> TicketRecord | None:
@@ -129,17 +127,7 @@
 
     async def audit(self, after: TicketNumber, limit: int) -> Sequence[AuditEntry]:
         """Return audit entries of tickets above ``after``, in order."""
-        rows = await self._platform.read_range(
-            AUDIT, ticket_key(after), limit, self._deadline_ms()
-        )
-        entries = []
-        for row in rows:
-            fields = json.loads(row.value)
-            number = TicketNumber(int(row.key))
-            entries.append(
-                AuditEntry(number=number, in_force=self._in_force(number), **fields)
-            )
-        return entries
+        return await self._audit.read(after, limit, self._in_force)
 
     async def status(self) -> Mapping[str, Any]:
         """Return what the node knows about the fleet, ready for JSON."""
@@ -239,30 +227,6 @@
             raise PlatformUnknownError(f"ticket {number} may have been recorded")
         raise PlatformUnavailableError(f"ticket {number} was not recorded")
 
-    async def _write_audit(
-        self, ticket: Ticket, principal: Principal, before: Mapping[str, Any]
-    ) -> None:
-        after = json.loads(encode_ticket(ticket))
-        fields = {
-            "who": principal.name,
-            "when_unix_ms": unix_ms(),
-            "touched": ", ".join(touch.path for touch in touches(ticket)),
-            "before": before,
-            "after": {kind: after[kind] for kind in before},
-        }
-        try:
-            await self._platform.put(
-                AUDIT,
-                ticket_key(ticket.number),
-                json.dumps(fields).encode(),
-                ABSENT,
-                self._deadline_ms(),
-            )
-        except PlatformError as error:
-            log_state_change(
-                self._logger, "audit missing", number=ticket.number, error=str(error)
-            )
-
     async def _records(self, rows: Sequence[Row]) -> list[TicketRecord]:
         return [self._record(row) for row in rows]
 
@@ -272,7 +236,6 @@
             number=ticket.number,
             sha256=content_hash(ticket).hex(),
             submitted_by=ticket.author,
-            submitted_unix_ms=0.0,
             in_force=self._in_force(ticket.number),
             waiting_for=self._waiting_for(ticket.number),
             document=row.value.decode(),
@@ -348,6 +311,7 @@
             TouchKind.APPROVAL_GIVEN,
             f"approvals.{approval.service}.{approval.customer}",
             approval.service,
+            approved_by=approval.approved_by,
         )
         for approval in ticket.set.approvals
     ]
--- a/src/crocusspindle/services/operator_api.py
+++ b/src/crocusspindle/services/operator_api.py
@@ -21,13 +21,14 @@
 class Touch:
     """Name one thing that a ticket changes and its place in the document.
 
-    ``service`` is set for approvals.
+    ``service`` is set for approvals, ``approved_by`` for those that are given.
     """
 
     kind: TouchKind
     path: str
     service: ServiceId | None = None
     line: int = 0
+    approved_by: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,7 +59,6 @@
     number: TicketNumber
     sha256: str
     submitted_by: str
-    submitted_unix_ms: float
     in_force: bool
     waiting_for: tuple[str, ...]
     document: str
@@ -68,13 +68,14 @@
 class AuditEntry:
     """Record one change: who, when, what it touched, before and after.
 
-    Entries are numbered by their ticket; they hold digests, never keys.
+    Entries are numbered by their ticket; they hold digests, never keys. None stands
+    for what was lost with the node that took the ticket.
     """
 
     number: TicketNumber
     who: str
-    when_unix_ms: float
-    touched: str
+    when_unix_ms: float | None
+    touched: tuple[str, ...]
     before: Mapping[str, Any] | None
     after: Mapping[str, Any] | None
     in_force: bool
--- a/src/crocusspindle/services/operator_port.py
+++ b/src/crocusspindle/services/operator_port.py
@@ -205,12 +205,23 @@
 def _json(
     data: Any, status: int = 200, headers: Mapping[str, str] | None = None
 ) -> web.Response:
-    text = json.dumps(data, default=_plain)
+    text = json.dumps(_finite(json.loads(json.dumps(data, default=_plain))))
     return web.Response(
         text=text, status=status, headers=headers, content_type="application/json"
     )
 
 
+def _finite(value: Any) -> Any:
+    """Put null in place of infinity, which is no JSON and ends strict readers."""
+    if isinstance(value, float) and not math.isfinite(value):
+        return None
+    if isinstance(value, dict):
+        return {name: _finite(item) for name, item in value.items()}
+    if isinstance(value, list):
+        return [_finite(item) for item in value]
+    return value
+
+
 def _plain(value: Any) -> Any:
     if dataclasses.is_dataclass(value) and not isinstance(value, type):
         return {f.name: getattr(value, f.name) for f in dataclasses.fields(value)}
--- a/src/crocusspindle/services/operator_rights.py
+++ b/src/crocusspindle/services/operator_rights.py
@@ -28,19 +28,17 @@
 
 def check_rights(principal: Principal, summary: TicketSummary) -> list[Finding]:
     """Return a finding for each part of a ticket that the principal may not change."""
+    if principal.role is Role.VIEWER:
+        return [Finding(SOURCE, ".", "viewers submit no tickets")]
     findings = []
     for touch in summary.touches:
         message = _refusal(principal, touch)
         if message:
             findings.append(Finding(SOURCE, touch.path, message, touch.line))
-    if principal.role is Role.VIEWER and not findings:
-        findings.append(Finding(SOURCE, ".", "viewers submit no tickets"))
     return findings
 
 
 def _refusal(principal: Principal, touch: Touch) -> str | None:
-    if principal.role is Role.VIEWER:
-        return "viewers submit no tickets"
     if principal.role is Role.OPERATOR:
         # An operator who could approve would take the owner's decision away.
         if touch.kind is TouchKind.APPROVAL_GIVEN:
@@ -50,4 +48,6 @@
         return "owners change only approvals of their services"
     if touch.service not in principal.services:
         return f"{principal.name} does not own {touch.service}"
+    if touch.approved_by not in (None, principal.name):
+        return f"approved_by must be {principal.name}"
     return None
