--- a/src/crocusspindle/services/hand_over.py
+++ b/src/crocusspindle/services/hand_over.py
@@ -69,12 +69,16 @@
     status: int
     headers: list[tuple[str, str]]
     outcome: Outcome | None
+    first: bytes
+    whole: bool
     _link: EntryLink
     _request: str
 
     async def parts(self) -> AsyncIterator[bytes]:
         """Yield the body; raise ``PeerError`` unless the answer came whole."""
-        while True:
+        if self.first:
+            yield self.first
+        while not self.whole:
             frame = await self._link.receive()
             kind = frame.WhichOneof("frame")
             if kind == "chunk":
@@ -225,8 +229,12 @@
             await link.send(wire.HandOverFrame(withdraw=wire.Withdraw()))
             return word
         handling.granted = True
-        await link.send(wire.HandOverFrame(grant=wire.Grant()))
-        if call.has_body:
+        grant = wire.Grant()
+        if call.rest is None and len(call.body) <= CHUNK_BYTES:
+            grant.body = call.body
+            grant.body_whole = True
+        await link.send(wire.HandOverFrame(grant=grant))
+        if call.has_body and not grant.body_whole:
             sending = asyncio.create_task(_send_body(call, link))
             handling.stack.push_async_callback(_cancelled, sending)
         return None
@@ -276,6 +284,8 @@
         status=head.status,
         headers=[(header.name, header.value) for header in head.headers],
         outcome=Outcome(head.outcome) if head.outcome else None,
+        first=head.body,
+        whole=head.whole,
         _link=link,
         _request=call.request,
     )
--- a/src/crocusspindle/services/handed_over.py
+++ b/src/crocusspindle/services/handed_over.py
@@ -12,6 +12,7 @@
 from crocusspindle.services.targets import TargetAnswer
 from crocusspindle.wire import fleet_pb2 as wire
 
+CHUNK_BYTES: Final = 65_536
 CLAIM_WAIT_S: Final = 1.0
 """An entry answers a claim within a round trip of some 3 ms. One that needs a
 second is cut off or paused, and a slot is too dear to wait longer for it."""
@@ -84,7 +85,7 @@
             elif kind == "body_end":
                 await self._finish_body()
             elif kind == "grant":
-                self.granted.set()
+                await self._take_grant(frame.grant)
             elif kind == "withdraw":
                 self.withdrawn = True
                 return
@@ -118,6 +119,12 @@
         await self._whole_here.wait()
         return bytes(self._whole)
 
+    async def _take_grant(self, grant: wire.Grant) -> None:
+        if grant.body_whole:
+            self._whole += grant.body
+            await self._finish_body()
+        self.granted.set()
+
     async def _take(self, chunk: bytes) -> None:
         if self.head.body_whole:
             self._whole += chunk
@@ -152,8 +159,8 @@
 async def send_answer(request: HandedOver, answered: Answered) -> None:
     """Send an answer to the entry; raise if the target breaks it off.
 
-    Only the last frame makes the answer whole: an entry that misses it never
-    passes the rest off as all of it.
+    A short answer is one frame. Of a longer one only the last frame makes it whole:
+    an entry that misses it never passes the rest off as all of it.
     """
     answer, link, name = answered.answer, request.link, request.head.request
     head = wire.AnswerHead(request=name, status=answer.status)
@@ -161,12 +168,13 @@
     head.headers.extend(
         wire.Header(name=header, value=text) for header, text in answer.headers
     )
+    head.body = answer.first
+    head.whole = answer.rest is None
     await link.send(wire.AnswerFrame(head=head))
-    if answer.first:
-        await link.send(wire.AnswerFrame(chunk=answer.first))
-    if answer.rest is not None:
-        async for part in answer.rest.content.iter_chunked(65_536):
-            await link.send(wire.AnswerFrame(chunk=part))
+    if answer.rest is None:
+        return
+    async for part in answer.rest.content.iter_chunked(CHUNK_BYTES):
+        await link.send(wire.AnswerFrame(chunk=part))
     await link.send(wire.AnswerFrame(end=wire.AnswerEnd(request=name)))
 
 
--- a/src/crocusspindle/services/home.py
+++ b/src/crocusspindle/services/home.py
@@ -48,6 +48,10 @@
 Group = tuple[ServiceId, int]
 
 HOME_UNFIT: Final = "home-unfit"
+QUEUED_AFTER_S: Final = 0.02
+"""A request that ends sooner needs no word that it is queued, and its answer costs
+one message less. Far below the 150 ms after which an entry tries the next home."""
+
 OPINION_MS: Final = 250.0
 """A try from another failure domain takes about 25 ms and two hops of 1.5 ms."""
 
@@ -113,13 +117,15 @@
             runner.forget(request)
 
     async def _see_through(self, runner: GroupRunner, request: HandedOver) -> None:
-        if not request.final.done():
-            queued = wire.Queued(wait_ms=runner.load().wait_ms_estimate)
-            await request.link.send(wire.AnswerFrame(queued=queued))
         reader = asyncio.create_task(request.read())
+        waiting: set[asyncio.Future[Any]] = {reader, request.final}
+        first = asyncio.FIRST_COMPLETED
         try:
-            waiting: set[asyncio.Future[Any]] = {reader, request.final}
-            await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.wait(waiting, timeout=QUEUED_AFTER_S, return_when=first)
+            if not request.final.done() and not reader.done():
+                queued = wire.Queued(wait_ms=runner.load().wait_ms_estimate)
+                await request.link.send(wire.AnswerFrame(queued=queued))
+                await asyncio.wait(waiting, return_when=first)
             if request.final.done():
                 await self._send_final(request, request.final.result())
         finally:
--- a/src/crocusspindle/services/links.py
+++ b/src/crocusspindle/services/links.py
@@ -55,7 +55,7 @@
         frame = await self._stream.recv_message()
         if frame is None:
             raise PeerError("the home ended the stream")
-        self._whole = frame.WhichOneof("frame") in LAST_FRAMES
+        self._whole = frame.WhichOneof("frame") in LAST_FRAMES or frame.head.whole
         return frame
 
     async def close(self) -> None:
