Run named operations at most once, by two ledger nodes and the table

Change: an entry asks one of the two ledger nodes of (customer, key) before it hands a non-idempotent request over, and reports its end; a repeated key gets the kept answer. The demo's check of rates counted refused repeats ('unknown') as served; it now counts what the targets executed. Members leave the view after 5 s of silence instead of 10: while one of a key's two holders is dead and still in the view its orders are refused.

--- a/src/crocusspindle/instruments.py
+++ b/src/crocusspindle/instruments.py
@@ -187,3 +187,11 @@
     meaning="Changes in how homes here judge targets, by kind.",
     when_rising="See the page on gray targets; `GroupSuspect` points at the path.",
 )
+OPERATIONS_KEPT: Final = declare(
+    "operations_kept",
+    InstrumentKind.GAUGE,
+    unit="operations",
+    meaning="Records of operation keys that this node holds.",
+    when_rising="Callers name more operations than fit in the retention time; at the "
+    "bound new operations are refused.",
+)
--- a/src/crocusspindle/services/assembly.py
+++ b/src/crocusspindle/services/assembly.py
@@ -22,6 +22,8 @@
 from crocusspindle.services.gauges import watch_node
 from crocusspindle.services.hand_over import HandOverService
 from crocusspindle.services.home import HomeService
+from crocusspindle.services.ledger import LedgerService
+from crocusspindle.services.operations import OperationsService
 from crocusspindle.services.operator_port import operator_app
 from crocusspindle.services.peers import Peers, fleet_proof
 from crocusspindle.services.platform_service import PlatformService
@@ -58,10 +60,14 @@
     rates = RatesService(control, peers, timings, metrics)
     home = HomeService(control, peers, limits, metrics)
     follower = FollowerService(control, peers, platform, timings, limits)
+    ledger = LedgerService(control, peers, platform, timings, limits, metrics)
+    operations = OperationsService(control, peers, ledger)
     hand_over = HandOverService(control, peers, home, timings)
-    entry = EntryService(settings, control, peers, rates, hand_over, metrics)
+    entry = EntryService(
+        settings, control, peers, rates, hand_over, operations, metrics
+    )
     backend = BackendService(control, peers, rates, home, follower, platform, timings)
-    server = PeerServer(control, rates, home)
+    server = PeerServer(control, rates, home, ledger)
     caller_port = CallerPort(
         caller, settings.caller, entry, home, timings.where_max_age_ms, tls.caller
     )
@@ -81,6 +87,8 @@
     kernel.add("home", home)
     kernel.add("peer_port", PeerPort(peer, server, proof, tls.peer_server))
     kernel.add("follower", follower)
+    kernel.add("ledger", ledger)
+    kernel.add("operations", operations)
     kernel.add("hand_over", hand_over)
     kernel.add("entry", entry)
     kernel.add("backend", backend)
--- /dev/null
+++ b/src/crocusspindle/services/caller_response.py
@@ -0,0 +1,79 @@
+"""Send answers to callers, whole or visibly cut, and keep those of operations."""
+
+import hashlib
+
+from aiohttp import web
+
+from crocusspindle.core.operation_records import Answer
+from crocusspindle.services import words
+from crocusspindle.services.hand_over import HomeAnswer
+from crocusspindle.services.peers import PEER_FAILURES
+from crocusspindle.services.targets import REQUEST_ID
+from crocusspindle.services.words import RefusedError
+
+OWN_HEADERS = frozenset({REQUEST_ID.lower(), words.OUTCOME.lower()})
+
+
+class KeptParts:
+    """Keep a copy of an answer while it passes, up to a bound."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        self._limit_bytes = limit_bytes
+        self._digest = hashlib.sha256()
+        self._body: bytearray | None = bytearray()
+
+    def add(self, part: bytes) -> None:
+        """Take the next part."""
+        self._digest.update(part)
+        if self._body is None:
+            return
+        self._body += part
+        if len(self._body) > self._limit_bytes:
+            self._body = None
+
+    def answer(self, found: HomeAnswer) -> Answer:
+        """Return the answer to keep, without its body if that was too long."""
+        body = None if self._body is None else bytes(self._body)
+        return Answer(found.status, self._digest.digest(), tuple(found.headers), body)
+
+
+async def pass_on(
+    request: web.BaseRequest, name: str, answer: HomeAnswer, kept: KeptParts | None
+) -> web.StreamResponse:
+    """Send an answer to its caller; break the connection if it is cut.
+
+    A caller who gets the end of a shortened answer takes it for all of it. With a
+    broken connection it knows, whatever length the target had announced.
+    """
+    response = web.StreamResponse(status=answer.status)
+    for header, text in answer.headers:
+        if header.lower() not in OWN_HEADERS:
+            response.headers.add(header, text)
+    response.headers[REQUEST_ID] = name
+    response.headers[words.OUTCOME] = words.OUTCOME_WORDS[answer.outcome]
+    await response.prepare(request)
+    try:
+        async for part in answer.parts():
+            if kept is not None:
+                kept.add(part)
+            await response.write(part)
+    except PEER_FAILURES:
+        if request.transport is not None:
+            request.transport.abort()
+        raise
+    await response.write_eof()
+    return response
+
+
+def kept_response(answer: Answer, name: str) -> web.Response:
+    """Return the kept answer of an operation that ran before."""
+    if answer.body is None:
+        raise RefusedError(words.ANSWER_NOT_KEPT)
+    response = web.Response(status=answer.status, body=answer.body)
+    for header, text in answer.headers:
+        if header.lower() not in OWN_HEADERS | {"content-length"}:
+            response.headers[header] = text
+    response.headers[REQUEST_ID] = name
+    response.headers[words.OUTCOME] = words.RAN
+    response.headers[words.REPEATED] = "true"
+    return response
--- a/src/crocusspindle/services/control.py
+++ b/src/crocusspindle/services/control.py
@@ -72,7 +72,13 @@
             failing_ms=timings.freshness_ms,
         )
         self.fitness = Fitness(me.member, limits)
-        self.membership = Membership(me, MembershipLimits())
+        self.membership = Membership(
+            me,
+            MembershipLimits(
+                silence_ms=timings.silence_ms,
+                witness_ms=timings.heartbeat_ms * MISSED_CONTACTS,
+            ),
+        )
         self.draining = False
         self.targets: Mapping[ServiceId, tuple[Target, ...]] = {}
         self._tail: dict[TicketNumber, bytes] = {}
--- a/src/crocusspindle/services/entry.py
+++ b/src/crocusspindle/services/entry.py
@@ -15,12 +15,18 @@
 from crocusspindle.core.directory import digest_of
 from crocusspindle.core.loans import OverRate, Spent, Unfit
 from crocusspindle.core.model import Customer, Route
+from crocusspindle.core.operation_records import Answer, OperationName
 from crocusspindle.core.rendezvous import order
-from crocusspindle.ids import CustomerId, MemberId
+from crocusspindle.ids import CustomerId, MemberId, OperationKey
 from crocusspindle.kernel import Service
 from crocusspindle.logs import Logger, log_state_change
 from crocusspindle.metrics import Metrics
 from crocusspindle.services import words
+from crocusspindle.services.caller_response import (
+    KeptParts,
+    kept_response,
+    pass_on,
+)
 from crocusspindle.services.control import ControlService
 from crocusspindle.services.hand_over import (
     CallerRequest,
@@ -29,7 +35,12 @@
     HomeAnswer,
 )
 from crocusspindle.services.handed_over import GivenUp
-from crocusspindle.services.peers import PEER_FAILURES, Peers
+from crocusspindle.services.operations import (
+    Begun,
+    OperationsService,
+    fingerprint_of,
+)
+from crocusspindle.services.peers import Peers
 from crocusspindle.services.rates import RatesService
 from crocusspindle.services.targets import CUSTOMER, DEADLINE, REQUEST_ID, forwarded
 from crocusspindle.services.words import RefusedError, Word
@@ -62,7 +73,7 @@
     """Serve the port for callers."""
 
     name = "entry"
-    needs = ("control", "peers", "rates", "hand_over")
+    needs = ("control", "peers", "rates", "hand_over", "operations")
 
     def __init__(
         self,
@@ -71,6 +82,7 @@
         peers: Peers,
         rates: RatesService,
         hand_over: HandOverService,
+        operations: OperationsService,
         metrics: Metrics,
     ) -> None:
         self._settings = settings
@@ -78,6 +90,7 @@
         self._peers = peers
         self._rates = rates
         self._hand_over = hand_over
+        self._operations = operations
         self._metrics = metrics
         self._logger = Logger("entry")
         self._numbers = itertools.count(1)
@@ -233,17 +246,55 @@
     async def _follow(
         self, request: web.BaseRequest, call: CallerRequest, spent: Spent
     ) -> web.StreamResponse:
-        handling = Handling(call)
+        """Run a request, once if its caller named the operation."""
+        begun = await self._begin(request, call)
+        if isinstance(begun, Answer):
+            self._rates.refund(call.customer, spent)
+            return kept_response(begun, call.request)
+        if isinstance(begun, GivenUp):
+            self._rates.refund(call.customer, spent)
+            raise RefusedError(words.given_up_word(begun))
+        by_ms = None if begun is None else begun.dispatch_by_ms
+        handling = Handling(call, dispatch_by_ms=by_ms)
         try:
             found = await self._hand_over.run(handling)
-            if isinstance(found, GivenUp):
-                if found.outcome is Outcome.NOT_RUN:
-                    self._rates.refund(call.customer, spent)
-                raise RefusedError(words.given_up_word(found))
-            return await _pass_on(request, call, found)
+            if not isinstance(found, GivenUp):
+                return await self._answer(request, call, found, begun)
+            if found.outcome is Outcome.NOT_RUN:
+                self._rates.refund(call.customer, spent)
+                if begun is not None:
+                    self._operations.released(begun)
+            raise RefusedError(words.given_up_word(found))
         finally:
             await handling.close()
 
+    async def _answer(
+        self,
+        request: web.BaseRequest,
+        call: CallerRequest,
+        found: HomeAnswer,
+        begun: Begun | None,
+    ) -> web.StreamResponse:
+        if begun is None:
+            return await pass_on(request, call.request, found, None)
+        kept = KeptParts(self._settings.limits.answer_kept_bytes)
+        response = await pass_on(request, call.request, found, kept)
+        self._operations.finished(begun, kept.answer(found))
+        return response
+
+    async def _begin(
+        self, request: web.BaseRequest, call: CallerRequest
+    ) -> Begun | Answer | GivenUp | None:
+        key = request.headers.get(OPERATION_KEY)
+        if call.idempotent or key is None:
+            return None
+        if not 0 < len(key) <= OPERATION_KEY_MAX or not key.isprintable():
+            raise RefusedError(words.BAD_OPERATION_KEY)
+        name = OperationName(call.customer, OperationKey(key))
+        return await self._operations.begin(
+            name, fingerprint_of(call.method, call.path, call.body)
+        )
+
     def _deadline_ms(self, request: web.BaseRequest, route: Route) -> float:
         service = self._control.directory.service(route.service)
         longest_ms = LONGEST_TIMEOUT_MS if service is None else service.timeout_ms
@@ -316,29 +367,3 @@
         for name, text in forwarded(request.headers)
         if name.lower() not in PRIVATE_HEADERS
     ]
-
-
-async def _pass_on(
-    request: web.BaseRequest, call: CallerRequest, answer: HomeAnswer
-) -> web.StreamResponse:
-    """Send an answer to its caller; break the connection if it is cut.
-
-    A caller who gets the end of a shortened answer takes it for all of it. With a
-    broken connection it knows, whatever length the target had announced.
-    """
-    response = web.StreamResponse(status=answer.status)
-    for name, text in answer.headers:
-        if name.lower() not in (REQUEST_ID.lower(), words.OUTCOME.lower()):
-            response.headers.add(name, text)
-    response.headers[REQUEST_ID] = call.request
-    response.headers[words.OUTCOME] = words.OUTCOME_WORDS[answer.outcome]
-    await response.prepare(request)
-    try:
-        async for part in answer.parts():
-            await response.write(part)
-    except PEER_FAILURES:
-        if request.transport is not None:
-            request.transport.abort()
-        raise
-    await response.write_eof()
-    return response
--- a/src/crocusspindle/services/hand_over.py
+++ b/src/crocusspindle/services/hand_over.py
@@ -1,7 +1,7 @@
 """Hand a caller's request from its entry to a home, and to the next one if needed."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, suppress
 from dataclasses import dataclass, field
 from typing import Final
@@ -48,8 +48,6 @@
     credential: bytes
     body: bytes = b""
     rest: AsyncIterator[bytes] | None = None
-    begin: Callable[[], Awaitable[GivenUp | None]] | None = None
-    """Asked before the first sending to a target is allowed; a word ends it."""
 
     @property
     def has_body(self) -> bool:
@@ -94,6 +92,8 @@
     """Follow one request through the homes it was handed to."""
 
     call: CallerRequest
+    dispatch_by_ms: float | None = None
+    """Until when a named operation may be sent for the first time."""
     granted: bool = False
     """Whether a home was allowed to send it: from here it may have run."""
     stack: AsyncExitStack = field(default_factory=AsyncExitStack)
@@ -224,10 +224,11 @@
     async def _allow(self, handling: Handling, link: EntryLink) -> GivenUp | None:
         """Let the home send the request, unless there is a word against it."""
         call = handling.call
-        word = await call.begin() if call.begin and not handling.granted else None
-        if word is not None:
+        by_ms = handling.dispatch_by_ms
+        if by_ms is not None and not handling.granted and now_ms() >= by_ms:
+            # Its ledger nodes may have given the operation up by now.
             await link.send(wire.HandOverFrame(withdraw=wire.Withdraw()))
-            return word
+            return self._given_up(handling, "operation-too-late")
         handling.granted = True
         grant = wire.Grant()
         if call.rest is None and len(call.body) <= CHUNK_BYTES:
--- a/src/crocusspindle/services/ports.py
+++ b/src/crocusspindle/services/ports.py
@@ -15,14 +15,17 @@
 
 from crocusspindle.clock import now_ms
 from crocusspindle.core.directory_dump import dump
+from crocusspindle.core.operation_records import OperationName, decode_record
 from crocusspindle.errors import PeerError
-from crocusspindle.ids import CustomerId, MemberId, TargetId, TicketNumber
+from crocusspindle.ids import CustomerId, MemberId, OperationKey, TargetId, TicketNumber
 from crocusspindle.kernel import Service
 from crocusspindle.services import words
 from crocusspindle.services.control import ControlService
 from crocusspindle.services.entry import EntryService
 from crocusspindle.services.home import HomeService
+from crocusspindle.services.ledger import LedgerService, answer_from, attempt_from
 from crocusspindle.services.links import RemoteHomeLink
+from crocusspindle.services.operations import begin_reply
 from crocusspindle.services.peers import FLEET_KEY_HEADER, wire_configuration
 from crocusspindle.services.rates import RatesService
 from crocusspindle.settings_schema import CallerSettings
@@ -39,9 +42,14 @@
     """Answer the calls of other nodes."""
 
     def __init__(
-        self, control: ControlService, rates: RatesService, home: HomeService
+        self,
+        control: ControlService,
+        rates: RatesService,
+        home: HomeService,
+        ledger: LedgerService,
     ) -> None:
         self._control = control
+        self._ledger = ledger
         self._rates = rates
         self._home = home
 
@@ -119,20 +127,40 @@
         await stream.send_message(reply)
 
     async def Begin(self, stream: Stream[wire.BeginRequest, wire.BeginReply]) -> None:
-        """Refuse: operations are not kept by this version."""
-        raise GRPCError(Status.UNIMPLEMENTED)
+        """Decide on an operation whose record this node holds."""
+        asked = await _request(stream)
+        decision = await self._ledger.begin(
+            operation_name(asked), attempt_from(asked.attempt), asked.fingerprint
+        )
+        await stream.send_message(begin_reply(decision))
 
     async def RecordBegun(
         self, stream: Stream[wire.RecordBegunRequest, wire.RecordBegunReply]
     ) -> None:
-        """Refuse: operations are not kept by this version."""
-        raise GRPCError(Status.UNIMPLEMENTED)
+        """Record an operation for its other holder."""
+        await stream.send_message(self._ledger.record(await _request(stream)))
 
     async def Settle(
         self, stream: Stream[wire.SettleRequest, wire.SettleReply]
     ) -> None:
-        """Refuse: operations are not kept by this version."""
-        raise GRPCError(Status.UNIMPLEMENTED)
+        """Take an entry's word on the end of an operation."""
+        asked = await _request(stream)
+        answer = answer_from(asked.answer) if asked.HasField("answer") else None
+        self._ledger.settle(operation_name(asked), attempt_from(asked.attempt), answer)
+        await stream.send_message(wire.SettleReply())
+
+    async def PeerSettled(
+        self, stream: Stream[wire.PeerSettledRequest, wire.PeerSettledReply]
+    ) -> None:
+        """Take the other holder's word on the end of an operation."""
+        asked = await _request(stream)
+        self._ledger.peer_settled(decode_record(asked.record))
+        await stream.send_message(wire.PeerSettledReply())
+
+
+def operation_name(asked: wire.BeginRequest | wire.SettleRequest) -> OperationName:
+    """Return the name of the operation that a message is about."""
+    return OperationName(CustomerId(asked.customer), OperationKey(asked.key))
 
 
 async def _request(stream: Stream[Asked, Any]) -> Asked:
@@ -146,7 +174,7 @@
     """Serve the port for the other nodes."""
 
     name = "peer_port"
-    needs = ("control", "rates", "home")
+    needs = ("control", "rates", "home", "ledger")
 
     def __init__(
         self,
--- a/src/crocusspindle/services/words.py
+++ b/src/crocusspindle/services/words.py
@@ -15,6 +15,7 @@
 OUTCOME: Final = "Crocusspindle-Outcome"
 RETRY_AFTER_MS: Final = "Crocusspindle-Retry-After-Ms"
 RAN: Final = "ran"
+REPEATED: Final = "Crocusspindle-Repeated-Answer"
 
 OUTCOME_WORDS: Final[Mapping[Outcome | None, str]] = {
     None: RAN,
@@ -30,7 +31,8 @@
     status: int
     reason: str
     detail: str
-    outcome: Outcome = Outcome.NOT_RUN
+    outcome: Outcome | None = Outcome.NOT_RUN
+    """None says that the request ran."""
     retry_at_ms: float | None = None
     headers: Mapping[str, str] = field(default_factory=dict)
 
@@ -64,17 +66,23 @@
         self.word = word
 
 
+STATUS_BY_REASON: Final[Mapping[str, int]] = {
+    "operation-key-reused": 422,
+    "operation-in-progress": 409,
+}
+
+
 def given_up_word(given_up: GivenUp) -> Word:
     """Return the word for a request that the fleet gave up."""
     if given_up.outcome is Outcome.NOT_RUN:
         return Word(
-            status=503,
+            status=STATUS_BY_REASON.get(given_up.reason, 503),
             reason=given_up.reason,
             detail="the request was not run; it may be sent again",
             retry_at_ms=given_up.retry_at_ms,
         )
     return Word(
-        status=504,
+        status=STATUS_BY_REASON.get(given_up.reason, 504),
         reason=given_up.reason,
         detail="the request may have run; repeat it only with its Idempotency-Key",
         outcome=Outcome.UNKNOWN,
@@ -94,6 +102,12 @@
     "the node failed; the request may have run",
     outcome=Outcome.UNKNOWN,
 )
+ANSWER_NOT_KEPT: Final = Word(
+    410,
+    "answer-not-kept",
+    "the operation ran once; its answer was too long to keep",
+    outcome=None,
+)
 NO_ROUTE: Final = Word(404, "route", "no service is reached by this path")
 NOT_APPROVED: Final = Word(403, "approval", "the service's owner has not approved you")
 SLOW_SENDER: Final = Word(408, "slow-sender", "the body did not arrive in time")
--- a/src/crocusspindle/settings_schema.py
+++ b/src/crocusspindle/settings_schema.py
@@ -192,6 +192,10 @@
         default=4_000,
         description="Oldest freshness stamp with which a node takes new work.",
     )
+    silence_ms: PositiveMs = Field(
+        default=5_000,
+        description="Silence after which a member is taken out of the view.",
+    )
     poll_ms: PositiveMs = Field(
         default=1_000, description="Time between a poller's reads of the ticket log."
     )
@@ -222,6 +226,8 @@
     def _check_order(self) -> "TimingSettings":
         if self.freshness_ms < 2 * self.poll_ms:
             raise ValueError("freshness_ms must be at least twice poll_ms")
+        if self.silence_ms <= self.freshness_ms:
+            raise ValueError("silence_ms must be above freshness_ms")
         if self.drain_ms < self.where_max_age_ms:
             raise ValueError("drain_ms must not be below where_max_age_ms")
         return self
--- a/src/crocusspindle/wire/fleet_grpc.py
+++ b/src/crocusspindle/wire/fleet_grpc.py
@@ -50,6 +50,10 @@
     async def Settle(self, stream: 'grpclib.server.Stream[crocusspindle.wire.fleet_pb2.SettleRequest, crocusspindle.wire.fleet_pb2.SettleReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def PeerSettled(self, stream: 'grpclib.server.Stream[crocusspindle.wire.fleet_pb2.PeerSettledRequest, crocusspindle.wire.fleet_pb2.PeerSettledReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/crocusspindle.fleet.Fleet/Heartbeat': grpclib.const.Handler(
@@ -106,6 +110,12 @@
                 crocusspindle.wire.fleet_pb2.SettleRequest,
                 crocusspindle.wire.fleet_pb2.SettleReply,
             ),
+            '/crocusspindle.fleet.Fleet/PeerSettled': grpclib.const.Handler(
+                self.PeerSettled,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                crocusspindle.wire.fleet_pb2.PeerSettledRequest,
+                crocusspindle.wire.fleet_pb2.PeerSettledReply,
+            ),
         }
 
 
@@ -166,3 +176,9 @@
             crocusspindle.wire.fleet_pb2.SettleRequest,
             crocusspindle.wire.fleet_pb2.SettleReply,
         )
+        self.PeerSettled = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/crocusspindle.fleet.Fleet/PeerSettled',
+            crocusspindle.wire.fleet_pb2.PeerSettledRequest,
+            crocusspindle.wire.fleet_pb2.PeerSettledReply,
+        )
--- a/src/crocusspindle_standins/demo.py
+++ b/src/crocusspindle_standins/demo.py
@@ -9,7 +9,7 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 from datetime import datetime
 from pathlib import Path
@@ -312,7 +312,7 @@
             ),
             "unknown": verdicts[Verdict.UNKNOWN] + verdicts[Verdict.NO_ANSWER],
             "ran_twice": sum(count > 1 for count in operations.values()),
-            "over_rate": self._over_rate(),
+            "over_rate": self._over_rate(ran),
             "key_withdrawn_to_last_served_ms": self._last_served_ms(records),
             "gray_detected_ms": detected_ms,
             "false_ejections": false_ejections,
@@ -352,10 +352,12 @@
         refused = sum(r.verdict is Verdict.OVER_RATE for r in records)
         return refused - self._within_rate(records)
 
-    def _over_rate(self) -> int:
+    def _over_rate(self, executed: Collection[str]) -> int:
         """Return how many customers got more than burst and rate in any window."""
         return sum(
-            most_over_rate(caller.records, caller.plan.rate_per_s, caller.plan.burst)
+            most_over_rate(
+                caller.records, executed, caller.plan.rate_per_s, caller.plan.burst
+            )
             >= 1.0
             for caller in self.callers
         )
