--- a/scripts/build_binary.py
+++ b/scripts/build_binary.py
@@ -98,6 +98,11 @@
 def _zipped(parts: list[Part]) -> bytes:
     buffer = io.BytesIO()
     with zipfile.ZipFile(buffer, "w", zipfile.ZIP_DEFLATED, compresslevel=6) as bundle:
+        for folder in _folders(parts):
+            entry = zipfile.ZipInfo(folder, FIXED_TIME)
+            entry.create_system = 3
+            entry.external_attr = 0o40755 << 16
+            bundle.writestr(entry, b"")
         for part in parts:
             entry = zipfile.ZipInfo(part.name, FIXED_TIME)
             entry.compress_type = zipfile.ZIP_DEFLATED
@@ -107,6 +112,12 @@
     return buffer.getvalue()
 
 
+def _folders(parts: list[Part]) -> list[str]:
+    """Return all folders: without their entries namespace packages are not found."""
+    parents = {str(up) for part in parts for up in PurePosixPath(part.name).parents}
+    return sorted(f"{parent}/" for parent in parents - {"."})
+
+
 def _wanted(path: metadata.PackagePath) -> bool:
     if path.parts[0] == ".." or path.name in LEFT_OUT_NAMES:
         return False
