--- a/src/crocusspindle/services/links.py
+++ b/src/crocusspindle/services/links.py
@@ -42,25 +42,27 @@
         self, stream: ClientStream[wire.HandOverFrame, wire.AnswerFrame]
     ) -> None:
         self._stream = stream
+        self._sent = False
         self._whole = False
 
     async def send(self, frame: wire.HandOverFrame) -> None:
         """Send a frame to the home."""
         await self._stream.send_message(frame)
+        self._sent = True
 
     async def receive(self) -> wire.AnswerFrame:
         """Return the next frame; raise ``PeerError`` when there is none."""
         frame = await self._stream.recv_message()
         if frame is None:
             raise PeerError("the home ended the stream")
-        self._whole = frame.WhichOneof("frame") in LAST_FRAMES
+        self._whole = frame.WhichOneof("frame") in LAST_FRAMES or frame.head.whole
         return frame
 
     async def close(self) -> None:
         """End the stream, or cancel it while the home still works on it."""
         if self._whole:
             await self._stream.end()
-        else:
+        elif self._sent:
             await self._stream.cancel()
 
 
