Count in plain dicts that the exporter reads at a scrape

Cause: the library's Counter.add took 15.5 us with two labels, several times a request. Ruled out: exemplars (turned off: 18.7 us, the same within noise).

--- a/src/crocusspindle/metrics.py
+++ b/src/crocusspindle/metrics.py
@@ -101,12 +101,24 @@
         )
         self._meter = self._provider.get_meter("crocusspindle")
         self._instruments: dict[str, Any] = {}
+        self._counts: dict[str, dict[tuple[str, ...], float]] = {}
         self._label_values: dict[str, set[str]] = {}
         self._label_values_max = label_values_max
 
     def add(self, counter: Instrument, amount: float = 1, **labels: str) -> None:
-        """Add to a counter."""
-        self._instrument(counter).add(amount, self._bounded(labels))
+        """Add to a counter.
+
+        Requests do this several times each, so it adds in a dict that the exporter
+        reads at a scrape: the library's own way in takes 15 us on one core.
+        """
+        counts = self._counts.get(counter.name)
+        if counts is None:
+            counts = self._count(counter)
+        key = tuple(labels[name] for name in counter.labels)
+        if key not in counts:
+            bounded = self._bounded(labels)
+            key = tuple(bounded[name] for name in counter.labels)
+        counts[key] = counts.get(key, 0.0) + amount
 
     def set(self, gauge: Instrument, value: float, **labels: str) -> None:
         """Set a gauge."""
@@ -138,14 +150,28 @@
         """Release the exporter."""
         self._provider.shutdown()
 
+    def _count(self, counter: Instrument) -> dict[tuple[str, ...], float]:
+        counts: dict[tuple[str, ...], float] = {}
+
+        def callback(options: CallbackOptions) -> Iterable[Observation]:
+            return [
+                Observation(value, dict(zip(counter.labels, key, strict=True)))
+                for key, value in counts.items()
+            ]
+
+        self._counts[counter.name] = counts
+        self._instruments[counter.name] = self._meter.create_observable_counter(
+            PREFIX + counter.name, [callback], description=counter.meaning
+        )
+        return counts
+
     def _instrument(self, instrument: Instrument) -> Any:
         found = self._instruments.get(instrument.name)
         if found is None:
-            create = {
-                InstrumentKind.COUNTER: self._meter.create_counter,
-                InstrumentKind.GAUGE: self._meter.create_gauge,
-                InstrumentKind.HISTOGRAM: self._meter.create_histogram,
-            }[instrument.kind]
+            histogram = instrument.kind is InstrumentKind.HISTOGRAM
+            create = (
+                self._meter.create_histogram if histogram else self._meter.create_gauge
+            )
             found = create(PREFIX + instrument.name, description=instrument.meaning)
             self._instruments[instrument.name] = found
         return found
