--- /dev/null
+++ b/benchmarks/false_alarms.py
@@ -0,0 +1,87 @@
+"""Count false alarms of the sequential tests over many healthy service-days.
+
+The recursions of ``crocusspindle.core.evidence`` over arrays, one column a target,
+with healthy rates known; ``benchmarks.health`` compares them with the real judge at
+thresholds low enough for it.
+"""
+
+from dataclasses import dataclass
+
+import numpy as np
+import numpy.typing as npt
+
+from crocusspindle.core.evidence import FailureTest
+from crocusspindle.core.health_state import HealthSettings
+
+LANES = 8192
+BIN_NATS = 0.5
+BINS = 80
+
+Floats = npt.NDArray[np.float64]
+
+
+@dataclass(frozen=True)
+class FalseAlarms:
+    """Hold how many excursions of all tests reached each level of evidence."""
+
+    samples: int
+    reached: Floats
+
+    def per_samples(self, threshold_nats: float, samples: float) -> float:
+        """Return the false alarms expected in a number of healthy samples."""
+        reached = float(self.reached[int(threshold_nats / BIN_NATS)])
+        return reached * samples / self.samples
+
+    def at_most_per_samples(self, threshold_nats: float, samples: float) -> float:
+        """Return the upper end of the 95 % interval, 3 for none seen."""
+        reached = float(self.reached[int(threshold_nats / BIN_NATS)])
+        highest = 3.0 if reached == 0.0 else reached + 2.0 * reached**0.5 + 2.0
+        return highest * samples / self.samples
+
+
+class Excursions:
+    """Follow many sums that are floored at 0 and note their peaks."""
+
+    def __init__(self) -> None:
+        self._nats = np.zeros(LANES)
+        self._peaks = np.zeros(LANES)
+        self.ended = np.zeros(BINS, dtype=np.int64)
+
+    def step(self, gains: Floats, cost: float = 0.0) -> None:
+        """Add gains, note the peak, then take the cost off."""
+        self._nats += gains
+        np.maximum(self._peaks, self._nats, out=self._peaks)
+        self._nats -= cost
+        back = np.flatnonzero(self._nats <= 0.0)
+        peaks = self._peaks[back]
+        self._nats[back] = 0.0
+        self._peaks[back] = 0.0
+        high = peaks[peaks >= 4.0]
+        bins = np.minimum((high / BIN_NATS).astype(np.int64), BINS - 1)
+        self.ended += np.bincount(bins, minlength=BINS)
+
+
+def count_false_alarms(
+    samples: int, seed: int, error_rate: float, settings: HealthSettings
+) -> FalseAlarms:
+    """Return the false alarms in about this many samples of healthy targets."""
+    rng = np.random.default_rng(seed)
+    healthy_rate = max(error_rate, settings.least_failure_rate)
+    tests = [
+        FailureTest.between(healthy_rate, lost)
+        for lost in (settings.mild_failure, settings.hard_failure)
+    ]
+    failures = [Excursions() for _ in tests]
+    slow = Excursions()
+    gain = 1.0 - 1.0 / settings.slow_factor
+    cost = float(np.log(settings.slow_factor))
+    steps = samples // LANES
+    for _ in range(steps):
+        failed = rng.random(LANES, dtype=np.float32) < error_rate
+        for test, sums in zip(tests, failures, strict=True):
+            sums.step(np.where(failed, test.failure_nats, test.success_nats))
+        # While requests run, their hazard grows by an exponential of mean 1 between
+        # two answers, however many slots share it.
+        slow.step(gain * rng.standard_exponential(LANES), cost)
+    ended = slow.ended + sum(sums.ended for sums in failures)
+    return FalseAlarms(steps * LANES, np.cumsum(ended[::-1])[::-1].astype(np.float64))
--- /dev/null
+++ b/benchmarks/health.py
@@ -0,0 +1,310 @@
+"""Measure detection time against false ejections over the threshold.
+
+Run as ``python -m benchmarks.health``; all figures are of virtual time and seeded.
+"""
+
+import argparse
+import json
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+from pathlib import Path
+from random import Random
+from typing import Any, Final
+
+from benchmarks.false_alarms import FalseAlarms, count_false_alarms
+from benchmarks.health_trial import (
+    HEALTHY_ERROR_RATE,
+    MEAN_WORK_MS,
+    Behaviour,
+    FiveErrors,
+    HealthTrial,
+    Watcher,
+    failing,
+    flapping,
+    healthy,
+    make_targets,
+    silent,
+    since,
+    slow,
+)
+from crocusspindle.core.health import GroupHealth
+from crocusspindle.core.health_state import Ejected, HealthSettings, Sample
+
+ROOT: Final = Path(__file__).parents[1]
+BOUNDS_PATH: Final = ROOT / "benchmarks" / "bounds" / "health.json"
+FIGURE_PATH: Final = ROOT / "docs" / "figures" / "health.png"
+LOAD: Final = 0.7
+WARM_MS: Final = 8_000.0
+WATCH_MS: Final = 20_000.0
+DAY_S: Final = 86_400.0
+THRESHOLDS_NATS: Final = (10.0, 12.0, 14.0, 16.0, 18.0, 20.0, 24.0)
+FIVE_ERRORS: Final = "five errors"
+
+
+@dataclass(frozen=True)
+class Group:
+    """Describe the targets of one service of today."""
+
+    name: str
+    targets: int
+    slots: int
+    seeds: int
+
+    @property
+    def requests_per_day(self) -> float:
+        """Return the requests of a day at the load of the benchmark."""
+        return DAY_S * 1e3 * LOAD * self.targets * self.slots / MEAN_WORK_MS
+
+
+GROUPS: Final = (
+    Group("katalog", 8, 2, 30),
+    Group("bayaran", 15, 2, 12),
+    Group("galeri", 8, 2, 12),
+    Group("schedule-desk", 10, 6, 4),
+    Group("order-desk", 15, 6, 3),
+    Group("depot-records", 6, 6, 6),
+)
+FAULTS: Final[dict[str, Behaviour]] = {
+    "fails 10 %": failing(0.1),
+    "fails 30 %": failing(0.3),
+    "fails 100 %": failing(1.0),
+    "slow x5": slow(5.0),
+    "silent": silent,
+}
+
+
+def settings_at(threshold_nats: float) -> HealthSettings:
+    """Return the default settings at another threshold."""
+    return replace(HealthSettings(), threshold_nats=threshold_nats)
+
+
+def watch_fault(
+    group: Group, bad: Behaviour, seed: int, thresholds_nats: Iterable[float]
+) -> dict[str, float]:
+    """Return the detection time by each threshold and by five errors in a row."""
+    trial = HealthTrial.from_config(
+        group.targets,
+        group.slots,
+        load=LOAD,
+        seed=seed,
+        settings=settings_at(1e9),
+    )
+    gray = trial.targets[0].target
+    trial.behaviours[gray] = since(WARM_MS, bad)
+    for nats in thresholds_nats:
+        judge = GroupHealth.from_config(settings_at(nats), 0.5)
+        judge.set_targets(trial.targets, 0.0)
+        trial.watchers[f"{nats:g}"] = Watcher(judge)
+    trial.watchers[FIVE_ERRORS] = FiveErrors()
+    end_ms = WARM_MS
+    while end_ms < WARM_MS + WATCH_MS:
+        end_ms += 500.0
+        trial.run_until(end_ms)
+        if all(gray in watcher.ejected_ms for watcher in trial.watchers.values()):
+            break
+        judges = [w for name, w in trial.watchers.items() if name != FIVE_ERRORS]
+        done = all(gray in watcher.ejected_ms for watcher in judges)
+        if done and end_ms >= WARM_MS + 5_000.0:
+            break
+    return {
+        name: watcher.ejected_ms.get(gray, float("inf")) - WARM_MS
+        for name, watcher in trial.watchers.items()
+    }
+
+
+def quantile(values: list[float], part: float) -> float:
+    """Return the smallest value with at least this part at or below it."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
+
+
+def detection_times(
+    group: Group, fault: str, thresholds_nats: Iterable[float]
+) -> dict[str, dict[str, float]]:
+    """Return the median and the 95th percentile of detection, by threshold."""
+    bad = FAULTS[fault]
+    nats = tuple(thresholds_nats)
+    runs = [watch_fault(group, bad, seed, nats) for seed in range(group.seeds)]
+    return {
+        name: {
+            "p50_ms": quantile([run[name] for run in runs], 0.5),
+            "p95_ms": quantile([run[name] for run in runs], 0.95),
+        }
+        for name in runs[0]
+    }
+
+
+def five_errors_mean_s(rate: float, requests_per_s: float) -> float:
+    """Return the mean time to five errors in a row, by the geometric run formula."""
+    return (1.0 - rate**5) / (rate**5 * (1.0 - rate)) / requests_per_s
+
+
+def count_judged_alarms(threshold_nats: float, samples: int) -> int:
+    """Return the false ejections by the real judge on healthy work."""
+    rng = Random(7)
+    targets = make_targets(8, 2)
+    judge = GroupHealth.from_config(settings_at(threshold_nats), 0.0)
+    judge.set_targets(targets, 0.0)
+    now_ms, alarms, tick_ms = 0.0, 0, 0.0
+    for _ in range(samples):
+        now_ms += rng.expovariate(8 * 2 * LOAD / MEAN_WORK_MS)
+        outcome, latency_ms = healthy(rng, now_ms)
+        target = targets[rng.randrange(8)]
+        changes = judge.observe(Sample(target.target, outcome, latency_ms), now_ms)
+        if any(isinstance(change, Ejected) for change in changes):
+            alarms += 1
+            # A fresh start, or the ejected target's peers alone would be counted.
+            judge.set_targets([t for t in targets if t is not target], now_ms)
+            judge.set_targets(targets, now_ms)
+        if now_ms >= tick_ms:
+            tick_ms = now_ms + 100.0
+            judge.tick(now_ms)
+    return alarms
+
+
+def measure_flapping(seed: int) -> dict[str, float]:
+    """Return how much a target, bad for 5 s in 10, fails of two minutes' work."""
+    result = {}
+    for name, nats in (("judged", HealthSettings().threshold_nats), ("never", 1e9)):
+        trial = HealthTrial.from_config(8, 2, seed=seed, settings=settings_at(nats))
+        gray = trial.targets[0].target
+        trial.behaviours[gray] = flapping(WARM_MS, 5_000.0, failing(1.0))
+        trial.run_until(WARM_MS + 120_000.0)
+        result[f"{name}_failed"] = trial.failures / trial.works
+        result[f"{name}_ejections"] = float(len(trial.times(Ejected, gray)))
+        if nats < 1e9:
+            result["first_ms"] = (trial.first(Ejected, gray) or 0.0) - WARM_MS
+    return result
+
+
+def measure(samples: int) -> dict[str, Any]:
+    """Return all figures."""
+    chosen = HealthSettings().threshold_nats
+    alarms = count_false_alarms(samples, 1, HEALTHY_ERROR_RATE, HealthSettings())
+    detection: dict[str, Any] = {}
+    for group in GROUPS:
+        # The whole curve at one service; the chosen point at the others.
+        curve = THRESHOLDS_NATS if group.name == "katalog" else (chosen,)
+        detection[group.name] = {
+            fault: detection_times(group, fault, curve) for fault in FAULTS
+        }
+    judged = {
+        f"{nats:g}": {
+            "judged": count_judged_alarms(nats, 300_000),
+            "counted": alarms.per_samples(nats, 300_000),
+        }
+        for nats in (6.0, 8.0)
+    }
+    return {
+        "threshold_nats": chosen,
+        "healthy_samples": alarms.samples,
+        "false_per_day": {group.name: false_per_day(group, alarms) for group in GROUPS},
+        "detection": detection,
+        "judged_alarms": judged,
+        "flapping": measure_flapping(1),
+        "five_errors_mean_s": {
+            f"{rate:g}": five_errors_mean_s(rate, 28.0) for rate in (0.1, 0.3)
+        },
+    }
+
+
+def false_per_day(group: Group, alarms: FalseAlarms) -> dict[str, dict[str, float]]:
+    """Return the false ejections a day, seen and at most, by threshold."""
+    day = group.requests_per_day
+    return {
+        f"{nats:g}": {
+            "seen": alarms.per_samples(nats, day),
+            "at_most": alarms.at_most_per_samples(nats, day),
+        }
+        for nats in THRESHOLDS_NATS
+    }
+
+
+def print_table(figures: Mapping[str, Any]) -> None:
+    """Print detection and false ejections."""
+    print("service        fault        threshold    p50 ms   p95 ms")
+    for name, faults in figures["detection"].items():
+        for fault, by_threshold in faults.items():
+            for nats, times in by_threshold.items():
+                print(
+                    f"{name:<14} {fault:<12} {nats:<11}"
+                    f" {times['p50_ms']:8.0f} {times['p95_ms']:8.0f}"
+                )
+    print("\nservice        threshold  false ejections a day   at most (95 %)")
+    for name, by_threshold in figures["false_per_day"].items():
+        for nats, rate in by_threshold.items():
+            print(f"{name:<14} {nats:<9} {rate['seen']:18.3f} {rate['at_most']:18.3f}")
+    for key in ("judged_alarms", "flapping", "five_errors_mean_s"):
+        print(f"\n{key}: {json.dumps(figures[key])}")
+
+
+def plot(figures: Mapping[str, Any], path: Path) -> None:
+    """Draw detection time and false ejections over the threshold."""
+    import matplotlib  # noqa: PLC0415 - only the plot needs it
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot  # noqa: PLC0415
+
+    figure, axes = pyplot.subplots(figsize=(8, 5))
+    for fault, by_threshold in figures["detection"]["katalog"].items():
+        times = [by_threshold[f"{n:g}"]["p95_ms"] / 1e3 for n in THRESHOLDS_NATS]
+        axes.plot(THRESHOLDS_NATS, times, marker="o", label=f"{fault}, p95")
+    axes.set_xlabel("threshold (nats)")
+    axes.set_ylabel("detection (s)")
+    axes.axvline(figures["threshold_nats"], color="grey", linestyle=":")
+    axes.legend(loc="upper left")
+    right = axes.twinx()
+    for name in ("bayaran", "order-desk"):
+        rates = figures["false_per_day"][name]
+        right.semilogy(
+            THRESHOLDS_NATS,
+            [rates[f"{n:g}"]["seen"] or None for n in THRESHOLDS_NATS],
+            linestyle="--",
+            label=f"{name}, false a day",
+        )
+    right.set_ylabel("false ejections a service-day")
+    right.legend(loc="upper right")
+    path.parent.mkdir(parents=True, exist_ok=True)
+    figure.savefig(path, dpi=90, metadata={"Software": None})
+
+
+def check() -> list[str]:
+    """Return what breaks the committed bounds, on a quick part of the figures."""
+    bounds = json.loads(BOUNDS_PATH.read_text())
+    chosen = HealthSettings().threshold_nats
+    katalog = replace(GROUPS[0], seeds=10)
+    broken = []
+    for fault, bound_ms in bounds["katalog_p95_ms"].items():
+        times = detection_times(katalog, fault, [chosen])
+        p95_ms = times[f"{chosen:g}"]["p95_ms"]
+        if p95_ms > bound_ms:
+            broken.append(f"katalog {fault}: p95 {p95_ms:.0f} ms > {bound_ms} ms")
+    alarms = count_false_alarms(100_000_000, 2, HEALTHY_ERROR_RATE, HealthSettings())
+    for name, bound in bounds["false_per_day"].items():
+        group = next(g for g in GROUPS if g.name == name)
+        seen = alarms.per_samples(chosen, group.requests_per_day)
+        if seen > bound:
+            broken.append(f"{name}: {seen:.2f} false ejections a day > {bound}")
+    return broken
+
+
+def main() -> None:
+    """Measure, print, and write what the arguments name."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--output", type=Path)
+    parser.add_argument("--check", action="store_true")
+    parser.add_argument("--samples", type=int, default=500_000_000)
+    arguments = parser.parse_args()
+    if arguments.check:
+        broken = check()
+        print("\n".join(broken) or "health: within bounds")
+        raise SystemExit(bool(broken))
+    figures = measure(arguments.samples)
+    print_table(figures)
+    if arguments.output:
+        arguments.output.write_text(json.dumps(figures, indent=2) + "\n")
+    plot(figures, FIGURE_PATH)
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/health_trial.py
+++ b/benchmarks/health_trial.py
@@ -6,12 +6,14 @@
 
 import heapq
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from random import Random
 
+from crocusspindle.core.evidence import FAILURES
 from crocusspindle.core.health import GroupHealth
 from crocusspindle.core.health_state import (
+    Ejected,
     HealthChange,
     HealthSettings,
     Outcome,
@@ -84,6 +86,54 @@
     ]
 
 
+class Watcher:
+    """Watch the work that another judge places, and note its first ejections."""
+
+    def __init__(self, judge: GroupHealth) -> None:
+        self.judge = judge
+        self.ejected_ms: dict[TargetId, float] = {}
+
+    def observe(self, sample: Sample, now_ms: float) -> None:
+        """Pass one ended sending on."""
+        self.note(self.judge.observe(sample, now_ms), now_ms)
+
+    def note(self, changes: list[HealthChange], now_ms: float) -> None:
+        """Note ejections; a target that cannot be heard is dead elsewhere, too."""
+        for change in changes:
+            if isinstance(change, Ejected):
+                self.ejected_ms.setdefault(change.target, now_ms)
+            elif isinstance(change, SecondOpinionWanted):
+                answered = self.judge.second_opinion(change.target, False, now_ms)
+                self.note(answered, now_ms)
+
+    def tick(self, running: Mapping[TargetId, dict[int, float]], now_ms: float) -> None:
+        """Pass the tick and the ages of outstanding requests on."""
+        self.note(self.judge.tick(now_ms), now_ms)
+        for target, begun in running.items():
+            ages_ms = [now_ms - at_ms for at_ms in begun.values()]
+            self.note(self.judge.outstanding(target, ages_ms, now_ms), now_ms)
+
+
+class FiveErrors(Watcher):
+    """Eject on five errors in a row, the baseline."""
+
+    def __init__(self) -> None:
+        self.ejected_ms = {}
+        self._in_a_row: dict[TargetId, int] = {}
+
+    def observe(self, sample: Sample, now_ms: float) -> None:
+        """Count errors in a row."""
+        in_a_row = self._in_a_row.get(sample.target, 0) + 1
+        if sample.outcome not in FAILURES:
+            in_a_row = 0
+        self._in_a_row[sample.target] = in_a_row
+        if in_a_row >= 5:
+            self.ejected_ms.setdefault(sample.target, now_ms)
+
+    def tick(self, running: Mapping[TargetId, dict[int, float]], now_ms: float) -> None:
+        """Do nothing: only ended requests count."""
+
+
 @dataclass
 class HealthTrial:
     """Drive a judge with the work of one group and note what it decides."""
@@ -96,6 +146,7 @@
     reached_elsewhere: bool = False
     now_ms: float = 0.0
     changes: list[tuple[float, HealthChange]] = field(default_factory=list)
+    watchers: dict[str, "Watcher"] = field(default_factory=dict)
     failures: int = 0
     works: int = 0
 
@@ -176,6 +227,8 @@
         for target, begun in self._running.items():
             ages_ms = [self.now_ms - at_ms for at_ms in begun.values()]
             self._note(self.judge.outstanding(target, ages_ms, self.now_ms))
+        for watcher in self.watchers.values():
+            watcher.tick(self._running, self.now_ms)
         # Nobody waits longer than his deadline.
         while self._queue and self._queue[0] < self.now_ms - TIMEOUT_MS:
             self._queue.popleft()
@@ -219,6 +272,8 @@
             self.failures += outcome is not Outcome.OK
             sample = Sample(target, outcome, latency_ms)
             self._note(self.judge.observe(sample, self.now_ms))
+            for watcher in self.watchers.values():
+                watcher.observe(sample, self.now_ms)
             self._place()
 
         self._at(self.now_ms + latency_ms, end)
