--- /dev/null
+++ b/benchmarks/virtual.py
@@ -0,0 +1,371 @@
+"""Drive the deciding core in virtual time.
+
+An event heap, targets that run, shed, fail, slow down or fall silent, and a driver
+that carries out a home's decisions. Everything is seeded, so that two runs give the
+same figures on any machine.
+"""
+
+import random
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+from heapq import heappop, heappush
+from itertools import count
+
+from crocusspindle.core.home import (
+    Arrival,
+    AttemptEnd,
+    Cancel,
+    Decision,
+    Dispatch,
+    Fail,
+    Finish,
+    Home,
+    Outcome,
+)
+from crocusspindle.core.model import Target
+from crocusspindle.ids import (
+    AttemptId,
+    CustomerId,
+    DomainId,
+    RequestId,
+    ServiceId,
+    TargetId,
+)
+
+
+class EventLoop:
+    """Run callbacks in the order of their virtual times."""
+
+    def __init__(self) -> None:
+        self.now_ms = 0.0
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = count()
+
+    def at(self, when_ms: float, callback: Callable[[], None]) -> None:
+        """Run the callback at a time, now if that has passed."""
+        due_ms = max(when_ms, self.now_ms)
+        heappush(self._heap, (due_ms, next(self._sequence), callback))
+
+    def after(self, delay_ms: float, callback: Callable[[], None]) -> None:
+        """Run the callback after a delay."""
+        self.at(self.now_ms + delay_ms, callback)
+
+    def run(self, until_ms: float = float("inf")) -> None:
+        """Run until nothing is left or the time is reached."""
+        while self._heap and self._heap[0][0] <= until_ms:
+            self.now_ms, _, callback = heappop(self._heap)
+            callback()
+
+
+class Verdict(Enum):
+    """Tell what a caller was answered."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """Follow one request from its caller's side."""
+
+    request: RequestId
+    customer: CustomerId
+    arrived_ms: float
+    deadline_ms: float
+    work_ms: float
+    weight: float = 1.0
+    idempotent: bool = True
+    verdict: Verdict | None = None
+    answered_ms: float = 0.0
+    work_began_ms: float | None = None
+    retry_at_ms: float = 0.0
+    sent: int = 0
+    executions: int = 0
+    done: Callable[["Job"], None] | None = None
+
+    @property
+    def in_time(self) -> bool:
+        """Return True if the caller got its answer before the deadline."""
+        answered = self.verdict is Verdict.ANSWERED
+        return answered and self.answered_ms <= self.deadline_ms
+
+    @property
+    def wait_ms(self) -> float:
+        """Return how long the work waited before it began."""
+        assert self.work_began_ms is not None
+        return self.work_began_ms - self.arrived_ms
+
+
+@dataclass(slots=True, eq=False)
+class _Work:
+    job: Job
+    report: Callable[[AttemptEnd], None]
+    over: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class VirtualTarget:
+    """Run work on a number of slots, with the faults that the fields name."""
+
+    loop: EventLoop
+    target: Target
+    slots: int
+    generator: random.Random
+    queues_inside: bool = False
+    slowness: float = 1.0
+    fail_fraction: float = 0.0
+    mute: bool = False
+    overruns: int = 0
+    busy: int = 0
+    executions: int = 0
+    waiting: deque[_Work] = field(default_factory=deque)
+
+    def accept(self, job: Job, report: Callable[[AttemptEnd], None]) -> _Work:
+        """Begin, queue or shed a request; ``report`` hears how it ended."""
+        work = _Work(job, report)
+        if self.busy < self.slots:
+            self._begin(work)
+            return work
+        self.overruns += 1
+        if self.queues_inside:
+            self.waiting.append(work)
+        else:
+            report(AttemptEnd.SHED)
+        return work
+
+    def cancel(self, work: _Work) -> None:
+        """Abort work and free its slot."""
+        if work in self.waiting:
+            self.waiting.remove(work)
+        elif not work.over:
+            work.over = True
+            self._free()
+
+    def _begin(self, work: _Work) -> None:
+        self.busy += 1
+        self.executions += 1
+        work.job.executions += 1
+        work.job.work_began_ms = self.loop.now_ms
+        if not self.mute:
+            fails = self.generator.random() < self.fail_fraction
+            end = AttemptEnd.FAILED if fails else AttemptEnd.ANSWERED
+            work_ms = work.job.work_ms * self.slowness
+            self.loop.after(work_ms, lambda: self._end(work, end))
+
+    def _end(self, work: _Work, end: AttemptEnd) -> None:
+        if work.over:
+            return
+        work.over = True
+        self._free()
+        work.report(end)
+
+    def _free(self) -> None:
+        self.busy -= 1
+        if self.waiting:
+            self._begin(self.waiting.popleft())
+
+
+@dataclass(slots=True, eq=False)
+class _Sent:
+    job: Job
+    sent_ms: float
+    target: VirtualTarget
+    work: _Work | None = None
+    over: bool = False
+
+
+class HomeDriver:
+    """Carry out a home's decisions over virtual targets."""
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        home: Home,
+        targets: Iterable[VirtualTarget],
+        entry_hop_ms: float = 0.0,
+        target_hop_ms: float = 0.0,
+    ) -> None:
+        self._loop = loop
+        self.home = home
+        self.targets = {each.target.target: each for each in targets}
+        self._entry_hop_ms = entry_hop_ms
+        self._target_hop_ms = target_hop_ms
+        self._jobs: dict[RequestId, Job] = {}
+        self._sent: dict[AttemptId, _Sent] = {}
+        self._tick_at_ms: float | None = None
+        home.set_targets([each.target for each in self.targets.values()], loop.now_ms)
+
+    def submit(self, jobs: Iterable[Job]) -> None:
+        """Let each job arrive at its time."""
+        for job in jobs:
+            self._loop.at(
+                job.arrived_ms + self._entry_hop_ms,
+                lambda job=job: self._arrive(job),  # type: ignore[misc]
+            )
+
+    def _arrive(self, job: Job) -> None:
+        self._jobs[job.request] = job
+        arrival = Arrival(
+            request=job.request,
+            customer=job.customer,
+            weight=job.weight,
+            deadline_ms=job.deadline_ms - self._entry_hop_ms,
+            idempotent=job.idempotent,
+            may_hedge=job.idempotent,
+        )
+        self.carry_out(self.home.arrive(arrival, self._loop.now_ms))
+
+    def carry_out(self, decisions: Iterable[Decision]) -> None:
+        """Carry out decisions and keep the home's next tick."""
+        for decision in decisions:
+            if isinstance(decision, Dispatch):
+                self._dispatch(decision)
+            elif isinstance(decision, Cancel):
+                self._cancel(decision.attempt)
+            else:
+                self._answer(decision)
+        due_ms = self.home.next_tick_ms()
+        if due_ms is not None and (self._tick_at_ms or float("inf")) > due_ms:
+            self._tick_at_ms = due_ms
+            self._loop.at(due_ms, self._tick)
+
+    def _tick(self) -> None:
+        self._tick_at_ms = None
+        self.carry_out(self.home.tick(self._loop.now_ms))
+
+    def _dispatch(self, decision: Dispatch) -> None:
+        job = self._jobs[decision.request]
+        job.sent += 1
+        attempt = decision.attempt
+        sent = _Sent(job, self._loop.now_ms, self.targets[decision.target])
+        self._sent[attempt] = sent
+        self._loop.after(self._target_hop_ms, lambda: self._reach(attempt, sent))
+        self._loop.at(decision.deadline_ms, lambda: self._time_out(attempt, sent))
+
+    def _reach(self, attempt: AttemptId, sent: _Sent) -> None:
+        if sent.over:
+            return
+
+        def report(end: AttemptEnd) -> None:
+            self._loop.after(
+                self._target_hop_ms, lambda: self._ended(attempt, sent, end)
+            )
+
+        sent.work = sent.target.accept(sent.job, report)
+
+    def _ended(self, attempt: AttemptId, sent: _Sent, end: AttemptEnd) -> None:
+        if sent.over:
+            return
+        sent.over = True
+        now_ms = self._loop.now_ms
+        latency_ms = now_ms - sent.sent_ms
+        self.carry_out(self.home.ended(attempt, end, latency_ms, now_ms))
+
+    def _time_out(self, attempt: AttemptId, sent: _Sent) -> None:
+        if not sent.over:
+            self._cancel(attempt)
+
+    def _cancel(self, attempt: AttemptId) -> None:
+        sent = self._sent.pop(attempt)
+        if sent.work is not None:
+            sent.target.cancel(sent.work)
+        self._loop.after(0.0, lambda: self._ended(attempt, sent, AttemptEnd.SILENT))
+
+    def _answer(self, decision: Decision) -> None:
+        assert not isinstance(decision, Dispatch | Cancel)
+        job = self._jobs.pop(decision.request)
+        job.answered_ms = self._loop.now_ms + self._entry_hop_ms
+        if isinstance(decision, Finish):
+            job.verdict = Verdict.ANSWERED
+        else:
+            job.retry_at_ms = decision.retry_at_ms
+            job.verdict = Verdict.REFUSED
+        if isinstance(decision, Fail):
+            not_run = decision.outcome is Outcome.NOT_RUN
+            job.verdict = Verdict.NOT_RUN if not_run else Verdict.UNKNOWN
+        if job.done is not None:
+            job.done(job)
+
+
+class ConstantFitness:
+    """Trust every target."""
+
+    def weight(self, target: TargetId, now_ms: float) -> float:
+        """Return 1."""
+        return 1.0
+
+    def wants_trial(self, target: TargetId, now_ms: float) -> bool:
+        """Return False."""
+        return False
+
+
+def make_targets(
+    loop: EventLoop, number: int, slots: int, generator: random.Random
+) -> list[VirtualTarget]:
+    """Return healthy targets spread over four failure domains."""
+    return [
+        VirtualTarget(
+            loop,
+            Target(
+                TargetId(f"10.0.0.{index}:80"),
+                ServiceId("katalog"),
+                DomainId(f"domain-{index % 4}"),
+                slots,
+            ),
+            slots,
+            generator,
+        )
+        for index in range(number)
+    ]
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """Describe the Poisson arrivals of one customer."""
+
+    customer: CustomerId
+    rate_per_s: float
+    weight: float
+    patience_ms: float = 1_000.0
+    idempotent: bool = True
+
+
+def make_jobs(
+    demands: Iterable[Demand],
+    until_ms: float,
+    work_ms: Callable[[random.Random], float],
+    generator: random.Random,
+) -> list[Job]:
+    """Return the jobs of all customers in order of arrival."""
+    jobs: list[Job] = []
+    for demand in demands:
+        now_ms = generator.expovariate(demand.rate_per_s) * 1_000.0
+        while now_ms < until_ms:
+            jobs.append(
+                Job(
+                    RequestId(0),
+                    demand.customer,
+                    now_ms,
+                    now_ms + demand.patience_ms,
+                    work_ms(generator),
+                    demand.weight,
+                    demand.idempotent,
+                )
+            )
+            now_ms += generator.expovariate(demand.rate_per_s) * 1_000.0
+    jobs.sort(key=lambda job: job.arrived_ms)
+    for number, job in enumerate(jobs, start=1):
+        job.request = RequestId(number)
+    return jobs
+
+
+def quantile(values: Iterable[float], fraction: float) -> float:
+    """Return a quantile by rank, 0 without values."""
+    ordered = sorted(values)
+    if not ordered:
+        return 0.0
+    return ordered[min(int(fraction * len(ordered)), len(ordered) - 1)]
