--- a/benchmarks/virtual.py
+++ b/benchmarks/virtual.py
@@ -95,7 +95,7 @@
 
     @property
     def wait_ms(self) -> float:
-        """Return how long the work waited before it began."""
+        """Return how long the work waited before it first began."""
         assert self.work_began_ms is not None
         return self.work_began_ms - self.arrived_ms
 
@@ -149,7 +149,8 @@
         self.busy += 1
         self.executions += 1
         work.job.executions += 1
-        work.job.work_began_ms = self.loop.now_ms
+        if work.job.work_began_ms is None:
+            work.job.work_began_ms = self.loop.now_ms
         if not self.mute:
             fails = self.generator.random() < self.fail_fraction
             end = AttemptEnd.FAILED if fails else AttemptEnd.ANSWERED
@@ -231,9 +232,11 @@
         due_ms = self.home.next_tick_ms()
         if due_ms is not None and (self._tick_at_ms or float("inf")) > due_ms:
             self._tick_at_ms = due_ms
-            self._loop.at(due_ms, self._tick)
+            self._loop.at(due_ms, lambda: self._tick(due_ms))
 
-    def _tick(self) -> None:
+    def _tick(self, due_ms: float) -> None:
+        if self._tick_at_ms != due_ms:
+            return
         self._tick_at_ms = None
         self.carry_out(self.home.tick(self._loop.now_ms))
 
