Measure queueing in virtual time against FIFO, entry picks and the optimum

The weight orders targets and no longer scales their slots, as health asks: scaled slots would take doubtful capacity from a service below its floor.

--- /dev/null
+++ b/benchmarks/queueing.py
@@ -0,0 +1,309 @@
+"""Measure queueing, refusal, placement, retries and hedges in virtual time.
+
+``python -m benchmarks.queueing --output FILE`` writes all figures; ``check`` holds
+a shorter run against the bounds. Only the processor time depends on the machine.
+"""
+
+import json
+import random
+import time
+from dataclasses import replace
+from pathlib import Path
+from typing import Final
+
+import fire
+
+from benchmarks.queueing_ways import EntryPicker, serve_by_one_queue
+from benchmarks.virtual import (
+    ConstantFitness,
+    Demand,
+    EventLoop,
+    HomeDriver,
+    Job,
+    Verdict,
+    VirtualTarget,
+    make_jobs,
+    make_targets,
+    quantile,
+)
+from crocusspindle.core.home import Home, HomeSettings
+from crocusspindle.ids import CustomerId
+
+Figures = dict[str, dict[str, float]]
+
+SEED: Final = 20_261_202
+BOUNDS: Final = Path(__file__).parent / "bounds" / "queueing.json"
+_TARGETS: Final = 8
+_SLOTS: Final = 2
+_WORK_MS: Final = 50.0
+_CAPACITY_PER_S: Final = _TARGETS * _SLOTS * 1_000.0 / _WORK_MS
+_RATES_PER_S: Final = (80.0, 60.0, 40.0, 20.0, 10.0, 5.0, 2.0, 1.0)
+"""Eight customers, a few large, together 68 % of the capacity."""
+_ENTRIES: Final = 40
+_HOP_MS: Final = 1.5
+_WARM_UP_MS: Final = 5_000.0
+_LARGEST: Final = CustomerId("customer-0")
+
+
+def exponential_work(generator: random.Random) -> float:
+    """Return the work of a request, exponential with a mean of 50 ms."""
+    return generator.expovariate(1.0 / _WORK_MS)
+
+
+def mixed_work(generator: random.Random) -> float:
+    """Return 20 ms of work, or for one request in ten 320 ms."""
+    return 320.0 if generator.random() < 0.1 else 20.0
+
+
+def demands(scale: float = 1.0, patience_ms: float = 1_000.0) -> list[Demand]:
+    """Return the demand of the customers at a multiple of their rates."""
+    return [
+        Demand(CustomerId(f"customer-{index}"), rate * scale, rate, patience_ms)
+        for index, rate in enumerate(_RATES_PER_S)
+    ]
+
+
+def five_times_neighbour() -> list[Demand]:
+    """Return the demand in which the largest customer sends five times its rate."""
+    largest, *others = demands()
+    return [replace(largest, rate_per_s=5.0 * largest.rate_per_s), *others]
+
+
+def make_driver(
+    settings: HomeSettings = HomeSettings(),  # noqa: B008
+    entry_hop_ms: float = _HOP_MS,
+    target_hop_ms: float = 0.0,
+) -> tuple[EventLoop, HomeDriver, list[VirtualTarget]]:
+    """Return a home over healthy targets."""
+    loop = EventLoop()
+    targets = make_targets(loop, _TARGETS, _SLOTS, random.Random(SEED + 1))
+    home = Home.from_config(settings, ConstantFitness(), random.Random(SEED + 2))
+    driver = HomeDriver(loop, home, targets, entry_hop_ms, target_hop_ms)
+    return loop, driver, targets
+
+
+def serve(
+    demand: list[Demand],
+    seconds: float,
+    fair: bool = True,
+    settings: HomeSettings = HomeSettings(),  # noqa: B008
+) -> list[Job]:
+    """Serve a demand by a home; without ``fair`` all customers share one line."""
+    jobs = make_jobs(demand, seconds * 1_000.0, exponential_work, random.Random(SEED))
+    customers = [job.customer for job in jobs]
+    if not fair:
+        for job in jobs:
+            job.customer = CustomerId("all")
+            job.weight = 1.0
+    loop, driver, _ = make_driver(settings)
+    driver.submit(jobs)
+    loop.run()
+    for job, customer in zip(jobs, customers, strict=True):
+        job.customer = customer
+    return jobs
+
+
+def by_customer(jobs: list[Job]) -> dict[CustomerId, list[Job]]:
+    """Return each customer's jobs after the warm-up."""
+    grouped: dict[CustomerId, list[Job]] = {}
+    for job in jobs:
+        if job.arrived_ms >= _WARM_UP_MS:
+            grouped.setdefault(job.customer, []).append(job)
+    return grouped
+
+
+def share_in_time(jobs: list[Job]) -> float:
+    """Return the part of the jobs that was answered in time."""
+    return sum(job.in_time for job in jobs) / max(len(jobs), 1)
+
+
+def response_p99_ms(jobs: list[Job]) -> float:
+    """Return the 99th percentile of the response times of answered jobs."""
+    answered = [job for job in jobs if job.verdict is Verdict.ANSWERED]
+    return quantile((job.answered_ms - job.arrived_ms for job in answered), 0.99)
+
+
+def describe_customers(jobs: list[Job], without: CustomerId | None) -> dict[str, float]:
+    """Return how the worst-served customer fares, and all together."""
+    grouped = by_customer(jobs)
+    chosen = [jobs for customer, jobs in grouped.items() if customer != without]
+    counted = [job for group in chosen for job in group]
+    return {
+        "requests": float(len(counted)),
+        "worst_share_in_time": min(share_in_time(group) for group in chosen),
+        "share_in_time": share_in_time(counted),
+        "worst_p99_ms": max(response_p99_ms(group) for group in chosen),
+        "all_in_time": share_in_time(
+            [job for group in grouped.values() for job in group]
+        ),
+    }
+
+
+def measure_fairness(seconds: float) -> Figures:
+    """Compare fair queueing with first in, first out."""
+    figures: Figures = {}
+    for name, demand, without in (
+        ("five_times", five_times_neighbour(), _LARGEST),
+        ("shortage", demands(_CAPACITY_PER_S / 0.7 / sum(_RATES_PER_S)), None),
+    ):
+        for way, fair in (("fifo", False), ("home", True)):
+            jobs = serve(demand, seconds, fair)
+            figures[f"{name}_{way}"] = describe_customers(jobs, without)
+    return figures
+
+
+def describe_waiting(
+    jobs: list[Job], targets: list[VirtualTarget], hops_ms: float = 0.0
+) -> dict[str, float]:
+    """Return what requests waited and how often a target was over its slots."""
+    waits = [max(0.0, job.answered_ms - job.arrived_ms - job.work_ms) for job in jobs]
+    return {
+        "mean_wait_ms": sum(waits) / len(waits),
+        "p99_wait_ms": quantile(waits, 0.99),
+        "mean_wait_without_hops_ms": sum(waits) / len(waits) - hops_ms,
+        "overruns_per_request": sum(each.overruns for each in targets) / len(jobs),
+        "sent_per_request": sum(job.sent for job in jobs) / len(jobs),
+    }
+
+
+def slot_jobs(load: float, seconds: float) -> list[Job]:
+    """Return patient jobs of equal customers at a part of the capacity."""
+    rate = load * _CAPACITY_PER_S / 8.0
+    demand = [Demand(CustomerId(f"c{n}"), rate, 1.0, 60_000.0) for n in range(8)]
+    return make_jobs(demand, seconds * 1_000.0, exponential_work, random.Random(SEED))
+
+
+def place_by_home(
+    load: float, seconds: float, settings: HomeSettings, target_hop_ms: float = 0.0
+) -> dict[str, float]:
+    """Measure waiting with a home; the hop to it is counted both ways."""
+    jobs = slot_jobs(load, seconds)
+    loop, driver, targets = make_driver(settings, target_hop_ms=target_hop_ms)
+    driver.submit(jobs)
+    loop.run()
+    return describe_waiting(jobs, targets, 2.0 * (_HOP_MS + target_hop_ms))
+
+
+def place_by_entries(load: float, seconds: float, queues: bool) -> dict[str, float]:
+    """Measure waiting with picks from each entry, which has no hop to a home."""
+    jobs = slot_jobs(load, seconds)
+    loop = EventLoop()
+    targets = make_targets(loop, _TARGETS, _SLOTS, random.Random(SEED + 1))
+    for target in targets:
+        target.queues_inside = queues
+    generator = random.Random(SEED + 3)
+    EntryPicker(loop, targets, _ENTRIES, 0.0, generator).submit(jobs)
+    loop.run()
+    return describe_waiting(jobs, targets)
+
+
+def place_at_best(load: float, seconds: float) -> dict[str, float]:
+    """Measure waiting with one queue that knows all and costs nothing."""
+    jobs = slot_jobs(load, seconds)
+    serve_by_one_queue(jobs, _TARGETS * _SLOTS)
+    return describe_waiting(jobs, [])
+
+
+def measure_slots(loads: tuple[float, ...], seconds: float) -> Figures:
+    """Compare ways of placing over slots."""
+    figures: Figures = {}
+    for load in loads:
+        percent = round(load * 100)
+        best = place_at_best(load, seconds)
+        no_hedges = HomeSettings(hedge_fraction=0.0)
+        ways = {
+            "optimum": best,
+            "home": place_by_home(load, seconds, HomeSettings()),
+            "home_no_hedges": place_by_home(load, seconds, no_hedges),
+            "home_far_targets": place_by_home(load, seconds, HomeSettings(), 0.75),
+            "entries_queue": place_by_entries(load, seconds, queues=True),
+            "entries_shed": place_by_entries(load, seconds, queues=False),
+        }
+        for way, found in ways.items():
+            found["to_optimum"] = found["mean_wait_ms"] / best["mean_wait_ms"]
+            found["to_optimum_without_hops"] = (
+                found["mean_wait_without_hops_ms"] / best["mean_wait_ms"]
+            )
+            figures[f"load_{percent}_{way}"] = found
+    return figures
+
+
+def measure_faults(seconds: float) -> Figures:
+    """Measure one bad target and total failure with retries and hedges on and off."""
+    figures: Figures = {}
+    plain = HomeSettings(retry_fraction=0.0, hedge_fraction=0.0, max_attempts=1)
+    for way, settings in (("off", plain), ("on", HomeSettings())):
+        for fault in ("slow", "mute", "failing", "all_failing"):
+            jobs = make_jobs(
+                demands(), seconds * 1_000.0, exponential_work, random.Random(SEED)
+            )
+            loop, driver, targets = make_driver(settings)
+            targets[0].slowness = 5.0 if fault == "slow" else 1.0
+            targets[0].mute = fault == "mute"
+            targets[0].fail_fraction = 0.3 if fault == "failing" else 0.0
+            if fault == "all_failing":
+                for target in targets:
+                    target.fail_fraction = 1.0
+            driver.submit(jobs)
+            loop.run()
+            found = describe_customers(jobs, None)
+            found["sent_per_request"] = sum(job.sent for job in jobs) / len(jobs)
+            found["p99_ms"] = response_p99_ms(jobs)
+            figures[f"{fault}_{way}"] = found
+    return figures
+
+
+def measure_processor(seconds: float) -> Figures:
+    """Measure processor time a request at the home, driver and all."""
+    loads: list[tuple[str, list[Demand]]] = [
+        ("calm", demands(0.5)),
+        ("saturated", demands(2.0)),
+    ]
+    figures: Figures = {}
+    for name, demand in loads:
+        began = time.process_time()
+        jobs = serve(demand, seconds)
+        spent = time.process_time() - began
+        figures[f"processor_{name}"] = {"us_per_request": spent / len(jobs) * 1e6}
+    return figures
+
+
+def measure_checked() -> Figures:
+    """Return the figures that the bounds hold, from a run of a few seconds."""
+    return (
+        measure_fairness(seconds=45.0)
+        | measure_slots((0.8,), seconds=60.0)
+        | measure_faults(seconds=20.0)
+    )
+
+
+def check() -> list[str]:
+    """Return a line for each figure out of its bounds."""
+    figures = measure_checked()
+    bounds: dict[str, dict[str, dict[str, float]]] = json.loads(BOUNDS.read_text())
+    faults = []
+    for name, metrics in bounds.items():
+        for metric, limits in metrics.items():
+            value = figures[name][metric]
+            if not limits.get("min", value) <= value <= limits.get("max", value):
+                faults.append(f"{name}.{metric} = {value:.4g}, bounds {limits}")
+    return faults
+
+
+def main(output: str = "", seconds: float = 120.0) -> None:
+    """Measure all, print the figures and write them to a file."""
+    figures = (
+        measure_fairness(seconds)
+        | measure_slots((0.7, 0.8, 0.9, 0.95), seconds)
+        | measure_faults(seconds / 2)
+        | measure_processor(seconds / 6)
+    )
+    for name, metrics in figures.items():
+        row = "  ".join(f"{key}={value:.4g}" for key, value in metrics.items())
+        print(f"{name:24} {row}")
+    if output:
+        Path(output).write_text(json.dumps(figures, indent=1, sort_keys=True) + "\n")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/benchmarks/virtual.py
+++ b/benchmarks/virtual.py
@@ -264,6 +264,7 @@
         if sent.over:
             return
         sent.over = True
+        self._sent.pop(attempt, None)
         now_ms = self._loop.now_ms
         latency_ms = now_ms - sent.sent_ms
         self.carry_out(self.home.ended(attempt, end, latency_ms, now_ms))
@@ -273,7 +274,9 @@
             self._cancel(attempt)
 
     def _cancel(self, attempt: AttemptId) -> None:
-        sent = self._sent.pop(attempt)
+        sent = self._sent.pop(attempt, None)
+        if sent is None:
+            return  # it has ended, and the report is on its way
         if sent.work is not None:
             sent.target.cancel(sent.work)
         self._loop.after(0.0, lambda: self._ended(attempt, sent, AttemptEnd.SILENT))
--- a/src/crocusspindle/core/placement.py
+++ b/src/crocusspindle/core/placement.py
@@ -6,16 +6,21 @@
 from crocusspindle.core.slots import TargetSlots
 from crocusspindle.ids import DomainId, TargetId
 
-PROBATION_WEIGHT: Final = 0.1
+PROBATION_WEIGHT: Final = 0.075
 """At or below this weight a target gets only the single trials that health asks
-for: 0.1 of a 6-slot target is less than one slot."""
+for. It lies between health's weight on probation, 0.05, and that of a cold target,
+0.1."""
 
 
 class Fitness(Protocol):
     """Judge how much work a target is fit for."""
 
     def weight(self, target: TargetId, now_ms: float) -> float:
-        """Return 0 if ejected, little on probation, below 1 while ramping."""
+        """Return 0 if ejected, little on probation, below 1 while ramping.
+
+        It orders targets and leaves their slots alone: scaled by it, doubtful
+        targets would take capacity from a service below its floor.
+        """
 
     def wants_trial(self, target: TargetId, now_ms: float) -> bool:
         """Return True if one idempotent request should try the target."""
@@ -26,13 +31,8 @@
 
 
 def open_slots(slots: TargetSlots, weight: float) -> int:
-    """Return how many requests the target may run at a time.
-
-    A ramping target keeps one slot, since evidence needs requests.
-    """
-    if weight <= PROBATION_WEIGHT:
-        return 0
-    return max(1, int(slots.limit * min(weight, 1.0)))
+    """Return how many requests the target may run at a time."""
+    return slots.limit if weight > PROBATION_WEIGHT else 0
 
 
 def has_room(slots: TargetSlots, weight: float, now_ms: float) -> bool:
