Ask only targets with room for their weight

Cause: each event asked the health of all targets, full ones too. Ruled out: keeping weights between events, since health changes without telling the home.

--- a/src/crocusspindle/core/home.py
+++ b/src/crocusspindle/core/home.py
@@ -246,7 +246,7 @@
         if not self._queue and not self._retries:
             return []
         decisions: list[Decision] = []
-        candidates = self._roster.candidates(now_ms)
+        candidates = self._roster.with_room(now_ms)
         for _ in range(len(self._retries)):
             request = self._retries.popleft()
             slots = self._roster.place(self._requests[request], candidates, now_ms)
@@ -255,12 +255,15 @@
             else:
                 pending = self._requests[request]
                 decisions.append(self._attempts.open(pending, slots, now_ms))
+                candidates = self._roster.with_room(now_ms)
         while (head := self._queue.peek()) is not None:
             slots = self._roster.place(self._requests[head], candidates, now_ms)
             if slots is None:
                 break
             self._queue.pop()
             decisions.append(self._attempts.open(self._requests[head], slots, now_ms))
+            if not slots.has_room(now_ms):
+                candidates = [each for each in candidates if each[0] is not slots]
             self._retry_budget.deposit()
             self._hedge_budget.deposit()
         return decisions
@@ -280,7 +283,7 @@
             return []
         if pending.attempts >= self._settings.max_attempts:
             return []
-        candidates = self._roster.candidates(now_ms)
+        candidates = self._roster.with_room(now_ms)
         slots = self._roster.place(pending, candidates, now_ms)
         if slots is None or not self._hedge_budget.take(now_ms):
             self._attempts.arm_hedge(pending, attempt, now_ms)
--- a/src/crocusspindle/core/placement.py
+++ b/src/crocusspindle/core/placement.py
@@ -27,26 +27,15 @@
 
 
 Candidate: TypeAlias = tuple[TargetSlots, float]
-"""A target that may get new work, and its weight."""
-
-
-def open_slots(slots: TargetSlots, weight: float) -> int:
-    """Return how many requests the target may run at a time."""
-    return slots.limit if weight > PROBATION_WEIGHT else 0
-
-
-def has_room(slots: TargetSlots, weight: float, now_ms: float) -> bool:
-    """Return True if the target may get a request now."""
-    return now_ms >= slots.paused_until_ms and slots.running < open_slots(slots, weight)
+"""A target with room, and its weight."""
 
 
 def choose(
     candidates: Iterable[Candidate],
     tried: Container[TargetId],
     domain: DomainId | None,
-    now_ms: float,
 ) -> TargetSlots | None:
-    """Return the target with most room for its size, or None if all are full.
+    """Return the target with most room for its size, or None.
 
     Load: many small targets of unlike sizes and health. Harm prevented: a queue
     at one target while another idles. The home's own failure domain saves 1.5 ms
@@ -56,7 +45,7 @@
     best: TargetSlots | None = None
     best_rank: tuple[float, bool, float] | None = None
     for slots, weight in candidates:
-        if slots.target.target in tried or not has_room(slots, weight, now_ms):
+        if weight <= PROBATION_WEIGHT or slots.target.target in tried:
             continue
         # What runs, not what would run: an idle target whose limit is still being
         # learnt must not lose to an idle one whose limit is known, or it would
@@ -81,8 +70,7 @@
     which is idempotent and can be sent again.
     """
     for slots, weight in candidates:
-        if weight > PROBATION_WEIGHT or slots.running:
-            continue
-        if wants_trial(slots.target.target):
+        on_probation = weight <= PROBATION_WEIGHT and not slots.running
+        if on_probation and wants_trial(slots.target.target):
             return slots
     return None
--- a/src/crocusspindle/core/roster.py
+++ b/src/crocusspindle/core/roster.py
@@ -1,6 +1,6 @@
 """Keep the targets of a group with their slots and fitness."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from typing import Final
 
 from crocusspindle.core.decisions import TargetStatus
@@ -12,7 +12,6 @@
     Fitness,
     choose,
     choose_trial,
-    open_slots,
 )
 from crocusspindle.core.requests import PendingRequest
 from crocusspindle.core.slots import TargetSlots
@@ -30,10 +29,10 @@
         self._health = health
         self._domain = domain
         self._targets: dict[TargetId, TargetSlots] = {}
+        self._live: list[TargetSlots] = []
         self._holds = LatencyWindow()
-
-    def __iter__(self) -> Iterator[TargetSlots]:
-        return iter(self._targets.values())
+        self._capacity = 0
+        self._capacity_at_ms = float("-inf")
 
     def update(self, targets: Iterable[Target]) -> None:
         """Take the listed targets; one that is gone stays while work runs on it."""
@@ -48,6 +47,8 @@
         for target_id in [key for key in self._targets if key not in listed]:
             self._targets[target_id].present = False
             self._drop_if_gone(self._targets[target_id])
+        self._live = [slots for slots in self._targets.values() if slots.takes_new]
+        self._capacity_at_ms = float("-inf")
 
     def release(self, slots: TargetSlots) -> None:
         """Free a slot that says nothing about the target's limit."""
@@ -76,14 +77,14 @@
     @property
     def takes_new(self) -> bool:
         """Return True if some target is listed and not leaving."""
-        return any(slots.takes_new for slots in self._targets.values())
+        return bool(self._live)
 
-    def candidates(self, now_ms: float) -> list[Candidate]:
-        """Return the targets that may get new work, with their weights."""
+    def with_room(self, now_ms: float) -> list[Candidate]:
+        """Return the targets that may get new work now, with their weights."""
         return [
-            (slots, self._health.weight(target_id, now_ms))
-            for target_id, slots in self._targets.items()
-            if slots.takes_new
+            (slots, self._health.weight(slots.target.target, now_ms))
+            for slots in self._live
+            if slots.has_room(now_ms)
         ]
 
     def place(
@@ -96,20 +97,25 @@
             )
             if trial is not None:
                 return trial
-        return choose(candidates, pending.tried, self._domain, now_ms)
+        return choose(candidates, pending.tried, self._domain)
 
     def has_untried(self, tried: set[TargetId], now_ms: float) -> bool:
         """Return True if a fit target, free or not, has not been tried."""
         return any(
-            weight > PROBATION_WEIGHT and slots.target.target not in tried
-            for slots, weight in self.candidates(now_ms)
+            slots.target.target not in tried and self._is_fit(slots, now_ms)
+            for slots in self._live
         )
 
     def capacity(self, now_ms: float) -> int:
-        """Return how many requests the fit targets run at a time."""
-        return sum(
-            open_slots(slots, weight) for slots, weight in self.candidates(now_ms)
-        )
+        """Return how many requests the fit targets run at a time.
+
+        Several estimates within one event rest on it, so it is kept for that long.
+        """
+        if now_ms != self._capacity_at_ms:
+            fit = [slots for slots in self._live if self._is_fit(slots, now_ms)]
+            self._capacity = sum(slots.limit for slots in fit)
+            self._capacity_at_ms = now_ms
+        return self._capacity
 
     def drain_per_ms(self, now_ms: float) -> float | None:
         """Return how fast the queue drains with all slots busy, None if unknown.
@@ -134,6 +140,9 @@
             for target_id, slots in self._targets.items()
         )
 
+    def _is_fit(self, slots: TargetSlots, now_ms: float) -> bool:
+        return self._health.weight(slots.target.target, now_ms) > PROBATION_WEIGHT
+
     def _drop_if_gone(self, slots: TargetSlots) -> None:
         if not slots.present and slots.running == 0:
             self._targets.pop(slots.target.target, None)
--- a/src/crocusspindle/core/slots.py
+++ b/src/crocusspindle/core/slots.py
@@ -50,6 +50,10 @@
         """Return True if the target is listed and not leaving."""
         return self.present and self.target.state is TargetState.LIVE
 
+    def has_room(self, now_ms: float) -> bool:
+        """Return True if the target runs less than its limit and is not paused."""
+        return self.running < self.limit and now_ms >= self.paused_until_ms
+
     def dispatched(self, now_ms: float) -> None:
         """Count a request that is sent to the target."""
         self.running += 1
