Keep outages known as long as a key may belong to one, and no longer

Cause: three faults found by reading the services against the core. The ledger learnt of outages once a second, so that a right to decide by table could come up to a second ahead of the news of records that are not in it. Views under which members were away were told and carried for good: keys of holders that died before their flush would have stayed unknown for ever, and marks were read every second. An attempt given up while its holder still asked stayed begun for the window. Ruled out: dropping a member's own outages at the next view, since a node two views behind may ask for them.

--- a/src/crocusspindle/core/fitness.py
+++ b/src/crocusspindle/core/fitness.py
@@ -8,6 +8,7 @@
 clock, checked again at the moment of use.
 """
 
+from collections import deque
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from enum import Enum
@@ -102,6 +103,7 @@
         self._changes: list[_Change] = []
         self._settled = ViewNumber(0)
         self._away = False
+        self._own_away: deque[ViewNumber] = deque(maxlen=MAX_CHANGES)
         self._away_views: set[ViewNumber] = set()
         self._deadlines = _Deadlines()
         self._refresh_at_ms = NEVER
@@ -119,6 +121,9 @@
         kept = {n: one for n, one in self._contacts.items() if n in self._names}
         self._contacts = kept
         self._away = False
+        # Its own outages a member tells for long: whoever asks may be views behind.
+        heard = {at for at in self._away_views if at >= view.oldest_former}
+        self._away_views = heard | set(self._own_away)
         self._refresh_at_ms = NEVER
         return True
 
@@ -168,7 +173,9 @@
         if member == self.member or member not in self._known:
             return
         self._note_seen(member, view_number)
-        self._away_views.update(away_views)
+        if self._view is not None:
+            oldest = self._view.oldest_former
+            self._away_views.update(at for at in away_views if at >= oldest)
         if member not in self._names:
             return
         known = self._contacts.get(member)
@@ -179,11 +186,6 @@
         if known is None or self._lowers(known, news):
             self._refresh_at_ms = NEVER
 
-    def forget_away_views(self, kept: Iterable[ViewNumber]) -> None:
-        """Drop the outages that no operation key can still belong to."""
-        current = {self._view.number} if self._view else set()
-        self._away_views &= {*kept, *current}
-
     def fit_until_ms(self, now_ms: float) -> float:
         """Return the deadline up to which this node is fit, -inf when it is not."""
         return max(self.stamp_until_ms(), self.majority_until_ms(now_ms))
@@ -248,11 +250,17 @@
         lost = not self._stamped(now_ms) and now_ms < self._failing_until_ms
         if lost and not self._away and self._view is not None:
             self._away = True
+            self._own_away.append(self._view.number)
             self._away_views.add(self._view.number)
         return self._away
 
     def away_views(self, now_ms: float) -> frozenset[ViewNumber]:
-        """Return the views under which a member that we heard of was away."""
+        """Return the views under which this node or one that it heard was away.
+
+        Tell them in every echo, hand them to ``Membership.propose``, and to the
+        ledger before each decision by table: the row of an operation that peers let
+        run may still be missing.
+        """
         self.away(now_ms)
         return frozenset(self._away_views)
 
--- a/src/crocusspindle/core/members.py
+++ b/src/crocusspindle/core/members.py
@@ -78,6 +78,16 @@
         """Return when the last recorded outage ended, None without one."""
         return max((outage.ended_unix_ms for outage in self.outages), default=None)
 
+    @property
+    def oldest_former(self) -> ViewNumber:
+        """Return the oldest view that members may still act by.
+
+        Outages under older ones were known to whoever wrote this view, and stand in
+        it as long as they matter.
+        """
+        numbers = (former.view for former in self.formers)
+        return min(numbers, default=self.number)
+
     def find(self, member: MemberId) -> ViewMember | None:
         """Return a member by its name, or None."""
         return next((one for one in self.members if one.member == member), None)
@@ -362,12 +372,14 @@
 
     def _news(self, current: MemberView, outages: Collection[Outage]) -> bool:
         known = {outage.view for outage in current.outages}
-        return any(outage.view not in known for outage in outages)
+        late = (one for one in outages if one.view >= current.oldest_former)
+        return any(outage.view not in known for outage in late)
 
     def _outages(
         self, current: MemberView, outages: Collection[Outage], now_unix_ms: int
     ) -> tuple[Outage, ...]:
         since = now_unix_ms - self._limits.outage_kept_ms
-        merged = {outage.view: outage for outage in (*outages, *current.outages)}
+        late = [one for one in outages if one.view >= current.oldest_former]
+        merged = {outage.view: outage for outage in (*late, *current.outages)}
         kept = (one for one in merged.values() if one.ended_unix_ms > since)
         return tuple(sorted(kept, key=lambda outage: outage.view))
--- a/src/crocusspindle/core/operation_places.py
+++ b/src/crocusspindle/core/operation_places.py
@@ -45,6 +45,7 @@
         self._outages: dict[ViewNumber, frozenset[MemberId] | None] = {}
         self._flushed: dict[ViewNumber, set[MemberId]] = {}
         self._rosters: dict[ViewNumber, Pair] = {}
+        self._decided_since_ms: dict[ViewNumber, float] = {}
 
     def adopt(self, view: MemberView, now_ms: float) -> bool:
         """Adopt a later view; return False for an older one."""
@@ -99,7 +100,8 @@
         self, view: ViewNumber, members: Iterable[MemberId] | None = None
     ) -> None:
         """Note an outage under a view; its members may be known from the rosters."""
-        if self._outages.get(view) is not None:
+        late = self.view is None or view >= self.view.oldest_former
+        if self._outages.get(view) is not None or not (late or members is not None):
             return
         known = self._rosters.get(view) if members is None else members
         self._outages[view] = None if known is None else frozenset(known)
@@ -108,27 +110,33 @@
         """Note that a member wrote its records of an outage into the table."""
         self._flushed.setdefault(view, set()).add(member)
 
-    def forget_outages(self, kept: Iterable[ViewNumber]) -> None:
-        """Drop the outages that no key in its window can belong to."""
-        wanted = set(kept)
-        self._outages = {at: who for at, who in self._outages.items() if at in wanted}
-        self._flushed = {at: who for at, who in self._flushed.items() if at in wanted}
+    def outages(self) -> tuple[ViewNumber, ...]:
+        """Return the former views whose records have to be in the table."""
+        return tuple(at for at in self._outages if at < self._view_number)
 
-    def unflushed(self, name: OperationName) -> bool:
+    def unflushed(self, name: OperationName, now_ms: float) -> bool:
         """Return True if an outage's record of the key may miss in the table.
 
         Both holders of the time had every record before anything ran, so that the
-        word of one of them is enough.
+        word of one of them is enough. When both died without a word, the window of
+        the keys has to pass. It is counted from the first decision by table after
+        the outage: a right to those proves that no peers decide any more.
         """
-        for view, members in self._outages.items():
-            if self.view is None or view >= self.view.number:
+        for view in self.outages():
+            since_ms = self._decided_since_ms.setdefault(view, now_ms)
+            if now_ms >= since_ms + self._window_ms:
                 continue
+            members = self._outages[view]
             if members is None:
                 return True
             if not self._flushed.get(view, set()) & set(holders(name, members)):
                 return True
         return False
 
+    @property
+    def _view_number(self) -> ViewNumber:
+        return ViewNumber(0) if self.view is None else self.view.number
+
     def _follows(self, former: MemberView, view: MemberView) -> bool:
         """Return True if no view between the two is unknown to this member."""
         if view.number == former.number + 1:
@@ -154,6 +162,11 @@
             self.outage(outage.view, outage.members)
         for number in self._outages:
             self.outage(number)
+        # An older one that the view does not carry is past every key's window.
+        kept = {one.view for one in view.outages}
+        kept.update(at for at in self._outages if at >= view.oldest_former)
+        self._outages = {at: who for at, who in self._outages.items() if at in kept}
+        self._flushed = {at: who for at, who in self._flushed.items() if at in kept}
 
     def _prune(self, now_ms: float) -> None:
         start_ms = now_ms - self._window_ms
--- a/src/crocusspindle/core/operations.py
+++ b/src/crocusspindle/core/operations.py
@@ -50,6 +50,8 @@
 MAX_RELEASES: Final = 1_024
 """Releases waiting to be sent; what falls off is refused until its window ends."""
 
+_RELEASABLE: Final = frozenset({Phase.ASKING, Phase.WRITING, Phase.BEGUN})
+
 
 class OperationLedger:
     """Decide, as one of two holders, whether an operation may run now."""
@@ -166,9 +168,15 @@
         return self._settled(entry)
 
     def released(self, name: OperationName, attempt: Attempt) -> Settled | None:
-        """Note its owner's word that an attempt was not and will not be sent."""
-        entry = self._entries.own(name, attempt, self.member, Phase.BEGUN)
-        if entry is None:
+        """Note its owner's word that an attempt was not and will not be sent.
+
+        The owner may give up while this node still asks; the attempt then ends here
+        and whatever comes back later finds it dead.
+        """
+        entry = self._entries.get(name)
+        if entry is None or entry.record.attempt != attempt:
+            return None
+        if entry.record.origin != self.member or entry.phase not in _RELEASABLE:
             return None
         entry.kill()
         return self._settled(entry)
@@ -281,7 +289,7 @@
             if not complete:
                 return self._give_up_unknown(entry, UnknownReason.RECORDS_LOST, now_ms)
             return self._grant(entry, now_ms)
-        if not complete and self.places.unflushed(name):
+        if not complete and self.places.unflushed(name, now_ms):
             return self._give_up_unknown(entry, UnknownReason.UNFLUSHED, now_ms)
         entry.phase = Phase.WRITING
         return self._write_row(entry)
--- a/src/crocusspindle/services/follower.py
+++ b/src/crocusspindle/services/follower.py
@@ -170,11 +170,10 @@
         """Write the next view on condition, when there is a reason for one."""
         control, now = self._control, now_ms()
         fitness = control.fitness
-        view_number = ViewNumber(0 if control.view is None else control.view.number)
         standing = Standing(
             fit=now < fitness.stamp_until_ms(),
             in_majority=now < fitness.contact_until_ms(now),
-            confirmed=fitness.majority_at(view_number, now),
+            confirmed=fitness.confirmed(now),
         )
         proposed = control.membership.propose(
             standing, now, unix_ms(), self._outages(now)
--- a/src/crocusspindle/services/ledger.py
+++ b/src/crocusspindle/services/ledger.py
@@ -53,6 +53,10 @@
 
 HOUSEKEEPING_S: Final = 1.0
 EXPIRE_EVERY: Final = 30
+MARKS_EVERY_MS: Final = 5_000.0
+"""An outage's marks are read until its keys' window ends. By 40 nodes that makes 8
+reads a second for each outage of the last hour, of two thousand."""
+
 FLUSH_AT_ONCE: Final = 32
 """Rows written together after an outage: with 40 nodes far below what the table
 takes in a second, and 100 records a node are through in seconds."""
@@ -86,6 +90,7 @@
             ),
         )
         self._marked: set[ViewNumber] = set()
+        self._marks_due_ms: dict[ViewNumber, float] = {}
         self._tasks_once: set[asyncio.Task[None]] = set()
         control.watch(view=self._take_view)
         metrics.observe(
@@ -153,6 +158,9 @@
     def _right(self) -> Right:
         """Return by what operations may be decided now, and until when."""
         fitness, now = self._control.fitness, now_ms()
+        # Ahead of each decision: a right to decide by table may have come with the
+        # very echo that told of an outage whose records are not in it yet.
+        self._ledger.note_outages(fitness.away_views(now))
         table_until_ms = fitness.table_until_ms(now)
         if now < table_until_ms:
             return Right(LedgerMode.TABLE, table_until_ms)
@@ -225,25 +233,25 @@
             looks += 1
             if looks % EXPIRE_EVERY == 0:
                 self._ledger.expire(now_ms())
-            views = self._control.fitness.away_views(now_ms())
-            self._ledger.note_outages(views)
+            self._ledger.note_outages(self._control.fitness.away_views(now_ms()))
             if now_ms() < self._control.fitness.stamp_until_ms():
                 with suppress(PlatformError):
-                    await self._flush(views)
+                    await self._flush()
 
-    async def _flush(self, views: Iterable[ViewNumber]) -> None:
+    async def _flush(self) -> None:
         """Write what only memory holds, then say so to the other members."""
         rows = self._ledger.flush()
         for first in range(0, len(rows), FLUSH_AT_ONCE):
             batch = rows[first : first + FLUSH_AT_ONCE]
             await asyncio.gather(*(self._flush_row(row) for row in batch))
-        view = self._control.view
-        if self._ledger.flush() or view is None:
-            return
-        for number in views:
-            if number < view.number:
+        outages = self._ledger.places.outages()
+        self._marks_due_ms = {
+            number: self._marks_due_ms.get(number, 0.0) for number in outages
+        }
+        for number in outages:
+            if not self._ledger.flush():
                 await self._mark(number)
-                await self._read_marks(number)
+            await self._read_marks(number)
 
     async def _flush_row(self, row: WriteRow) -> None:
         name = decode_record(row.value).name
@@ -262,6 +270,9 @@
         self._marked.add(number)
 
     async def _read_marks(self, number: ViewNumber) -> None:
+        if now_ms() < self._marks_due_ms[number]:
+            return
+        self._marks_due_ms[number] = now_ms() + MARKS_EVERY_MS
         prefix = f"{number:012d}/"
         deadline_ms = now_ms() + self._timings.platform_timeout_ms
         rows = await self._platform.read_range(FLUSHED, prefix, 1_000, deadline_ms)
--- a/tests/core/small_fleet.py
+++ b/tests/core/small_fleet.py
@@ -129,7 +129,6 @@
             away=peer.fitness.away(self.now(peer)),
             away_views=peer.fitness.away_views(self.now(peer)),
         )
-        node.ledger.note_outages(node.fitness.away_views(self.now(node)))
 
     def round(self, *, gossip: bool = True) -> None:
         self.t_ms += ROUND_MS
--- a/tests/core/test_fitness.py
+++ b/tests/core/test_fitness.py
@@ -1,4 +1,5 @@
 from collections.abc import Iterable
+from dataclasses import replace
 
 import pytest
 from hypothesis import settings
@@ -6,7 +7,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from crocusspindle.core.fitness import Fitness, FitnessLimits, FitnessReason
-from crocusspindle.core.members import MemberView, ViewMember
+from crocusspindle.core.members import Former, MemberView, ViewMember
 from crocusspindle.ids import DomainId, MemberId, TicketNumber, ViewNumber
 from tests.core.small_fleet import Fleet, Node, started
 
@@ -104,9 +105,12 @@
     assert core.away(4_500.0)
     core.stamp(6_000.0)
     assert core.away(6_000.0)
-    core.adopt(view(2, "abcde"), 6_000.0)
+    later = replace(view(3, "abcde"), formers=(Former(ViewNumber(2), ()),))
+    core.adopt(later, 6_000.0)
     assert not core.away(6_000.0)
-    assert core.away_views(6_000.0) == {1}
+    core.echo(MemberId("b"), ViewNumber(3), 6_000.0, away_views=[ViewNumber(0)])
+    core.echo(MemberId("c"), ViewNumber(3), 6_000.0, away_views=[ViewNumber(2)])
+    assert core.away_views(6_000.0) == {1, 2}
 
 
 class NoWait(Fitness):
--- a/tests/core/test_operations.py
+++ b/tests/core/test_operations.py
@@ -67,6 +67,7 @@
 
     def right(self, node: Node, prefer_peer: bool) -> Right:
         now_ms = self.fleet.now(node)
+        node.ledger.note_outages(node.fitness.away_views(now_ms))
         peer = Right(LedgerMode.PEER, node.fitness.peer_until_ms(now_ms))
         table = Right(LedgerMode.TABLE, node.fitness.table_until_ms(now_ms))
         rights = [peer, table] if prefer_peer else [table, peer]
