--- a/src/crocusspindle/services/assembly.py
+++ b/src/crocusspindle/services/assembly.py
@@ -110,7 +110,7 @@
         domain=DomainId(settings.node.domain),
         region=settings.node.region,
         caller_address=advertised,
-        peer_address=_address(peer),
+        peer_address=settings.peer.advertise or _address(peer),
         joined_unix_ms=unix_ms(),
     )
 
--- a/src/crocusspindle/settings_schema.py
+++ b/src/crocusspindle/settings_schema.py
@@ -82,6 +82,11 @@
 
     host: str = Field(description="IP number to listen on, reached by the peers.")
     port: Port = Field(description="Port to listen on; 0 takes a free one.")
+    advertise: str | None = Field(
+        default=None,
+        pattern=ADDRESS_PATTERN,
+        description="The `host:port` that peers are told; else the one listened on.",
+    )
     tls: PeerTlsSettings | None = Field(
         default=None, description="Mutual TLS between nodes."
     )
--- a/src/crocusspindle_standins/fleet.py
+++ b/src/crocusspindle_standins/fleet.py
@@ -22,6 +22,7 @@
     put_json,
     until_served,
 )
+from crocusspindle_standins.relay import Relay
 
 OPERATOR_KEY: Final = "operator-key-of-the-stand-in"
 FLEET_KEY: Final = "fleet-key-of-the-stand-in"
@@ -52,6 +53,8 @@
     domains: int
     groups: tuple[TargetGroup, ...]
     timings: Mapping[str, float] = field(default_factory=dict)
+    relayed: bool = False
+    """Whether the tests can cut the nodes off."""
 
 
 @dataclass
@@ -66,7 +69,8 @@
     metrics_port: int
     running: Running | None = None
     settings: Path | None = None
-    advertise: str | None = None
+    peer_advertise: str | None = None
+    platform_url: str | None = None
 
     @property
     def caller_url(self) -> str:
@@ -113,6 +117,8 @@
         self.session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=10, sock_connect=1)
         )
+        self.peer_relays: dict[str, Relay] = {}
+        self.platform_relays: dict[str, Relay] = {}
         self._ticket = 0
         self._hosts: list[dict[str, Any]] = []
 
@@ -145,6 +151,8 @@
 
     async def close(self) -> None:
         """End every process."""
+        for relay in (*self.peer_relays.values(), *self.platform_relays.values()):
+            await relay.stop()
         await self.processes.stop_all()
         await self.session.close()
 
@@ -196,13 +204,31 @@
         await self.platform(hosts=self._hosts)
 
     async def _start_nodes(self) -> None:
+        await self._lay_out_nodes()
+        await asyncio.gather(*(self.start_node(node) for node in self.nodes))
+
+    async def _lay_out_nodes(self) -> None:
         for number in range(self.layout.nodes):
             caller, peer, operator, metrics = free_ports(4)
             domain = f"domain-{number % self.layout.domains}"
             self.nodes.append(
                 Node(f"node-{number}", domain, caller, peer, operator, metrics)
             )
-        await asyncio.gather(*(self.start_node(node) for node in self.nodes))
+        if self.layout.relayed:
+            await self._start_relays()
+
+    async def _start_relays(self) -> None:
+        """Put a relay before each node's peer port and on its way to the platform."""
+        for node in self.nodes:
+            peer, platform = free_ports(2)
+            to_node = Relay(HOST, peer, node.peer_port)
+            to_platform = Relay(HOST, platform, self.platform_port)
+            await to_node.start()
+            await to_platform.start()
+            self.peer_relays[node.name] = to_node
+            self.platform_relays[node.name] = to_platform
+            node.peer_advertise = f"{HOST}:{peer}"
+            node.platform_url = f"http://{HOST}:{platform}"
 
     async def start_node(self, node: Node) -> None:
         """Start a node, or start it again."""
@@ -216,13 +242,13 @@
     def _settings(self, node: Node) -> dict[str, Any]:
         key_file = self.folder / "fleet.key"
         key_file.write_text(FLEET_KEY)
-        caller: dict[str, Any] = {"host": HOST, "port": node.caller_port}
-        if node.advertise is not None:
-            caller["advertise"] = node.advertise
+        peer: dict[str, Any] = {"host": HOST, "port": node.peer_port}
+        if node.peer_advertise is not None:
+            peer["advertise"] = node.peer_advertise
         return {
             "node": {"name": node.name, "domain": node.domain},
-            "caller": caller,
-            "peer": {"host": HOST, "port": node.peer_port},
+            "caller": {"host": HOST, "port": node.caller_port},
+            "peer": peer,
             "operator": {
                 "host": HOST,
                 "port": node.operator_port,
@@ -230,7 +256,10 @@
             },
             "metrics": {"host": HOST, "port": node.metrics_port},
             "fleet": {"name": "stand-in", "key_file": str(key_file)},
-            "platform": {"adapter": "http", "url": self.platform_url},
+            "platform": {
+                "adapter": "http",
+                "url": node.platform_url or self.platform_url,
+            },
             "timings": dict(self.layout.timings),
             "log": {"format": "json"},
         }
--- /dev/null
+++ b/tests/fleet/conftest.py
@@ -0,0 +1,132 @@
+"""Run real processes of a fleet for the tests of failures."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+import aiohttp
+import pytest
+
+from crocusspindle_standins.fleet import Fleet, Layout, TargetGroup, sha256
+
+SHARES_OPEN_S = 10.0
+KEY = "key-of-the-caller"
+QUICK = {
+    "where_max_age_ms": 2000,
+    "drain_ms": 10000,
+    "heartbeat_ms": 250,
+    "poll_ms": 500,
+    "freshness_ms": 2000,
+    "silence_ms": 3000,
+}
+
+
+class Caller:
+    """Send single requests and keep what came back."""
+
+    def __init__(self, fleet: Fleet, session: aiohttp.ClientSession) -> None:
+        self.fleet = fleet
+        self.session = session
+
+    async def send(
+        self,
+        node: int,
+        method: str = "GET",
+        service: str = "desk",
+        test_request: str = "",
+        operation: str = "",
+        body: bytes | None = None,
+        key: str = KEY,
+        query: str = "",
+        timeout_ms: int | None = None,
+    ) -> tuple[int, str, str]:
+        """Return status, outcome and text; 0 and the error for no whole answer."""
+        headers = {"Authorization": f"Bearer {key}", "Test-Request": test_request}
+        if operation:
+            headers["Idempotency-Key"] = operation
+        if timeout_ms is not None:
+            headers["Crocusspindle-Timeout-Ms"] = str(timeout_ms)
+        url = f"{self.fleet.nodes[node].caller_url}/{service}/item{query}"
+        try:
+            async with self.session.request(
+                method, url, headers=headers, data=body
+            ) as response:
+                text = await response.text()
+                outcome = response.headers.get("Crocusspindle-Outcome", "")
+                return response.status, outcome, text
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            return 0, "", repr(error)
+
+    async def until_served(self, node: int = 0) -> None:
+        """Wait until the shares of the customer are open."""
+        async with asyncio.timeout(SHARES_OPEN_S * 3):
+            while (await self.send(node))[0] != 200:
+                await asyncio.sleep(0.2)
+
+    async def executed(self) -> dict[str, int]:
+        """Return how often each test request ran at any target."""
+        return await self._sum("requests")
+
+    async def operations(self) -> dict[str, int]:
+        """Return how often each operation ran at any target."""
+        return await self._sum("operations")
+
+    async def _sum(self, field: str) -> dict[str, int]:
+        total: dict[str, int] = {}
+        for judged in await self.fleet.executions():
+            for name, count in judged[field].items():
+                total[name] = total.get(name, 0) + count
+        return total
+
+
+StartFleet = Callable[..., Awaitable[Caller]]
+
+
+@pytest.fixture
+async def start_fleet(tmp_path: Path) -> AsyncIterator[StartFleet]:
+    """Start a fleet with one customer that may call the service ``desk``."""
+    async with AsyncExitStack() as stack:
+
+        async def start(
+            nodes: int = 3,
+            group: TargetGroup | None = None,
+            rate_per_s: float = 1000.0,
+            burst: int = 1000,
+            relayed: bool = False,
+            timeout_ms: float = 4000.0,
+            timings: dict[str, float] | None = None,
+        ) -> Caller:
+            layout = Layout(
+                nodes,
+                3,
+                (group or TargetGroup("desk", 4, 4, 5.0),),
+                QUICK | (timings or {}),
+                relayed,
+            )
+            fleet = await stack.enter_async_context(Fleet(layout, tmp_path))
+            await fleet.ticket(
+                fleet.nodes[0],
+                services={"desk": {"timeout_ms": timeout_ms}},
+                routes={"/desk/": {"service": "desk"}},
+                customers={"ward": {"rate_per_s": rate_per_s, "burst": burst}},
+                keys={sha256(KEY): {"customer": "ward", "state": "active"}},
+            )
+            number = await fleet.ticket(
+                fleet.nodes[0],
+                "owner",
+                approvals={"desk": {"ward": {"approved_by": "owner"}}},
+            )
+            await fleet.until_in_force(number, fleet.nodes)
+            session = await stack.enter_async_context(
+                aiohttp.ClientSession(
+                    connector=aiohttp.TCPConnector(limit=0),
+                    timeout=aiohttp.ClientTimeout(total=15, sock_connect=1),
+                )
+            )
+            caller = Caller(fleet, session)
+            for node in range(nodes):
+                await caller.until_served(node)
+            return caller
+
+        yield start
