--- a/src/crocusspindle/core/attempts.py
+++ b/src/crocusspindle/core/attempts.py
@@ -23,9 +23,6 @@
 _SHORTEST_HEDGE_MS: Final = 1.0
 """Below a millisecond the answer is on its way already."""
 
-_HEDGES_KEPT: Final = 64
-"""Hedges remembered before ended ones are swept out."""
-
 
 class Attempts:
     """Open, cancel and close attempts."""
@@ -37,7 +34,6 @@
         self._running: dict[AttemptId, Attempt] = {}
         self._numbers = count(1)
         self._first_bytes = LatencyWindow()
-        self._hedges: list[AttemptId] = []
         self.ending = 0
         """How many cancelled attempts still hold their slot."""
 
@@ -118,33 +114,6 @@
                 decisions.append(Cancel(attempt.attempt))
         return decisions
 
-    def note_hedge(self, attempt: AttemptId) -> None:
-        """Remember that an attempt is a hedge, which gives way to first attempts."""
-        if len(self._hedges) >= _HEDGES_KEPT:
-            self._hedges = [each for each in self._hedges if each in self._running]
-        self._hedges.append(attempt)
-
-    def pop_hedge(self) -> Attempt | None:
-        """Return the latest hedge that only waits, or None."""
-        while self._hedges:
-            attempt = self._running.get(self._hedges.pop())
-            if attempt is None or attempt.cancelled or attempt.started_ms is not None:
-                continue
-            return attempt
-        return None
-
-    def may_yield(self, pending: PendingRequest, now_ms: float) -> bool:
-        """Return True if a hedge of this request may give way.
-
-        Not when its first attempt has failed or is twice as old as a late one:
-        of exponential times 0.25 % are, so the target is probably mute, and the
-        hedge is the request's real attempt.
-        """
-        first = pending.running[0]
-        late_ms = self.hedge_after_ms() or 0.0
-        rivals = len(pending.running) > 1
-        return rivals and now_ms - first.dispatched_ms < 2.0 * late_ms
-
     def hedge_after_ms(self) -> float | None:
         """Return when an attempt is late, None before that is learnt."""
         late_ms = self._first_bytes.quantile_ms(self._settings.hedge_quantile)
--- a/src/crocusspindle/core/home.py
+++ b/src/crocusspindle/core/home.py
@@ -26,6 +26,7 @@
     TargetStatus,
 )
 from crocusspindle.core.fair_queue import FairQueue
+from crocusspindle.core.hedging import Hedging
 from crocusspindle.core.home_settings import HomeSettings
 from crocusspindle.core.model import Target
 from crocusspindle.core.placement import Fitness
@@ -68,8 +69,8 @@
         self._retries: deque[RequestId] = deque()
         self._timers = Timers(self._is_live)
         self._retry_budget = Budget(settings.retry_fraction, settings.retry_floor_per_s)
-        self._hedge_budget = Budget(settings.hedge_fraction, settings.hedge_floor_per_s)
         self._attempts = Attempts(settings, self._roster, self._timers)
+        self._hedging = Hedging(settings, self._roster, self._attempts)
         self._admission = Admission(
             settings.max_queued, self._queue, self._roster, self._attempts, generator
         )
@@ -217,7 +218,7 @@
             targets=self._roster.status(self._now_ms),
             queued_by_customer=tuple(self._queue.customers()),
             retry_tokens=self._retry_budget.tokens,
-            hedge_tokens=self._hedge_budget.tokens,
+            hedge_tokens=self._hedging.budget.tokens,
             hedge_after_ms=self._attempts.hedge_after_ms(),
         )
 
@@ -230,7 +231,9 @@
             if kind is TimerKind.DEADLINE:
                 decisions += self._meet_deadline(RequestId(subject), now_ms)
             elif kind is TimerKind.HEDGE:
-                decisions += self._hedge(AttemptId(subject), now_ms)
+                decisions += self._hedging.hedge(
+                    AttemptId(subject), self._requests, now_ms
+                )
             else:
                 decisions += self.ended(
                     AttemptId(subject), AttemptEnd.SILENT, 0.0, now_ms
@@ -265,55 +268,10 @@
             if not slots.has_room(now_ms):
                 candidates = [each for each in candidates if each[0] is not slots]
             self._retry_budget.deposit()
-            self._hedge_budget.deposit()
-        return decisions + self._yield_hedges(now_ms)
-
-    def _yield_hedges(self, now_ms: float) -> list[Decision]:
-        """Cancel hedges whose slots queued requests need.
-
-        Load: a group near its capacity. Harm prevented: first attempts that wait
-        while second ones, which may be of no use, run. The hedged request keeps
-        its first attempt, gets its token back and may be hedged again.
-        """
-        decisions: list[Decision] = []
-        wanted = len(self._queue) + len(self._retries) - self._attempts.ending
-        while wanted > 0 and (hedge := self._attempts.pop_hedge()) is not None:
-            pending = self._requests[hedge.request]
-            if not self._attempts.may_yield(pending, now_ms):
-                continue
-            wanted -= 1
-            pending.running.remove(hedge)
-            pending.tried.discard(hedge.slots.target.target)
-            pending.hedged = False
-            self._hedge_budget.give_back()
-            decisions += self._attempts.cancel([hedge], now_ms)
-            self._attempts.arm_hedge(pending, pending.running[0], now_ms)
-        return decisions
-
-    def _hedge(self, attempt_id: AttemptId, now_ms: float) -> list[Decision]:
-        """Send a late idempotent request to a second target, once.
-
-        Load: one slow or mute target among good ones. Harm prevented: callers
-        waiting for its timeout. Only a free slot is used, so that a hedge never
-        goes before a first attempt; without one it is tried again later.
-        """
-        attempt = self._attempts.get(attempt_id)
-        if attempt is None or attempt.cancelled:
-            return []
-        pending = self._requests[attempt.request]
-        if pending.hedged or pending.stopped or pending.started:
-            return []
-        if pending.attempts >= self._settings.max_attempts:
-            return []
-        candidates = self._roster.with_room(now_ms)
-        slots = self._roster.place(pending, candidates, now_ms)
-        if slots is None or not self._hedge_budget.take(now_ms):
-            self._attempts.arm_hedge(pending, attempt, now_ms)
-            return []
-        pending.hedged = True
-        dispatch = self._attempts.open(pending, slots, now_ms)
-        self._attempts.note_hedge(dispatch.attempt)
-        return [dispatch]
+            self._hedging.budget.deposit()
+        return decisions + self._hedging.give_way(
+            len(self._queue) + len(self._retries), self._requests, now_ms
+        )
 
     def _conclude(
         self,
