--- a/src/crocusspindle/core/hedging.py
+++ b/src/crocusspindle/core/hedging.py
@@ -81,7 +81,9 @@
             wanted -= 1
             pending.running.remove(hedge)
             pending.tried.discard(hedge.slots.target.target)
+            pending.attempts -= 1
             pending.hedged = False
+            pending.may_have_run = True
             self.budget.give_back()
             decisions += self._attempts.cancel([hedge], now_ms)
             self._attempts.arm_hedge(pending, pending.running[0], now_ms)
--- a/tests/core/test_home.py
+++ b/tests/core/test_home.py
@@ -195,3 +195,28 @@
         done = home.ended(running.pop(0).attempt, AttemptEnd.ANSWERED, 10.0, now_ms)
         running += dispatches(done)
     assert home.snapshot().targets[0].limit == 2
+
+
+def test_a_hedge_that_gave_way_may_have_run():
+    """A hedge gives its slot to a queued request, then the first attempt turns out
+    never to have been sent. The hedge's target had begun all the same, so the
+    caller must not hear that its request did not run."""
+    home = make_home(number=2)
+    now_ms = warm(home)
+    (first,) = home.arrive(arrival(1, deadline_ms=now_ms + 1_000), now_ms)
+    (hedge,) = home.tick(now_ms + 10)
+    given_way = home.arrive(arrival(2, deadline_ms=now_ms + 1_000), now_ms + 11)
+    assert given_way == [Cancel(hedge.attempt)]
+    home.ended(first.attempt, AttemptEnd.UNSENT, 12.0, now_ms + 12)
+    (fail,) = home.withdraw(1, now_ms + 12)
+    assert fail.outcome is Outcome.UNKNOWN
+
+
+def test_an_answer_cut_after_it_began_is_never_joined_to_a_second_one():
+    """A target dies half-way through its answer. The caller holds the first half;
+    a second run would append another answer to it."""
+    home = make_home(number=2)
+    (first,) = home.arrive(arrival(1), 0.0)
+    home.started(first.attempt, 5.0)
+    (fail,) = home.ended(first.attempt, AttemptEnd.FAILED, 9.0, 9.0)
+    assert (fail.request, fail.outcome) == (1, Outcome.UNKNOWN)
