Read YAML of settings and tickets by one module

The line map, the check for keys that stand twice and the bounds on size, depth and aliases stood twice. A key that stands twice and is unknown is reported at both of its lines.

--- a/src/crocusspindle/core/ticket_schema.py
+++ b/src/crocusspindle/core/ticket_schema.py
@@ -27,9 +27,9 @@
     Route,
     Service,
 )
-from crocusspindle.core.ticket_document import LineMap, load_document
 from crocusspindle.errors import Finding, TicketError
 from crocusspindle.ids import CustomerId, KeyDigest, ServiceId, TicketNumber
+from crocusspindle.yaml_document import LineMap, read_document
 
 MAX_ENTRIES: Final = 10_000
 """Entries of one ticket; a larger change is cut into several, so that applying
@@ -139,7 +139,7 @@
 
     Raises ``TicketError`` with every finding of the document.
     """
-    content, lines = load_document(document, source)
+    content, lines = _content(document, source)
     try:
         parsed = _DOCUMENT.validate_python(content)
     except ValidationError as error:
@@ -151,6 +151,17 @@
     return ticket
 
 
+def _content(
+    document: bytes | str | Mapping[str, Any], source: str
+) -> tuple[Any, LineMap]:
+    if isinstance(document, Mapping):
+        return dict(document), LineMap()
+    read = read_document(document, source)
+    if read.findings:
+        raise TicketError(read.findings)
+    return read.content, read.lines
+
+
 def encode_ticket(ticket: Ticket) -> bytes:
     """Encode a ticket to its one canonical form, a JSON document."""
     document = {
--- a/src/crocusspindle/settings.py
+++ b/src/crocusspindle/settings.py
@@ -3,12 +3,13 @@
 import os
 from collections.abc import Mapping
 from pathlib import Path
+from typing import Any
 
 from pydantic import ValidationError
 
 from crocusspindle.errors import Finding, SettingsError
 from crocusspindle.settings_schema import FleetSettings, NodeSettings
-from crocusspindle.yaml_lines import YamlDocument, is_mapping, read_yaml
+from crocusspindle.yaml_document import YamlDocument, read_document
 
 __all__ = ["NodeSettings", "check_settings", "fleet_key", "load_settings"]
 
@@ -28,14 +29,15 @@
 
 def check_settings(text: str, source: str) -> NodeSettings:
     """Check settings given as text; raise ``SettingsError`` with all findings."""
-    document = read_yaml(text, source)
-    if not document.findings and not is_mapping(document.data):
-        document.findings.append(document.finding((), "must be a mapping"))
-    if not is_mapping(document.data):
-        raise SettingsError(document.findings)
+    document = read_document(text, source)
     findings = list(document.findings)
+    content = document.content
+    if document.readable and not _is_mapping(content):
+        findings.append(document.finding((), "must be a mapping"))
+    if not _is_mapping(content):
+        raise SettingsError(findings)
     try:
-        settings = NodeSettings.model_validate(document.data)
+        settings = NodeSettings.model_validate(content)
     except ValidationError as error:
         findings.extend(_schema_findings(error, document))
         raise SettingsError(_in_order(findings)) from error
@@ -63,6 +65,10 @@
     return key
 
 
+def _is_mapping(content: Any) -> bool:
+    return isinstance(content, Mapping) and all(isinstance(key, str) for key in content)
+
+
 def _schema_findings(error: ValidationError, document: YamlDocument) -> list[Finding]:
     return [
         document.finding(tuple(detail["loc"]), _message(detail["type"], detail["msg"]))
--- a/tests/product/test_settings.py
+++ b/tests/product/test_settings.py
@@ -40,7 +40,7 @@
         (2, "caller.prot"),
         (8, "operator.principals[0].role"),
         (11, "timings"),
-        (13, "extra"),
+        (12, "extra"),
         (13, "extra"),
     ]
     assert str(error.value.findings[1]) == "a.yaml:2: caller.prot: unknown key"
