--- a/src/crocusspindle/core/placement.py
+++ b/src/crocusspindle/core/placement.py
@@ -6,47 +6,36 @@
 from crocusspindle.core.slots import TargetSlots
 from crocusspindle.ids import DomainId, TargetId
 
-PROBATION_WEIGHT: Final = 0.1
+PROBATION_WEIGHT: Final = 0.075
 """At or below this weight a target gets only the single trials that health asks
-for: 0.1 of a 6-slot target is less than one slot."""
+for. It lies between health's weight on probation, 0.05, and that of a cold target,
+0.1."""
 
 
 class Fitness(Protocol):
     """Judge how much work a target is fit for."""
 
     def weight(self, target: TargetId, now_ms: float) -> float:
-        """Return 0 if ejected, little on probation, below 1 while ramping."""
+        """Return 0 if ejected, little on probation, below 1 while ramping.
+
+        It orders targets and leaves their slots alone: scaled by it, doubtful
+        targets would take capacity from a service below its floor.
+        """
 
     def wants_trial(self, target: TargetId, now_ms: float) -> bool:
         """Return True if one idempotent request should try the target."""
 
 
 Candidate: TypeAlias = tuple[TargetSlots, float]
-"""A target that may get new work, and its weight."""
-
-
-def open_slots(slots: TargetSlots, weight: float) -> int:
-    """Return how many requests the target may run at a time.
-
-    A ramping target keeps one slot, since evidence needs requests.
-    """
-    if weight <= PROBATION_WEIGHT:
-        return 0
-    return max(1, int(slots.limit * min(weight, 1.0)))
-
-
-def has_room(slots: TargetSlots, weight: float, now_ms: float) -> bool:
-    """Return True if the target may get a request now."""
-    return now_ms >= slots.paused_until_ms and slots.running < open_slots(slots, weight)
+"""A target with room, and its weight."""
 
 
 def choose(
     candidates: Iterable[Candidate],
     tried: Container[TargetId],
     domain: DomainId | None,
-    now_ms: float,
 ) -> TargetSlots | None:
-    """Return the target with most room for its size, or None if all are full.
+    """Return the target with most room for its size, or None.
 
     Load: many small targets of unlike sizes and health. Harm prevented: a queue
     at one target while another idles. The home's own failure domain saves 1.5 ms
@@ -56,7 +45,7 @@
     best: TargetSlots | None = None
     best_rank: tuple[float, bool, float] | None = None
     for slots, weight in candidates:
-        if slots.target.target in tried or not has_room(slots, weight, now_ms):
+        if weight <= PROBATION_WEIGHT or slots.target.target in tried:
             continue
         # What runs, not what would run: an idle target whose limit is still being
         # learnt must not lose to an idle one whose limit is known, or it would
@@ -81,8 +70,7 @@
     which is idempotent and can be sent again.
     """
     for slots, weight in candidates:
-        if weight > PROBATION_WEIGHT or slots.running:
-            continue
-        if wants_trial(slots.target.target):
+        on_probation = weight <= PROBATION_WEIGHT and not slots.running
+        if on_probation and wants_trial(slots.target.target):
             return slots
     return None
