--- a/src/crocusspindle/core/evidence.py
+++ b/src/crocusspindle/core/evidence.py
@@ -18,6 +18,9 @@
 NEUTRAL = frozenset({Outcome.SHED, Outcome.CALLER_ERROR})
 UNANSWERED = frozenset({Outcome.TIMEOUT, Outcome.ABANDONED})
 
+CAP_FACTOR = 1.5
+"""Evidence is capped above the threshold, so that a target can clear itself soon."""
+
 RECENT_MS = 5_000.0
 """Memory of the rates shown to operators and used to rank bad targets."""
 
@@ -47,8 +50,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Reference:
-    """Hold what a group has learnt of healthy work."""
+    """Hold what a group has learnt of healthy work, and what it takes to eject."""
 
+    threshold_nats: float
     healthy_rate: float
     mild: FailureTest
     hard: FailureTest
@@ -65,7 +69,6 @@
     __slots__ = ("_cap_nats", "latency_ms", "nats", "samples", "since_ms", "total")
 
     def __init__(self, cap_nats: float) -> None:
-        # A cap, so that a target well again needs seconds to clear itself.
         self._cap_nats = cap_nats
         self.clear(0.0)
 
@@ -97,7 +100,7 @@
     """Collect the evidence of real work against one target."""
 
     def __init__(self, settings: HealthSettings, now_ms: float) -> None:
-        cap_nats = 2.0 * settings.threshold_nats
+        cap_nats = CAP_FACTOR * settings.most_threshold_nats
         self._cap_nats = cap_nats
         self._slow_gain = 1.0 - 1.0 / settings.slow_factor
         self._slow_cost_nats = log(settings.slow_factor)
@@ -129,7 +132,7 @@
     ) -> None:
         """Take one ended sending, whose latency has this hazard, into account."""
         outcome = sample.outcome
-        self._hear(sample, hazard, now_ms)
+        self._hear(sample, min(hazard, reference.threshold_nats / 2.0), now_ms)
         # A shedding target is busy and a wrong request is its caller's fault:
         # neither speaks for or against the target.
         if outcome in NEUTRAL:
@@ -183,7 +186,11 @@
     def wait(
         self, ages_ms: Sequence[float], reference: Reference, now_ms: float
     ) -> None:
-        """Replace what the requests still outstanding say by their ages."""
+        """Replace what the requests still outstanding say by their ages.
+
+        No request says more of silence than half the threshold: one stuck connection
+        ejects nobody, both slots of a small target stuck do.
+        """
         silent_nats = 0.0
         slow_nats = 0.0
         for age_ms in ages_ms:
@@ -192,7 +199,7 @@
             # An older one may hang on a connection gone silent while the target
             # answers on others: it counts only if nothing sent later was answered.
             if now_ms - age_ms > self._answered_sent_ms:
-                silent_nats += hazard
+                silent_nats += min(hazard, reference.threshold_nats / 2.0)
         self._waiting_slow_nats = slow_nats
         self._waiting_silent_nats = silent_nats
 
--- a/src/crocusspindle/core/health.py
+++ b/src/crocusspindle/core/health.py
@@ -46,7 +46,7 @@
             self._records, floor_fraction, settings.homes_at_once
         )
         self._learner = GroupReference(settings)
-        self._peers = PeerComparison(settings, self._budget)
+        self._peers = PeerComparison(settings, self._budget, self._learner)
         self._group_suspect_after_ms = float("-inf")
 
     @classmethod
@@ -196,14 +196,13 @@
         )
 
     def _judge(self, record: TargetRecord, now_ms: float) -> list[HealthChange]:
-        settings = self._settings
         nats = record.evidence.nats
-        if nats < settings.threshold_nats:
+        if nats < self._reference.threshold_nats:
             return self._acquit(record, nats, now_ms)
         if now_ms < record.judge_after_ms:
             return []
         # A suspect's peers are compared a few times a second, not per request.
-        record.judge_after_ms = now_ms + settings.trial_interval_ms
+        record.judge_after_ms = now_ms + self._settings.trial_interval_ms
         evidence = self._peers.summary(record)
         if not self._peers.stands_out(record, now_ms):
             return self._suspect_group(evidence, now_ms)
@@ -216,7 +215,8 @@
     ) -> list[HealthChange]:
         if record.state is not HealthState.SUSPECT:
             return []
-        if nats > self._settings.threshold_nats / 2.0 or now_ms < record.until_ms:
+        doubtful = nats > self._reference.threshold_nats / 2.0
+        if doubtful or now_ms < record.until_ms:
             return []
         record.trust(now_ms)
         return [Restored(record.target.target)]
--- a/src/crocusspindle/core/health_state.py
+++ b/src/crocusspindle/core/health_state.py
@@ -132,12 +132,16 @@
 class HealthSettings:
     """Hold the limits of health judging; docs/design/health.md has the figures."""
 
-    # e^16 samples, about 10^7, lie between two false alarms of one test: near half
-    # a day of a service of 15 targets at 28 requests/s each, and in truth more.
-    threshold_nats: float = 16.0
+    # Half of the aim of one a day and service, for what the benchmark does not model.
+    false_ejections_per_day: float = 0.5
+    # What the work of the group makes of that; docs/design/health.md has the figures.
+    # Five errors alone eject nobody below the least; the most suits 20,000 requests
+    # a second, beyond any group that one home can see.
+    least_threshold_nats: float = 12.0
+    most_threshold_nats: float = 24.0
     # What the peers' work over the same time must add: half, since it is a second
     # look at the same samples and only has to rule a shared cause out.
-    contrast_nats: float = 8.0
+    contrast_fraction: float = 0.5
     # Fractions of work a bad target loses, tested side by side: 10 % is the least
     # worth an ejection, 35 % is quick for all that is worse.
     mild_failure: float = 0.1
@@ -150,9 +154,6 @@
     # of a quick service is twice as slow as its peers and healthy.
     least_slow_ratio: float = 2.0
     least_slow_excess_ms: float = 20.0
-    # No request says more than half the threshold: one stuck connection ejects
-    # nobody, both slots of a small target stuck do.
-    hazard_cap_nats: float = 8.0
     # A try takes about 25 ms and two hops of 1.5 ms; ten times that is no answer.
     opinion_wait_ms: float = 300.0
     # Nearly all work must fail from here before one success elsewhere, which a
--- a/src/crocusspindle/core/peers.py
+++ b/src/crocusspindle/core/peers.py
@@ -11,6 +11,7 @@
     HealthState,
     Outcome,
 )
+from crocusspindle.core.reference import GroupReference
 from crocusspindle.core.target_record import TargetRecord
 
 BIN_MS: Final = 100.0
@@ -95,11 +96,25 @@
 class PeerComparison:
     """Tell whether a suspect is worse than its peers are in the same seconds."""
 
-    def __init__(self, settings: HealthSettings, group: EjectionBudget) -> None:
+    def __init__(
+        self,
+        settings: HealthSettings,
+        group: EjectionBudget,
+        learner: GroupReference,
+    ) -> None:
         self._settings = settings
         self._group = group
+        self._learner = learner
         self._recent = RecentWork()
 
+    @property
+    def _threshold_nats(self) -> float:
+        return self._learner.reference.threshold_nats
+
+    @property
+    def _contrast_nats(self) -> float:
+        return self._settings.contrast_fraction * self._threshold_nats
+
     def add(self, outcome: Outcome, hazard: float, now_ms: float) -> None:
         """Count one ended sending to a target in service."""
         self._recent.add(outcome, hazard, now_ms)
@@ -110,7 +125,7 @@
 
     def stands_out(self, record: TargetRecord, now_ms: float) -> bool:
         """Return True if a suspect is worse than its peers."""
-        threshold_nats = self._settings.threshold_nats
+        threshold_nats = self._threshold_nats
         own = record.evidence
         if own.silent_nats >= threshold_nats:
             # Most of a group falling silent at once is this home's own path.
@@ -123,7 +138,7 @@
         contrast_nats = self._recent.failure_contrast(
             own.failures, self._settings.least_failure_rate, now_ms
         )
-        return contrast_nats >= self._settings.contrast_nats
+        return contrast_nats >= self._contrast_nats
 
     def _is_slower(self, record: TargetRecord, now_ms: float) -> bool:
         settings = self._settings
@@ -137,7 +152,7 @@
         if own_ms < least_ms:
             return False
         contrast_nats = self._recent.latency_contrast(own, now_ms)
-        return contrast_nats >= settings.contrast_nats
+        return contrast_nats >= self._contrast_nats
 
     def most_doubtful(self) -> bool:
         """Return True if most targets in service have something against them."""
@@ -149,7 +164,7 @@
     def is_cut_off(self, record: TargetRecord) -> bool:
         """Return True if nearly nothing comes back from a target."""
         own = record.evidence
-        if own.silent_nats >= self._settings.threshold_nats:
+        if own.silent_nats >= self._threshold_nats:
             return True
         return own.error_rate >= self._settings.path_failure_rate
 
