--- a/src/crocusspindle/core/evidence.py
+++ b/src/crocusspindle/core/evidence.py
@@ -24,6 +24,9 @@
 RECENT_MS = 5_000.0
 """Memory of the rates shown to operators and used to rank bad targets."""
 
+RECENT_STEP_MS = 50.0
+"""Fading more often would cost time and change the rates by less than 1 %."""
+
 
 @dataclass(frozen=True, slots=True)
 class FailureTest:
@@ -41,11 +44,9 @@
             success_nats=log((1.0 - bad_rate) / (1.0 - healthy_rate)),
         )
 
-    def step(self, outcome: Outcome) -> tuple[float, float]:
-        """Return the nats of an outcome and 1 if it failed, else 0."""
-        if outcome in FAILURES:
-            return self.failure_nats, 1.0
-        return self.success_nats, 0.0
+    def step_nats(self, failed: bool) -> float:
+        """Return the nats of one piece of work."""
+        return self.failure_nats if failed else self.success_nats
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,7 +87,8 @@
         """Add a step, the observed value that it stands for and the latency."""
         nats = self.nats + step_nats
         if nats <= 0.0:
-            self.clear(now_ms)
+            if self.samples:
+                self.clear(now_ms)
             return
         if not self.samples:
             self.since_ms = now_ms
@@ -135,11 +137,11 @@
         self._hear(sample, min(hazard, reference.threshold_nats / 2.0), now_ms)
         # A shedding target is busy and a wrong request is its caller's fault:
         # neither speaks for or against the target.
-        if outcome in NEUTRAL:
+        if outcome is not Outcome.OK and outcome in NEUTRAL:
             return
         if outcome is not Outcome.ABANDONED:
             self._judge_failure(sample, reference, now_ms)
-        if outcome in (Outcome.OK, Outcome.ERROR):
+        if outcome is Outcome.OK or outcome is Outcome.ERROR:
             step_nats = self._slow_gain * hazard - self._slow_cost_nats
             self.slow.add(step_nats, hazard, sample.latency_ms, now_ms)
             self._answers += 1.0
@@ -152,7 +154,7 @@
 
     def _hear(self, sample: Sample, hazard: float, now_ms: float) -> None:
         outcome = sample.outcome
-        if outcome in UNANSWERED:
+        if outcome is not Outcome.OK and outcome in UNANSWERED:
             self._silent_nats = min(self._cap_nats, self._silent_nats + hazard)
         elif outcome is not Outcome.REFUSED:
             self._silent_nats = 0.0
@@ -164,18 +166,21 @@
         self, sample: Sample, reference: Reference, now_ms: float
     ) -> None:
         self._fade(now_ms)
-        outcome = sample.outcome
+        failed = sample.outcome is not Outcome.OK
         self._works += 1.0
         self.fresh_works += 1
-        if outcome in FAILURES:
+        if failed:
             self._failures += 1.0
-            self._unreached += outcome in UNREACHED
+            self._unreached += sample.outcome in UNREACHED
             self.fresh_failures += 1
-        self.mild.add(*reference.mild.step(outcome), sample.latency_ms, now_ms)
-        self.hard.add(*reference.hard.step(outcome), sample.latency_ms, now_ms)
+        for sums, test in ((self.mild, reference.mild), (self.hard, reference.hard)):
+            sums.add(test.step_nats(failed), failed, sample.latency_ms, now_ms)
 
     def _fade(self, now_ms: float) -> None:
-        keep = exp((self._recent_at_ms - now_ms) / RECENT_MS)
+        age_ms = now_ms - self._recent_at_ms
+        if age_ms < RECENT_STEP_MS:
+            return
+        keep = exp(-age_ms / RECENT_MS)
         self._recent_at_ms = now_ms
         self._works *= keep
         self._failures *= keep
--- a/src/crocusspindle/core/peers.py
+++ b/src/crocusspindle/core/peers.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from crocusspindle.core.ejection import EjectionBudget
-from crocusspindle.core.evidence import FAILURES, NEUTRAL, Cusum, TargetEvidence
+from crocusspindle.core.evidence import NEUTRAL, Cusum, TargetEvidence
 from crocusspindle.core.health_state import (
     Evidence,
     HealthSettings,
@@ -47,12 +47,13 @@
 
     def add(self, outcome: Outcome, hazard: float, now_ms: float) -> None:
         """Count one ended sending and how unusual its latency was."""
-        if outcome in NEUTRAL:
+        is_ok = outcome is Outcome.OK
+        if not is_ok and outcome in NEUTRAL:
             return
         place = self._bin(now_ms)
         if outcome is not Outcome.ABANDONED:
             self._works[place] += 1
-            self._failures[place] += outcome in FAILURES
+            self._failures[place] += not is_ok
         if outcome is not Outcome.REFUSED:
             self._timed[place] += 1
             self._hazards[place] += hazard
