Let a named operation run to its end when its caller hangs up

Cause: an order whose caller lost its connection was cancelled with the handler, after it had been sent. Its record stayed begun, so the caller that repeated its key was told unknown until the key's window ended, and never got the answer. Ruled out: only the write to the lost caller failing; with that alone mended the test still failed. Change: from the question for leave on, a named operation runs in a task of its own, which a planned stop waits for; its answer is kept to the end whoever listens.

--- a/src/crocusspindle/services/caller_response.py
+++ b/src/crocusspindle/services/caller_response.py
@@ -1,6 +1,7 @@
 """Send answers to callers, whole or visibly cut, and keep those of operations."""
 
 import hashlib
+from collections.abc import Awaitable
 
 from aiohttp import web
 
@@ -44,6 +45,9 @@
 
     A caller who gets the end of a shortened answer takes it for all of it. With a
     broken connection it knows, whatever length the target had announced.
+
+    A caller that hung up may repeat a named operation and ask for its answer, so
+    ``kept`` is filled to the end all the same.
     """
     response = web.StreamResponse(status=answer.status)
     for header, text in answer.headers:
@@ -51,20 +55,33 @@
             response.headers.add(header, text)
     response.headers[REQUEST_ID] = name
     response.headers[words.OUTCOME] = words.OUTCOME_WORDS[answer.outcome]
-    await response.prepare(request)
+    listens = await _reached(response.prepare(request), kept)
     try:
         async for part in answer.parts():
             if kept is not None:
                 kept.add(part)
-            await response.write(part)
+            if listens:
+                listens = await _reached(response.write(part), kept)
     except PEER_FAILURES:
         if request.transport is not None:
             request.transport.abort()
         raise
-    await response.write_eof()
+    if listens:
+        await _reached(response.write_eof(), kept)
     return response
 
 
+async def _reached(sending: Awaitable[object], kept: KeptParts | None) -> bool:
+    """Return True if the caller still listens; raise if nothing is kept for it."""
+    try:
+        await sending
+    except ConnectionError:
+        if kept is None:
+            raise
+        return False
+    return True
+
+
 def kept_response(answer: Answer, name: str) -> web.Response:
     """Return the kept answer of an operation that ran before."""
     if answer.body is None:
--- a/src/crocusspindle/services/entry.py
+++ b/src/crocusspindle/services/entry.py
@@ -95,6 +95,7 @@
         self._logger = Logger("entry")
         self._numbers = itertools.count(1)
         self._prefix = secrets.token_hex(6)
+        self._named: set[asyncio.Task[web.StreamResponse]] = set()
         self.running = 0
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -246,7 +247,30 @@
     async def _follow(
         self, request: web.BaseRequest, call: CallerRequest, spent: Spent
     ) -> web.StreamResponse:
-        """Run a request, once if its caller named the operation."""
+        """Run a request, to its end if its caller named the operation.
+
+        A caller that loses its connection ends what it asked for. Not so a payment:
+        ended half way, it would stay unknown for as long as its key counts, and the
+        caller that repeats it could never learn the answer.
+        """
+        if call.idempotent or OPERATION_KEY not in request.headers:
+            return await self._run(request, call, spent)
+        task = asyncio.create_task(self._run(request, call, spent))
+        self.running += 1
+        self._named.add(task)
+        task.add_done_callback(self._end_named)
+        return await asyncio.shield(task)
+
+    def _end_named(self, task: asyncio.Task[web.StreamResponse]) -> None:
+        self.running -= 1
+        self._named.discard(task)
+        # A refusal that nobody waits for any more is no fault to report.
+        if not task.cancelled():
+            task.exception()
+
+    async def _run(
+        self, request: web.BaseRequest, call: CallerRequest, spent: Spent
+    ) -> web.StreamResponse:
         begun = await self._begin(request, call)
         if isinstance(begun, Answer):
             self._rates.refund(call.customer, spent)
