Complete the operation ledger's memory from the table

Ruled out: a quorum of peers (a replicated store of ours), and records handed over by former holders (says nothing of holders that died). Change: under a settled view a node reads all rows of the table, up to 50,000, after which its memory is whole; rows are deleted when their key's window ends.

--- a/src/crocusspindle/core/operation_entries.py
+++ b/src/crocusspindle/core/operation_entries.py
@@ -173,16 +173,16 @@
         entry.record = with_state(entry.record, RecordState.DONE, answer)
         entry.unflushed = entry.mode is LedgerMode.PEER
 
-    def expire(self, now_ms: float) -> int:
-        """Drop the records whose keys may not be repeated any more."""
+    def expire(self, now_ms: float) -> list[Record]:
+        """Drop and return the records whose keys may not be repeated any more."""
         old = [
-            name
-            for name, entry in self._entries.items()
+            entry.record
+            for entry in self._entries.values()
             if entry.expires_at_ms <= now_ms
         ]
-        for name in old:
-            self._drop(name)
-        return len(old)
+        for record in old:
+            self._drop(record.name)
+        return old
 
     def unflushed(self, view: ViewNumber) -> list[WriteRow]:
         """Return the rows to write for records made under earlier views."""
--- a/src/crocusspindle/core/operation_places.py
+++ b/src/crocusspindle/core/operation_places.py
@@ -95,6 +95,36 @@
             return False
         return self.member in holders(name, {*self._since_ms, *self._departed})
 
+    def whole(self, now_ms: float) -> bool:
+        """Return True if memory reaches back over the window for every key."""
+        start_ms = now_ms - self._window_ms
+        since = max(self._since_ms.values(), default=now_ms)
+        reaches = max(since, self._continuous_since_ms) <= start_ms
+        return reaches and not self._departed
+
+    def loaded(self, view_number: ViewNumber) -> bool:
+        """Note that all rows of the table were read under a settled view.
+
+        Fault: after a start or a change of members no holder's memory reaches back,
+        and orders would be refused through an outage that begins in the next hour.
+        Rows are written before anything is sent, and no right by an earlier view is
+        left once a view is settled, so that whoever has read them all since knows
+        every operation of its keys. Records of an outage that its members have not
+        written yet are the exception; one holder's word is enough, so one member of
+        each outage may be missing.
+        """
+        if self.view is None or self.view.number != view_number:
+            return False
+        for number, members in self._outages.items():
+            if members is None or number >= view_number:
+                return False
+            if len(members - self._flushed.get(number, set())) > 1:
+                return False
+        self._since_ms = dict.fromkeys(self._since_ms, float("-inf"))
+        self._departed = {}
+        self._continuous_since_ms = float("-inf")
+        return True
+
     def outage(
         self, view: ViewNumber, members: Iterable[MemberId] | None = None
     ) -> None:
--- a/src/crocusspindle/core/operations.py
+++ b/src/crocusspindle/core/operations.py
@@ -228,9 +228,38 @@
         """
         return self._entries.flushed(name, version, met)
 
-    def expire(self, now_ms: float) -> int:
-        """Drop the records whose keys may not be repeated any more."""
-        return self._entries.expire(now_ms)
+    def load(self, record: Record, row_version: int, now_ms: float) -> None:
+        """Take a row of the table that was read to complete this node's memory."""
+        held = self._entries.live(record.name, now_ms)
+        if held is not None or not self.places.holds(record.name):
+            return
+        if self._entries.full:
+            return
+        done = record.state is RecordState.DONE
+        phase = Phase.DONE if done else Phase.BEGUN
+        entry = self._entries.put(
+            record, phase, LedgerMode.TABLE, self._view_number, now_ms
+        )
+        entry.row_version = row_version
+        if record.state is RecordState.FREE:
+            entry.kill()
+        elif record.answer is not None:
+            self._entries.finish(entry, record.answer)
+
+    def loaded(self, view_number: ViewNumber) -> bool:
+        """Note that every row was read under a settled view; see `Places.loaded`."""
+        return not self._entries.full and self.places.loaded(view_number)
+
+    def expire(self, now_ms: float) -> list[Record]:
+        """Drop the records whose keys may not be repeated any more.
+
+        Returns those that this node granted by the table, whose rows may go.
+        """
+        return [
+            record
+            for record in self._entries.expire(now_ms)
+            if record.origin == self.member
+        ]
 
     @property
     def _view_number(self) -> ViewNumber:
--- a/src/crocusspindle/platform/adapter.py
+++ b/src/crocusspindle/platform/adapter.py
@@ -52,6 +52,11 @@
     ) -> PutResult:
         """Write a row on condition that its version is the expected one."""
 
+    async def delete(
+        self, table: str, key: str, expected_version: int, deadline_ms: float
+    ) -> bool:
+        """Delete a row on condition of its version; return False if it differs."""
+
     async def read_range(
         self, table: str, after_key: str, limit: int, deadline_ms: float
     ) -> Sequence[Row]:
--- a/src/crocusspindle/platform/http.py
+++ b/src/crocusspindle/platform/http.py
@@ -54,7 +54,7 @@
         left_s = remaining_s(deadline_ms)
         if left_s <= 0:
             raise PlatformUnavailableError(f"no time left for {method} {path}")
-        unsure = PlatformUnknownError if method == "PUT" else PlatformUnavailableError
+        unsure = PlatformUnknownError if method != "GET" else PlatformUnavailableError
         try:
             async with asyncio.timeout(left_s):
                 async with self._client().request(
@@ -100,6 +100,20 @@
             raise PlatformUnknownError(f"PUT {table}/{key}: status {status}")
         return PutResult(status == HTTP_OK, _row(msgpack.unpackb(content)))
 
+    async def delete(
+        self, table: str, key: str, expected_version: int, deadline_ms: float
+    ) -> bool:
+        """Delete a row on condition of its version; return False if it differs."""
+        status, _ = await self._call(
+            "DELETE",
+            f"/v1/tables/{table}/rows/{quote(key, safe='')}",
+            deadline_ms,
+            headers={"If-Version": str(expected_version)},
+        )
+        if status not in (HTTP_OK, HTTP_CONFLICT):
+            raise PlatformUnknownError(f"DELETE {table}/{key}: status {status}")
+        return status == HTTP_OK
+
     async def read_range(
         self, table: str, after_key: str, limit: int, deadline_ms: float
     ) -> Sequence[Row]:
--- a/src/crocusspindle/services/ledger.py
+++ b/src/crocusspindle/services/ledger.py
@@ -53,6 +53,12 @@
 
 HOUSEKEEPING_S: Final = 1.0
 EXPIRE_EVERY: Final = 30
+LOAD_EVERY: Final = 2
+PAGE: Final = 500
+LOAD_PAGES: Final = 100
+"""50,000 rows, an hour of 14 keyed operations a second. A longer table is not read:
+after a change of members the window has to pass instead."""
+
 FLUSH_AT_ONCE: Final = 32
 """Rows written together after an outage: with 40 nodes far below what the table
 takes in a second, and 100 records a node are through in seconds."""
@@ -224,12 +230,53 @@
             await asyncio.sleep(HOUSEKEEPING_S)
             looks += 1
             if looks % EXPIRE_EVERY == 0:
-                self._ledger.expire(now_ms())
+                await self._expire()
             views = self._control.fitness.away_views(now_ms())
             self._ledger.note_outages(views)
             if now_ms() < self._control.fitness.stamp_until_ms():
                 with suppress(PlatformError):
                     await self._flush(views)
+                    if looks % LOAD_EVERY == 0:
+                        await self._load()
+
+    async def _expire(self) -> None:
+        """Drop old records, and their rows where this node granted them."""
+        for record in self._ledger.expire(now_ms()):
+            deadline_ms = now_ms() + self._timings.platform_timeout_ms
+            key = record.name.row_key
+            with suppress(PlatformError):
+                row = await self._platform.get(TABLE, key, deadline_ms)
+                if (
+                    row is not None
+                    and decode_record(row.value).attempt == record.attempt
+                ):
+                    await self._platform.delete(TABLE, key, row.version, deadline_ms)
+
+    async def _load(self) -> None:
+        """Read the table into memory, so that an outage may begin at any time."""
+        view = self._control.view
+        if view is None or self._ledger.places.whole(now_ms()):
+            return
+        if not self._may_load(view):
+            return
+        after = ""
+        for _ in range(LOAD_PAGES):
+            deadline_ms = now_ms() + self._timings.platform_timeout_ms
+            rows = await self._platform.read_range(TABLE, after, PAGE, deadline_ms)
+            for row in rows:
+                self._ledger.load(decode_record(row.value), row.version, now_ms())
+            if len(rows) < PAGE:
+                break
+            after = rows[-1].key
+        else:
+            return
+        if self._may_load(view):
+            self._ledger.loaded(view.number)
+
+    def _may_load(self, view: MemberView) -> bool:
+        fitness, now = self._control.fitness, now_ms()
+        settled = fitness.majority_at(view.number, now)
+        return settled and now < fitness.table_until_ms(now)
 
     async def _flush(self, views: Iterable[ViewNumber]) -> None:
         """Write what only memory holds, then say so to the other members."""
--- a/src/crocusspindle/services/platform_service.py
+++ b/src/crocusspindle/services/platform_service.py
@@ -43,6 +43,13 @@
         writing = self._adapter.put(table, key, value, expected_version, deadline_ms)
         return await self._measure("put", writing)
 
+    async def delete(
+        self, table: str, key: str, expected_version: int, deadline_ms: float
+    ) -> bool:
+        """Delete a row on condition of its version; return False if it differs."""
+        call = self._adapter.delete(table, key, expected_version, deadline_ms)
+        return await self._measure("delete", call)
+
     async def read_range(
         self, table: str, after_key: str, limit: int, deadline_ms: float
     ) -> Sequence[Row]:
--- a/src/crocusspindle_standins/platform.py
+++ b/src/crocusspindle_standins/platform.py
@@ -69,7 +69,7 @@
         if request.path == "/control":
             return await handler(request)  # type: ignore[no-any-return]
         state = self.state
-        kind = "write" if request.method == "PUT" else "read"
+        kind = "read" if request.method == "GET" else "write"
         state.calls[kind] += 1
         state.calls[f"{kind} {'/'.join(request.path.split('/')[2:4])}"] += 1
         if state.delay_ms:
@@ -103,6 +103,16 @@
         rows[key] = (expected + 1, value)
         return _packed([key, expected + 1, value])
 
+    async def delete_row(self, request: web.Request) -> web.Response:
+        """Delete one row when its version is the expected one."""
+        rows = self.state.rows.get(request.match_info["table"], {})
+        key = request.match_info["key"]
+        held = rows.get(key)
+        if held is None or held[0] != int(request.headers["If-Version"]):
+            return web.Response(status=409)
+        del rows[key]
+        return web.Response()
+
     async def get_range(self, request: web.Request) -> web.Response:
         """Answer rows in the order of their keys."""
         rows = self.state.rows.get(request.match_info["table"], {})
@@ -151,6 +161,7 @@
                 web.get(rows, self.get_range),
                 web.get(rows + "/{key}", self.get_row),
                 web.put(rows + "/{key}", self.put_row),
+                web.delete(rows + "/{key}", self.delete_row),
                 web.get("/v1/objects/{name}", self.get_object),
                 web.put("/v1/objects/{name}", self.put_object),
                 web.get("/v1/hosts", self.get_hosts),
--- a/tests/core/test_operations.py
+++ b/tests/core/test_operations.py
@@ -543,5 +543,5 @@
     assert full.reason is NotRunReason.FULL
     other = ledger.begin(names[0], attempt, b"other", right, now_ms)
     assert other == FingerprintMismatch()
-    assert ledger.expire(now_ms + limits.retention_ms) == 1
+    assert len(ledger.expire(now_ms + limits.retention_ms)) == 1
     assert len(ledger) == 0
