Do not count shed attempts towards the limit of attempts

Cause: with slots claimed as 6 where 2 are, a few requests were shed three times in the first seconds and given up. Ruled out: a higher limit, which also multiplies attempts that run. Change: a shed attempt is not counted; the lowered limit and the pause bound it.

--- a/src/crocusspindle/core/home.py
+++ b/src/crocusspindle/core/home.py
@@ -291,7 +291,10 @@
             self._forget(request)
             return decisions
         if end is AttemptEnd.SHED:
+            # The target's limit is lowered or the target paused, which bounds the
+            # sheddings; counted, a group's first seconds would give requests up.
             pending.tried.discard(attempt.slots.target.target)
+            pending.attempts -= 1
         elif end is not AttemptEnd.UNSENT:
             pending.may_have_run = True
         if pending.running and attempt.started_ms is None:
