--- a/examples/caller.py
+++ b/examples/caller.py
@@ -33,6 +33,13 @@
         """Return ran, not-run or unknown."""
         return self.headers.get("Crocusspindle-Outcome", "unknown")
 
+    @property
+    def final(self) -> bool:
+        """Return True if sending again would not tell more."""
+        if self.outcome == "not-run":
+            return self.status not in (429, 503)
+        return self.outcome == "ran" or self.status not in (409, 503, 504)
+
     @property
     def retry_after_s(self) -> float:
         """Return when to come back."""
@@ -52,11 +59,12 @@
     def send(
         self, method: str, path: str, body: bytes | None, timeout_ms: int = 5000
     ) -> Answer | None:
-        """Send until the request has run, its outcome is unknown, or tries end.
+        """Send until it is known what became of the request, or tries end.
 
         None means that no answer came and that the outcome is unknown.
         """
-        # One name for the operation, whatever the number of tries.
+        # One name for the operation, whatever the number of tries: with it the
+        # fleet runs the operation once and answers each try alike.
         operation = {} if method == "GET" else {"Idempotency-Key": str(uuid.uuid4())}
         answer = None
         for number in range(TRIES):
@@ -64,12 +72,10 @@
             answer = self._once(address, method, path, body, timeout_ms, operation)
             if answer is None:
                 self.ask_again_at_s = 0.0
-                if method != "GET":
-                    return None
-                continue
-            if answer.outcome != "not-run" or answer.status not in (429, 503):
+            elif answer.final:
                 return answer
-            time.sleep(answer.retry_after_s)
+            else:
+                time.sleep(answer.retry_after_s)
         return answer
 
     def _address(self, number: int) -> str:
--- a/features/operators_journey.feature
+++ b/features/operators_journey.feature
@@ -13,6 +13,7 @@
     Then the command ends with 0 and the ticket is in force
     And the customer is told 3 addresses
     And the customer's request runs at a target
+    And one payment sent to two nodes runs once and is answered twice
     When the operator submits ticket 1 with customer, key, service and route
     Then the command ends with 0 and the ticket is repeated
     When the operator submits other content as ticket 1
--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -54,11 +54,13 @@
     command(context, "ticket", "submit", file, "--wait_ms", 17000, who=who)
 
 
-def ask(context, path):
+def ask(context, path, node=1, body=None, **headers):
     """Return status and JSON body of a customer's request."""
+    headers = {name.replace("_", "-"): value for name, value in headers.items()}
     request = urllib.request.Request(
-        context.fleet.nodes[1].caller_url + path,
-        headers={"Authorization": f"Bearer {CUSTOMER_KEY}"},
+        context.fleet.nodes[node].caller_url + path,
+        data=body,
+        headers={"Authorization": f"Bearer {CUSTOMER_KEY}", **headers},
     )
     try:
         with urllib.request.urlopen(request, timeout=10) as response:
@@ -67,6 +69,19 @@
         return error.code, json.load(error), error.headers
 
 
+def ask_in_time(context, *arguments, **more):
+    """Ask again as told while there are no tokens.
+
+    Shares of a new customer open empty, one lease after the view.
+    """
+    until = time.monotonic() + SHARES_OPEN_S
+    status, body, headers = ask(context, *arguments, **more)
+    while status == 429 and time.monotonic() < until:
+        time.sleep(float(headers["Crocusspindle-Retry-After-Ms"]) / 1000 + 0.05)
+        status, body, headers = ask(context, *arguments, **more)
+    return status, body, headers
+
+
 @given("settings with an unknown key, a missing port and a wrong role")
 def step_wrong_settings(context):
     context.settings = context.folder / "settings.yaml"
@@ -167,18 +182,26 @@
 
 @then("the customer's request runs at a target")
 def step_runs(context):
-    # Shares of a new customer open one lease after the view; until then it is
-    # told to come back.
-    until = time.monotonic() + SHARES_OPEN_S
-    status, body, headers = ask(context, "/bowls")
-    while status == 429 and time.monotonic() < until:
-        time.sleep(float(headers["Crocusspindle-Retry-After-Ms"]) / 1000 + 0.05)
-        status, body, headers = ask(context, "/bowls")
+    status, body, headers = ask_in_time(context, "/bowls")
     assert status == 200, body
     assert headers["Crocusspindle-Outcome"] == "ran"
     assert (body["service"], body["customer"]) == ("katalog", "club")
 
 
+@then("one payment sent to two nodes runs once and is answered twice")
+def step_once(context):
+    key = "payment-1"
+    answers = [
+        ask_in_time(context, "/pay", node, b"10 ringgit", Idempotency_Key=key)
+        for node in (0, 1)
+    ]
+    assert [status for status, _, _ in answers] == [200, 200], answers
+    assert answers[0][1] == answers[1][1]
+    judges = context.loop.run_until_complete(context.fleet.executions())
+    assert sum(judge["operations"].get(key, 0) for judge in judges) == 1
+    assert sum(judge["keys_seen"] for judge in judges) == 0
+
+
 @then("the audit trail names changes 1, 2 and 3 and never the key")
 def step_audit(context):
     command(context, "audit", who="operator")
