--- a/src/crocusspindle/core/evidence.py
+++ b/src/crocusspindle/core/evidence.py
@@ -18,9 +18,15 @@
 NEUTRAL = frozenset({Outcome.SHED, Outcome.CALLER_ERROR})
 UNANSWERED = frozenset({Outcome.TIMEOUT, Outcome.ABANDONED})
 
+CAP_FACTOR = 1.5
+"""Evidence is capped above the threshold, so that a target can clear itself soon."""
+
 RECENT_MS = 5_000.0
 """Memory of the rates shown to operators and used to rank bad targets."""
 
+RECENT_STEP_MS = 50.0
+"""Fading more often would cost time and change the rates by less than 1 %."""
+
 
 @dataclass(frozen=True, slots=True)
 class FailureTest:
@@ -38,17 +44,16 @@
             success_nats=log((1.0 - bad_rate) / (1.0 - healthy_rate)),
         )
 
-    def step(self, outcome: Outcome) -> tuple[float, float]:
-        """Return the nats of an outcome and 1 if it failed, else 0."""
-        if outcome in FAILURES:
-            return self.failure_nats, 1.0
-        return self.success_nats, 0.0
+    def step_nats(self, failed: bool) -> float:
+        """Return the nats of one piece of work."""
+        return self.failure_nats if failed else self.success_nats
 
 
 @dataclass(frozen=True, slots=True)
 class Reference:
-    """Hold what a group has learnt of healthy work."""
+    """Hold what a group has learnt of healthy work, and what it takes to eject."""
 
+    threshold_nats: float
     healthy_rate: float
     mild: FailureTest
     hard: FailureTest
@@ -65,7 +70,6 @@
     __slots__ = ("_cap_nats", "latency_ms", "nats", "samples", "since_ms", "total")
 
     def __init__(self, cap_nats: float) -> None:
-        # A cap, so that a target well again needs seconds to clear itself.
         self._cap_nats = cap_nats
         self.clear(0.0)
 
@@ -83,7 +87,8 @@
         """Add a step, the observed value that it stands for and the latency."""
         nats = self.nats + step_nats
         if nats <= 0.0:
-            self.clear(now_ms)
+            if self.samples:
+                self.clear(now_ms)
             return
         if not self.samples:
             self.since_ms = now_ms
@@ -97,7 +102,7 @@
     """Collect the evidence of real work against one target."""
 
     def __init__(self, settings: HealthSettings, now_ms: float) -> None:
-        cap_nats = 2.0 * settings.threshold_nats
+        cap_nats = CAP_FACTOR * settings.most_threshold_nats
         self._cap_nats = cap_nats
         self._slow_gain = 1.0 - 1.0 / settings.slow_factor
         self._slow_cost_nats = log(settings.slow_factor)
@@ -129,14 +134,14 @@
     ) -> None:
         """Take one ended sending, whose latency has this hazard, into account."""
         outcome = sample.outcome
-        self._hear(sample, hazard, now_ms)
+        self._hear(sample, min(hazard, reference.threshold_nats / 2.0), now_ms)
         # A shedding target is busy and a wrong request is its caller's fault:
         # neither speaks for or against the target.
-        if outcome in NEUTRAL:
+        if outcome is not Outcome.OK and outcome in NEUTRAL:
             return
         if outcome is not Outcome.ABANDONED:
             self._judge_failure(sample, reference, now_ms)
-        if outcome in (Outcome.OK, Outcome.ERROR):
+        if outcome is Outcome.OK or outcome is Outcome.ERROR:
             step_nats = self._slow_gain * hazard - self._slow_cost_nats
             self.slow.add(step_nats, hazard, sample.latency_ms, now_ms)
             self._answers += 1.0
@@ -149,7 +154,7 @@
 
     def _hear(self, sample: Sample, hazard: float, now_ms: float) -> None:
         outcome = sample.outcome
-        if outcome in UNANSWERED:
+        if outcome is not Outcome.OK and outcome in UNANSWERED:
             self._silent_nats = min(self._cap_nats, self._silent_nats + hazard)
         elif outcome is not Outcome.REFUSED:
             self._silent_nats = 0.0
@@ -161,18 +166,21 @@
         self, sample: Sample, reference: Reference, now_ms: float
     ) -> None:
         self._fade(now_ms)
-        outcome = sample.outcome
+        failed = sample.outcome is not Outcome.OK
         self._works += 1.0
         self.fresh_works += 1
-        if outcome in FAILURES:
+        if failed:
             self._failures += 1.0
-            self._unreached += outcome in UNREACHED
+            self._unreached += sample.outcome in UNREACHED
             self.fresh_failures += 1
-        self.mild.add(*reference.mild.step(outcome), sample.latency_ms, now_ms)
-        self.hard.add(*reference.hard.step(outcome), sample.latency_ms, now_ms)
+        for sums, test in ((self.mild, reference.mild), (self.hard, reference.hard)):
+            sums.add(test.step_nats(failed), failed, sample.latency_ms, now_ms)
 
     def _fade(self, now_ms: float) -> None:
-        keep = exp((self._recent_at_ms - now_ms) / RECENT_MS)
+        age_ms = now_ms - self._recent_at_ms
+        if age_ms < RECENT_STEP_MS:
+            return
+        keep = exp(-age_ms / RECENT_MS)
         self._recent_at_ms = now_ms
         self._works *= keep
         self._failures *= keep
@@ -183,7 +191,11 @@
     def wait(
         self, ages_ms: Sequence[float], reference: Reference, now_ms: float
     ) -> None:
-        """Replace what the requests still outstanding say by their ages."""
+        """Replace what the requests still outstanding say by their ages.
+
+        No request says more of silence than half the threshold: one stuck connection
+        ejects nobody, both slots of a small target stuck do.
+        """
         silent_nats = 0.0
         slow_nats = 0.0
         for age_ms in ages_ms:
@@ -192,7 +204,7 @@
             # An older one may hang on a connection gone silent while the target
             # answers on others: it counts only if nothing sent later was answered.
             if now_ms - age_ms > self._answered_sent_ms:
-                silent_nats += hazard
+                silent_nats += min(hazard, reference.threshold_nats / 2.0)
         self._waiting_slow_nats = slow_nats
         self._waiting_silent_nats = silent_nats
 
