--- a/src/crocusspindle/services/group_runner.py
+++ b/src/crocusspindle/services/group_runner.py
@@ -24,6 +24,7 @@
 )
 from crocusspindle.core.health import GroupHealth
 from crocusspindle.core.health_state import (
+    GroupSuspect,
     HealthChange,
     Sample,
     SecondOpinionWanted,
@@ -33,6 +34,7 @@
 from crocusspindle.core.home import Home
 from crocusspindle.core.home_settings import HomeSettings
 from crocusspindle.core.model import Target
+from crocusspindle.core.placement import PROBATION_WEIGHT
 from crocusspindle.errors import PeerError
 from crocusspindle.ids import AttemptId, CustomerId, RequestId, TargetId
 from crocusspindle.services.group_meter import GroupMeter
@@ -47,6 +49,10 @@
 CLIENT_ERROR: Final = 400
 SERVER_ERROR: Final = 500
 RETRY_MS: Final = 1_000.0
+DECLINE_MS: Final = 5_000.0
+"""As long as the judge waits before it says so again; a cut path then shows itself
+in the heartbeats, or is whole again."""
+
 HEALTH_TICK_S: Final = 0.1
 """Detection within 2 s wants the age of running requests looked at often; ten
 looks a second cost a group of 16 targets little."""
@@ -91,6 +97,8 @@
         self._meter = meter
         self._requests: dict[RequestId, HandedOver] = {}
         self._attempts: dict[AttemptId, asyncio.Task[None]] = {}
+        self._outstanding: dict[TargetId, dict[AttemptId, float]] = {}
+        self.declines_until_ms = 0.0
         self._results: dict[AttemptId, AttemptResult] = {}
         self._side_tasks: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
@@ -164,8 +172,7 @@
         match decision:
             case Dispatch():
                 self._meter.began(decision.request, decision.attempt, now_ms())
-                task = asyncio.create_task(self._attempt(decision))
-                self._attempts[decision.attempt] = task
+                self._dispatch(decision)
             case Cancel(attempt):
                 if attempt in self._attempts:
                     self._attempts[attempt].cancel()
@@ -177,6 +184,13 @@
             case Fail():
                 self._fail(decision)
 
+    def _dispatch(self, dispatch: Dispatch) -> None:
+        now = now_ms()
+        if self._health.weight(dispatch.target, now) <= PROBATION_WEIGHT:
+            self._health.trial_sent(dispatch.target, now)
+        task = asyncio.create_task(self._attempt(dispatch))
+        self._attempts[dispatch.attempt] = task
+
     def _answer(
         self, request: RequestId, attempt: AttemptId, outcome: Outcome | None
     ) -> None:
@@ -228,6 +242,7 @@
             # Also after a cancellation: the core frees the slot only when it is
             # told the end.
             del self._attempts[dispatch.attempt]
+            self._outstanding.get(dispatch.target, {}).pop(dispatch.attempt, None)
             self._note_end(dispatch, result, now_ms() - began_ms)
 
     async def _send(self, dispatch: Dispatch) -> AttemptResult:
@@ -251,6 +266,8 @@
             deadline_ms=dispatch.deadline_ms,
             body=await request.body(),
         )
+        sent = self._outstanding.setdefault(dispatch.target, {})
+        sent[dispatch.attempt] = now_ms()
         return await self._client.send(dispatch.target, sending)
 
     async def _let_finish(self, dispatch: Dispatch, result: AttemptResult) -> None:
@@ -284,6 +301,10 @@
     def _report(self, changes: Iterable[HealthChange]) -> None:
         for change in changes:
             self._on_health(self, change)
+            if isinstance(change, GroupSuspect):
+                # All look bad from here while another domain reaches them: the
+                # path or this node is at fault, and the next home serves better.
+                self.declines_until_ms = now_ms() + DECLINE_MS
             if isinstance(change, SecondOpinionWanted):
                 task = asyncio.create_task(self._ask_opinion(change.target))
                 self._side_tasks.add(task)
@@ -297,9 +318,19 @@
             self._report(self._health.second_opinion(target, reached, now_ms()))
             self._carry_out(self._home.tick(now_ms()))
 
+    def _judge_outstanding(self, now: float) -> None:
+        """Let the health judge see how long targets have not answered."""
+        for target, sent in list(self._outstanding.items()):
+            if not sent:
+                del self._outstanding[target]
+                continue
+            ages_ms = [now - at_ms for at_ms in sent.values()]
+            self._report(self._health.outstanding(target, ages_ms, now))
+
     async def _watch_health(self) -> None:
         while True:
             await asyncio.sleep(HEALTH_TICK_S)
+            self._judge_outstanding(now_ms())
             self._report(self._health.tick(now_ms()))
             self._carry_out(self._home.tick(now_ms()))
 
--- a/src/crocusspindle/services/hand_over.py
+++ b/src/crocusspindle/services/hand_over.py
@@ -28,6 +28,10 @@
 FINAL_GRACE_S: Final = 0.25
 """A home ends every request by its deadline; its word needs a hop or two to here."""
 
+AVOID_MS: Final = 1_000.0
+"""A home that failed one request is tried last for so long: a paused one would cost
+each request the wait for its word until the heartbeats show that it is silent."""
+
 RETRY_MS: Final = 1_000.0
 
 
@@ -127,6 +131,7 @@
         self._peers = peers
         self._home = home
         self._timings = timings
+        self._avoided_until_ms: dict[MemberId, float] = {}
 
     async def run(self, handling: Handling) -> HomeAnswer | GivenUp:
         """Return the answer's head or the final word, by the deadline.
@@ -136,13 +141,16 @@
         """
         call = handling.call
         last: GivenUp | None = None
-        for home in self._homes(call.service, 0)[:HOMES_TRIED]:
+        homes = self._homes(call.service, 0)[:HOMES_TRIED]
+        for home in homes:
             if now_ms() >= call.deadline_ms:
                 break
+            may_move = home != homes[-1]
             try:
                 link = await self._open(handling, home)
-                found = await self._negotiate(handling, link)
+                found = await self._negotiate(handling, link, may_move)
             except PEER_FAILURES:
+                self._avoided_until_ms[home] = now_ms() + AVOID_MS
                 await handling.close()
                 if handling.granted and not call.replayable:
                     return self._given_up(handling, "home-lost")
@@ -163,12 +171,16 @@
         if view is None:
             return [me]
         ranked = order(f"{service}/{group}".encode(), view.names)
-        return [
+        ranked = [
             member
             for member in ranked
             if (member == me and not self._control.draining)
             or self._peers.usable(member)
-        ] or [me]
+        ]
+        now = now_ms()
+        avoided = self._avoided_until_ms
+        ranked.sort(key=lambda member: avoided.get(member, 0.0) > now)
+        return ranked or [me]
 
     async def _open(self, handling: Handling, home: MemberId) -> EntryLink:
         if home == self._control.me.member:
@@ -189,11 +201,11 @@
             await self._home.serve(local.home)
 
     async def _negotiate(
-        self, handling: Handling, link: EntryLink
+        self, handling: Handling, link: EntryLink, may_move: bool
     ) -> HomeAnswer | GivenUp:
         call = handling.call
         async with asyncio.timeout(self._timings.hand_over_ms / 1e3):
-            await link.send(wire.HandOverFrame(head=_head(call)))
+            await link.send(wire.HandOverFrame(head=_head(call, may_move)))
             frame = await link.receive()
         try:
             async with asyncio.timeout(remaining_s(call.deadline_ms) + FINAL_GRACE_S):
@@ -256,7 +268,7 @@
     await link.send(wire.HandOverFrame(body_end=wire.BodyEnd()))
 
 
-def _head(call: CallerRequest) -> wire.RequestHead:
+def _head(call: CallerRequest, may_move: bool) -> wire.RequestHead:
     head = wire.RequestHead(
         request=call.request,
         customer=call.customer,
@@ -270,6 +282,7 @@
         credential=call.credential,
         body_whole=call.rest is None,
         has_body=call.has_body,
+        may_move=may_move,
     )
     head.headers.extend(
         wire.Header(name=name, value=text) for name, text in call.headers
--- a/src/crocusspindle/services/home.py
+++ b/src/crocusspindle/services/home.py
@@ -109,6 +109,10 @@
             await send_refusal(request, unfit, now_ms())
             return
         runner = self._runner((ServiceId(head.service), head.group))
+        if now_ms() < runner.declines_until_ms and head.may_move:
+            unfit = GivenUp(Outcome.NOT_RUN, HOME_UNFIT, now_ms())
+            await send_refusal(request, unfit, now_ms())
+            return
         runner.arrive(request)
         try:
             await self._see_through(runner, request)
