Load a row over an attempt that failed here

Cause: found by a fixed order against the new loading of the table. Two holders try a key in vain and keep it as free; newcomers take its place, run it and leave; the first two load the table, skip the key since they know it, and count as complete. With the platform away the key runs a second time. Ruled out: the wait for a settled view; it held, the row was read and passed over. Change: a free record yields to its row. A write that meets no row starts from its absence, since rows are deleted now. The small fleet of the tests asks each node for its fitness once a round, as the services do: without it no view settled there. Before: 2 runs in the fixed order. After: 1, and 2 again with the baseline. The state machine loads the table, too.

--- a/src/crocusspindle/core/operation_entries.py
+++ b/src/crocusspindle/core/operation_entries.py
@@ -160,6 +160,28 @@
         self._entries[record.name] = entry
         return entry
 
+    def take_row(
+        self, record: Record, row_version: int, view: ViewNumber, now_ms: float
+    ) -> None:
+        """Keep what a row says, unless more is known here.
+
+        An attempt that failed here says nothing of those that other holders of the
+        key let run since: their row counts, and without it the key would run again.
+        """
+        held = self.live(record.name, now_ms)
+        if held is None and self.full:
+            return
+        if held is not None and (
+            held.phase is not Phase.FREE or record.attempt in held.dead
+        ):
+            return
+        entry = self.put(record, Phase.BEGUN, LedgerMode.TABLE, view, now_ms)
+        entry.row_version = row_version
+        if record.state is RecordState.FREE:
+            entry.kill()
+        elif record.answer is not None:
+            self.finish(entry, record.answer)
+
     def finish(self, entry: Entry, answer: Answer) -> None:
         """Keep an answer, without its body beyond the bounds."""
         entry.phase = Phase.DONE
--- a/src/crocusspindle/core/operations.py
+++ b/src/crocusspindle/core/operations.py
@@ -141,6 +141,8 @@
             return self._row_taken(entry, result, now_ms)
         if result.outcome is RowOutcome.FOUND:
             return self._row_found(entry, result, now_ms)
+        if result.outcome is RowOutcome.ABSENT:
+            entry.row_version = 0
         entry.row_calls += 1
         entry.row_maybe_written |= result.outcome is RowOutcome.UNKNOWN
         spent = entry.row_calls >= self._limits.max_row_calls
@@ -238,21 +240,8 @@
 
     def load(self, record: Record, row_version: int, now_ms: float) -> None:
         """Take a row of the table that was read to complete this node's memory."""
-        held = self._entries.live(record.name, now_ms)
-        if held is not None or not self.places.holds(record.name):
-            return
-        if self._entries.full:
-            return
-        done = record.state is RecordState.DONE
-        phase = Phase.DONE if done else Phase.BEGUN
-        entry = self._entries.put(
-            record, phase, LedgerMode.TABLE, self._view_number, now_ms
-        )
-        entry.row_version = row_version
-        if record.state is RecordState.FREE:
-            entry.kill()
-        elif record.answer is not None:
-            self._entries.finish(entry, record.answer)
+        if self.places.holds(record.name):
+            self._entries.take_row(record, row_version, self._view_number, now_ms)
 
     def loaded(self, view_number: ViewNumber) -> bool:
         """Note that every row was read under a settled view; see `Places.loaded`."""
--- a/tests/core/small_fleet.py
+++ b/tests/core/small_fleet.py
@@ -138,6 +138,8 @@
             for peer in self.awake():
                 if peer is not node:
                     self.beat(node, peer)
+        for node in self.awake():
+            node.fitness.is_fit(self.now(node))
 
     def rounds(self, count: int) -> None:
         for _ in range(count):
--- a/tests/core/test_operations.py
+++ b/tests/core/test_operations.py
@@ -1,5 +1,6 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
+from typing import Any
 
 import pytest
 from hypothesis import settings
@@ -23,6 +24,7 @@
     OperationName,
     OutcomeUnknown,
     ReadRow,
+    Record,
     Right,
     RowOutcome,
     RowResult,
@@ -220,6 +222,17 @@
                 if number < node.view.number:
                     self.marks.add((number, node.me.member))
 
+    def load(self, node: Node) -> None:
+        now_ms, view = self.fleet.now(node), node.view
+        if view is None or node.me.member not in self.fleet.reach:
+            return
+        settled = node.fitness.majority_at(view.number, now_ms)
+        if not settled or now_ms >= node.fitness.table_until_ms(now_ms):
+            return
+        for version, value in self.rows.values():
+            node.ledger.load(decode_record(value), version, now_ms)
+        node.ledger.loaded(view.number)
+
     def tell_marks(self) -> None:
         for node in self.fleet.awake():
             for view, member in self.marks:
@@ -346,6 +359,11 @@
             self.market.flush(node)
         self.market.tell_marks()
 
+    @rule()
+    def load(self) -> None:
+        for node in self.fleet.awake():
+            self.market.load(node)
+
     @invariant()
     def nothing_ran_twice(self) -> None:
         assert all(count == 1 for count in self.market.runs.values())
@@ -458,6 +476,42 @@
     return scene.runs()
 
 
+def freed_here_and_run_elsewhere() -> int:
+    """Let an attempt fail at two holders, and the next run at two newcomers."""
+    scene = Scene(later=8)
+    former = scene.holders()
+    for node in former:
+        scene.order(node, "lost", "ok")
+        scene.order(node, "lost", "ok")
+    scene.join(8, former[0])
+    scene.fleet.rounds(8)
+    assert isinstance(scene.order(scene.holders()[0]), Granted)
+    for index in range(5, 13):
+        leaving = scene.fleet.nodes[MemberId(f"n{index}")]
+        for node in scene.fleet.awake():
+            node.membership.leaves(leaving.me.member)
+        scene.fleet.kill(leaving)
+    assert scene.fleet.propose(scene.fleet.awake()[0])
+    scene.fleet.rounds(8)
+    for node in scene.fleet.awake():
+        scene.market.load(node)
+    scene.fleet.reach.clear()
+    scene.fleet.rounds(6)
+    scene.order(scene.holders()[0])
+    return scene.runs()
+
+
+def known_keys_are_not_loaded(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Baseline: a key that memory knows in any state is not taken from its row."""
+    load = OperationLedger.load
+
+    def skip(ledger: OperationLedger, record: Record, *rest: Any) -> None:
+        if ledger._entries.get(record.name) is None:
+            load(ledger, record, *rest)
+
+    monkeypatch.setattr(OperationLedger, "load", skip)
+
+
 def memory_alone(monkeypatch: pytest.MonkeyPatch) -> None:
     """Baseline: the node that is asked remembers, and nobody else."""
     monkeypatch.setattr(Places, "second", lambda *_: None)
@@ -489,6 +543,7 @@
         (platform_seen_by_few, stamp_is_enough),
         (home_killed_before_its_answer, memory_alone),
         (answer_lost_after_the_write, memory_decides_always),
+        (freed_here_and_run_elsewhere, known_keys_are_not_loaded),
     ],
 )
 def test_an_order_runs_once_where_the_baseline_runs_it_twice(
@@ -498,7 +553,8 @@
 ) -> None:
     """A caretaker's page repeats an order, after the platform came back under new
     nodes, or while only some see the platform, or after the node that sent it died,
-    or after the table's answer was lost. Two crews come, and the ward pays twice."""
+    or after the table's answer was lost, or at holders that tried in vain before. Two
+    crews come, and the ward pays twice."""
     assert scene() == 1
     baseline(monkeypatch)
     assert scene() == 2
