--- a/tests/core/test_operations.py
+++ b/tests/core/test_operations.py
@@ -25,6 +25,7 @@
     OutcomeUnknown,
     ReadRow,
     Record,
+    RecordState,
     Right,
     RowOutcome,
     RowResult,
@@ -37,6 +38,7 @@
 from tests.core.small_fleet import Fleet, Node, started
 
 LIMITS = LedgerLimits(retention_ms=180_000.0, margin_ms=15_000.0)
+DONE = RecordState.DONE
 KEY_EPOCH_MS = 120_000.0
 ANSWER = Answer(200, b"digest", (("a", "b"),), b"paid")
 
@@ -473,6 +475,8 @@
     newcomers = scene.holders()
     for node in (*newcomers, *newcomers):
         assert scene.order(node) == AlreadyRan(ANSWER) or scene.runs() == 2
+    row = scene.market.rows.get(scene.name.row_key)
+    assert scene.runs() == 2 or (row and decode_record(row[1]).state is DONE)
     return scene.runs()
 
 
