--- a/src/crocusspindle/core/operation_places.py
+++ b/src/crocusspindle/core/operation_places.py
@@ -17,6 +17,10 @@
 """Member lists kept of former views, to know the holders of an outage reported
 late; at 5,400 members they take 0.7 MB."""
 
+PAIRS: Final = 1_024
+"""Keys whose holders are kept for the present view: each question asks for them some
+four times, and ranking 5,400 members takes several ms."""
+
 Pair = tuple[MemberId, ...]
 
 
@@ -46,6 +50,7 @@
         self._flushed: dict[ViewNumber, set[MemberId]] = {}
         self._rosters: dict[ViewNumber, Pair] = {}
         self._decided_since_ms: dict[ViewNumber, float] = {}
+        self._pairs: dict[OperationName, Pair] = {}
 
     def adopt(self, view: MemberView, now_ms: float) -> bool:
         """Adopt a later view; return False for an older one."""
@@ -67,12 +72,19 @@
             self._since_ms.setdefault(name, start_ms)
         self._note_outages(view)
         self.view = view
+        self._pairs.clear()
         self._prune(now_ms)
         return True
 
     def pair(self, name: OperationName) -> Pair:
         """Return the holders under the present view."""
-        return holders(name, self.view.names) if self.view else ()
+        known = self._pairs.get(name)
+        if known is None:
+            known = holders(name, self.view.names) if self.view else ()
+            if len(self._pairs) >= PAIRS:
+                self._pairs.clear()
+            self._pairs[name] = known
+        return known
 
     def second(self, name: OperationName) -> MemberId | None:
         """Return the other holder, None when there is no other member."""
