Carry orders over the moments of a planned restart

Cause: orders were refused whenever the member view changed: no majority had shown yet that it knew the new view, or a holder had just stopped as planned. Each planned restart writes two views. Ruled out: waiting longer in the core; rights must not begin earlier, so the services wait at most three heartbeats after a view, and ask undecided holders once more.

--- a/src/crocusspindle/services/ledger.py
+++ b/src/crocusspindle/services/ledger.py
@@ -51,6 +51,11 @@
 """The second holder is a round trip of 3 ms away. One that needs a quarter of a
 second is paused or gone; the caller may try again sooner than it answers."""
 
+HEARTBEATS_WAITED: Final = 3
+"""Two heartbeats bring the proof of a majority, one may be lost. Whoever has none by
+then is cut off, and its caller is better told at once."""
+
+RIGHT_LOOKS: Final = 10
 HOUSEKEEPING_S: Final = 1.0
 EXPIRE_EVERY: Final = 30
 LOAD_EVERY: Final = 2
@@ -95,6 +100,7 @@
                 max_answer_bytes=limits.operation_memory_bytes,
             ),
         )
+        self._adopted_ms = 0.0
         self._marked: set[ViewNumber] = set()
         self._marks_due_ms: dict[ViewNumber, float] = {}
         self._tasks_once: set[asyncio.Task[None]] = set()
@@ -115,6 +121,7 @@
         self, name: OperationName, attempt: Attempt, fingerprint: bytes
     ) -> Decision:
         """Decide on an attempt, asking the second holder and the table."""
+        await self._until_right()
         decision = self._ledger.begin(
             name, attempt, fingerprint, self._right(), now_ms()
         )
@@ -161,6 +168,16 @@
         """Take the other holder's word on the end of an attempt."""
         self._ledger.peer_settled(record)
 
+    async def _until_right(self) -> None:
+        """Wait for a majority that knows a view written just now.
+
+        Each planned restart writes two views, and about a heartbeat passes until a
+        majority has shown that it knows one. Orders of that moment would be refused.
+        """
+        until_ms = self._adopted_ms + self._timings.heartbeat_ms * HEARTBEATS_WAITED
+        while now_ms() < until_ms and now_ms() >= self._right().until_ms:
+            await asyncio.sleep(self._timings.heartbeat_ms / RIGHT_LOOKS / 1e3)
+
     def _right(self) -> Right:
         """Return by what operations may be decided now, and until when."""
         fitness, now = self._control.fitness, now_ms()
@@ -174,6 +191,7 @@
 
     def _take_view(self, view: MemberView) -> None:
         self._ledger.adopt(view, now_ms())
+        self._adopted_ms = now_ms()
 
     async def _ask_peer(self, asked: AskPeer) -> PeerReply | None:
         request = wire.RecordBegunRequest(
--- a/src/crocusspindle/services/operations.py
+++ b/src/crocusspindle/services/operations.py
@@ -38,6 +38,13 @@
 """A ledger node asks its peer for 0.25 s and the table up to four times with a
 second each; most answers come in a few ms."""
 
+AGAIN_AFTER_S: Final = 0.5
+"""A heartbeat, in which the next view gets round. Once only: while a holder is dead
+the caller should rather know at once, and come back when the view has changed."""
+
+SILENT: Final = "operation-holders"
+NOT_NOW: Final = "operation-not-now"
+UNDECIDED: Final = frozenset({SILENT, NOT_NOW})
 SETTLE_TRIES: Final = 4
 SETTLE_TIMEOUT_S: Final = 1.0
 RETRY_MS: Final = 1_000.0
@@ -74,10 +81,25 @@
     ) -> Begun | Answer | GivenUp:
         """Return leave to run, the answer of the earlier run, or why not.
 
+        Holders that cannot decide are asked once more. A holder that stops as
+        planned is silent for the moment until the others know the next view, and
+        an order of that moment need not go back to its caller.
+        """
+        found = await self._begin_once(name, fingerprint)
+        if not isinstance(found, GivenUp) or found.reason not in UNDECIDED:
+            return found
+        await asyncio.sleep(AGAIN_AFTER_S)
+        return await self._begin_once(name, fingerprint)
+
+    async def _begin_once(
+        self, name: OperationName, fingerprint: bytes
+    ) -> Begun | Answer | GivenUp:
+        """Ask the first holder in reach.
+
         Each attempt is asked of one holder only. An attempt whose reply is lost is
         released, since this entry will never send it.
         """
-        word = GivenUp(Outcome.NOT_RUN, "operation-holders", now_ms() + RETRY_MS)
+        word = GivenUp(Outcome.NOT_RUN, SILENT, now_ms() + RETRY_MS)
         for holder in self._ledger.holders(name):
             if not self._reachable(holder):
                 continue
@@ -175,7 +197,7 @@
         case NotRun():
             # Only a word that covers earlier attempts, too, may say "not run".
             known = Outcome.NOT_RUN if decision.covers_earlier else Outcome.UNKNOWN
-            return _withheld(known, "operation-not-now", decision.retry_at_ms)
+            return _withheld(known, NOT_NOW, decision.retry_at_ms)
         case InProgress(retry_at_ms):
             return _withheld(Outcome.UNKNOWN, "operation-in-progress", retry_at_ms)
         case OutcomeUnknown():
