--- a/src/crocusspindle_standins/fleet.py
+++ b/src/crocusspindle_standins/fleet.py
@@ -303,6 +303,14 @@
             response.raise_for_status()
             return await response.json()
 
+    async def audit(self, node: Node) -> str:
+        """Return the audit trail as a node tells it."""
+        headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+        url = f"{node.operator_url}/v1/audit"
+        async with self.session.get(url, headers=headers) as response:
+            response.raise_for_status()
+            return await response.text()
+
     async def ticket(
         self, node: Node, principal: str = "operator", **content: Any
     ) -> int:
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -1,8 +1,9 @@
 """Run real processes of a fleet for the tests of failures."""
 
 import asyncio
+import os
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from pathlib import Path
 
 import aiohttp
@@ -58,6 +59,36 @@
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             return 0, "", repr(error)
 
+    async def where(self, node: int) -> list[str]:
+        """Return the addresses that a node tells the customer to use."""
+        url = f"{self.fleet.nodes[node].caller_url}/.well-known/crocusspindle/where"
+        headers = {"Authorization": f"Bearer {KEY}"}
+        async with self.session.get(url, headers=headers) as response:
+            response.raise_for_status()
+            content = await response.json()
+        return [entry["address"] for entry in content["addresses"]]
+
+    async def where_from_any(self) -> list[str]:
+        """Return the addresses as the first node tells that answers."""
+        for node in range(len(self.fleet.nodes)):
+            with suppress(aiohttp.ClientError, OSError):
+                return await self.where(node)
+        raise AssertionError("no node answers")
+
+    async def send_to(
+        self, address: str, method: str, body: AsyncIterator[bytes] | None
+    ) -> tuple[int, str, str]:
+        """Send a request to an address that the system named."""
+        headers = {"Authorization": f"Bearer {KEY}"}
+        try:
+            async with self.session.request(
+                method, f"http://{address}/desk/item", headers=headers, data=body
+            ) as response:
+                outcome = response.headers.get("Crocusspindle-Outcome", "")
+                return response.status, outcome, await response.text()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            return 0, "", repr(error)
+
     async def until_served(self, node: int = 0) -> None:
         """Wait until the shares of the customer are open."""
         async with asyncio.timeout(SHARES_OPEN_S * 3):
@@ -130,3 +161,17 @@
             return caller
 
         yield start
+
+
+def open_files(pid: int) -> list[str]:
+    """Return what the descriptors of a process point to."""
+    folder = Path(f"/proc/{pid}/fd")
+    return [os.readlink(entry) for entry in folder.iterdir()]
+
+
+def children(pid: int) -> list[str]:
+    """Return the processes that a process has started."""
+    tasks = Path(f"/proc/{pid}/task").iterdir()
+    return [
+        child for task in tasks for child in (task / "children").read_text().split()
+    ]
--- /dev/null
+++ b/tests/fleet/test_answers.py
@@ -0,0 +1,106 @@
+import asyncio
+import json
+
+from crocusspindle_standins.fleet import TargetGroup
+
+
+async def test_crossed_and_cut_answers_reach_no_caller(start_fleet):
+    """Targets answer with another request's page, or break off in the middle.
+
+    A caller would take a stranger's order, or half a schedule, for its own.
+    """
+    caller = await start_fleet()
+    for target in caller.fleet.targets:
+        await caller.fleet.target_fault(
+            target, cross_fraction=0.2, cut_fraction=0.2, fail_fraction=0.1
+        )
+    found = await asyncio.gather(
+        *(caller.send(n % 3, test_request=f"mine-{n}") for n in range(200))
+    )
+    for number, (status, outcome, text) in enumerate(found):
+        if outcome == "ran":
+            assert json.loads(text)["request"] == f"mine-{number}"
+        else:
+            assert status in (0, 500, 503, 504)
+    assert sum(outcome == "ran" for _, outcome, _ in found) > 100
+
+
+async def test_a_long_answer_that_breaks_off_is_visibly_cut(start_fleet):
+    """The home dies in the middle of a long answer. The caller must not read an end."""
+    caller = await start_fleet(group=TargetGroup("desk", 4, 4, 0.0))
+    size = 50_000_000
+    query = f"?answer_bytes={size}"
+    whole = await caller.send(0, query=query)
+    assert len(whole[2]) == size
+    sending = [asyncio.create_task(caller.send(n, query=query)) for n in (0, 1, 2)]
+    await asyncio.sleep(0.2)
+    for target in caller.fleet.targets:
+        target.running.process.kill()
+    for status, _, text in await asyncio.gather(*sending):
+        assert status in (0, 500, 502, 503, 504) or len(text) == size
+
+
+async def test_silent_targets_cost_callers_little(start_fleet):
+    """One of four targets takes requests and never answers, health check well.
+
+    Without hedges and judging what is outstanding, a quarter of the callers would
+    wait for their time-out.
+    """
+    caller = await start_fleet()
+    await asyncio.gather(*(caller.send(n % 3) for n in range(60)))
+    await caller.fleet.target_fault(caller.fleet.targets[0], hang_fraction=1.0)
+    found = []
+    for number in range(150):
+        found.append((await caller.send(number % 3))[0])
+        await asyncio.sleep(0.02)
+    assert found.count(200) >= 147
+    ran = (await caller.fleet.executions())[0]
+    before = sum(ran["customers"].values())
+    for number in range(60):
+        await caller.send(number % 3)
+    after = sum((await caller.fleet.executions())[0]["customers"].values())
+    assert after - before <= 6
+
+
+async def test_refused_requests_did_not_run(start_fleet):
+    """Demand is several times the capacity, targets shed, and deadlines are short.
+
+    Each refusal that says "not run" invites its caller to send again: if it did
+    run, a crew goes out twice.
+    """
+    caller = await start_fleet(
+        group=TargetGroup("desk", 2, 2, 50.0, queue=0), timeout_ms=1500
+    )
+
+    async def send(n):
+        await asyncio.sleep(n * 0.004)
+        return await caller.send(
+            n % 3,
+            "POST" if n % 2 else "GET",
+            test_request=f"load-{n}",
+            body=b"x" if n % 2 else None,
+            timeout_ms=200 + n % 400,
+        )
+
+    found = await asyncio.gather(*(send(n) for n in range(500)))
+    executed = await caller.executed()
+    refused = [n for n, (_, outcome, _) in enumerate(found) if outcome == "not-run"]
+    assert len(refused) > 20
+    assert [n for n in refused if executed.get(f"load-{n}")] == []
+    assert sum(outcome == "ran" for _, outcome, _ in found) > 20
+    for status, outcome, text in found:
+        if outcome == "not-run" and status == 503:
+            assert json.loads(text)["retry_after_ms"] >= 1
+
+
+async def test_a_leaving_target_gets_nothing_new(start_fleet):
+    """The host list says that a target leaves; its operator will switch it off."""
+    caller = await start_fleet()
+    target = caller.fleet.targets[0]
+    await caller.fleet.leave(target)
+    await asyncio.sleep(3)
+    before = sum((await caller.fleet.executions())[0]["customers"].values())
+    for number in range(80):
+        assert (await caller.send(number % 3))[0] == 200
+    after = sum((await caller.fleet.executions())[0]["customers"].values())
+    assert after == before
--- /dev/null
+++ b/tests/fleet/test_keys.py
@@ -0,0 +1,104 @@
+import asyncio
+import time
+
+from crocusspindle_standins.fleet import TargetGroup, sha256
+from crocusspindle_standins.relay import Direction
+from tests.fleet.conftest import KEY
+
+SECONDS = 6.0
+
+
+async def withdraw(caller, node=0):
+    await caller.fleet.ticket(
+        caller.fleet.nodes[node],
+        keys={sha256(KEY): {"customer": "ward", "state": "withdrawn"}},
+    )
+
+
+async def served_until(caller, node, limit_s):
+    """Return how many seconds requests were still served after now."""
+    began_s = time.monotonic()
+    last_s = 0.0
+    while time.monotonic() - began_s < limit_s:
+        sent_s = time.monotonic() - began_s
+        status, _, _ = await caller.send(node)
+        if status == 200:
+            last_s = sent_s
+        await asyncio.sleep(0.05)
+    return last_s
+
+
+async def test_a_withdrawn_key_stops_on_connections_that_stay_open(start_fleet):
+    """A key leaks. Its thief keeps connections to every node open."""
+    caller = await start_fleet()
+    await withdraw(caller)
+    served = await asyncio.gather(
+        *(served_until(caller, node, SECONDS) for node in range(3))
+    )
+    assert max(served) < 3.0
+    assert (await caller.send(1))[0] == 401
+
+
+async def test_a_withdrawn_key_stops_on_queued_requests(start_fleet):
+    """Requests wait for a slot when their key is withdrawn; none may run later."""
+    group = TargetGroup("desk", 1, 1, 1000.0)
+    caller = await start_fleet(group=group, timeout_ms=20000)
+    for target in caller.fleet.targets:
+        await caller.fleet.target_fault(target, slow_factor=3.0)
+    sending = [
+        asyncio.create_task(caller.send(n % 3, test_request=f"queued-{n}"))
+        for n in range(6)
+    ]
+    await asyncio.sleep(0.3)
+    await withdraw(caller)
+    found = await asyncio.gather(*sending)
+    refused = [n for n, (_, outcome, _) in enumerate(found) if outcome == "not-run"]
+    assert len(refused) >= 4
+    executed = await caller.executed()
+    assert not [n for n in refused if executed.get(f"queued-{n}")]
+
+
+async def test_a_withdrawn_key_stops_on_a_node_that_hears_nobody(start_fleet):
+    """A node is cut off from peers and platform while callers still reach it.
+
+    It can't learn of the withdrawal. It must notice that it knows nothing new and
+    refuse, or the key works there for as long as the cut lasts.
+    """
+    caller = await start_fleet(relayed=True)
+    name = caller.fleet.nodes[2].name
+    caller.fleet.platform_relays[name].cut(Direction.TO_CLIENT)
+    caller.fleet.peer_relays[name].cut(*Direction)
+    for node in caller.fleet.nodes[:2]:
+        caller.fleet.peer_relays[node.name].silence_open()
+        caller.fleet.peer_relays[node.name].cut(Direction.TO_CLIENT)
+    await withdraw(caller)
+    last_s = await served_until(caller, 2, SECONDS)
+    assert last_s < 4.0
+    status, outcome, text = await caller.send(2)
+    assert (status, outcome) == (503, "not-run")
+    assert "other addresses" in text
+
+
+async def test_a_key_given_up_before_an_outage_stays_out(start_fleet):
+    """The platform goes away right after a withdrawal and stays away."""
+    caller = await start_fleet()
+    await withdraw(caller)
+    await caller.fleet.platform(mode="silent")
+    served = await asyncio.gather(
+        *(served_until(caller, node, SECONDS) for node in range(3))
+    )
+    assert max(served) < 3.0
+
+
+async def test_targets_and_logs_never_see_a_key(start_fleet):
+    """A target's access log is read by others; a key in it is a key lost."""
+    caller = await start_fleet()
+    for node in range(3):
+        await caller.send(node, "POST", operation="one", body=b"x")
+    judged = await caller.fleet.executions()
+    assert sum(one["keys_seen"] for one in judged) == 0
+    for log in caller.fleet.folder.glob("*.log"):
+        assert KEY not in log.read_text()
+    audit = await caller.fleet.audit(caller.fleet.nodes[0])
+    assert KEY not in audit
+    assert sha256(KEY) in audit
--- /dev/null
+++ b/tests/fleet/test_stops.py
@@ -0,0 +1,65 @@
+import asyncio
+import signal
+import time
+
+from crocusspindle_standins.fleet import TargetGroup
+from tests.fleet.conftest import children, open_files
+
+UPLOAD = b"photo" * 200_000
+
+
+async def slow_upload():
+    """Yield an upload that takes a second."""
+    for first in range(0, len(UPLOAD), 50_000):
+        yield UPLOAD[first : first + 50_000]
+        await asyncio.sleep(0.05)
+
+
+async def test_a_rolling_restart_cuts_no_request(start_fleet):
+    """Every node is stopped and started in turn while callers keep old addresses.
+
+    Callers use each answer of the system for its full time and send long uploads.
+    A request that is cut sends a technician up the ladder again.
+    """
+    caller = await start_fleet(group=TargetGroup("desk", 4, 8, 20.0))
+    failures = []
+    served = 0
+    stopping = asyncio.Event()
+
+    async def keep_calling(kind):
+        nonlocal served
+        known, until_s = (), 0.0
+        while not stopping.is_set():
+            if time.monotonic() >= until_s:
+                known = await caller.where_from_any()
+                until_s = time.monotonic() + 2.0
+            body = slow_upload() if kind == "upload" else None
+            method = "POST" if kind == "upload" else "GET"
+            status, outcome, text = await caller.send_to(known[0], method, body)
+            served += status == 200
+            if status != 200:
+                failures.append((kind, status, outcome, text))
+            await asyncio.sleep(0.02)
+
+    callers = [asyncio.create_task(keep_calling("get")) for _ in range(6)]
+    callers += [asyncio.create_task(keep_calling("upload")) for _ in range(2)]
+    for node in caller.fleet.nodes:
+        node.running.signal(signal.SIGTERM)
+        assert await node.running.wait(15) == 0
+        await caller.fleet.start_node(node)
+        await caller.fleet.until_agreed()
+        await asyncio.sleep(3)
+    stopping.set()
+    await asyncio.gather(*callers)
+    assert served > 300
+    assert failures == []
+
+
+async def test_a_node_runs_as_one_process_without_io_uring(start_fleet):
+    """Hosts forbid io_uring and further processes; a library may bring them in."""
+    caller = await start_fleet()
+    pid = caller.fleet.nodes[0].running.process.pid
+    await caller.send(0)
+    links = await asyncio.to_thread(open_files, pid)
+    assert not [link for link in links if "io_uring" in link]
+    assert await asyncio.to_thread(children, pid) == []
