Search for orders of events that break shares, and keep those found

A virtual-time world with drifting clocks drives several ledgers; a token bucket of the whole rate checks every window. Left: a ticket that changes the number of holders and is known to a minority only when an outage begins.

--- a/src/crocusspindle/core/shares.py
+++ b/src/crocusspindle/core/shares.py
@@ -121,6 +121,10 @@
         """Note that no former holder can renew its fitness; see `HeldShares`."""
         self._shares.activate(view_number, now_ms)
 
+    def holders(self, customer: Customer) -> tuple[MemberId, ...]:
+        """Return the holders of a customer, for entry answers."""
+        return self._shares.holders(customer)
+
     def spend(
         self, customer: CustomerId, fit_until_ms: float, now_ms: float
     ) -> SpendResult:
--- /dev/null
+++ b/tests/core/shares_world.py
@@ -0,0 +1,318 @@
+"""Let several ledgers meet faults in virtual time, and check the bound."""
+
+import random
+from dataclasses import dataclass, field, replace
+
+from crocusspindle.core.held import ShareSettings
+from crocusspindle.core.holders import ViewMember
+from crocusspindle.core.loans import Borrow, Loan, Spent
+from crocusspindle.core.model import Customer
+from crocusspindle.core.shares import ShareLedger
+from crocusspindle.ids import CustomerId, DomainId, MemberId, ViewNumber
+
+LEASE_MS = 3_000.0
+DRIFT = 0.01
+CUSTOMERS = [
+    Customer(CustomerId("tiny"), 0.2, 1),
+    Customer(CustomerId("small"), 1.0, 2),
+    Customer(CustomerId("uneven"), 3.0, 3),
+    Customer(CustomerId("large"), 200.0, 12),
+]
+
+
+@dataclass(frozen=True)
+class Faults:
+    """Turn single rules off, to see the check fail without them."""
+
+    ledger_lease_ms: float = LEASE_MS
+    credit_in_full: bool = False
+    check_stamp: bool = True
+    wait_for_majority: bool = True
+    refund_always: bool = False
+
+
+@dataclass
+class Node:
+    member: ViewMember
+    ledger: ShareLedger
+    clock: float
+    offset_ms: float
+    view: int = 0
+    ticket: int = 0
+    stamp_ms: float = -1e18
+    echo_ms: dict[str, float] = field(default_factory=dict)
+    seen: dict[str, int] = field(default_factory=dict)
+    activated: int = 0
+    paused: bool = False
+    cut: bool = False
+
+    def now_ms(self, true_ms: float) -> float:
+        return self.offset_ms + true_ms * self.clock
+
+
+@dataclass
+class Question:
+    asker: Node
+    lender: MemberId
+    customer: CustomerId
+    missing: float
+    asked_at_ms: float
+    loan: Loan | None = None
+    given_up: bool = False
+
+
+class World:
+    """Hold the platform's log of views and tickets, and the nodes."""
+
+    def __init__(self, seed: int, nodes: int = 6, faults: Faults | None = None) -> None:
+        self.rng = random.Random(seed)
+        self.faults = faults or Faults()
+        self.true_ms = 0.0
+        self.platform_up = True
+        self.nodes: dict[str, Node] = {}
+        self.views: list[tuple[ViewMember, ...]] = [()]
+        self.tickets: list[Customer] = list(CUSTOMERS)
+        self.accepted_ms = [0.0] * len(CUSTOMERS)
+        self.in_force_ms = [0.0] * len(CUSTOMERS)
+        self.questions: list[Question] = []
+        self.admitted: list[tuple[CustomerId, float, Node, float]] = []
+        for _ in range(nodes):
+            self.start()
+        self.views.append(tuple(node.member for node in self.nodes.values()))
+        for node in self.nodes.values():
+            self.poll(node)
+            self.activate(node, force=True)
+
+    def start(self) -> Node:
+        number = len(self.nodes)
+        member = ViewMember(MemberId(f"n{number}"), DomainId(f"d{number % 3}"))
+        settings = ShareSettings(self.faults.ledger_lease_ms, DRIFT)
+        ledger = ShareLedger.from_config(settings, member.member)
+        clock = self.rng.choice([1 - DRIFT, 1.0, 1 + DRIFT])
+        node = Node(member, ledger, clock, self.rng.uniform(0.0, 1e6))
+        self.nodes[member.member] = node
+        return node
+
+    def advance(self, elapsed_ms: float) -> None:
+        self.true_ms += elapsed_ms
+
+    # The platform, its stamps, and two-way contact.
+
+    def learn(self, node: Node, view: int, ticket: int) -> None:
+        now_ms = node.now_ms(self.true_ms)
+        for number in range(node.ticket, ticket):
+            node.ledger.set_limit(self.tickets[number], now_ms)
+        for number in range(node.view + 1, view + 1):
+            node.ledger.set_view(ViewNumber(number), self.views[number], now_ms)
+            node.echo_ms.clear()
+        node.view, node.ticket = max(node.view, view), max(node.ticket, ticket)
+        self.activate(node, force=not self.faults.wait_for_majority)
+
+    def poll(self, node: Node) -> None:
+        if self.platform_up and not node.paused and not node.cut:
+            self.learn(node, len(self.views) - 1, len(self.tickets))
+            node.stamp_ms = node.now_ms(self.true_ms)
+
+    def contact(self, node: Node, peer: Node) -> None:
+        if node.paused or peer.paused or node.cut or peer.cut or node is peer:
+            return
+        self.learn(node, peer.view, peer.ticket)
+        node.seen[peer.member.member] = peer.view
+        if peer.view == node.view:
+            node.echo_ms[peer.member.member] = node.now_ms(self.true_ms)
+        self.activate(node)
+
+    def activate(self, node: Node, force: bool = False) -> None:
+        node.seen[node.member.member] = node.view
+        former = self.views[max(1, node.activated) : node.view]
+        if force or all(self._moved(node, members) for members in former):
+            if node.view > node.activated:
+                now_ms = node.now_ms(self.true_ms)
+                node.ledger.activate(ViewNumber(node.view), now_ms)
+            node.activated = node.view
+
+    def _moved(self, node: Node, members: tuple[ViewMember, ...]) -> bool:
+        moved = [node.seen.get(each.member, 0) >= node.view for each in members]
+        return 2 * sum(moved) > len(members)
+
+    def fit_until_ms(self, node: Node) -> float:
+        if not self.faults.check_stamp:
+            return float("inf")
+        until_ms = node.stamp_ms + LEASE_MS
+        members = self.views[node.view]
+        if not self.platform_up and node.member in members:
+            now_ms = node.now_ms(self.true_ms)
+            echoes = [
+                now_ms if each == node.member else node.echo_ms.get(each.member, -1e18)
+                for each in members
+            ]
+            echoes.sort(reverse=True)
+            until_ms = max(until_ms, echoes[len(members) // 2] + LEASE_MS)
+        return until_ms
+
+    def change_view(self, leaver: ViewMember) -> None:
+        """Replace a member that is lost, or only thought to be."""
+        if self.platform_up:
+            joined = self.start()
+            kept = tuple(each for each in self.views[-1] if each != leaver)
+            self.views.append((*kept, joined.member))
+
+    def change_limit(self, customer: Customer) -> None:
+        if self.platform_up:
+            self.tickets.append(customer)
+            self.accepted_ms.append(self.true_ms)
+            self.in_force_ms.append(float("inf"))
+            self.tick()
+
+    def note_in_force(self) -> None:
+        """Note tickets known to a majority and to every node that is fit."""
+        members = [self.nodes[each.member] for each in self.views[-1]]
+        fit = [
+            node
+            for node in self.nodes.values()
+            if self.fit_until_ms(node) >= node.now_ms(self.true_ms)
+        ]
+        known = sorted(node.ticket for node in members)[len(members) // 2]
+        known = min([known, *(node.ticket for node in fit)])
+        for number in range(known):
+            self.in_force_ms[number] = min(self.in_force_ms[number], self.true_ms)
+
+    # Requests.
+
+    def request(self, node: Node, customer: CustomerId) -> None:
+        if node.paused or node.ticket == 0:
+            return
+        now_ms = node.now_ms(self.true_ms)
+        result = node.ledger.spend(customer, self.fit_until_ms(node), now_ms)
+        self._take(node, customer, result)
+
+    def _take(self, node: Node, customer: CustomerId, result: object) -> None:
+        now_ms = node.now_ms(self.true_ms)
+        if isinstance(result, Spent):
+            self.admitted.append((customer, self.true_ms, node, now_ms))
+        elif isinstance(result, Borrow):
+            asked = Question(node, result.holders[0], customer, result.missing, now_ms)
+            self.questions.append(asked)
+
+    def deliver(self, asked: Question) -> None:
+        """Bring the question to the lender, or the loan to the borrower."""
+        lender = self.nodes[asked.lender]
+        if asked.loan is None:
+            if not lender.paused and not lender.cut and not asked.asker.cut:
+                until_ms = self.fit_until_ms(lender)
+                now_ms = lender.now_ms(self.true_ms)
+                asked.loan = lender.ledger.lend(
+                    asked.customer, asked.missing, until_ms, now_ms
+                )
+            return
+        if asked.asker.paused:
+            return
+        self.questions.remove(asked)
+        loan = asked.loan
+        if self.faults.credit_in_full:
+            loan = replace(loan, refill_per_s=0.0)
+        now_ms = asked.asker.now_ms(self.true_ms)
+        result = asked.asker.ledger.borrowed(
+            asked.customer, loan, asked.lender, asked.asked_at_ms, now_ms
+        )
+        if not asked.given_up:
+            self._take(asked.asker, asked.customer, result)
+
+    def give_up(self, asked: Question) -> None:
+        """Let the question time out; its loan may still come."""
+        if asked.given_up or asked.asker.paused:
+            return
+        asked.given_up = True
+        if asked.loan is None:
+            self.questions.remove(asked)
+        now_ms = asked.asker.now_ms(self.true_ms)
+        result = asked.asker.ledger.lost(
+            asked.customer, asked.lender, asked.asked_at_ms, now_ms
+        )
+        self._take(asked.asker, asked.customer, result)
+
+    def refund(self, at: int) -> None:
+        customer, _, node, spent_at_ms = self.admitted[at]
+        if node.paused:
+            return
+        del self.admitted[at]
+        now_ms = node.now_ms(self.true_ms)
+        spent_at_ms = now_ms if self.faults.refund_always else spent_at_ms
+        node.ledger.refund(customer, spent_at_ms, now_ms)
+
+    # The bound.
+
+    def excess(self) -> float:
+        """Return by how many requests the worst window passes burst + rate x t.
+
+        A token bucket of the whole rate and burst, full at first, runs dry exactly
+        when some window has more. While a ticket is in transit the larger of old
+        and new counts.
+        """
+        return max(self._excess_of(each.customer) for each in CUSTOMERS)
+
+    def _excess_of(self, customer: CustomerId) -> float:
+        logged = zip(self.accepted_ms, self.in_force_ms, self.tickets, strict=True)
+        tickets = [each for each in logged if each[2].customer == customer]
+        worst, last_ms, level = 0.0, 0.0, float(tickets[0][2].burst)
+        for who, time_ms, _, _ in sorted(self.admitted, key=lambda each: each[1]):
+            if who != customer:
+                continue
+            # What was replaced counts until its successor was in force everywhere.
+            ended = sum(at_ms + LEASE_MS < last_ms for _, at_ms, _ in tickets)
+            begun = sum(at_ms <= time_ms for at_ms, _, _ in tickets)
+            counted = [each for _, _, each in tickets[max(0, ended - 1) : begun]]
+            rate = max(each.rate_per_s for each in counted)
+            burst = max(each.burst for each in counted)
+            level = min(burst, level + rate * (time_ms - last_ms) / 1000.0) - 1
+            last_ms = time_ms
+            worst = max(worst, -level)
+        return worst
+
+    def tick(self) -> None:
+        """Let every node that can read the platform and meet two others."""
+        for node in list(self.nodes.values()):
+            self.poll(node)
+            for peer in self.rng.sample(list(self.nodes.values()), 2):
+                self.contact(node, peer)
+        self.note_in_force()
+
+    def burst(self, customer: CustomerId, nodes: list[Node], prompt: float) -> None:
+        """Let many requests come at once; some questions are answered at once."""
+        for node in nodes:
+            for _ in range(4):
+                self.request(node, customer)
+                for _ in range(16):
+                    if self.questions and self.rng.random() < prompt:
+                        self.deliver(self.questions[-1])
+
+    def step(self) -> None:
+        """Do one thing, chosen by the seed."""
+        rng = self.rng
+        self.advance(rng.choice([0.0, 0.3, 30.0, 300.0, 300.0]))
+        nodes = list(self.nodes.values())
+        node = rng.choice(nodes)
+        roll = rng.random()
+        if roll < 0.35:
+            some = rng.sample(nodes, rng.randrange(1, len(nodes) + 1))
+            self.burst(rng.choice(CUSTOMERS).customer, some, rng.choice([0.3, 0.9]))
+        elif roll < 0.55 and self.questions:
+            self.deliver(rng.choice(self.questions))
+        elif roll < 0.60 and self.questions:
+            self.give_up(rng.choice(self.questions))
+        elif roll < 0.85:
+            self.tick()
+        elif roll < 0.88 and self.admitted:
+            self.refund(-rng.randrange(1, min(20, len(self.admitted)) + 1))
+        elif roll < 0.94:
+            node.paused = rng.random() < 0.25
+            node.cut = rng.random() < 0.25
+        elif roll < 0.96 and len(self.views) < 12:
+            self.change_view(rng.choice(self.views[-1]))
+        elif roll < 0.98:
+            self.platform_up = rng.random() < 0.6
+        elif roll < 0.99:
+            old = rng.choice(CUSTOMERS)
+            rate_per_s = old.rate_per_s * rng.choice([0.5, 1, 2])
+            burst = max(1, int(old.burst * rng.choice([0.5, 1, 2])))
+            self.change_limit(replace(old, rate_per_s=rate_per_s, burst=burst))
