--- /dev/null
+++ b/benchmarks/directory.py
@@ -0,0 +1,164 @@
+"""Measure memory and lookups of the directory against its number of customers.
+
+Each size is measured in a fresh process that has imported a whole node. Run with
+``python -m benchmarks.directory --output FILE``; figures depend on the machine.
+"""
+
+import argparse
+import csv
+import gc
+import os
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import Final
+
+import crocusspindle.services.assembly  # noqa: F401
+from crocusspindle.core.directory import Directory, digest_of
+from crocusspindle.core.directory_dump import dump_parts, load_parts
+from crocusspindle.core.model import Approval, Customer, CustomerKey, Route, Service
+from crocusspindle.ids import CustomerId, ServiceId
+
+COUNTS: Final = (0, 1_000, 10_000, 100_000, 520_000)
+SERVICES: Final = 2_000
+ROUTES: Final = 32_000
+LOOKUPS: Final = 50_000
+COLUMNS: Final = (
+    "customers",
+    "node_rss_mb",
+    "directory_mb",
+    "dump_mb",
+    "load_s",
+    "loaded_rss_mb",
+    "authenticate_per_s",
+    "customer_per_s",
+    "approved_per_s",
+    "route_per_s",
+    "put_customer_per_s",
+    "remove_customer_ms",
+)
+
+
+def rss_mb() -> float:
+    """Return the resident memory of this process."""
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+def service_of(number: int) -> ServiceId:
+    """Return the id of a service."""
+    return ServiceId(f"service-{number % SERVICES}")
+
+
+def fill(customers: int) -> Directory:
+    """Return a directory with one key and one approval a customer."""
+    directory = Directory()
+    for number in range(SERVICES):
+        directory.put_service(Service(service_of(number)))
+    for number in range(ROUTES):
+        prefix = f"/service-{number % SERVICES}/part-{number}"
+        directory.put_route(Route(prefix, service_of(number)))
+    for number in range(customers):
+        name = CustomerId(f"customer-{number}")
+        directory.put_customer(Customer(name, 1.0 + number % 50, 2 + number % 100))
+        directory.put_key(CustomerKey(digest_of(f"key-{number}"), name))
+        directory.put_approval(Approval(service_of(number), name, "owner"))
+    return directory
+
+
+def per_s(call: Callable[[int], object], numbers: list[int]) -> int:
+    """Return how many calls a second are made."""
+    begun_s = time.perf_counter()
+    for number in numbers:
+        call(number)
+    return round(len(numbers) / (time.perf_counter() - begun_s))
+
+
+def measure(customers: int) -> list[float]:
+    """Return one row of figures for this process."""
+    before_mb = rss_mb()
+    directory = fill(customers)
+    gc.collect()
+    filled_mb = rss_mb()
+    rng = Random(1)
+    numbers = [rng.randrange(customers or 1) for _ in range(LOOKUPS)]
+    names = [CustomerId(f"customer-{number}") for number in range(customers or 1)]
+    rates = [
+        per_s(lambda at: directory.authenticate(f"key-{at}"), numbers),
+        per_s(lambda at: directory.customer(names[at]), numbers),
+        per_s(lambda at: directory.approved(service_of(at), names[at]), numbers),
+        per_s(lambda at: directory.route(f"/service-{at % 2000}/part-{at}/x"), numbers),
+        per_s(lambda at: directory.put_customer(Customer(names[at], 2, 3)), numbers),
+    ]
+    begun_s = time.perf_counter()
+    for number in range(min(20, customers)):
+        directory.remove_customer(names[number])
+    removal_ms = (time.perf_counter() - begun_s) * 1000 / 20
+    size_mb = sum(map(len, dump_parts(directory))) / 1e6
+    return [
+        customers,
+        round(filled_mb, 1),
+        round(filled_mb - before_mb, 1),
+        round(size_mb, 1),
+        0.0,
+        0.0,
+        *rates,
+        round(removal_ms, 2),
+    ]
+
+
+def measure_load(path: Path) -> tuple[float, float]:
+    """Return the seconds to load a dump from a file, and the memory after it."""
+    begun_s = time.perf_counter()
+    with path.open("rb") as file:
+        directory = load_parts(iter(lambda: file.read(65_536), b""))
+    taken_s = time.perf_counter() - begun_s
+    assert directory.counts()["services"] == SERVICES
+    return round(taken_s, 3), round(rss_mb(), 1)
+
+
+def in_fresh_process(*arguments: str) -> list[float]:
+    """Run one measurement in a process of its own."""
+    command = [sys.executable, "-m", "benchmarks.directory", *arguments]
+    done = subprocess.run(command, check=True, capture_output=True, text=True)
+    return [float(word) for word in done.stdout.split()]
+
+
+def main() -> None:
+    """Print one row, or write the table of all sizes."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--output", type=Path)
+    parser.add_argument("--count", type=int)
+    parser.add_argument("--save", type=Path)
+    parser.add_argument("--load", type=Path)
+    options = parser.parse_args()
+    if options.load:
+        print(*measure_load(options.load))
+    elif options.save:
+        options.save.write_bytes(b"".join(dump_parts(fill(options.count))))
+    elif options.count is not None:
+        print(*measure(options.count))
+    else:
+        write_table(options.output or Path("directory.csv"))
+
+
+def write_table(output: Path) -> None:
+    """Write the figures of all sizes."""
+    saved = output.with_suffix(".dump")
+    with output.open("w", newline="") as file:
+        writer = csv.writer(file)
+        writer.writerow(COLUMNS)
+        for count in COUNTS:
+            row = in_fresh_process("--count", str(count))
+            in_fresh_process("--count", str(count), "--save", str(saved))
+            row[4:6] = in_fresh_process("--load", str(saved))
+            writer.writerow(row)
+            print(*row, flush=True)
+    saved.unlink()
+
+
+if __name__ == "__main__":
+    main()
