--- a/src/crocusspindle/core/lenders.py
+++ b/src/crocusspindle/core/lenders.py
@@ -27,6 +27,14 @@
 so that collecting comes to an end.
 """
 
+MIN_REFUSED_MS: Final = 25.0
+"""A lender that refused is left alone at least so long.
+
+Made for a burst that drains all shares at once: its requests would else go round
+among the holders for as long as tokens trickle in. The time allows for asking
+every holder once.
+"""
+
 MARGIN_MS: Final = 20.0
 """Time for which the decay of tokens already here is asked for on top.
 
@@ -79,6 +87,8 @@
         self, lender: MemberId, available: float, refused_ms: float, now_ms: float
     ) -> None:
         """Note an answer; ``refused_ms`` says how long it has nothing."""
+        if refused_ms > 0.0:
+            refused_ms = max(refused_ms, MIN_REFUSED_MS)
         self._notes[lender] = LenderNote(available, now_ms, now_ms, now_ms + refused_ms)
 
     def silent(self, lender: MemberId, now_ms: float) -> None:
@@ -141,8 +151,10 @@
             return None
         ranked = sorted(has, key=lambda holder: -has[holder])
         if has[ranked[0]] >= need:
-            self.asked(ranked[0], need + extra, peers, now_ms)
-            return Borrow(tuple(ranked), need + extra)
+            # A question for more than a whole token is refused by whoever has none.
+            amount = need + extra if has[ranked[0]] >= 1.0 + extra else need
+            self.asked(ranked[0], amount, peers, now_ms)
+            return Borrow(tuple(ranked), amount)
         stale = self._stale(ranked, now_ms)
         if stale:
             return Borrow(tuple(stale), need)
--- a/src/crocusspindle/core/shares.py
+++ b/src/crocusspindle/core/shares.py
@@ -52,7 +52,7 @@
 requests go with one message. Small customers never borrow more than they miss.
 """
 
-TOP_UP_MS: Final = 20.0
+TOP_UP_MS: Final = 12.0
 """Shortest time between two questions for idle tokens of one customer.
 
 Longer than the room of a loan is kept at a full lender, so that idle tokens fit in,
