--- a/benchmarks/queueing.py
+++ b/benchmarks/queueing.py
@@ -42,7 +42,7 @@
 _ENTRIES: Final = 40
 _HOP_MS: Final = 1.5
 _WARM_UP_MS: Final = 5_000.0
-_LARGEST: Final = CustomerId("customer-0")
+LARGEST: Final = CustomerId("customer-0")
 
 
 def exponential_work(generator: random.Random) -> float:
@@ -143,7 +143,7 @@
     """Compare fair queueing with first in, first out."""
     figures: Figures = {}
     for name, demand, without in (
-        ("five_times", five_times_neighbour(), _LARGEST),
+        ("five_times", five_times_neighbour(), LARGEST),
         ("shortage", demands(_CAPACITY_PER_S / 0.7 / sum(_RATES_PER_S)), None),
     ):
         for way, fair in (("fifo", False), ("home", True)):
--- /dev/null
+++ b/tests/core/test_home_load.py
@@ -0,0 +1,182 @@
+"""Put a home through load and judge it by what callers see."""
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from benchmarks.queueing import (
+    LARGEST,
+    demands,
+    describe_customers,
+    exponential_work,
+    five_times_neighbour,
+    make_driver,
+    mixed_work,
+    place_by_entries,
+    place_by_home,
+    serve,
+    share_in_time,
+)
+from benchmarks.virtual import (
+    ConstantFitness,
+    Demand,
+    EventLoop,
+    HomeDriver,
+    Verdict,
+    make_jobs,
+    make_targets,
+)
+from crocusspindle.core.home import Home, HomeSettings
+from crocusspindle.ids import CustomerId
+
+
+def test_a_neighbour_at_five_times_its_rate_starves_nobody():
+    """One tenant sends five times its rate. In one line with it, small customers
+    lose nearly half of their requests; each in its own line, none does."""
+    shared = describe_customers(serve(five_times_neighbour(), 20.0, False), LARGEST)
+    fair = describe_customers(serve(five_times_neighbour(), 20.0), LARGEST)
+    assert shared["worst_share_in_time"] < 0.8
+    assert fair["worst_share_in_time"] >= 0.999
+    assert fair["worst_p99_ms"] < 600.0
+
+
+def test_a_burst_fills_only_its_own_part_of_the_queue():
+    """A tenant sends 3,000 requests at once into a queue that holds 200. The others
+    must neither be refused for it nor wait behind it."""
+    jobs = make_jobs(demands(0.5), 10_000.0, exponential_work, random.Random(3))
+    burst = make_jobs(
+        [Demand(CustomerId("burst"), 300_000.0, 80.0, 5_000.0)],
+        10.0,
+        exponential_work,
+        random.Random(4),
+    )
+    for number, job in enumerate(burst, start=1_000_000):
+        job.request = number
+        job.arrived_ms += 5_000.0
+        job.deadline_ms += 5_000.0
+    loop, driver, _ = make_driver(HomeSettings(max_queued=200))
+    driver.submit(jobs)
+    driver.submit(burst)
+    loop.run()
+    assert len(burst) > 2_500
+    assert share_in_time(jobs) == 1.0
+    assert max(job.answered_ms - job.arrived_ms for job in jobs) < 1_000.0
+
+
+def test_full_saturation_is_refused_early_and_the_rest_is_served():
+    """Everybody sends four times what the targets can do. Callers must hear so long
+    before their deadline, and the targets must not work for nothing."""
+    jobs = serve(demands(6.0), 20.0)
+    refused = [job for job in jobs if job.verdict is Verdict.REFUSED]
+    told_at_once = [job for job in refused if job.answered_ms < job.arrived_ms + 10]
+    unknown = [job for job in jobs if job.verdict is Verdict.UNKNOWN]
+    assert len(told_at_once) > 0.9 * len(refused)
+    assert len(unknown) < 0.02 * len(jobs)
+    assert sum(job.in_time for job in jobs) > 0.9 * 20.0 * 320.0
+    assert all(job.executions == 0 for job in refused)
+    assert all(job.retry_at_ms > job.arrived_ms for job in refused)
+
+
+@pytest.mark.parametrize(
+    "fault, patience_ms", [("slow", 600.0), ("mute", 1_000.0), ("failing", 1_000.0)]
+)
+def test_one_bad_target_costs_nobody_its_answer(fault, patience_ms):
+    """One of eight targets turns slow, mute or fails a third of its work. Before
+    health has ejected it, callers get their answers from others."""
+
+    def worst(settings):
+        demand = demands(patience_ms=patience_ms)
+        jobs = make_jobs(demand, 20_000.0, exponential_work, random.Random(3))
+        loop, driver, targets = make_driver(settings)
+        targets[0].slowness = 5.0 if fault == "slow" else 1.0
+        targets[0].mute = fault == "mute"
+        targets[0].fail_fraction = 0.3 if fault == "failing" else 0.0
+        driver.submit(jobs)
+        loop.run()
+        return describe_customers(jobs, None)["worst_share_in_time"]
+
+    plain = HomeSettings(retry_fraction=0.0, hedge_fraction=0.0, max_attempts=1)
+    assert worst(plain) < 0.995
+    assert worst(HomeSettings()) >= 0.999
+
+
+def test_total_failure_is_not_multiplied():
+    """All targets fail. Three attempts for each request would triple the load of
+    targets that already fail; the budget keeps it near one."""
+
+    def sent_per_request(settings):
+        jobs = make_jobs(demands(), 20_000.0, exponential_work, random.Random(3))
+        loop, driver, targets = make_driver(settings)
+        for target in targets:
+            target.fail_fraction = 1.0
+        driver.submit(jobs)
+        loop.run()
+        return sum(job.sent for job in jobs) / len(jobs)
+
+    assert sent_per_request(HomeSettings(retry_fraction=1.0)) > 1.5
+    assert sent_per_request(HomeSettings()) < 1.12
+
+
+def test_short_work_beside_long_work_keeps_to_its_deadline():
+    """A few customers send long uploads, others short lookups, together more than
+    the targets can do. The lookups have little time and must not wait behind the
+    uploads."""
+    demand = [
+        Demand(CustomerId(f"customer-{index}"), rate_per_s, 60.0, patience_ms)
+        for index, (rate_per_s, patience_ms) in enumerate(
+            [(400.0, 5_000.0), (60.0, 5_000.0), (60.0, 400.0), (60.0, 400.0)]
+        )
+    ]
+    jobs = make_jobs(demand, 20_000.0, mixed_work, random.Random(3))
+    lookups = [job for job in jobs if job.customer >= "customer-2"]
+    for job in lookups:
+        job.work_ms = 20.0
+    loop, driver, _ = make_driver()
+    driver.submit(jobs)
+    loop.run()
+    assert sum(job.work_ms for job in jobs) > 1.5 * 16 * 20_000.0
+    assert share_in_time(lookups) >= 0.999
+
+
+@pytest.mark.parametrize("claimed, real, load", [(6, 2, 0.8), (1, 4, 0.6)])
+def test_wrong_slots_in_the_host_list_are_learnt(claimed, real, load):
+    """The host list claims more or fewer slots than a target has. Believed, it would
+    get every second request shed, or callers refused beside idle slots."""
+    loop = EventLoop()
+    targets = make_targets(loop, 8, real, random.Random(1))
+    for target in targets:
+        target.target = replace(target.target, slots=claimed)
+    home = Home.from_config(HomeSettings(), ConstantFitness(), random.Random(2))
+    driver = HomeDriver(loop, home, targets)
+    demand = [Demand(CustomerId("club"), load * 8 * real * 20.0, 1.0, 5_000.0)]
+    jobs = make_jobs(demand, 40_000.0, exponential_work, random.Random(3))
+    driver.submit(jobs)
+    loop.run()
+    assert [each.limit for each in home.snapshot().targets] == [real] * 8
+    assert sum(target.overruns for target in targets) < 0.01 * len(jobs)
+    assert share_in_time(jobs[len(jobs) // 2 :]) == 1.0
+
+
+def test_two_homes_for_a_while_share_the_slots():
+    """The members see different views for a while, and two homes place work on the
+    same targets. Shed requests cost time, but no caller its answer."""
+    loop = EventLoop()
+    targets = make_targets(loop, 8, 2, random.Random(1))
+    jobs = make_jobs(demands(), 20_000.0, exponential_work, random.Random(3))
+    for number in range(2):
+        home = Home.from_config(HomeSettings(), ConstantFitness(), random.Random(2))
+        HomeDriver(loop, home, targets).submit(jobs[number::2])
+    loop.run()
+    assert share_in_time(jobs) >= 0.999
+    assert sum(target.overruns for target in targets) < 0.02 * len(jobs)
+
+
+def test_a_home_overruns_targets_less_than_picks_from_each_entry():
+    """Forty entries pick among targets of two slots, each by the few requests that
+    it sent itself. Requests queue at one target while another idles."""
+    picked = place_by_entries(0.8, 20.0, queues=True)
+    placed = place_by_home(0.8, 20.0, HomeSettings())
+    assert picked["overruns_per_request"] > 0.3
+    assert placed["overruns_per_request"] < 0.01
+    assert placed["mean_wait_ms"] < 0.3 * picked["mean_wait_ms"]
