--- /dev/null
+++ b/tests/core/test_groups.py
@@ -0,0 +1,53 @@
+import random
+from collections import Counter
+
+import pytest
+
+from crocusspindle.core.groups import GroupChooser, cut
+from crocusspindle.core.home import HomeLoad
+
+TARGETS = [f"10.0.{index // 250}.{index % 250}:80" for index in range(1_000)]
+
+
+@pytest.mark.parametrize("number", [1, 8, 15, 25, 100, 1_000])
+def test_every_target_is_in_one_group_of_bounded_size(number):
+    groups = cut("bayaran", TARGETS[:number])
+    assert sorted(each for group in groups for each in group.targets) == sorted(
+        TARGETS[:number]
+    )
+    assert max(len(group.targets) for group in groups) <= 16
+    assert cut("bayaran", reversed(TARGETS[:number])) == groups
+
+
+def test_few_targets_change_their_group_when_one_goes():
+    """A host is replaced. Were all targets dealt out anew, every home would lose its
+    queue and the slots it has learnt."""
+    before = {
+        target: group.number
+        for group in cut("bayaran", TARGETS[:100])
+        for target in group.targets
+    }
+    moved = []
+    for gone in TARGETS[:40]:
+        after = cut("bayaran", [each for each in TARGETS[:100] if each != gone])
+        moved.append(
+            sum(
+                before[target] != group.number
+                for group in after
+                for target in group.targets
+            )
+        )
+    assert sum(moved) / len(moved) < 5.0
+
+
+def test_groups_are_chosen_by_wait_and_what_was_sent_since():
+    """The loads that an entry knows are a moment old. Sent by them alone, its
+    requests would all meet in the group that was idle then."""
+    groups = cut("bayaran", TARGETS[:40])
+    chooser = GroupChooser(random.Random(1))
+    for group in groups:
+        chooser.note(group, HomeLoad(0, 0, 24, 0.0))
+    chooser.note(groups[0], HomeLoad(50, 24, 24, 400.0))
+    chosen = Counter(chooser.choose(groups).number for _ in range(400))
+    assert chosen[0] < 0.15 * 400
+    assert min(chosen[group.number] for group in groups[1:]) > 0.2 * 400
