--- a/src/crocusspindle/core/groups.py
+++ b/src/crocusspindle/core/groups.py
@@ -14,10 +14,11 @@
 """Targets of a group on average.
 
 More pool better: at 80 % load a queue over 2, 4, 8 and 12 two-slot targets waits 0.61,
-0.21, 0.06 and 0.03 of the work (virtual time, exponential work). Fewer cost less when a home is lost or slow: with 12 of
-51,000 targets at the peak a home carries 165 requests a second, which one Python
-process does several times over, and a lost home makes 0.02 % of the fleet's requests
-look for another. Today's services of 6 to 15 targets are one or two groups.
+0.21, 0.06 and 0.03 of the work (virtual time, exponential work). Fewer cost less when
+a home is lost or slow: with 12 of 51,000 targets at the peak a home carries 165
+requests a second, which one Python process does several times over, and a lost home
+makes 0.02 % of the fleet's requests look for another. Today's services of 6 to 15
+targets are one or two groups.
 """
 
 _LARGEST_TO_MEAN: Final = 1.25
