End every withdrawn request with a final decision

Cause: a withdrawn request that ran was cancelled and forgotten, so that its driver never heard its outcome; one that turned out unsent was known not to have run, and nobody was told. Change: it stays known until its attempt's end is reported, or is lost for a second, and then fails as not run or unknown.

--- a/benchmarks/virtual.py
+++ b/benchmarks/virtual.py
@@ -134,6 +134,7 @@
         if self.queues_inside:
             self.waiting.append(work)
         else:
+            work.over = True
             report(AttemptEnd.SHED)
         return work
 
@@ -166,6 +167,7 @@
 
     def _free(self) -> None:
         self.busy -= 1
+        assert self.busy >= 0, "a slot was freed twice"
         if self.waiting:
             self._begin(self.waiting.popleft())
 
--- a/src/crocusspindle/core/home.py
+++ b/src/crocusspindle/core/home.py
@@ -141,7 +141,7 @@
             return []
         decisions: list[Decision] = []
         pending = self._requests.get(found.request)
-        if pending is not None and not found.cancelled:
+        if pending is not None and _counts(pending, found):
             pending.running.remove(found)
             decisions = self._conclude(pending, found, end, now_ms)
         return decisions + self._advance(now_ms)
@@ -149,21 +149,20 @@
     def withdraw(self, request: RequestId, now_ms: float) -> list[Decision]:
         """Give up a request whose caller is gone or moved to another home.
 
-        A request that was never sent ends as not run. What runs is cancelled,
-        but for non-idempotent work: a payment cancelled half-way has no outcome,
-        one that runs to its end has, so nothing is decided until then.
+        A request that does not run ends here. What runs is cancelled and ends with
+        the report of its attempt, which may still tell that nothing was sent; but
+        non-idempotent work goes on, since a payment cancelled half-way has no
+        outcome and one that runs to its end has.
         """
         pending = self._requests.get(request)
         if pending is None:
             return []
         pending.stopped = True
-        if pending.running and not pending.arrival.idempotent:
-            return []
-        if pending.running:
-            decisions = self._attempts.cancel(pending.running, now_ms)
-            self._forget(request)
-        else:
+        decisions: list[Decision] = []
+        if not pending.running:
             decisions = [self._fail(pending, now_ms)]
+        elif pending.arrival.idempotent:
+            decisions = self._attempts.cancel(pending.running, now_ms)
         return decisions + self._advance(now_ms)
 
     def withdraw_customer(self, customer: CustomerId, now_ms: float) -> list[Decision]:
@@ -375,3 +374,11 @@
         if kind is TimerKind.DEADLINE:
             return RequestId(subject) in self._requests
         return AttemptId(subject) in self._attempts
+
+
+def _counts(pending: PendingRequest, attempt: Attempt) -> bool:
+    """Return True if the end of the attempt decides about its request.
+
+    Of a withdrawn request the cancelled attempts do, but not a hedge that gave way.
+    """
+    return attempt in pending.running and (pending.stopped or not attempt.cancelled)
--- a/tests/core/test_home.py
+++ b/tests/core/test_home.py
@@ -111,7 +111,9 @@
     (sent,) = home.arrive(arrival(1), 0.0)
     assert home.withdraw(1, 1.0) == [Cancel(sent.attempt)]
     assert home.arrive(arrival(2, deadline_ms=9_000.0), 1.0) == []
-    assert [each.request for each in dispatches(home.tick(2_000.0))] == [2]
+    fail, sent = home.tick(1_500.0)
+    assert (fail.request, fail.outcome) == (1, Outcome.UNKNOWN)
+    assert sent.request == 2
 
 
 def test_withdrawal_tells_what_was_never_sent_from_what_runs():
@@ -127,6 +129,16 @@
     assert done == [Finish(1, sent.attempt)]
 
 
+def test_a_withdrawn_request_that_turns_out_unsent_has_not_run():
+    """A caller goes while its lookup is on the way to a target that cannot be
+    reached. Whoever asks for it again hears that it did not run."""
+    home = make_home(number=2)
+    (sent,) = home.arrive(arrival(1), 0.0)
+    assert home.withdraw(1, 1.0) == [Cancel(sent.attempt)]
+    (fail,) = home.ended(sent.attempt, AttemptEnd.UNSENT, 2.0, 2.0)
+    assert (fail.request, fail.outcome) == (1, Outcome.NOT_RUN)
+
+
 def test_a_withdrawn_key_stops_what_waits_and_lets_what_runs_end():
     """An operator withdraws a key while requests under it wait in the queue. They
     must not run seconds later, and what runs gets no second attempt."""
@@ -220,3 +232,18 @@
     home.started(first.attempt, 5.0)
     (fail,) = home.ended(first.attempt, AttemptEnd.FAILED, 9.0, 9.0)
     assert (fail.request, fail.outcome) == (1, Outcome.UNKNOWN)
+
+
+def test_a_hedge_that_gave_way_may_end_after_its_request_was_withdrawn():
+    """A hedge has given way, then the caller goes, then the hedge's end is reported.
+    The late report must free the slot and touch nothing else."""
+    home = make_home(number=2)
+    now_ms = warm(home)
+    (first,) = home.arrive(arrival(1, deadline_ms=now_ms + 1_000), now_ms)
+    (hedge,) = home.tick(now_ms + 10)
+    home.arrive(arrival(2, deadline_ms=now_ms + 1_000), now_ms + 11)
+    assert home.withdraw(1, now_ms + 12) == [Cancel(first.attempt)]
+    (sent,) = home.ended(hedge.attempt, AttemptEnd.SILENT, 3.0, now_ms + 13)
+    assert sent.request == 2
+    (fail,) = home.ended(first.attempt, AttemptEnd.SILENT, 14.0, now_ms + 14)
+    assert (fail.request, fail.outcome) == (1, Outcome.UNKNOWN)
--- a/tests/core/test_home_machine.py
+++ b/tests/core/test_home_machine.py
@@ -135,11 +135,7 @@
     def withdraw(self, index):
         if self.open:
             request = sorted(self.open)[index % len(self.open)]
-            seen = self.open[request]
-            runs = any(end is None for end in seen.ends.values())
             self.see(self.home.withdraw(request, self.now_ms))
-            if runs and seen.idempotent:
-                del self.open[request]
 
     @rule(customer=st.sampled_from([b"small", b"large"]))
     def revoke(self, customer):
