--- a/benchmarks/false_alarms.py
+++ b/benchmarks/false_alarms.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass
+from math import exp
 
 import numpy as np
 import numpy.typing as npt
@@ -16,6 +17,7 @@
 LANES = 8192
 BIN_NATS = 0.5
 BINS = 80
+LEVEL_NATS = 12.0
 
 Floats = npt.NDArray[np.float64]
 
@@ -32,6 +34,14 @@
         reached = float(self.reached[int(threshold_nats / BIN_NATS)])
         return reached * samples / self.samples
 
+    def by_slope_per_samples(self, threshold_nats: float, samples: float) -> float:
+        """Return the false alarms expected from a level that many excursions reach.
+
+        Each nat above it divides them by e, as the likelihood ratio is a martingale.
+        """
+        at_level = self.per_samples(LEVEL_NATS, samples)
+        return at_level * exp(LEVEL_NATS - threshold_nats)
+
     def at_most_per_samples(self, threshold_nats: float, samples: float) -> float:
         """Return the upper end of the 95 % interval, 3 for none seen."""
         reached = float(self.reached[int(threshold_nats / BIN_NATS)])
