--- a/benchmarks/health.py
+++ b/benchmarks/health.py
@@ -7,6 +7,7 @@
 import json
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
+from itertools import product
 from math import ceil, log
 from pathlib import Path
 from typing import Any, Final
@@ -177,7 +178,9 @@
 
 
 def measure_floor_price(seed: int) -> dict[str, dict[str, float]]:
-    """Return the part of callers' requests failed, by how many of 8 targets fail all.
+    """Return the part of callers' requests failed or not served in time.
+
+    By load and by how many of 8 targets fail all work, within one minute.
 
     Whole is the cap that one home alone could use, half the share of one of two, and
     none does without ejection.
@@ -190,12 +193,12 @@
     prices: dict[str, dict[str, float]] = {}
     for name, config in ways.items():
         prices[name] = {}
-        for bad in (1, 2, 3, 4):
-            trial = HealthTrial.from_config(8, 2, seed=seed, settings=config)
+        for load, bad in product((0.3, LOAD), (1, 2, 3, 4)):
+            trial = HealthTrial.from_config(8, 2, load=load, seed=seed, settings=config)
             for target in trial.targets[:bad]:
                 trial.behaviours[target.target] = failing(1.0)
             trial.run_until(60_000.0)
-            prices[name][str(bad)] = trial.failures / trial.works
+            prices[name][f"{bad} at {load:.0%}"] = round(trial.failed_part, 4)
     return prices
 
 
@@ -287,7 +290,7 @@
     axes.set_xlabel("threshold (nats)")
     axes.set_ylabel("detection (s)")
     axes.axvline(figures["chosen_nats"]["katalog"], color="grey", linestyle=":")
-    axes.legend(loc="upper left")
+    axes.legend(loc="center left")
     right = axes.twinx()
     for name in ("bayaran", "order-desk"):
         rates = figures["false_per_day"][name]
--- a/benchmarks/health_trial.py
+++ b/benchmarks/health_trial.py
@@ -151,6 +151,7 @@
     watchers: dict[str, "Watcher"] = field(default_factory=dict)
     failures: int = 0
     works: int = 0
+    unserved: int = 0
 
     @classmethod
     def from_config(
@@ -201,6 +202,12 @@
             and (target is None or getattr(change, "target", None) == target)
         ]
 
+    @property
+    def failed_part(self) -> float:
+        """Return the part of ended and given-up requests without a good answer."""
+        ended = self.works + self.unserved
+        return (self.failures + self.unserved) / ended
+
     def reaches(self, target: TargetId) -> bool:
         """Return True if another failure domain gets an answer from a target."""
         behaviour = self.behaviours.get(target, healthy)
@@ -240,6 +247,7 @@
         # Nobody waits longer than his deadline.
         while self._queue and self._queue[0] < self.now_ms - TIMEOUT_MS:
             self._queue.popleft()
+            self.unserved += 1
         self._place()
 
     def _place(self) -> None:
--- a/src/crocusspindle/core/health.py
+++ b/src/crocusspindle/core/health.py
@@ -172,6 +172,8 @@
             return 0.0
         if record.state is HealthState.PROBATION:
             return settings.probation_weight
+        if record.withheld:
+            return settings.withheld_weight
         if record.state is HealthState.SUSPECT:
             return settings.suspect_weight
         return record.ramped_weight(now_ms)
--- a/src/crocusspindle/core/health_state.py
+++ b/src/crocusspindle/core/health_state.py
@@ -184,6 +184,8 @@
     probation_weight: float = 0.05
     # A suspect is used when better targets are full, seldom else.
     suspect_weight: float = 0.25
+    # A target known bad that the floor keeps is used when nothing else is free.
+    withheld_weight: float = 0.02
     # Homes that may judge one group at once without seeing each other.
     homes_at_once: int = 2
     # The healthy rate and latencies of the group are learnt anew in about 20 s:
--- a/tests/core/test_health_floor.py
+++ b/tests/core/test_health_floor.py
@@ -167,6 +167,11 @@
     assert shared >= FLOOR
     for trial in trials:
         assert trial.times(EjectionWithheld)
+        out = out_of_service(trial.judge, trial.now_ms)
+        weights = {
+            t.target: trial.judge.weight(t.target, trial.now_ms) for t in trial.targets
+        }
+        assert all(weights[name] > 0.0 for name in weights.keys() - out)
 
 
 @pytest.mark.parametrize("rates", [[1.0] * 8, [0.4] * 5 + [1.0] * 2 + [0.01]])
