Keep withheld targets above the weight that placement gives trials only

The search for broken floors now counts every target with a weight on probation as out, and so finds such a thing.

--- a/src/crocusspindle/core/health_state.py
+++ b/src/crocusspindle/core/health_state.py
@@ -184,8 +184,10 @@
     probation_weight: float = 0.05
     # A suspect is used when better targets are full, seldom else.
     suspect_weight: float = 0.25
-    # A target known bad that the floor keeps is used when nothing else is free.
-    withheld_weight: float = 0.02
+    # A target known bad that the floor keeps is used when nothing else is free; above
+    # the weight on probation, as placement gives that one trials only, and a target
+    # that gets nothing more would be ejected in all but name.
+    withheld_weight: float = 0.1
     # Homes that may judge one group at once without seeing each other.
     homes_at_once: int = 2
     # The healthy rate and latencies of the group are learnt anew in about 20 s:
--- a/tests/core/test_health_floor.py
+++ b/tests/core/test_health_floor.py
@@ -31,6 +31,13 @@
     return {row.target for row in judge.snapshot(now_ms) if row.state in OUT}
 
 
+def given_trials_only(
+    judge: GroupHealth, targets: list[Target], now_ms: float
+) -> set[TargetId]:
+    least = HealthSettings().probation_weight
+    return {t.target for t in targets if judge.weight(t.target, now_ms) <= least}
+
+
 def serving_fraction(targets: list[Target], out: set[TargetId]) -> float:
     live = [t for t in targets if t.state is TargetState.LIVE]
     serving = sum(t.slots for t in live if t.target not in out)
@@ -116,6 +123,7 @@
         out: set[TargetId] = set()
         for home in self.homes:
             out |= out_of_service(home, self.now_ms)
+            out |= given_trials_only(home, self.targets, self.now_ms)
         assert serving_fraction(self.targets, out) >= FLOOR
 
 
@@ -168,10 +176,7 @@
     for trial in trials:
         assert trial.times(EjectionWithheld)
         out = out_of_service(trial.judge, trial.now_ms)
-        weights = {
-            t.target: trial.judge.weight(t.target, trial.now_ms) for t in trial.targets
-        }
-        assert all(weights[name] > 0.0 for name in weights.keys() - out)
+        assert given_trials_only(trial.judge, trial.targets, trial.now_ms) == out
 
 
 @pytest.mark.parametrize("rates", [[1.0] * 8, [0.4] * 5 + [1.0] * 2 + [0.01]])
