--- a/src/crocusspindle/services/control.py
+++ b/src/crocusspindle/services/control.py
@@ -184,11 +184,13 @@
         now = now_ms()
         age_ms = self.fitness.stamp_age_ms(now)
         view = self.view
+        fit = now < self.fitness.fit_until_ms(now)
         return wire.Standing(
             view_number=0 if view is None else view.number,
             applied_ticket=self.log.applied,
             draining=self.draining,
-            fit=now < self.fitness.fit_until_ms(now),
+            fit=fit,
+            unfit_reason="" if fit else self.fitness.reason(now).value,
             has_stamp=age_ms is not None,
             stamp_age_ms=age_ms or 0.0,
             silent=self.membership.silent(now),
--- a/tests/product/test_docs.py
+++ b/tests/product/test_docs.py
@@ -8,7 +8,12 @@
 from crocusspindle import cli, instruments
 from crocusspindle.docs_reference import PAGES, node_instruments, settings_page
 from crocusspindle.exit_codes import ExitCode
-from crocusspindle.settings_schema import NodeSettings
+from crocusspindle.settings_schema import (
+    CallerSettings,
+    LimitSettings,
+    NodeSettings,
+    TimingSettings,
+)
 
 ROOT = Path(__file__).resolve().parents[2]
 DOCS = sorted([ROOT / "README.md", *ROOT.glob("docs/**/*.md")])
@@ -31,6 +36,18 @@
         assert any(f"instruments.{name}" in source for source in sources), name
 
 
+def test_settings_without_effect_say_so():
+    sources = "".join(
+        file.read_text()
+        for file in ROOT.glob("src/crocusspindle/**/*.py")
+        if file.name != "settings_schema.py"
+    )
+    for section in (TimingSettings, LimitSettings, CallerSettings):
+        for name, field in section.model_fields.items():
+            used = re.search(rf"\.{name}\b", sources) is not None
+            assert used != field.description.endswith("Without effect yet."), name
+
+
 @pytest.mark.parametrize("doc", DOCS, ids=lambda doc: str(doc.relative_to(ROOT)))
 def test_what_docs_name_exists(doc):
     text = doc.read_text(encoding="utf-8")
