Answer malformed requests with their outcome, and drop half headers

Such requests got aiohttp's own page without an outcome, and a connection whose header never ended was held for ever. The wait covers the first header of a connection; later ones on a kept connection are not bounded yet.

--- a/src/crocusspindle/services/ports.py
+++ b/src/crocusspindle/services/ports.py
@@ -20,6 +20,7 @@
 from crocusspindle.ids import CustomerId, MemberId, OperationKey, TargetId, TicketNumber
 from crocusspindle.kernel import Service
 from crocusspindle.services import words
+from crocusspindle.services.caller_server import CallerServer
 from crocusspindle.services.control import ControlService
 from crocusspindle.services.entry import EntryService
 from crocusspindle.services.home import HomeService
@@ -235,13 +236,7 @@
 
     async def start(self) -> None:
         """Listen for callers."""
-        server = web.Server(
-            self._handle,
-            access_log=None,
-            handler_cancellation=True,
-            max_line_size=self._settings.max_header_bytes,
-            max_field_size=self._settings.max_header_bytes,
-        )
+        server = CallerServer(self._handle, self._settings)
         self._runner = web.ServerRunner(server)
         await self._runner.setup()
         await web.SockSite(self._runner, self._socket, ssl_context=self._tls).start()
