--- a/src/crocusspindle/cli.py
+++ b/src/crocusspindle/cli.py
@@ -137,9 +137,13 @@
         """Check a settings file and report all findings."""
 
         def work() -> dict[str, Any]:
+            from crocusspindle.services.assembly import (  # noqa: PLC0415
+                platform_adapter,
+            )
             from crocusspindle.settings import load_settings  # noqa: PLC0415
 
             checked = load_settings(str(settings))
+            platform_adapter(checked)
             return {"settings": str(settings), "node": checked.node.name, "ok": True}
 
         return self._action(work)
--- a/src/crocusspindle/platform/http.py
+++ b/src/crocusspindle/platform/http.py
@@ -10,7 +10,12 @@
 
 from crocusspindle.clock import remaining_s
 from crocusspindle.core.model import Target, TargetState
-from crocusspindle.errors import PlatformUnavailableError, PlatformUnknownError
+from crocusspindle.errors import (
+    Finding,
+    PlatformUnavailableError,
+    PlatformUnknownError,
+    SettingsError,
+)
 from crocusspindle.ids import DomainId, ServiceId, TargetId
 from crocusspindle.platform.adapter import PutResult, Row, register
 
@@ -34,6 +39,15 @@
     @classmethod
     def from_config(cls, options: Mapping[str, Any]) -> Self:
         """Build the adapter; ``url`` is the platform's base address."""
+        findings = [
+            Finding("settings", f"platform.{name}", "unknown key")
+            for name in options
+            if name != "url"
+        ]
+        if "url" not in options:
+            findings.append(Finding("settings", "platform.url", "is missing"))
+        if findings:
+            raise SettingsError(findings)
         return cls(str(options["url"]))
 
     def _client(self) -> aiohttp.ClientSession:
--- a/src/crocusspindle/services/assembly.py
+++ b/src/crocusspindle/services/assembly.py
@@ -35,7 +35,7 @@
 
 BACKLOG: Final = 512
 
-__all__ = ["build"]
+__all__ = ["build", "platform_adapter"]
 
 
 def build(settings: NodeSettings) -> Kernel:
@@ -51,7 +51,7 @@
     proof = fleet_proof(fleet_key(settings.fleet), settings.fleet.name)
     metrics = Metrics(settings.node.name, settings.node.domain)
     tls = NodeTls.from_config(settings)
-    platform = PlatformService(_platform(settings), metrics)
+    platform = PlatformService(platform_adapter(settings), metrics)
     timings, limits = settings.timings, settings.limits
 
     kernel = Kernel(timings.drain_ms)
@@ -115,7 +115,8 @@
     )
 
 
-def _platform(settings: NodeSettings) -> PlatformAdapter:
+def platform_adapter(settings: NodeSettings) -> PlatformAdapter:
+    """Return the adapter that the settings name; raise ``SettingsError``."""
     # Every module of the package registers its adapter: a new platform takes one
     # file and no change elsewhere.
     for module in pkgutil.iter_modules(platform_package.__path__):
--- a/tests/product/test_settings.py
+++ b/tests/product/test_settings.py
@@ -1,6 +1,7 @@
 import pytest
 
 from crocusspindle.errors import SettingsError
+from crocusspindle.services.assembly import platform_adapter
 from crocusspindle.settings import check_settings, fleet_key, load_settings
 from crocusspindle.settings_schema import FleetSettings
 
@@ -57,6 +58,21 @@
         load_settings(tmp_path / "none.yaml")
 
 
+@pytest.mark.parametrize(
+    ("platform", "path"),
+    [
+        ("{adapter: none}", "platform.adapter"),
+        ("{adapter: http}", "platform.url"),
+        ('{adapter: http, url: "http://h", urll: x}', "platform.urll"),
+    ],
+)
+def test_options_of_the_platform_are_checked(platform, path):
+    lines = [*GOOD.splitlines()[:-1], f"platform: {platform}"]
+    with pytest.raises(SettingsError) as error:
+        platform_adapter(check_settings("\n".join(lines), "a.yaml"))
+    assert [finding.path for finding in error.value.findings] == [path]
+
+
 def test_fleet_key_from_file_or_environment(tmp_path):
     file = tmp_path / "key"
     file.write_text("k" * 20 + "\n")
