Let the first holder keep its fractions while it collects

Ruled out: rounding of binary fractions (asking for a hair more changed nothing but refused two exact halves).

--- a/src/crocusspindle/core/directory.py
+++ b/src/crocusspindle/core/directory.py
@@ -34,6 +34,10 @@
 WITHDRAWN: Final = 0x8000_0000
 """Marks the customer's row in the record of a withdrawn key."""
 
+NUMBER_BYTES: Final = 2
+MAX_NUMBERS: Final = 1 << 8 * NUMBER_BYTES
+"""Services, and owners who approve, that have ever been named in approvals."""
+
 MAX_BURST: Final = 0xFFFF_FFFF
 
 Item: TypeAlias = Customer | CustomerKey | Approval | Route | Service
@@ -56,6 +60,11 @@
 Change: TypeAlias = Put | Remove
 
 
+def number_bytes(number: int) -> bytes:
+    """Return the number of a service or owner as stored in records."""
+    return number.to_bytes(NUMBER_BYTES, "little")
+
+
 def digest_of(key: str) -> KeyDigest:
     """Return the digest by which a key is known.
 
@@ -70,7 +79,7 @@
     def __init__(self) -> None:
         self.customer_table = CustomerTable()
         self.key_table = RecordTable(DIGEST_BYTES, ROW_BYTES)
-        self.approval_table = RecordTable(2 * ROW_BYTES, ROW_BYTES)
+        self.approval_table = RecordTable(ROW_BYTES + NUMBER_BYTES, NUMBER_BYTES)
         self.route_table = RouteTable()
         self.service_table: dict[ServiceId, Service] = {}
         self.service_names: list[str] = []
@@ -127,6 +136,10 @@
             there = self.customer_table.row(item.customer) is not None
             if not known.get((Customer, item.customer), there):
                 yield f"customer {item.customer!r} is not known"
+        if isinstance(item, Approval):
+            for names in (self.service_names, self.approver_names):
+                if len(names) >= MAX_NUMBERS:
+                    yield f"more than {MAX_NUMBERS} services or owners were named"
         if isinstance(item, Approval | Route):
             there = item.service in self.service_table
             if not known.get((Service, item.service), there):
@@ -175,18 +188,19 @@
         former = self.customer_table.at(row)
         self._remove_keys_of(row)
         for record in list(self.approval_table.matches(row, row_bytes(row))):
-            self.approval_table.remove(row, record[: 2 * ROW_BYTES])
+            self.approval_table.remove(row, record[:-NUMBER_BYTES])
         self.customer_table.remove(customer)
         return former
 
     def _remove_keys_of(self, row: int) -> None:
-        owners = {row_bytes(row), row_bytes(row | WITHDRAWN)}
+        active = row_bytes(row)
+        owners = {active, row_bytes(row | WITHDRAWN)}
 
         def is_owned(record: bytes) -> bool:
             return record[DIGEST_BYTES:] in owners
 
-        for owner in owners:
-            self.key_table.remove_where(is_owned, owner)
+        # The mark is in the last byte: one search finds both.
+        self.key_table.remove_where(is_owned, active[:-1])
 
     def put_key(self, key: CustomerKey) -> None:
         """Bind a key to a customer, or withdraw it."""
@@ -210,8 +224,8 @@
         approver = self._number(
             approval.approved_by, self.approver_names, self._approver_numbers
         )
-        key = row_bytes(row) + row_bytes(service)
-        self.approval_table.put(row, key, row_bytes(approver))
+        key = row_bytes(row) + number_bytes(service)
+        self.approval_table.put(row, key, number_bytes(approver))
 
     def remove_approval(self, service: ServiceId, customer: CustomerId) -> bool:
         """Withdraw an approval and return True if it was there."""
@@ -219,7 +233,7 @@
         number = self._service_numbers.get(service)
         if row is None or number is None:
             return False
-        return self.approval_table.remove(row, row_bytes(row) + row_bytes(number))
+        return self.approval_table.remove(row, row_bytes(row) + number_bytes(number))
 
     def put_route(self, route: Route) -> None:
         """Lead a prefix to a service."""
@@ -238,9 +252,9 @@
         """Remove a service with its approvals; its routes then lead nowhere."""
         number = self._service_numbers.get(service)
         if number is not None:
-            held = row_bytes(number)
+            held = number_bytes(number)
             self.approval_table.remove_where(
-                lambda record: record[ROW_BYTES : 2 * ROW_BYTES] == held, held
+                lambda record: record[ROW_BYTES:-NUMBER_BYTES] == held, held
             )
         return self.service_table.pop(service, None) is not None
 
@@ -277,7 +291,7 @@
         number = self._service_numbers.get(service)
         if row is None or number is None or service not in self.service_table:
             return False
-        key = row_bytes(row) + row_bytes(number)
+        key = row_bytes(row) + number_bytes(number)
         return self.approval_table.get(row, key) is not None
 
     def route(self, path: str) -> Route | None:
--- a/src/crocusspindle/core/directory_dump.py
+++ b/src/crocusspindle/core/directory_dump.py
@@ -20,7 +20,7 @@
 from crocusspindle.errors import Finding, InvalidInputError
 
 MAGIC: Final = "crocusspindle-directory"
-VERSION: Final = 1
+VERSION: Final = 2
 BUCKETS_A_SECTION: Final = 64
 COLUMN_BYTES: Final = 262_144
 MAX_SECTION_BYTES: Final = 64 * 1024 * 1024
--- a/src/crocusspindle/core/lenders.py
+++ b/src/crocusspindle/core/lenders.py
@@ -27,6 +27,14 @@
 so that collecting comes to an end.
 """
 
+COLLECT_MS: Final = 10.0
+"""The first holder keeps its fractions for so long after each question.
+
+Made for two requests at two holders that each miss a little: each would lend the
+other what that one misses, and both would go on asking until a token is refilled,
+up to two seconds at 1/s. Only the first in order keeps, so that one gets done.
+"""
+
 MIN_REFUSED_MS: Final = 15.0
 """A lender that refused is left alone at least so long.
 
@@ -76,12 +84,13 @@
     ``pot`` holds what a node without a share has borrowed and not yet spent.
     """
 
-    __slots__ = ("_notes", "pot", "top_up_at_ms")
+    __slots__ = ("_notes", "collects_until_ms", "pot", "top_up_at_ms")
 
     def __init__(self) -> None:
         self._notes: dict[MemberId, LenderNote] = {}
         self.pot = LoanPot()
         self.top_up_at_ms = -math.inf
+        self.collects_until_ms = -math.inf
 
     def answered(
         self, lender: MemberId, available: float, refused_ms: float, now_ms: float
@@ -147,8 +156,10 @@
         Until then each is asked for the whole, which moves nothing in vain.
         """
         has = self.estimates(peers, now_ms)
+        self.collects_until_ms = -math.inf
         if not has or sum(has.values()) < need:
             return None
+        self.collects_until_ms = now_ms + COLLECT_MS
         ranked = sorted(has, key=lambda holder: -has[holder])
         if has[ranked[0]] >= need:
             # A question for more than a whole token is refused by whoever has none.
--- a/src/crocusspindle/core/shares.py
+++ b/src/crocusspindle/core/shares.py
@@ -158,6 +158,7 @@
             lenders.pot.take(min(1.0, from_pot))
             if bucket is not None:
                 bucket.take(max(0.0, 1.0 - from_pot))
+            lenders.collects_until_ms = now_ms
             return Spent(now_ms)
         peers = self._peers(limit)
         if bucket is None:
@@ -228,7 +229,7 @@
         nominal_per_s = bucket.rate_per_ms * 1000.0 / (1 - self._settings.drift)
         retry_after_ms = self._retry_after_ms(limit, has, now_ms)
         need = min(missing, 1.0)
-        if has < need:
+        if has < need or (need < 1.0 and self._keeps_fractions(limit, now_ms)):
             return Loan(0.0, nominal_per_s, retry_after_ms, has)
         amount = max(need, min(missing, has / 2))
         grace_ms = self._grace_ms(bucket, has)
@@ -236,6 +237,12 @@
         bucket.reserve(amount, now_ms + grace_ms * (1 + self._settings.drift))
         return Loan(amount, nominal_per_s, retry_after_ms, has - amount, grace_ms)
 
+    def _keeps_fractions(self, limit: Customer, now_ms: float) -> bool:
+        """Return True if the first holder is collecting for a request of its own."""
+        if self._me != self._shares.holders(limit)[0]:
+            return False
+        return now_ms < self._account(limit.customer).collects_until_ms
+
     def _grace_ms(self, bucket: ShareBucket, has: float) -> float:
         """Return how long a loan's room stays reserved.
 
