--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -8,6 +8,7 @@
 import argparse
 import csv
 import json
+import sys
 from collections.abc import Iterator
 from dataclasses import replace
 from pathlib import Path
@@ -93,10 +94,13 @@
 
 
 def main() -> None:
-    """Write the table of all cases."""
+    """Write the table of all cases, or check the bounds."""
     parser = argparse.ArgumentParser()
+    parser.add_argument("--check", action="store_true")
     parser.add_argument("--output", type=Path, default=Path("shares.csv"))
     options = parser.parse_args()
+    if options.check:
+        sys.exit("\n".join(check()) or None)
     with options.output.open("w", newline="") as file:
         writer = csv.writer(file)
         writer.writerow(COLUMNS)
