--- a/src/crocusspindle/services/control.py
+++ b/src/crocusspindle/services/control.py
@@ -5,10 +5,13 @@
 from dataclasses import dataclass
 from typing import Final
 
+import xxhash
+
 from crocusspindle.clock import now_ms
 from crocusspindle.core.directory import Directory
 from crocusspindle.core.directory_dump import load
 from crocusspindle.core.fitness import Fitness, FitnessLimits
+from crocusspindle.core.groups import Group, cut
 from crocusspindle.core.members import (
     Membership,
     MembershipLimits,
@@ -37,6 +40,7 @@
 TAIL_KEPT: Final = 1_000
 """Applied tickets kept for peers that lag: several hours of an ordinary day. Who
 lags further starts from a snapshot."""
+NO_TARGETS_MS: Final = 1e12
 MISSED_CONTACTS: Final = 6
 
 
@@ -81,6 +85,9 @@
         )
         self.draining = False
         self.targets: Mapping[ServiceId, tuple[Target, ...]] = {}
+        self.groups: Mapping[ServiceId, tuple[Group, ...]] = {}
+        self.targets_digest = 0
+        self.targets_read_ms = float("-inf")
         self._tail: dict[TicketNumber, bytes] = {}
         self._was_fit = False
         self._failing = False
@@ -88,6 +95,7 @@
         self._on_view: list[Callable[[MemberView], None]] = []
         self._on_targets: list[Callable[[], None]] = []
         self._on_behind: Callable[[MemberId], None] = lambda member: None
+        self._on_old_targets: Callable[[MemberId], None] = lambda member: None
         self._logger = Logger("control")
 
     def watch(
@@ -96,10 +104,12 @@
         view: Callable[[MemberView], None] | None = None,
         targets: Callable[[], None] | None = None,
         behind: Callable[[MemberId], None] | None = None,
+        old_targets: Callable[[MemberId], None] | None = None,
     ) -> None:
         """Call back on applied tickets, new views and new host lists.
 
-        ``behind`` is called with a peer that has applied more than this node.
+        ``behind`` is called with a peer that has applied more than this node,
+        ``old_targets`` with one that holds a newer host list.
         """
         if change is not None:
             self._on_change.append(change)
@@ -109,6 +119,8 @@
             self._on_targets.append(targets)
         if behind is not None:
             self._on_behind = behind
+        if old_targets is not None:
+            self._on_old_targets = old_targets
 
     @property
     def view(self) -> MemberView | None:
@@ -146,13 +158,22 @@
             for ticket in self.log.offer(offered):
                 self._apply(ticket)
 
-    def take_targets(self, targets: Iterable[Target]) -> None:
-        """Take a host list of the platform."""
+    def take_targets(self, targets: Iterable[Target], read_began_ms: float) -> None:
+        """Take a host list of the platform, unless a later one is here."""
+        if read_began_ms <= self.targets_read_ms:
+            return
+        self.targets_read_ms = read_began_ms
+        targets = sorted(targets, key=lambda target: target.target)
+        digest = xxhash.xxh3_64_intdigest(repr(targets).encode())
+        if digest == self.targets_digest:
+            return
+        self.targets_digest = digest
         grouped: dict[ServiceId, list[Target]] = {}
         for target in targets:
             grouped.setdefault(target.service, []).append(target)
-        self.targets = {
-            service: tuple(sorted(members, key=lambda target: target.target))
+        self.targets = {service: tuple(members) for service, members in grouped.items()}
+        self.groups = {
+            service: cut(service, (target.target for target in members))
             for service, members in grouped.items()
         }
         for call in self._on_targets:
@@ -197,6 +218,8 @@
             platform_failing=self._failing,
             away=self.fitness.away(now),
             away_views=sorted(self.fitness.away_views(now)),
+            targets_digest=self.targets_digest,
+            targets_age_ms=min(now - self.targets_read_ms, NO_TARGETS_MS),
         )
 
     def joining(self) -> wire.Joining | None:
@@ -239,6 +262,8 @@
         )
         if standing.platform_failing:
             self.fitness.platform_failing(sent_ms)
+        if self._has_newer_targets(standing, sent_ms):
+            self._on_old_targets(member)
         if self._behind(standing):
             self._on_behind(member)
         elif standing.has_stamp:
@@ -276,6 +301,17 @@
         """Return the encoded view, empty before the first one."""
         return b"" if self.view is None else encode_view(self.view)
 
+    def _has_newer_targets(self, standing: wire.Standing, sent_ms: float) -> bool:
+        """Return True if a peer read another host list later than this node did.
+
+        A list read as old as that says that a peer cannot read it, either.
+        """
+        if standing.targets_digest == self.targets_digest:
+            read_ms = sent_ms - standing.targets_age_ms
+            self.targets_read_ms = max(self.targets_read_ms, read_ms)
+            return False
+        return sent_ms - standing.targets_age_ms > self.targets_read_ms
+
     def _behind(self, standing: wire.Standing) -> bool:
         view_number = 0 if self.view is None else self.view.number
         return (
--- a/src/crocusspindle/services/follower.py
+++ b/src/crocusspindle/services/follower.py
@@ -17,15 +17,24 @@
     decode_view,
     encode_view,
 )
+from crocusspindle.core.model import Target, TargetState
 from crocusspindle.core.rendezvous import order
 from crocusspindle.core.ticket_schema import decode_ticket
 from crocusspindle.errors import PlatformError, TicketConflictError
-from crocusspindle.ids import MemberId, TicketNumber, ViewNumber
+from crocusspindle.ids import (
+    DomainId,
+    MemberId,
+    ServiceId,
+    TargetId,
+    TicketNumber,
+    ViewNumber,
+)
 from crocusspindle.kernel import Service
 from crocusspindle.logs import Logger, log_state_change
 from crocusspindle.platform.adapter import ABSENT, Platform, Row
 from crocusspindle.services.control import ControlService, unix_ms
 from crocusspindle.services.peers import PEER_FAILURES, Peers
+from crocusspindle.services.snapshots import Snapshots
 from crocusspindle.settings_schema import LimitSettings, TimingSettings
 from crocusspindle.wire import fleet_pb2 as wire
 
@@ -46,6 +55,28 @@
     return f"{number:012d}"
 
 
+def target_message(target: Target) -> wire.ListedTarget:
+    """Return a listed target as peers send it."""
+    return wire.ListedTarget(
+        target=target.target,
+        service=target.service,
+        domain=target.domain,
+        slots=target.slots,
+        state=target.state.value,
+    )
+
+
+def target_from(message: wire.ListedTarget) -> Target:
+    """Return a listed target that a peer sent."""
+    return Target(
+        target=TargetId(message.target),
+        service=ServiceId(message.service),
+        domain=DomainId(message.domain),
+        slots=message.slots,
+        state=TargetState(message.state),
+    )
+
+
 class FollowerService(Service):
     """Read the platform or ask peers, and keep this node in the view."""
 
@@ -65,16 +96,21 @@
         self._platform = platform
         self._timings = timings
         self._limits = limits
+        self._snapshots = Snapshots(control, platform, timings)
         self._view_version = ABSENT
         self._asking: set[MemberId] = set()
+        self._asking_targets: set[MemberId] = set()
         self._names: dict[ViewNumber, tuple[MemberId, ...]] = {}
         self._stopping = False
         self._logger = Logger("follower")
-        control.watch(behind=self._ask, view=self._follow)
+        control.watch(
+            behind=self._ask, view=self._follow, old_targets=self._ask_targets
+        )
 
     async def start(self) -> None:
         """Read what there is and begin to follow it."""
         with suppress(PlatformError):
+            await self._snapshots.load()
             await self._read_all()
         self.spawn(self._poll())
 
@@ -126,6 +162,7 @@
                 await self._read_all()
                 if not self._stopping:
                     await self._propose()
+                    await self._snapshots.save_if_due()
             except PlatformError as error:
                 self._control.platform_failed(began_ms)
                 self._logger.debug(f"platform: {error}")
@@ -141,7 +178,7 @@
             self._platform.hosts(self._deadline_ms()),
         )
         self._take_view_row(row)
-        self._control.take_targets(hosts)
+        self._control.take_targets(hosts, began_ms)
         if tickets_done:
             self._control.stamped(began_ms)
 
@@ -215,6 +252,26 @@
         finally:
             self._asking.discard(member)
 
+    def _ask_targets(self, member: MemberId) -> None:
+        if member not in self._asking_targets:
+            self._asking_targets.add(member)
+            self.spawn(self._learn_targets(member))
+
+    async def _learn_targets(self, member: MemberId) -> None:
+        """Learn the host list from a peer that has read it later."""
+        try:
+            asked_ms = now_ms()
+            async with asyncio.timeout(self._timings.platform_timeout_ms / 1e3):
+                reply = await self._peers.stub(member).Targets(
+                    wire.TargetsRequest(), metadata=self._peers.metadata
+                )
+            targets = [target_from(one) for one in reply.targets]
+            self._control.take_targets(targets, asked_ms - reply.age_ms)
+        except (*PEER_FAILURES, ValueError) as error:
+            self._logger.debug(f"targets of {member}: {error}")
+        finally:
+            self._asking_targets.discard(member)
+
     def _take_tail(self, reply: wire.TailReply, asked_ms: float) -> None:
         control = self._control
         if reply.view:
--- a/src/crocusspindle/services/hand_over.py
+++ b/src/crocusspindle/services/hand_over.py
@@ -1,16 +1,19 @@
 """Hand a caller's request from its entry to a home, and to the next one if needed."""
 
 import asyncio
+import random
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, suppress
 from dataclasses import dataclass, field
 from typing import Final
 
 from crocusspindle.clock import now_ms, remaining_s
-from crocusspindle.core.decisions import Outcome
+from crocusspindle.core.decisions import HomeLoad, Outcome
+from crocusspindle.core.groups import Group, GroupChooser
+from crocusspindle.core.members import MemberView
 from crocusspindle.core.rendezvous import order
 from crocusspindle.errors import PeerError
-from crocusspindle.ids import CustomerId, MemberId, ServiceId
+from crocusspindle.ids import CustomerId, MemberId, ServiceId, ViewNumber
 from crocusspindle.kernel import Service
 from crocusspindle.services.control import ControlService
 from crocusspindle.services.handed_over import GivenUp
@@ -32,6 +35,10 @@
 """A home that failed one request is tried last for so long: a paused one would cost
 each request the wait for its word until the heartbeats show that it is silent."""
 
+RANKED: Final = 32
+"""Members of an order that are looked at: more than ever are unusable at once, but
+in an outage of failure domains, when this entry takes the work itself."""
+
 RETRY_MS: Final = 1_000.0
 
 
@@ -98,6 +105,7 @@
     call: CallerRequest
     dispatch_by_ms: float | None = None
     """Until when a named operation may be sent for the first time."""
+    group: Group | None = None
     granted: bool = False
     """Whether a home was allowed to send it: from here it may have run."""
     stack: AsyncExitStack = field(default_factory=AsyncExitStack)
@@ -132,6 +140,9 @@
         self._home = home
         self._timings = timings
         self._avoided_until_ms: dict[MemberId, float] = {}
+        self._chooser = GroupChooser(random.Random())
+        self._ranked_view = ViewNumber(0)
+        self._ranks: dict[bytes, list[MemberId]] = {}
 
     async def run(self, handling: Handling) -> HomeAnswer | GivenUp:
         """Return the answer's head or the final word, by the deadline.
@@ -141,7 +152,11 @@
         """
         call = handling.call
         last: GivenUp | None = None
-        homes = self._homes(call.service, 0)[:HOMES_TRIED]
+        groups = self._control.groups.get(call.service, ())
+        if not groups:
+            return self._given_up(handling, "no-target")
+        handling.group = self._chooser.choose(groups)
+        homes = self._homes(handling.group)[:HOMES_TRIED]
         for home in homes:
             if now_ms() >= call.deadline_ms:
                 break
@@ -165,15 +180,14 @@
     def _given_up(self, handling: Handling, reason: str) -> GivenUp:
         return GivenUp(handling.outcome, reason, now_ms() + RETRY_MS)
 
-    def _homes(self, service: ServiceId, group: int) -> list[MemberId]:
+    def _homes(self, group: Group) -> list[MemberId]:
         """Return the nodes that may be the group's home, best first."""
         view, me = self._control.view, self._control.me.member
         if view is None:
             return [me]
-        ranked = order(f"{service}/{group}".encode(), view.names)
         ranked = [
             member
-            for member in ranked
+            for member in self._ranked(view, group)
             if (member == me and not self._control.draining)
             or self._peers.usable(member)
         ]
@@ -182,6 +196,17 @@
         ranked.sort(key=lambda member: avoided.get(member, 0.0) > now)
         return ranked or [me]
 
+    def _ranked(self, view: MemberView, group: Group) -> list[MemberId]:
+        """Return the members in the group's order, worked out once for a view."""
+        if self._ranked_view != view.number:
+            self._ranked_view = view.number
+            self._ranks.clear()
+        found = self._ranks.get(group.key)
+        if found is None:
+            found = order(group.key, view.names)[:RANKED]
+            self._ranks[group.key] = found
+        return found
+
     async def _open(self, handling: Handling, home: MemberId) -> EntryLink:
         if home == self._control.me.member:
             local = LocalLink()
@@ -205,7 +230,7 @@
     ) -> HomeAnswer | GivenUp:
         call = handling.call
         async with asyncio.timeout(self._timings.hand_over_ms / 1e3):
-            await link.send(wire.HandOverFrame(head=_head(call, may_move)))
+            await link.send(wire.HandOverFrame(head=_head(handling, may_move)))
             frame = await link.receive()
         try:
             async with asyncio.timeout(remaining_s(call.deadline_ms) + FINAL_GRACE_S):
@@ -222,6 +247,7 @@
         while True:
             kind = frame.WhichOneof("frame")
             if kind == "head":
+                self._note_load(handling, frame.head.load)
                 return _answer(frame.head, link, call)
             if kind == "refusal":
                 return _refusal(frame.refusal)
@@ -229,10 +255,17 @@
                 word = await self._allow(handling, link)
                 if word is not None:
                     return word
-            elif kind != "queued":
+            elif kind == "queued":
+                self._note_load(handling, frame.queued.load)
+            else:
                 raise PeerError(f"a home must not send {kind} first")
             frame = await link.receive()
 
+    def _note_load(self, handling: Handling, load: wire.Load) -> None:
+        if handling.group is not None:
+            seen = HomeLoad(load.queued, load.running, load.slots, load.wait_ms)
+            self._chooser.note(handling.group, seen)
+
     async def _allow(self, handling: Handling, link: EntryLink) -> GivenUp | None:
         """Let the home send the request, unless there is a word against it."""
         call = handling.call
@@ -268,11 +301,13 @@
     await link.send(wire.HandOverFrame(body_end=wire.BodyEnd()))
 
 
-def _head(call: CallerRequest, may_move: bool) -> wire.RequestHead:
+def _head(handling: Handling, may_move: bool) -> wire.RequestHead:
+    call = handling.call
     head = wire.RequestHead(
         request=call.request,
         customer=call.customer,
         service=call.service,
+        group=0 if handling.group is None else handling.group.number,
         method=call.method,
         path=call.path,
         weight=call.weight,
--- a/src/crocusspindle/services/handed_over.py
+++ b/src/crocusspindle/services/handed_over.py
@@ -156,7 +156,7 @@
             self.final.set_result(final)
 
 
-async def send_answer(request: HandedOver, answered: Answered) -> None:
+async def send_answer(request: HandedOver, answered: Answered, load: wire.Load) -> None:
     """Send an answer to the entry; raise if the target breaks it off.
 
     A short answer is one frame. Of a longer one only the last frame makes it whole:
@@ -170,6 +170,7 @@
     )
     head.body = answer.first
     head.whole = answer.rest is None
+    head.load.CopyFrom(load)
     await link.send(wire.AnswerFrame(head=head))
     if answer.rest is None:
         return
--- a/src/crocusspindle/services/home.py
+++ b/src/crocusspindle/services/home.py
@@ -9,7 +9,7 @@
 
 from crocusspindle import instruments
 from crocusspindle.clock import now_ms
-from crocusspindle.core.decisions import HomeStatus, Outcome
+from crocusspindle.core.decisions import HomeLoad, HomeStatus, Outcome
 from crocusspindle.core.health import GroupHealth
 from crocusspindle.core.health_state import (
     Ejected,
@@ -127,23 +127,25 @@
         try:
             await asyncio.wait(waiting, timeout=QUEUED_AFTER_S, return_when=first)
             if not request.final.done() and not reader.done():
-                queued = wire.Queued(wait_ms=runner.load().wait_ms_estimate)
+                queued = wire.Queued(load=load_message(runner.load()))
                 await request.link.send(wire.AnswerFrame(queued=queued))
                 await asyncio.wait(waiting, return_when=first)
             if request.final.done():
-                await self._send_final(request, request.final.result())
+                await self._send_final(runner, request, request.final.result())
         finally:
             reader.cancel()
             with suppress(asyncio.CancelledError, *PEER_FAILURES):
                 await reader
 
-    async def _send_final(self, request: HandedOver, final: Answered | GivenUp) -> None:
+    async def _send_final(
+        self, runner: GroupRunner, request: HandedOver, final: Answered | GivenUp
+    ) -> None:
         if isinstance(final, GivenUp):
             await send_refusal(request, final, now_ms())
             return
         through = False
         try:
-            await send_answer(request, final)
+            await send_answer(request, final, load_message(runner.load()))
             through = True
         finally:
             request.end_answer(through)
@@ -203,7 +205,13 @@
         return runner
 
     def _targets_of(self, group: Group) -> tuple[Target, ...]:
-        return tuple(self._control.targets.get(group[0], ()))
+        service, number = group
+        groups = self._control.groups.get(service, ())
+        if number >= len(groups):
+            return ()
+        members = set(groups[number].targets)
+        listed = self._control.targets[service]
+        return tuple(target for target in listed if target.target in members)
 
     def _take_targets(self) -> None:
         for group, runner in self._runners.items():
@@ -246,3 +254,13 @@
         if isinstance(change, Ejected | EjectionWithheld | Restored | GroupSuspect):
             fields = asdict(change)
             log_state_change(self._logger, kind, group=runner.name, **fields)
+
+
+def load_message(load: HomeLoad) -> wire.Load:
+    """Return a group's load as entries get it."""
+    return wire.Load(
+        queued=load.queued,
+        running=load.running,
+        slots=load.slots,
+        wait_ms=load.wait_ms_estimate,
+    )
--- a/src/crocusspindle/services/ports.py
+++ b/src/crocusspindle/services/ports.py
@@ -23,6 +23,7 @@
 from crocusspindle.services.caller_server import CallerServer
 from crocusspindle.services.control import ControlService
 from crocusspindle.services.entry import EntryService
+from crocusspindle.services.follower import target_message
 from crocusspindle.services.home import HomeService
 from crocusspindle.services.ledger import LedgerService, answer_from, attempt_from
 from crocusspindle.services.links import RemoteHomeLink
@@ -115,6 +116,19 @@
         )
         await stream.send_message(reply)
 
+    async def Targets(
+        self, stream: Stream[wire.TargetsRequest, wire.TargetsReply]
+    ) -> None:
+        """Give the host list that this node holds."""
+        await _request(stream)
+        reply = wire.TargetsReply(age_ms=now_ms() - self._control.targets_read_ms)
+        reply.targets.extend(
+            target_message(target)
+            for targets in self._control.targets.values()
+            for target in targets
+        )
+        await stream.send_message(reply)
+
     async def TryTarget(
         self, stream: Stream[wire.TryTargetRequest, wire.TryTargetReply]
     ) -> None:
--- a/src/crocusspindle/wire/fleet_grpc.py
+++ b/src/crocusspindle/wire/fleet_grpc.py
@@ -34,6 +34,10 @@
     async def Snapshot(self, stream: 'grpclib.server.Stream[crocusspindle.wire.fleet_pb2.SnapshotRequest, crocusspindle.wire.fleet_pb2.SnapshotReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Targets(self, stream: 'grpclib.server.Stream[crocusspindle.wire.fleet_pb2.TargetsRequest, crocusspindle.wire.fleet_pb2.TargetsReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def TryTarget(self, stream: 'grpclib.server.Stream[crocusspindle.wire.fleet_pb2.TryTargetRequest, crocusspindle.wire.fleet_pb2.TryTargetReply]') -> None:
         pass
@@ -86,6 +90,12 @@
                 crocusspindle.wire.fleet_pb2.SnapshotRequest,
                 crocusspindle.wire.fleet_pb2.SnapshotReply,
             ),
+            '/crocusspindle.fleet.Fleet/Targets': grpclib.const.Handler(
+                self.Targets,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                crocusspindle.wire.fleet_pb2.TargetsRequest,
+                crocusspindle.wire.fleet_pb2.TargetsReply,
+            ),
             '/crocusspindle.fleet.Fleet/TryTarget': grpclib.const.Handler(
                 self.TryTarget,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -152,6 +162,12 @@
             crocusspindle.wire.fleet_pb2.SnapshotRequest,
             crocusspindle.wire.fleet_pb2.SnapshotReply,
         )
+        self.Targets = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/crocusspindle.fleet.Fleet/Targets',
+            crocusspindle.wire.fleet_pb2.TargetsRequest,
+            crocusspindle.wire.fleet_pb2.TargetsReply,
+        )
         self.TryTarget = grpclib.client.UnaryUnaryMethod(
             channel,
             '/crocusspindle.fleet.Fleet/TryTarget',
--- a/src/crocusspindle_standins/demo.py
+++ b/src/crocusspindle_standins/demo.py
@@ -30,8 +30,9 @@
 from crocusspindle_standins.fleet import Fleet, Layout, TargetGroup, sha256
 
 SEED: Final = 20261202
-SHARES_OPEN_S: Final = 6.5
-"""New holders of shares wait out a lease of 4 s before they spend."""
+SHARES_OPEN_S: Final = 30.0
+SHARES_FILL_S: Final = 2.0
+"""Every burst is two seconds of its customer's rate."""
 SIDE_BY_SIDE: Final = 200
 ECHO: Final = "echo"
 
@@ -202,7 +203,15 @@
         )
         await fleet.until_in_force(number, fleet.nodes)
         self.say(f"tickets 1 to {number} are in force on every node")
-        await asyncio.sleep(SHARES_OPEN_S)
+        await self._until_shares_open()
+
+    async def _until_shares_open(self) -> None:
+        """Wait until every share may be spent and has had time to fill."""
+        async with asyncio.timeout(SHARES_OPEN_S):
+            for node in self.fleet.nodes:
+                while (await self.fleet.status(node))["shares"]["waiting"]:
+                    await asyncio.sleep(0.2)
+        await asyncio.sleep(SHARES_FILL_S)
 
     async def _compare(self, session: aiohttp.ClientSession) -> None:
         """Send the same request in turn to a target and through the fleet."""
