--- a/benchmarks/health_trial.py
+++ b/benchmarks/health_trial.py
@@ -87,7 +87,7 @@
 
 
 class Watcher:
-    """Watch the work that another judge places, and note its first ejections."""
+    """Watch the work that another judge places, and note its first ejection."""
 
     def __init__(self, judge: GroupHealth, reaches: Callable[[TargetId], bool]) -> None:
         self.judge = judge
@@ -95,7 +95,9 @@
         self.ejected_ms: dict[TargetId, float] = {}
 
     def observe(self, sample: Sample, now_ms: float) -> None:
-        """Pass one ended sending on."""
+        """Pass one ended sending on, until the first ejection."""
+        if self.ejected_ms:
+            return
         self.note(self.judge.observe(sample, now_ms), now_ms)
 
     def note(self, changes: list[HealthChange], now_ms: float) -> None:
@@ -110,6 +112,8 @@
 
     def tick(self, running: Mapping[TargetId, dict[int, float]], now_ms: float) -> None:
         """Pass the tick and the ages of outstanding requests on."""
+        if self.ejected_ms:
+            return
         self.note(self.judge.tick(now_ms), now_ms)
         for target, begun in running.items():
             ages_ms = [now_ms - at_ms for at_ms in begun.values()]
--- a/tests/core/test_health_floor.py
+++ b/tests/core/test_health_floor.py
@@ -191,3 +191,19 @@
     worst = {t.target for t, r in zip(trial.targets, rates, strict=True) if r == 1.0}
     assert out <= worst
     assert serving_fraction(trial.targets, out) >= FLOOR
+
+
+def test_worse_targets_take_the_place_of_less_bad_ones() -> None:
+    # Two targets fail some of their work and fill all that the floor lets go. Then
+    # two others fail everything, and callers would meet them at every turn while
+    # two that do most of their work stand idle.
+    trial = HealthTrial.from_config(count=8, slots=2, seed=3)
+    names = [target.target for target in trial.targets]
+    for name, begin_ms, rate in zip(
+        names, (5_000.0, 5_000.0, 8_000.0, 8_000.0), (0.3, 0.3, 1.0, 1.0), strict=False
+    ):
+        trial.behaviours[name] = since(begin_ms, failing(rate))
+    trial.run_until(8_000.0)
+    assert out_of_service(trial.judge, trial.now_ms) == set(names[:2])
+    trial.run_until(9_500.0)
+    assert out_of_service(trial.judge, trial.now_ms) == set(names[2:4])
