--- /dev/null
+++ b/src/crocusspindle/core/bucket.py
@@ -0,0 +1,218 @@
+"""Keep the tokens of one share, and tokens that are on their way.
+
+The bound rests on one sum. For each share of size ``cap`` let the stock be the
+tokens in its bucket plus the value of every loan made from it that may still be
+spent. The stock never passes ``cap``, it grows by at most the share's rate, and
+each admitted request takes one token out of a stock. So over any window of t
+seconds all holders and borrowers of a customer together admit at most the sum of
+``cap + rate x t`` over its shares, which is ``burst + rate x t``.
+"""
+
+import math
+from dataclasses import dataclass
+from typing import Final
+
+MAX_RESERVATIONS: Final = 16
+"""Loans whose room is kept apart; more are kept as long as the last one.
+
+A share of 64/s lends that many in a quarter of a second, more than a grace.
+"""
+
+
+class ShareBucket:
+    """Hold the tokens of one share.
+
+    A loan that may still be spent elsewhere reserves its room here (`reserve`).
+    Without that the bucket would fill up again while the loan travels, and bucket
+    and loan together would hold more than the share's burst: one would notice two
+    bursts within one window.
+    """
+
+    __slots__ = (
+        "_at_ms",
+        "_cap",
+        "_clipped_at_ms",
+        "_raise",
+        "_rate_per_ms",
+        "_reserved",
+        "_tokens",
+    )
+
+    def __init__(
+        self, cap: float, rate_per_ms: float, opens_at_ms: float, tokens: float = 0.0
+    ) -> None:
+        self._cap = cap
+        self._rate_per_ms = rate_per_ms
+        self._at_ms = opens_at_ms
+        self._tokens = tokens
+        self._clipped_at_ms = -math.inf
+        self._reserved: list[tuple[float, float]] = []
+        self._raise: tuple[float, float, float] | None = None
+
+    @property
+    def cap(self) -> float:
+        """Return the share of the burst."""
+        return self._cap
+
+    @property
+    def rate_per_ms(self) -> float:
+        """Return the refill of this share."""
+        return self._rate_per_ms
+
+    @property
+    def raise_at_ms(self) -> float | None:
+        """Return when a larger share comes into force, if one waits."""
+        return self._raise[0] if self._raise else None
+
+    def tokens(self, now_ms: float) -> float:
+        """Refill up to now and return the tokens that may be taken."""
+        while self._reserved and self._reserved[0][0] <= now_ms:
+            until_ms = self._reserved[0][0]
+            self._refill(until_ms)
+            del self._reserved[0]
+        if self._raise and self._raise[0] <= now_ms:
+            self._refill(self._raise[0])
+            _, self._cap, self._rate_per_ms = self._raise
+            self._raise = None
+        self._refill(now_ms)
+        return self._tokens
+
+    def open_at(self, opens_at_ms: float) -> None:
+        """Refill from this time on."""
+        self._at_ms = opens_at_ms
+
+    def _refill(self, to_ms: float) -> None:
+        if to_ms <= self._at_ms:
+            return
+        self._tokens += self._rate_per_ms * (to_ms - self._at_ms)
+        self._at_ms = to_ms
+        room = self.room()
+        if self._tokens >= room:
+            self._tokens = room
+            self._clipped_at_ms = to_ms
+
+    def room(self) -> float:
+        """Return the most tokens that fit beside the reserved loans."""
+        return max(0.0, self._cap - sum(amount for _, amount in self._reserved))
+
+    def take(self, amount: float) -> None:
+        """Take tokens that `tokens` has just shown to be there."""
+        self._tokens -= amount
+
+    def free(self, now_ms: float) -> float:
+        """Return how many borrowed tokens fit in."""
+        return max(0.0, self.room() - self.tokens(now_ms))
+
+    def put(self, amount: float, now_ms: float) -> None:
+        """Add borrowed tokens, up to this share's own room."""
+        self._tokens = self.tokens(now_ms) + amount
+        self._clip(now_ms)
+
+    def put_back(self, spent_at_ms: float, now_ms: float) -> None:
+        """Return the token of a request that was not run.
+
+        If the bucket has been full since the token was taken, it would have been
+        full without that spending too, and has made up for it already. A token
+        put back then would count twice: a burst of requests, refused late and put
+        back into a bucket filled meanwhile, would let two bursts pass at once.
+        """
+        self.tokens(now_ms)
+        if spent_at_ms >= self._clipped_at_ms:
+            self.put(1.0, now_ms)
+
+    def _clip(self, now_ms: float) -> None:
+        room = self.room()
+        if self._tokens > room:
+            self._tokens = room
+            # Just after any spending of this very instant.
+            self._clipped_at_ms = math.nextafter(now_ms, math.inf)
+
+    def reserve(self, amount: float, until_ms: float) -> None:
+        """Keep the room of a loan free until the time, or longer."""
+        if not self._reserved or (
+            until_ms > self._reserved[-1][0] and len(self._reserved) < MAX_RESERVATIONS
+        ):
+            self._reserved.append((until_ms, amount))
+            return
+        last_ms, held = self._reserved[-1]
+        self._reserved[-1] = (max(last_ms, until_ms), held + amount)
+
+    def resize(
+        self, cap: float, rate_per_ms: float, now_ms: float, raise_at_ms: float
+    ) -> None:
+        """Take a lower cap and rate at once and higher ones at the time."""
+        self.tokens(now_ms)
+        self._raise = None
+        if raise_at_ms > now_ms and (cap > self._cap or rate_per_ms > self.rate_per_ms):
+            self._raise = (raise_at_ms, cap, rate_per_ms)
+            cap = min(cap, self._cap)
+            rate_per_ms = min(rate_per_ms, self._rate_per_ms)
+        self._cap = cap
+        self._rate_per_ms = rate_per_ms
+        self._clip(now_ms)
+
+
+@dataclass(slots=True)
+class _Part:
+    value: float
+    decay_per_ms: float
+    whole_until_ms: float
+
+    def age(self, from_ms: float, to_ms: float) -> None:
+        late_ms = to_ms - max(from_ms, self.whole_until_ms)
+        if late_ms > 0:
+            self.value = max(0.0, self.value - self.decay_per_ms * late_ms)
+
+
+class LoanPot:
+    """Hold tokens borrowed by a node that holds no share of the customer.
+
+    The lenders refill while these tokens lie here, so what came from a lender
+    loses, after the grace, as much as that lender may have gained. The tokens are
+    meant to be spent at once; what is left dies away.
+    """
+
+    __slots__ = ("_at_ms", "_parts")
+
+    def __init__(self) -> None:
+        self._parts: dict[str, _Part] = {}
+        self._at_ms = -math.inf
+
+    def tokens(self, now_ms: float) -> float:
+        """Return what may still be spent."""
+        if now_ms > self._at_ms:
+            for part in self._parts.values():
+                part.age(self._at_ms, now_ms)
+            self._at_ms = now_ms
+        return sum(part.value for part in self._parts.values())
+
+    def margin(self, ahead_ms: float) -> float:
+        """Return the most that is lost within a time."""
+        return ahead_ms * sum(part.decay_per_ms for part in self._parts.values())
+
+    def put(
+        self,
+        source: str,
+        amount: float,
+        decay_per_ms: float,
+        whole_until_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Add tokens of a lender that refills at the given rate from a time on."""
+        self.tokens(now_ms)
+        left = self._parts.get(source)
+        if left is not None and left.value > 0.0:
+            amount += left.value
+            decay_per_ms = max(decay_per_ms, left.decay_per_ms)
+            whole_until_ms = min(whole_until_ms, left.whole_until_ms)
+        self._parts[source] = _Part(amount, decay_per_ms, whole_until_ms)
+
+    def take(self, amount: float) -> None:
+        """Take tokens that `tokens` has just shown to be there."""
+        for part in self._parts.values():
+            taken = min(part.value, amount)
+            part.value -= taken
+            amount -= taken
+        self._parts = {
+            source: part for source, part in self._parts.items() if part.value > 0.0
+        }
--- a/src/crocusspindle/platform/adapter.py
+++ b/src/crocusspindle/platform/adapter.py
@@ -39,10 +39,6 @@
     ``PlatformUnknownError`` when a write may have taken effect.
     """
 
-    @classmethod
-    def from_config(cls, options: Mapping[str, Any]) -> Self:
-        """Build the adapter from the options under ``platform`` in the settings."""
-
     async def get(self, table: str, key: str, deadline_ms: float) -> Row | None:
         """Return one row, or None when there is none."""
 
@@ -56,6 +52,11 @@
     ) -> PutResult:
         """Write a row on condition that its version is the expected one."""
 
+    async def delete(
+        self, table: str, key: str, expected_version: int, deadline_ms: float
+    ) -> bool:
+        """Delete a row on condition of its version; return False if it differs."""
+
     async def read_range(
         self, table: str, after_key: str, limit: int, deadline_ms: float
     ) -> Sequence[Row]:
@@ -70,11 +71,19 @@
     async def hosts(self, deadline_ms: float) -> Sequence[Target]:
         """Return the lagging list of live and leaving target hosts."""
 
+
+class PlatformAdapter(Platform, Protocol):
+    """Meet one kind of platform; this is what a new platform's module brings."""
+
+    @classmethod
+    def from_config(cls, options: Mapping[str, Any]) -> Self:
+        """Build the adapter from the options under ``platform`` in the settings."""
+
     async def close(self) -> None:
         """Release the connections."""
 
 
-_ADAPTERS: Final[dict[str, type[Platform]]] = {}
+_ADAPTERS: Final[dict[str, type[PlatformAdapter]]] = {}
 Adapter = TypeVar("Adapter", bound=type[Any])
 
 
@@ -88,6 +97,6 @@
     return add
 
 
-def adapters() -> Mapping[str, type[Platform]]:
+def adapters() -> Mapping[str, type[PlatformAdapter]]:
     """Return the registered adapters by name."""
     return _ADAPTERS
