Give the smallest customers a least weight in a shortage

Cause: the worst-served customers at 70 % capacity were still the smallest, by chance: few requests, 70 % of which are served. Change: at least 0.1 of the mean weight of those who wait.

--- a/src/crocusspindle/core/fair_queue.py
+++ b/src/crocusspindle/core/fair_queue.py
@@ -22,12 +22,18 @@
 two may come close together, and the second would wait a second behind the backlog of
 others. Eight gain no more; eight customers with four cost the others 0.1 s once."""
 
+_SMALLEST_TO_MEAN: Final = 0.1
+"""Least weight, as a part of the mean of the customers that wait. In a shortage it
+gives the smallest ones all that they ask for; their rates, held elsewhere, keep them
+from asking for more, and all of them together gain a tenth of the service at most."""
+
 _IDLE_FLOWS_KEPT: Final = 256
 """Idle flows are swept beyond this many, so that memory follows the queue."""
 
 
 @dataclass(slots=True)
 class _Flow:
+    configured_weight: float
     weight: float
     start_tag: float
     items: list[tuple[float, int, RequestId]] = field(default_factory=list)
@@ -47,6 +53,8 @@
         self._where = {}
         self._virtual_time = 0.0
         self._sequence = 0
+        self._waiting_weight = 0.0
+        self._waiting_customers = 0
 
     def __len__(self) -> int:
         return len(self._where)
@@ -66,6 +74,8 @@
         self._sequence += 1
         item = (deadline_ms, self._sequence, request)
         if not flow.items:
+            self._waiting_customers += 1
+            self._waiting_weight += flow.configured_weight
             earliest = self._virtual_time - _IDLE_CREDIT / flow.weight
             flow.start_tag = max(flow.start_tag, earliest)
             heappush(self._heads, (flow.start_tag, self._sequence, customer))
@@ -85,8 +95,7 @@
         if flow.items:
             self._sequence += 1
             heappush(self._heads, (flow.start_tag, self._sequence, customer))
-        if not self._where:
-            self._forget()
+        self._note_if_idle(flow)
         return request
 
     def remove(self, request: RequestId) -> bool:
@@ -95,9 +104,9 @@
         if found is None:
             return False
         customer, item = found
-        self._flows[customer].items.remove(item)
-        if not self._where:
-            self._forget()
+        flow = self._flows[customer]
+        flow.items.remove(item)
+        self._note_if_idle(flow)
         return True
 
     def peek(self) -> RequestId | None:
@@ -150,16 +159,29 @@
 
     def _flow(self, customer: CustomerId, weight: float) -> _Flow:
         flow = self._flows.get(customer)
+        used = self._used_weight(weight)
         if flow is None:
             if len(self._flows) > _IDLE_FLOWS_KEPT + 2 * len(self._heads):
                 self._sweep()
-            weight = max(weight, _SMALLEST_WEIGHT)
-            flow = _Flow(weight, self._virtual_time - _IDLE_CREDIT / weight)
-            self._flows[customer] = flow
-        else:
-            flow.weight = max(weight, _SMALLEST_WEIGHT)
+            start_tag = self._virtual_time - _IDLE_CREDIT / used
+            flow = self._flows[customer] = _Flow(weight, used, start_tag)
+        elif flow.items:
+            self._waiting_weight += weight - flow.configured_weight
+        flow.configured_weight = weight
+        flow.weight = used
         return flow
 
+    def _used_weight(self, weight: float) -> float:
+        mean = self._waiting_weight / max(1, self._waiting_customers)
+        return max(weight, _SMALLEST_TO_MEAN * mean, _SMALLEST_WEIGHT)
+
+    def _note_if_idle(self, flow: _Flow) -> None:
+        if not self._where:
+            self._forget()
+        elif not flow.items:
+            self._waiting_customers -= 1
+            self._waiting_weight -= flow.configured_weight
+
     def _sweep(self) -> None:
         self._flows = {
             customer: flow
@@ -173,3 +195,5 @@
         self._flows.clear()
         self._heads.clear()
         self._virtual_time = 0.0
+        self._waiting_weight = 0.0
+        self._waiting_customers = 0
