Let work wait for a good slot rather than try a doubtful target

Cause: targets that only the floor keeps in service got work whenever the good ones were busy for a moment, and failed it. Ruled out: a lower weight, which changes nothing as they are chosen only when nothing else is free.

--- a/src/crocusspindle/core/hedging.py
+++ b/src/crocusspindle/core/hedging.py
@@ -51,7 +51,8 @@
             return []
         if pending.attempts >= self._max_attempts:
             return []
-        slots = self._roster.place(pending, self._roster.with_room(now_ms), now_ms)
+        candidates = self._roster.with_room(now_ms)
+        slots = self._roster.place(pending, candidates, 1, now_ms)
         if slots is None or not self.budget.take(now_ms):
             self._attempts.arm_hedge(pending, attempt, now_ms)
             return []
--- a/src/crocusspindle/core/home.py
+++ b/src/crocusspindle/core/home.py
@@ -254,19 +254,22 @@
         candidates = self._roster.with_room(now_ms)
         for _ in range(len(self._retries)):
             request = self._retries.popleft()
-            slots = self._roster.place(self._requests[request], candidates, now_ms)
+            waiting = len(self._queue) + len(self._retries) + 1
+            pending = self._requests[request]
+            slots = self._roster.place(pending, candidates, waiting, now_ms)
             if slots is None:
                 self._retries.append(request)
             else:
-                pending = self._requests[request]
                 decisions.append(self._attempts.open(pending, slots, now_ms))
                 candidates = self._roster.with_room(now_ms)
         while (head := self._queue.peek()) is not None:
-            slots = self._roster.place(self._requests[head], candidates, now_ms)
+            waiting = len(self._queue) + len(self._retries)
+            pending = self._requests[head]
+            slots = self._roster.place(pending, candidates, waiting, now_ms)
             if slots is None:
                 break
             self._queue.pop()
-            decisions.append(self._attempts.open(self._requests[head], slots, now_ms))
+            decisions.append(self._attempts.open(pending, slots, now_ms))
             if not slots.has_room(now_ms):
                 candidates = [each for each in candidates if each[0] is not slots]
             self._retry_budget.deposit()
--- a/src/crocusspindle/core/roster.py
+++ b/src/crocusspindle/core/roster.py
@@ -21,6 +21,14 @@
 """Holding time assumed before the first answer; only a pause after a shed request
 rests on it, and nobody is refused by it."""
 
+_DOUBTFUL_WEIGHT: Final = 0.15
+"""Health gives 0.1 to a target that only the floor keeps in service, and to a cold
+one at first; a suspect's 0.25 lies above, since suspicion must be tested by work."""
+
+_TEST_EVERY_MS: Final = 1_000.0
+"""A doubtful target still gets an idempotent request a second, which the retry budget
+bears: without work it could never show that it is well again."""
+
 
 class Roster:
     """Know which targets have room, and how fast the group drains its queue."""
@@ -88,16 +96,51 @@
         ]
 
     def place(
-        self, pending: PendingRequest, candidates: list[Candidate], now_ms: float
+        self,
+        pending: PendingRequest,
+        candidates: list[Candidate],
+        waiting: int,
+        now_ms: float,
     ) -> TargetSlots | None:
-        """Return the target for the next attempt of a request, or None."""
+        """Return the target for the next attempt of a request, or None.
+
+        ``waiting`` counts the queued requests, this one included.
+        """
         if pending.arrival.idempotent and pending.attempts == 0:
             trial = choose_trial(
                 candidates, lambda target: self._health.wants_trial(target, now_ms)
             )
             if trial is not None:
                 return trial
-        return choose(candidates, pending.tried, self._domain)
+        chosen = choose(candidates, pending.tried, self._domain)
+        if chosen is not None and self._better_waits(chosen, pending, waiting, now_ms):
+            return None
+        return chosen
+
+    def _better_waits(
+        self, chosen: TargetSlots, pending: PendingRequest, waiting: int, now_ms: float
+    ) -> bool:
+        """Return True if a request should wait for a better target than this.
+
+        Load: bad targets that the floor keeps in service, and free slots only
+        there. Harm prevented: work lost on them while a good slot is about to be
+        free. With no more waiting than the good slots, one is free within the
+        holding time of a request; with more, doubtful capacity is used.
+        """
+        if self._weight(chosen, now_ms) > _DOUBTFUL_WEIGHT:
+            return False
+        idle_ms = now_ms - chosen.last_dispatch_ms
+        may_test = pending.arrival.idempotent and not pending.attempts
+        if may_test and not chosen.running and idle_ms >= _TEST_EVERY_MS:
+            return False
+        good = [
+            slots
+            for slots in self._live
+            if self._weight(slots, now_ms) > _DOUBTFUL_WEIGHT
+        ]
+        if all(slots.target.target in pending.tried for slots in good):
+            return False
+        return waiting <= sum(slots.limit for slots in good)
 
     def has_untried(self, tried: set[TargetId], now_ms: float) -> bool:
         """Return True if a fit target, free or not, has not been tried."""
@@ -141,7 +184,10 @@
         )
 
     def _is_fit(self, slots: TargetSlots, now_ms: float) -> bool:
-        return self._health.weight(slots.target.target, now_ms) > PROBATION_WEIGHT
+        return self._weight(slots, now_ms) > PROBATION_WEIGHT
+
+    def _weight(self, slots: TargetSlots, now_ms: float) -> float:
+        return self._health.weight(slots.target.target, now_ms)
 
     def _drop_if_gone(self, slots: TargetSlots) -> None:
         if not slots.present and slots.running == 0:
--- a/tests/core/test_home_load.py
+++ b/tests/core/test_home_load.py
@@ -29,6 +29,7 @@
 )
 from crocusspindle.core.home import Home, HomeSettings
 from crocusspindle.ids import CustomerId
+from tests.core.home_fakes import FakeFitness
 
 
 def test_a_neighbour_at_five_times_its_rate_starves_nobody():
@@ -180,3 +181,21 @@
     assert picked["overruns_per_request"] > 0.3
     assert placed["overruns_per_request"] < 0.01
     assert placed["mean_wait_ms"] < 0.3 * picked["mean_wait_ms"]
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_work_waits_for_a_good_slot_rather_than_try_a_doubtful_target(idempotent):
+    """Half of the targets fail all work, and the floor keeps them in service. At low
+    load a good slot is about to be free, so nobody's work need be lost on them."""
+    demand = [replace(each, idempotent=idempotent) for each in demands(0.44)]
+    jobs = make_jobs(demand, 30_000.0, exponential_work, random.Random(5))
+    loop = EventLoop()
+    targets = make_targets(loop, 8, 2, random.Random(1))
+    fitness = FakeFitness()
+    for target in targets[:4]:
+        target.fail_fraction = 1.0
+        fitness.weights[target.target.target] = 0.1
+    home = Home.from_config(HomeSettings(), fitness, random.Random(2))
+    HomeDriver(loop, home, targets).submit(jobs)
+    loop.run()
+    assert share_in_time(jobs) >= 0.999
