--- a/src/crocusspindle/instruments.py
+++ b/src/crocusspindle/instruments.py
@@ -195,3 +195,12 @@
     when_rising="Callers name more operations than fit in the retention time; at the "
     "bound new operations are refused.",
 )
+HEARTBEAT_BYTES: Final = declare(
+    "heartbeat_bytes",
+    InstrumentKind.GAUGE,
+    unit="bytes",
+    meaning="Bytes of heartbeats and echoes sent to peers since the start, with 66 of "
+    "headers each.",
+    when_rising="It always grows; above 20 KB/s look for a fleet larger than "
+    "`limits.gossip_fanout` foresees.",
+)
--- a/src/crocusspindle/services/control.py
+++ b/src/crocusspindle/services/control.py
@@ -84,6 +84,7 @@
             ),
         )
         self.draining = False
+        self.heartbeat_bytes = 0
         self.targets: Mapping[ServiceId, tuple[Target, ...]] = {}
         self.groups: Mapping[ServiceId, tuple[Group, ...]] = {}
         self.targets_digest = 0
--- a/src/crocusspindle/services/gauges.py
+++ b/src/crocusspindle/services/gauges.py
@@ -39,6 +39,7 @@
         instruments.PEERS: connected,
         instruments.TICKET: lambda: control.log.applied,
         instruments.CALLER_CONNECTIONS: connections,
+        instruments.HEARTBEAT_BYTES: lambda: control.heartbeat_bytes,
     }
     for instrument, read in single.items():
         metrics.observe(instrument, _alone(read))
--- a/src/crocusspindle/services/peers.py
+++ b/src/crocusspindle/services/peers.py
@@ -31,6 +31,9 @@
 the connection has most often lost its state on the way, and requests on it wait
 for nothing.
 """
+HEADER_BYTES: Final = 66
+"""What goes before a heartbeat on the wire: 40 of TCP/IP, 12 of TCP options, 9 of
+HTTP/2, 5 of gRPC."""
 PEER_FAILURES: Final = (
     OSError,
     TimeoutError,
@@ -64,6 +67,8 @@
 class Control(Protocol):
     """Take evidence from peers and say how this node stands."""
 
+    heartbeat_bytes: int
+
     def standing(self) -> wire.Standing:
         """Return what this node says of itself now."""
 
@@ -210,6 +215,7 @@
                     standing=self._control.standing(),
                     joining=self._control.joining(),
                 )
+                self._control.heartbeat_bytes += beat.ByteSize() + HEADER_BYTES
                 async with asyncio.timeout(self._silence_ms() / 1e3):
                     await stream.send_message(beat)
                     echo = await stream.recv_message()
--- a/src/crocusspindle/services/ports.py
+++ b/src/crocusspindle/services/ports.py
@@ -28,7 +28,11 @@
 from crocusspindle.services.ledger import LedgerService, answer_from, attempt_from
 from crocusspindle.services.links import RemoteHomeLink
 from crocusspindle.services.operations import begin_reply
-from crocusspindle.services.peers import FLEET_KEY_HEADER, wire_configuration
+from crocusspindle.services.peers import (
+    FLEET_KEY_HEADER,
+    HEADER_BYTES,
+    wire_configuration,
+)
 from crocusspindle.services.rates import RatesService
 from crocusspindle.settings_schema import CallerSettings
 from crocusspindle.wire import fleet_pb2 as wire
@@ -66,6 +70,7 @@
                 sequence=beat.sequence,
                 standing=self._control.standing(),
             )
+            self._control.heartbeat_bytes += echo.ByteSize() + HEADER_BYTES
             await stream.send_message(echo)
 
     async def HandOver(
