Forget outstanding requests that nobody reports any more

Cause: a driver has no ages to pass on for an idle target, so what its cancelled requests had said stayed until the next call. With the forgetting off the new test fails; the ages of half a second ago are dropped at the next tick.

--- a/src/crocusspindle/core/evidence.py
+++ b/src/crocusspindle/core/evidence.py
@@ -24,6 +24,9 @@
 RECENT_MS = 5_000.0
 """Memory of the rates shown to operators and used to rank bad targets."""
 
+WAITING_MS = 500.0
+"""The ages of outstanding requests are passed on some times within this."""
+
 RECENT_STEP_MS = 50.0
 """Fading more often would cost time and change the rates by less than 1 %."""
 
@@ -240,6 +243,16 @@
         self.slow.nats = max(self.slow.nats, -slow_nats)
         self._waiting_silent_nats = silent_nats
 
+    def forget_waiting(self, now_ms: float) -> None:
+        """Drop what requests said that nobody calls outstanding any more.
+
+        A driver has no ages to pass on for an idle target; what a hedge or a
+        cancelled request left behind would speak against it for good.
+        """
+        if now_ms - self._waited_at_ms > WAITING_MS:
+            self._waiting_slow_nats = 0.0
+            self._waiting_silent_nats = 0.0
+
     @property
     def silent_nats(self) -> float:
         """Return what silence alone says."""
--- a/src/crocusspindle/core/health.py
+++ b/src/crocusspindle/core/health.py
@@ -152,6 +152,7 @@
         self._learner.refresh(self._records.values(), now_ms)
         changes = self._hold_floor(now_ms)
         for record in tuple(self._records.values()):
+            record.evidence.forget_waiting(now_ms)
             if record.state is HealthState.SUSPECT:
                 changes += self._judge(record, now_ms)
             elif record.state is HealthState.PROBATION:
--- a/tests/core/test_health.py
+++ b/tests/core/test_health.py
@@ -119,6 +119,23 @@
         assert trial.judge.observe(Sample(target, Outcome.OK, 40.0), now_ms) == []
 
 
+def test_requests_no_longer_outstanding_say_nothing() -> None:
+    # Callers give up on requests, their home cancels them, and nothing more is sent
+    # to the target for a while. What it was late with must not count for ever.
+    trial = run_trial(healthy)
+    target, now_ms = trial.targets[0].target, trial.now_ms + 5_000.0
+
+    def evidence_nats(at_ms: float) -> float:
+        assert trial.judge.tick(at_ms) == []
+        rows = {row.target: row for row in trial.judge.snapshot(at_ms)}
+        return rows[target].evidence_nats
+
+    before_nats = evidence_nats(now_ms)
+    trial.judge.outstanding(target, [200.0, 220.0], now_ms)
+    assert evidence_nats(now_ms) > before_nats + 2.0
+    assert evidence_nats(now_ms + 1_000.0) == before_nats
+
+
 def test_flapping_target_stays_out_longer_each_time() -> None:
     # A target is bad for 6 s and well for 6 s by turns. Each return lets it fail
     # callers again until it is found again.
