--- a/src/crocusspindle/services/ports.py
+++ b/src/crocusspindle/services/ports.py
@@ -23,11 +23,16 @@
 from crocusspindle.services.caller_server import CallerServer
 from crocusspindle.services.control import ControlService
 from crocusspindle.services.entry import EntryService
+from crocusspindle.services.follower import target_message
 from crocusspindle.services.home import HomeService
 from crocusspindle.services.ledger import LedgerService, answer_from, attempt_from
 from crocusspindle.services.links import RemoteHomeLink
 from crocusspindle.services.operations import begin_reply
-from crocusspindle.services.peers import FLEET_KEY_HEADER, wire_configuration
+from crocusspindle.services.peers import (
+    FLEET_KEY_HEADER,
+    HEADER_BYTES,
+    wire_configuration,
+)
 from crocusspindle.services.rates import RatesService
 from crocusspindle.settings_schema import CallerSettings
 from crocusspindle.wire import fleet_pb2 as wire
@@ -65,6 +70,7 @@
                 sequence=beat.sequence,
                 standing=self._control.standing(),
             )
+            self._control.heartbeat_bytes += echo.ByteSize() + HEADER_BYTES
             await stream.send_message(echo)
 
     async def HandOver(
@@ -115,6 +121,19 @@
         )
         await stream.send_message(reply)
 
+    async def Targets(
+        self, stream: Stream[wire.TargetsRequest, wire.TargetsReply]
+    ) -> None:
+        """Give the host list that this node holds."""
+        await _request(stream)
+        reply = wire.TargetsReply(age_ms=now_ms() - self._control.targets_read_ms)
+        reply.targets.extend(
+            target_message(target)
+            for targets in self._control.targets.values()
+            for target in targets
+        )
+        await stream.send_message(reply)
+
     async def TryTarget(
         self, stream: Stream[wire.TryTargetRequest, wire.TryTargetReply]
     ) -> None:
