Never call a request not run that a lost home may be running

Cause, found by a failing test (a GET told 'not run' had been executed): a home sends what needs no claim without asking, so a silent or lost home may have run it, and a later home's refusal was passed on as 'not run'. Ruled out: the home's own refusals, which are made before anything is sent. Change: from the loss of such a home on, the word is 'unknown'. An attempt cancelled before it was sent now counts as unsent, not as silent. Workers of the tests take ports from ranges of their own: two took one port.

--- a/src/crocusspindle/instruments.py
+++ b/src/crocusspindle/instruments.py
@@ -202,5 +202,5 @@
     meaning="Bytes of heartbeats and echoes sent to peers since the start, with 66 of "
     "headers each.",
     when_rising="It always grows; above 20 KB/s look for a fleet larger than "
-    "`limits.gossip_fanout` foresees.",
+    "the pace of heartbeats is made for.",
 )
--- a/src/crocusspindle/services/group_runner.py
+++ b/src/crocusspindle/services/group_runner.py
@@ -244,6 +244,11 @@
             # Also after a cancellation: the core frees the slot only when it is
             # told the end.
             del self._attempts[dispatch.attempt]
+            never_sent = dispatch.attempt not in self._outstanding.get(
+                dispatch.target, {}
+            )
+            if result.detail == CANCELLED and never_sent:
+                result.end = AttemptEnd.UNSENT
             self._outstanding.get(dispatch.target, {}).pop(dispatch.attempt, None)
             self._note_end(dispatch, result, now_ms() - began_ms)
 
--- a/src/crocusspindle/services/hand_over.py
+++ b/src/crocusspindle/services/hand_over.py
@@ -65,6 +65,11 @@
         """Return True if a body goes with the request."""
         return bool(self.body) or self.rest is not None
 
+    @property
+    def needs_claim(self) -> bool:
+        """Return True if a home asks before it sends the request to a target."""
+        return not self.idempotent or self.has_body
+
     @property
     def replayable(self) -> bool:
         """Return True if another home may run it after one has begun to."""
@@ -106,6 +111,8 @@
     dispatch_by_ms: float | None = None
     """Until when a named operation may be sent for the first time."""
     group: Group | None = None
+    begun_elsewhere: bool = False
+    """Whether a home was lost that may have run the request, or may yet."""
     granted: bool = False
     """Whether a home was allowed to send it: from here it may have run."""
     stack: AsyncExitStack = field(default_factory=AsyncExitStack)
@@ -119,7 +126,18 @@
     @property
     def outcome(self) -> Outcome:
         """Return what is known of the request when its home is lost."""
-        return Outcome.UNKNOWN if self.granted else Outcome.NOT_RUN
+        unsure = self.granted or self.begun_elsewhere
+        return Outcome.UNKNOWN if unsure else Outcome.NOT_RUN
+
+    def lose(self) -> None:
+        """Note that a home fell silent or was lost after it had the request.
+
+        A home sends what needs no claim without a word to us. It may be running it,
+        or do so when it wakes from a pause, so that no later refusal by another home
+        makes "not run" true.
+        """
+        if self.granted or not self.call.needs_claim:
+            self.begun_elsewhere = True
 
 
 class HandOverService(Service):
@@ -166,6 +184,7 @@
                 found = await self._negotiate(handling, link, may_move)
             except PEER_FAILURES:
                 self._avoided_until_ms[home] = now_ms() + AVOID_MS
+                handling.lose()
                 await handling.close()
                 if handling.granted and not call.replayable:
                     return self._given_up(handling, "home-lost")
@@ -174,8 +193,16 @@
                 last = found
                 await handling.close()
                 continue
+            return self._word(handling, found)
+        word = last or self._given_up(handling, "no-home")
+        return self._word(handling, word)
+
+    def _word(
+        self, handling: Handling, found: HomeAnswer | GivenUp
+    ) -> HomeAnswer | GivenUp:
+        if not isinstance(found, GivenUp) or not handling.begun_elsewhere:
             return found
-        return last or self._given_up(handling, "no-home")
+        return GivenUp(Outcome.UNKNOWN, found.reason, found.retry_at_ms)
 
     def _given_up(self, handling: Handling, reason: str) -> GivenUp:
         return GivenUp(handling.outcome, reason, now_ms() + RETRY_MS)
@@ -238,6 +265,7 @@
         except TimeoutError:
             # The home should have ended it by now: it is silent, and the caller
             # gets the word that holds at this moment.
+            handling.lose()
             return self._given_up(handling, "home-silent")
 
     async def _await_answer(
--- a/src/crocusspindle_standins/processes.py
+++ b/src/crocusspindle_standins/processes.py
@@ -22,15 +22,28 @@
 PORTS: Final = range(11_000, 32_000)
 """Below the ports that outgoing connections take for themselves."""
 
-_candidates: Final = itertools.cycle(PORTS)
-_first: Final = secrets.randbelow(len(PORTS))
+WORKERS: Final = 8
+
+
+def _own_ports() -> range:
+    """Return the ports of this process, apart from those of other test workers."""
+    worker = os.environ.get("PYTEST_XDIST_WORKER", "")
+    number = int(worker.removeprefix("gw")) if worker else secrets.randbelow(WORKERS)
+    share = len(PORTS) // WORKERS
+    first = PORTS.start + number % WORKERS * share
+    return range(first, first + share)
+
+
+_own: Final = _own_ports()
+_candidates: Final = itertools.cycle(range(len(_own)))
+_first: Final = secrets.randbelow(len(_own))
 
 
 def free_ports(count: int) -> list[int]:
     """Return ports that are free now and that this process gave out to nobody."""
     found: list[int] = []
     while len(found) < count:
-        port = PORTS[(next(_candidates) + _first) % len(PORTS)]
+        port = _own[(next(_candidates) + _first) % len(_own)]
         with suppress(OSError), socket.create_server((HOST, port)):
             found.append(port)
     return found
