--- /dev/null
+++ b/src/crocusspindle_standins/prove.py
@@ -0,0 +1,207 @@
+"""Show that the tests of promises fail when the mechanism behind them is off.
+
+Each case turns one mechanism off in a copy of the sources and runs the tests that
+watch over it there: they must fail, and pass in the sources as they are.
+"""
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final
+
+import fire
+
+ROOT: Final = Path(__file__).resolve().parents[2]
+SERVICES: Final = "src/crocusspindle/services"
+TIMEOUT_S: Final = 300.0
+
+
+@dataclass(frozen=True)
+class Case:
+    """Name a mechanism, how to turn it off, and the test that must notice."""
+
+    name: str
+    promise: int
+    file: str
+    text: str
+    replacement: str
+    test: str
+
+
+CASES: Final = (
+    Case(
+        "fitness",
+        2,
+        f"{SERVICES}/control.py",
+        "        return now_ms() < self.fit_until_ms()",
+        "        return True",
+        "tests/fleet/test_keys.py::test_a_withdrawn_key_stops_on_a_node_that_hears_nobody",
+    ),
+    Case(
+        "revoking what is queued",
+        2,
+        f"{SERVICES}/group_runner.py",
+        "or not self._rights.key_active(head.credential)",
+        "or False",
+        "tests/fleet/test_keys.py::test_a_withdrawn_key_stops_on_queued_requests",
+    ),
+    Case(
+        "hiding keys from targets",
+        2,
+        f"{SERVICES}/entry.py",
+        '        "authorization",\n',
+        "",
+        "tests/fleet/test_keys.py::test_targets_and_logs_never_see_a_key",
+    ),
+    Case(
+        "shares of the whole fleet",
+        3,
+        f"{SERVICES}/rates.py",
+        "        return self._control.directory.customer(customer)",
+        "        held = self._control.directory.customer(customer)\n"
+        "        many = 4 * held.burst if held else 0\n"
+        "        return held and Customer(customer, held.rate_per_s * 4, many)",
+        "tests/fleet/test_rates.py::test_no_window_sees_more_than_rate_and_burst",
+    ),
+    Case(
+        "checking the id of an answer",
+        4,
+        f"{SERVICES}/targets.py",
+        "        if echoed is not None and echoed != request.request:",
+        "        if False:",
+        "tests/fleet/test_answers.py::test_crossed_and_cut_answers_reach_no_caller",
+    ),
+    Case(
+        "the word for a request that a lost home may be running",
+        5,
+        f"{SERVICES}/hand_over.py",
+        "            self.begun_elsewhere = True",
+        "            self.begun_elsewhere = False",
+        "tests/services/test_hand_over.py",
+    ),
+    Case(
+        "records of operations",
+        6,
+        f"{SERVICES}/entry.py",
+        "        if call.idempotent or key is None:",
+        "        if True:",
+        "tests/fleet/test_once.py::test_an_order_sent_to_every_entry_runs_once",
+    ),
+    Case(
+        "reading back a row whose answer was lost",
+        6,
+        f"{SERVICES}/ledger.py",
+        "            return RowResult(RowOutcome.UNKNOWN)",
+        "            return RowResult(RowOutcome.UNAVAILABLE)",
+        "tests/fleet/test_once.py::test_the_tables_answer_is_lost_after_the_write",
+    ),
+    Case(
+        "asking the entry before an order is sent",
+        6,
+        f"{SERVICES}/handed_over.py",
+        "        if not self.needs_claim:\n            return True",
+        "        if True:\n            return True",
+        "tests/fleet/test_once.py::test_a_paused_home_wakes_up",
+    ),
+    Case(
+        "heeding the host list",
+        7,
+        "src/crocusspindle/core/slots.py",
+        "self.present and self.target.state is TargetState.LIVE",
+        "self.present",
+        "tests/fleet/test_answers.py::test_a_leaving_target_gets_nothing_new",
+    ),
+    Case(
+        "serving on while callers keep an address",
+        8,
+        f"{SERVICES}/ports.py",
+        "        await asyncio.sleep(max(0.0, until_ms - now_ms()) / 1e3)\n",
+        "",
+        "tests/fleet/test_stops.py::test_a_rolling_restart_cuts_no_request",
+    ),
+    Case(
+        "reading back a ticket whose answer was lost",
+        9,
+        "src/crocusspindle/core/tickets.py",
+        "            self._maybe_written = True\n"
+        "            self.step = SubmissionStep.READ_BACK\n",
+        "            self._end(SubmissionOutcome.NOT_WRITTEN)\n            return\n",
+        "tests/fleet/test_tickets.py::"
+        "test_a_ticket_whose_answer_was_lost_is_accepted_once",
+    ),
+)
+
+
+def _copy(folder: Path) -> None:
+    for name in ("src", "tests", "benchmarks", "pyproject.toml"):
+        source = ROOT / name
+        if source.is_dir():
+            ignored = shutil.ignore_patterns("__pycache__")
+            shutil.copytree(source, folder / name, ignore=ignored)
+        else:
+            shutil.copy(source, folder / name)
+
+
+def _turn_off(case: Case, folder: Path) -> None:
+    file = folder / case.file
+    text = file.read_text()
+    if text.count(case.text) != 1:
+        raise SystemExit(f"{case.name}: {case.file} does not hold the text once")
+    file.write_text(text.replace(case.text, case.replacement))
+
+
+def _passes(case: Case, folder: Path) -> bool:
+    done = subprocess.run(
+        [sys.executable, "-m", "pytest", "-q", "-x", case.test],
+        check=False,
+        cwd=folder,
+        env=os.environ | {"PYTHONPATH": f"{folder / 'src'}{os.pathsep}{folder}"},
+        capture_output=True,
+        timeout=TIMEOUT_S,
+    )
+    return done.returncode == 0
+
+
+def _chosen(name: str) -> Iterator[Case]:
+    found = [case for case in CASES if name in case.name]
+    if not found:
+        names = ", ".join(case.name for case in CASES)
+        raise SystemExit(f"{name!r} is in none of: {names}")
+    yield from found
+
+
+def main(name: str = "") -> None:
+    """Turn mechanisms off one by one; end with 1 if a test does not notice.
+
+    Parameters
+    ----------
+    name
+        Part of the name of a mechanism; all of them without it.
+    """
+    unnoticed = []
+    for case in _chosen(name):
+        with tempfile.TemporaryDirectory(prefix="crocusspindle-") as folder:
+            _copy(Path(folder))
+            on = _passes(case, Path(folder))
+            _turn_off(case, Path(folder))
+            off = _passes(case, Path(folder))
+        proved = on and not off
+        words = {True: "passes", False: "fails"}
+        print(
+            f"promise {case.promise}, {case.name}: {words[on]} with it, "
+            f"{words[off]} without it ({case.test})",
+            flush=True,
+        )
+        if not proved:
+            unnoticed.append(case.name)
+    if unnoticed:
+        raise SystemExit(f"not proved: {', '.join(unnoticed)}")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
