--- a/src/crocusspindle/services/links.py
+++ b/src/crocusspindle/services/links.py
@@ -1,7 +1,7 @@
 """Carry hand-over frames between an entry and a home, near or far."""
 
 import asyncio
-from typing import Final, Protocol
+from typing import Final, Generic, Protocol, TypeVar
 
 from grpclib.client import Stream as ClientStream
 from grpclib.server import Stream as ServerStream
@@ -12,6 +12,9 @@
 FRAMES_UNDER_WAY: Final = 4
 """Frames of up to 64 KB that one side may be ahead within a process."""
 
+Sent = TypeVar("Sent")
+Received = TypeVar("Received")
+
 LAST_FRAMES: Final = ("end", "refusal")
 
 
@@ -86,55 +89,29 @@
         return frame
 
 
-class LocalLink:
-    """Join an entry and a home of the same process."""
-
-    def __init__(self) -> None:
-        self._to_home: asyncio.Queue[wire.HandOverFrame] = asyncio.Queue(
-            FRAMES_UNDER_WAY
-        )
-        self._to_entry: asyncio.Queue[wire.AnswerFrame] = asyncio.Queue(
-            FRAMES_UNDER_WAY
-        )
-        self.entry = LocalEntryLink(self._to_home, self._to_entry)
-        self.home = LocalHomeLink(self._to_home, self._to_entry)
-
-
-class LocalEntryLink:
-    """Hold the entry's end within one process."""
+class LocalEnd(Generic[Sent, Received]):
+    """Hold one end of a link within one process."""
 
     def __init__(
-        self,
-        to_home: asyncio.Queue[wire.HandOverFrame],
-        to_entry: asyncio.Queue[wire.AnswerFrame],
+        self, sending: asyncio.Queue[Sent], receiving: asyncio.Queue[Received]
     ) -> None:
-        self._to_home = to_home
-        self._to_entry = to_entry
+        self._sending = sending
+        self._receiving = receiving
 
-    async def send(self, frame: wire.HandOverFrame) -> None:
-        """Send a frame to the home."""
-        await self._to_home.put(frame)
+    async def send(self, frame: Sent) -> None:
+        """Send a frame to the other end, once it is not too far behind."""
+        await self._sending.put(frame)
 
-    async def receive(self) -> wire.AnswerFrame:
+    async def receive(self) -> Received:
         """Return the next frame."""
-        return await self._to_entry.get()
-
+        return await self._receiving.get()
 
-class LocalHomeLink:
-    """Hold the home's end within one process."""
 
-    def __init__(
-        self,
-        to_home: asyncio.Queue[wire.HandOverFrame],
-        to_entry: asyncio.Queue[wire.AnswerFrame],
-    ) -> None:
-        self._to_home = to_home
-        self._to_entry = to_entry
-
-    async def send(self, frame: wire.AnswerFrame) -> None:
-        """Send a frame to the entry."""
-        await self._to_entry.put(frame)
+class LocalLink:
+    """Join an entry and a home of the same process."""
 
-    async def receive(self) -> wire.HandOverFrame:
-        """Return the next frame."""
-        return await self._to_home.get()
+    def __init__(self) -> None:
+        to_home: asyncio.Queue[wire.HandOverFrame] = asyncio.Queue(FRAMES_UNDER_WAY)
+        to_entry: asyncio.Queue[wire.AnswerFrame] = asyncio.Queue(FRAMES_UNDER_WAY)
+        self.entry = LocalEnd(to_home, to_entry)
+        self.home = LocalEnd(to_entry, to_home)
