Gather, level and wait in the rates service, as the ledger asks

Cause: the ledger's figures hold only where a holder gathers for a node without a share, holders level idle tokens and a token due within 20 ms is waited for; the service did none of it, and asked without end. Guard: a holder that is gathering for a customer does not gather again for it, so two never wait for each other.

--- a/src/crocusspindle/services/ports.py
+++ b/src/crocusspindle/services/ports.py
@@ -85,7 +85,8 @@
     async def Lend(self, stream: Stream[wire.LendRequest, wire.LendReply]) -> None:
         """Lend tokens of a customer's share."""
         asked = await _request(stream)
-        loan = self._rates.lend(CustomerId(asked.customer), asked.missing)
+        customer = CustomerId(asked.customer)
+        loan = await self._rates.lend_whole(customer, asked.missing)
         await stream.send_message(
             wire.LendReply(
                 amount=loan.amount,
--- a/src/crocusspindle/services/rates.py
+++ b/src/crocusspindle/services/rates.py
@@ -8,7 +8,9 @@
 from crocusspindle.core.held import ShareSettings
 from crocusspindle.core.holders import Placement, holder_count
 from crocusspindle.core.holders import ViewMember as Holder
+from crocusspindle.core.lenders import MIN_REFUSED_MS
 from crocusspindle.core.loans import (
+    MAX_GATHERS,
     Borrow,
     LedgerStatus,
     Loan,
@@ -19,7 +21,7 @@
 )
 from crocusspindle.core.members import MemberView
 from crocusspindle.core.model import Customer
-from crocusspindle.core.shares import ShareLedger
+from crocusspindle.core.shares import TOP_UP_MS, ShareLedger
 from crocusspindle.ids import CustomerId, MemberId
 from crocusspindle.kernel import Service
 from crocusspindle.metrics import Metrics
@@ -32,6 +34,9 @@
 """A loan takes a round trip of 3 ms between failure domains; a holder that needs
 30 times that is paused or gone, and another one is asked."""
 
+MAX_QUESTIONS: Final = 16
+"""Questions for tokens of one try: twice each holder of the largest customer."""
+
 ACTIVATION_S: Final = 0.25
 
 
@@ -57,6 +62,7 @@
             self._limit_of,
         )
         self._placement = Placement(())
+        self._gathering: set[CustomerId] = set()
         control.watch(change=self._change, view=self._take_view)
 
     async def start(self) -> None:
@@ -65,9 +71,25 @@
 
     async def spend(self, customer: CustomerId) -> Spent | OverRate | Unfit:
         """Take one token, borrowing what is missing from other holders."""
+        begun_ms = now_ms()
+        result = await self._try(customer)
+        tries = 1
+        while isinstance(result, OverRate) and result.waits(begun_ms, tries):
+            await asyncio.sleep(max(0.0, result.retry_at_ms - now_ms()) / 1000.0)
+            result = await self._try(customer)
+            tries += 1
+        if isinstance(result, Spent):
+            self._level(customer)
+        return result
+
+    async def _try(self, customer: CustomerId) -> Spent | OverRate | Unfit:
         result = self._ledger.spend(customer, self._control.fit_until_ms(), now_ms())
-        while isinstance(result, Borrow):
+        for _ in range(MAX_QUESTIONS):
+            if not isinstance(result, Borrow):
+                return result
             result = await self._borrow(customer, result)
+        if isinstance(result, Borrow):
+            return OverRate(now_ms() + MIN_REFUSED_MS)
         return result
 
     def refund(self, customer: CustomerId, spent: Spent) -> None:
@@ -80,6 +102,43 @@
         fit_until_ms = self._control.fit_until_ms()
         return self._ledger.lend(customer, missing, fit_until_ms, now_ms())
 
+    async def lend_whole(self, customer: CustomerId, missing: float) -> Loan:
+        """Lend tokens, gathering a whole one from other holders if need be.
+
+        Two holders never gather from each other: one that is gathering answers with
+        what it has.
+        """
+        loan = self.lend(customer, missing)
+        if missing < 1.0 or customer in self._gathering:
+            return loan
+        self._gathering.add(customer)
+        try:
+            for _ in range(MAX_GATHERS):
+                asked = self._ledger.gather(customer, missing, now_ms())
+                if loan.amount > 0.0 or asked is None:
+                    break
+                await self._collect(customer, asked)
+                loan = self.lend(customer, missing)
+        finally:
+            self._gathering.discard(customer)
+        loop = asyncio.get_running_loop()
+        loop.call_later(TOP_UP_MS / 1000.0, self._level, customer)
+        return loan
+
+    def _level(self, customer: CustomerId) -> None:
+        """Ask for idle tokens where own ones were used, besides the request."""
+        asked = self._ledger.top_up(customer, now_ms())
+        if asked is not None:
+            self.spawn(self._collect(customer, asked))
+
+    async def _collect(self, customer: CustomerId, asked: Borrow) -> None:
+        lender, asked_ms = asked.holders[0], now_ms()
+        loan = await self._ask(customer, lender, asked.missing)
+        if loan is None:
+            self._ledger.unanswered(customer, lender, now_ms())
+        else:
+            self._ledger.topped_up(customer, loan, lender, asked_ms, now_ms())
+
     def holders(self, customer: Customer) -> tuple[MemberId, ...]:
         """Return the members that hold a customer's shares."""
         count = holder_count(customer.rate_per_s, customer.burst)
@@ -93,27 +152,37 @@
         return self._control.directory.customer(customer)
 
     async def _borrow(self, customer: CustomerId, asked: Borrow) -> SpendResult:
-        lender = asked.holders[0]
-        asked_ms = now_ms()
+        lender, asked_ms = asked.holders[0], now_ms()
+        loan = await self._ask(customer, lender, asked.missing)
+        if loan is None:
+            return self._ledger.lost(customer, lender, asked_ms, now_ms())
+        return self._ledger.borrowed(customer, loan, lender, asked_ms, now_ms())
+
+    async def _ask(
+        self, customer: CustomerId, lender: MemberId, missing: float
+    ) -> Loan | None:
+        """Return a loan, or nothing where no answer came.
+
+        Without one the lender may have subtracted all the same: those tokens are
+        lost, not made.
+        """
+        if not self._peers.connected(lender):
+            return None
         try:
-            if not self._peers.connected(lender):
-                return self._ledger.lost(customer, lender, asked_ms, now_ms())
             async with asyncio.timeout(LEND_TIMEOUT_S):
                 reply = await self._peers.stub(lender).Lend(
-                    wire.LendRequest(customer=customer, missing=asked.missing),
+                    wire.LendRequest(customer=customer, missing=missing),
                     metadata=self._peers.metadata,
                 )
         except PEER_FAILURES:
-            # The lender may have subtracted the tokens: they are lost, not made.
-            return self._ledger.lost(customer, lender, asked_ms, now_ms())
-        loan = Loan(
+            return None
+        return Loan(
             amount=reply.amount,
             refill_per_s=reply.refill_per_s,
             retry_after_ms=reply.retry_after_ms,
             available=reply.available,
             grace_ms=reply.grace_ms,
         )
-        return self._ledger.borrowed(customer, loan, lender, asked_ms, now_ms())
 
     def _change(self, change: Change) -> None:
         now = now_ms()
