--- a/src/crocusspindle_standins/prove.py
+++ b/src/crocusspindle_standins/prove.py
@@ -167,9 +167,9 @@
         "tests/fleet/test_answers.py::test_a_leaving_target_gets_nothing_new",
         (
             Edit(
-                "src/crocusspindle/core/slots.py",
-                "self.present and self.target.state is TargetState.LIVE",
-                "self.present",
+                "src/crocusspindle/platform/http.py",
+                'state=TargetState(entry["state"])',
+                "state=TargetState.LIVE",
             ),
         ),
     ),
