--- a/benchmarks/directory.py
+++ b/benchmarks/directory.py
@@ -16,7 +16,7 @@
 from random import Random
 from typing import Final
 
-import crocusspindle.services.assembly  # noqa: F401
+import crocusspindle.services.assembly  # noqa: F401 - its memory is measured
 from crocusspindle.core.directory import Directory, digest_of
 from crocusspindle.core.directory_dump import dump_parts, load_parts
 from crocusspindle.core.model import Approval, Customer, CustomerKey, Route, Service
--- a/benchmarks/health.py
+++ b/benchmarks/health.py
@@ -281,7 +281,7 @@
     import matplotlib  # noqa: PLC0415 - only the plot needs it
 
     matplotlib.use("Agg")
-    from matplotlib import pyplot  # noqa: PLC0415
+    from matplotlib import pyplot  # noqa: PLC0415 - only the plot needs it
 
     figure, axes = pyplot.subplots(figsize=(8, 5))
     for fault, by_threshold in figures["detection"]["katalog"].items():
--- a/benchmarks/queueing.py
+++ b/benchmarks/queueing.py
@@ -53,6 +53,9 @@
 LARGEST: Final = CustomerId("customer-0")
 
 
+_SETTINGS: Final = HomeSettings()
+
+
 def exponential_work(generator: random.Random) -> float:
     """Return the work of a request, exponential with a mean of 50 ms."""
     return generator.expovariate(1.0 / _WORK_MS)
@@ -78,7 +81,7 @@
 
 
 def make_driver(
-    settings: HomeSettings = HomeSettings(),  # noqa: B008
+    settings: HomeSettings = _SETTINGS,
     entry_hop_ms: float = _HOP_MS,
     target_hop_ms: float = 0.0,
     kind: type[Home] = Home,
@@ -95,7 +98,7 @@
     demand: list[Demand],
     seconds: float,
     fair: bool = True,
-    settings: HomeSettings = HomeSettings(),  # noqa: B008
+    settings: HomeSettings = _SETTINGS,
 ) -> list[Job]:
     """Serve a demand by a home; without ``fair`` all customers share one line."""
     jobs = make_jobs(demand, seconds * 1_000.0, exponential_work, random.Random(SEED))
--- a/src/crocusspindle/__main__.py
+++ b/src/crocusspindle/__main__.py
@@ -9,7 +9,7 @@
 
 def main() -> None:
     """Run the command that the command line names."""
-    from crocusspindle import cli  # noqa: PLC0415
+    from crocusspindle import cli  # noqa: PLC0415 - after the variable is set
 
     sys.exit(cli.run())
 
--- a/src/crocusspindle/cli.py
+++ b/src/crocusspindle/cli.py
@@ -137,10 +137,10 @@
         """Check a settings file and report all findings."""
 
         def work() -> dict[str, Any]:
-            from crocusspindle.services.assembly import (  # noqa: PLC0415
+            from crocusspindle.services.assembly import (  # noqa: PLC0415 - slow to import
                 platform_adapter,
             )
-            from crocusspindle.settings import load_settings  # noqa: PLC0415
+            from crocusspindle.settings import load_settings  # noqa: PLC0415 - slow to import
 
             checked = load_settings(str(settings))
             platform_adapter(checked)
@@ -245,10 +245,10 @@
 
 
 def _run_node(path: str) -> None:
-    from crocusspindle import kernel  # noqa: PLC0415
-    from crocusspindle.logs import set_up_logs  # noqa: PLC0415
-    from crocusspindle.services import assembly  # noqa: PLC0415
-    from crocusspindle.settings import load_settings  # noqa: PLC0415
+    from crocusspindle import kernel  # noqa: PLC0415 - slow to import
+    from crocusspindle.logs import set_up_logs  # noqa: PLC0415 - slow to import
+    from crocusspindle.services import assembly  # noqa: PLC0415 - slow to import
+    from crocusspindle.settings import load_settings  # noqa: PLC0415 - slow to import
 
     settings = load_settings(path)
     set_up_logs(settings.log)
--- a/src/crocusspindle/core/directory_dump.py
+++ b/src/crocusspindle/core/directory_dump.py
@@ -28,6 +28,7 @@
 
 COLUMNS: Final = ("starts", "rates", "bursts", "weights", "free")
 TABLES: Final = ("index", "keys", "approvals")
+MESSAGE_PARTS: Final = 2
 
 
 class DumpError(InvalidInputError):
@@ -129,7 +130,7 @@
             for at in range(0, len(part), COLUMN_BYTES):
                 unpacker.feed(part[at : at + COLUMN_BYTES])
                 for message in unpacker:
-                    if not isinstance(message, list) or len(message) != 2:  # noqa: PLR2004
+                    if not isinstance(message, list) or len(message) != MESSAGE_PARTS:
                         raise DumpError.of("a message is no section")
                     yield message
     except (ValueError, TypeError, msgpack.UnpackException) as error:
--- a/src/crocusspindle/core/holders.py
+++ b/src/crocusspindle/core/holders.py
@@ -24,6 +24,7 @@
 after a loss, and 355 of 1,000 in an outage. Eight tokens a holder keep whole ones in
 each."""
 
+LEAST_CUT_BURST: Final = 2
 MAX_HOLDERS: Final = 8
 """Holders of the largest customer: a borrower then asks seven others at most."""
 
@@ -44,7 +45,7 @@
     is never cut. From two on there are two holders, in two failure domains, so
     that a lost holder leaves half; more come only with the rate.
     """
-    if burst < 2:  # noqa: PLR2004
+    if burst < LEAST_CUT_BURST:
         return 1
     by_rate = math.ceil(rate_per_s / RATE_PER_HOLDER_PER_S)
     wanted = max(2, min(HOLDERS_FOR_LOSS, burst // BURST_PER_HOLDER), by_rate)
--- a/src/crocusspindle/operator_client.py
+++ b/src/crocusspindle/operator_client.py
@@ -5,6 +5,7 @@
 import ssl
 from collections.abc import Mapping
 from dataclasses import dataclass
+from http import HTTPStatus
 from pathlib import Path
 from typing import Any, Final
 
@@ -131,7 +132,7 @@
         data = json.loads(text)
     except ValueError:
         data = {"error": text[:200] or f"status {status}"}
-    if status < 300 and isinstance(data, dict):  # noqa: PLR2004
+    if status < HTTPStatus.MULTIPLE_CHOICES and isinstance(data, dict):
         return data
     if not isinstance(data, dict):
         data = {}
--- a/src/crocusspindle/services/operator_port.py
+++ b/src/crocusspindle/services/operator_port.py
@@ -6,6 +6,7 @@
 import math
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from enum import Enum
+from http import HTTPStatus
 from typing import Any, Final
 
 from aiohttp import web
@@ -196,7 +197,7 @@
     elif not isinstance(error, CrocusspindleError):
         _LOG.error("operator call failed", exc_info=True)
         text = "internal error"
-    if status == 401:  # noqa: PLR2004
+    if status == HTTPStatus.UNAUTHORIZED:
         headers["WWW-Authenticate"] = "Bearer"
     body = {"error": text, "findings": findings}
     return _json(body, status=status, headers=headers)
--- a/src/crocusspindle/unpack.py
+++ b/src/crocusspindle/unpack.py
@@ -41,7 +41,7 @@
             sys.path.insert(0, str(unpack(archive, folder)))
     except UnpackError as error:
         return _fail(str(error), FINDINGS)
-    from crocusspindle import cli  # noqa: PLC0415
+    from crocusspindle import cli  # noqa: PLC0415 - from the unpacked folder
 
     return cli.run()
 
@@ -123,7 +123,7 @@
 
 
 def _unpack_path_in(file: str) -> str | None:
-    import yaml  # noqa: PLC0415
+    import yaml  # noqa: PLC0415 - from the unpacked folder
 
     try:
         data = yaml.safe_load(Path(file).read_text(encoding="utf-8"))
--- a/src/crocusspindle_standins/callers.py
+++ b/src/crocusspindle_standins/callers.py
@@ -8,6 +8,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field
 from enum import Enum
+from http import HTTPStatus
 from typing import Any, Final
 
 import aiohttp
@@ -16,7 +17,6 @@
 OUTCOME: Final = "Crocusspindle-Outcome"
 RETRY_AFTER_MS: Final = "Crocusspindle-Retry-After-Ms"
 ANSWER_S: Final = 15.0
-HTTP_TOO_MANY: Final = 429
 
 
 class Verdict(Enum):
@@ -177,7 +177,7 @@
         outcome = response.headers.get(OUTCOME, "")
         if outcome == "not-run":
             reason = json.loads(content)["reason"]
-            over = response.status == HTTP_TOO_MANY
+            over = response.status == HTTPStatus.TOO_MANY_REQUESTS
             verdict = Verdict.OVER_RATE if over else Verdict.REFUSED
             return verdict, response.status, reason
         if outcome == "unknown":
@@ -210,7 +210,7 @@
                     ) as response,
                 ):
                     content: Any = await response.json()
-                    if response.status != 200:  # noqa: PLR2004
+                    if response.status != HTTPStatus.OK:
                         continue
             except (TimeoutError, aiohttp.ClientError, OSError, ValueError):
                 continue
--- a/src/crocusspindle_standins/demo.py
+++ b/src/crocusspindle_standins/demo.py
@@ -22,91 +22,18 @@
 from crocusspindle_standins.callers import (
     Addresses,
     Caller,
-    CustomerPlan,
     Sent,
     Verdict,
     most_over_rate,
 )
-from crocusspindle_standins.fleet import Fleet, Layout, TargetGroup, sha256
+from crocusspindle_standins.deployments import DEPLOYMENTS, ECHO, Deployment
+from crocusspindle_standins.fleet import Fleet, sha256
 
 SEED: Final = 20261202
 SHARES_OPEN_S: Final = 30.0
 SHARES_FILL_S: Final = 2.0
 """Every burst is two seconds of its customer's rate."""
 SIDE_BY_SIDE: Final = 200
-ECHO: Final = "echo"
-
-
-@dataclass(frozen=True)
-class Deployment:
-    """Describe targets and customers of a demonstration."""
-
-    layout: Layout
-    customers: tuple[CustomerPlan, ...]
-    gray_service: str
-
-
-def _customers(
-    services: tuple[str, ...], orders: tuple[str, ...], scale: float
-) -> tuple[CustomerPlan, ...]:
-    """Return eight customers, a few of them large, and one five times over."""
-    rates = (20.0, 15.0, 10.0, 4.0, 3.0, 2.0, 2.0, 1.0)
-    plans = []
-    for number, rate in enumerate(rates):
-        sent = rate * (5.0 if number == 2 else 0.7)  # noqa: PLR2004
-        plans.append(
-            CustomerPlan(
-                customer=f"customer-{number}",
-                key=f"{number:04d}-key-of-customer-{number}",
-                rate_per_s=rate * scale,
-                burst=max(2, int(2 * rate * scale)),
-                sends_per_s=sent * scale,
-                services=services,
-                post_services=orders,
-            )
-        )
-    return tuple(plans)
-
-
-def _small() -> Deployment:
-    groups = (
-        TargetGroup("katalog", 4, 2, 20.0),
-        TargetGroup("bayaran", 4, 2, 20.0),
-        TargetGroup(ECHO, 2, 32, 0.0, queue=64),
-    )
-    customers = _customers(("katalog", "bayaran"), ("bayaran",), 2.5)
-    return Deployment(Layout(6, 3, groups), customers, "katalog")
-
-
-def _bengkel() -> Deployment:
-    groups = (
-        TargetGroup("katalog", 8, 2, 40.0),
-        TargetGroup("bayaran", 15, 2, 40.0),
-        TargetGroup("galeri", 8, 2, 40.0),
-        TargetGroup(ECHO, 2, 32, 0.0, queue=64),
-    )
-    services = ("katalog", "bayaran", "galeri")
-    customers = _customers(services, ("bayaran", "galeri"), 2.0)
-    return Deployment(Layout(12, 4, groups), customers, "katalog")
-
-
-def _port_louis() -> Deployment:
-    groups = (
-        TargetGroup("schedule-desk", 10, 6, 40.0),
-        TargetGroup("order-desk", 15, 6, 40.0),
-        TargetGroup("depot-records", 6, 6, 40.0),
-        TargetGroup(ECHO, 2, 32, 0.0, queue=64),
-    )
-    services = ("schedule-desk", "order-desk", "depot-records")
-    customers = _customers(services, ("order-desk",), 2.0)
-    return Deployment(Layout(12, 3, groups), customers, "order-desk")
-
-
-DEPLOYMENTS: Final = {
-    "small": _small,
-    "bengkel": _bengkel,
-    "port-louis": _port_louis,
-}
 
 
 @dataclass
--- a/src/crocusspindle_standins/fleet.py
+++ b/src/crocusspindle_standins/fleet.py
@@ -7,6 +7,7 @@
 import tempfile
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from pathlib import Path
 from typing import Any, Final, Self
 
@@ -336,7 +337,7 @@
             data=json.dumps(document),
             headers={"Authorization": f"Bearer {key}"},
         ) as response:
-            if response.status >= 400:  # noqa: PLR2004
+            if response.status >= HTTPStatus.BAD_REQUEST:
                 raise RuntimeError(f"{response.status}: {await response.text()}")
 
     async def until_in_force(self, number: int, nodes: Iterable[Node]) -> None:
--- a/src/crocusspindle_standins/platform.py
+++ b/src/crocusspindle_standins/platform.py
@@ -10,6 +10,7 @@
 import time
 from bisect import bisect_right
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any, Final
@@ -20,6 +21,8 @@
 
 from crocusspindle_standins.server import run_server
 
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
 SILENCE_S: Final = 3600.0
 
 
@@ -64,10 +67,12 @@
         self.state = State()
 
     @web.middleware
-    async def misbehave(self, request: web.Request, handler: Any) -> web.StreamResponse:
+    async def misbehave(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
         """Delay, refuse or swallow a call as the control port asked."""
         if request.path == "/control":
-            return await handler(request)  # type: ignore[no-any-return]
+            return await handler(request)
         state = self.state
         kind = "read" if request.method == "GET" else "write"
         state.calls[kind] += 1
