Show whether memory alone may decide on operations

Cause of an order that no try got answered in an outage: the test's outage began before the ledger nodes had read the table after the last change of members, since shares now open sooner; each key whose holders were new was 'unknown' for the whole outage. Ruled out: a late holder (six tries gave the same word).

--- a/src/crocusspindle/services/assembly.py
+++ b/src/crocusspindle/services/assembly.py
@@ -66,7 +66,9 @@
     entry = EntryService(
         settings, control, peers, rates, hand_over, operations, metrics
     )
-    backend = BackendService(control, peers, rates, home, follower, platform, timings)
+    backend = BackendService(
+        control, peers, rates, home, ledger, follower, platform, timings
+    )
     server = PeerServer(control, rates, home, ledger)
     caller_port = CallerPort(
         caller, settings.caller, entry, home, timings.where_max_age_ms, tls.caller
--- a/src/crocusspindle/services/backend.py
+++ b/src/crocusspindle/services/backend.py
@@ -37,6 +37,7 @@
 from crocusspindle.services.control import ControlService, unix_ms
 from crocusspindle.services.follower import TICKETS, FollowerService, ticket_key
 from crocusspindle.services.home import HomeService
+from crocusspindle.services.ledger import LedgerService
 from crocusspindle.services.operator_api import (
     AuditEntry,
     SubmitResult,
@@ -65,7 +66,7 @@
     """Answer operators from this node and the platform."""
 
     name = "backend"
-    needs = ("control", "peers", "rates", "home", "follower")
+    needs = ("control", "peers", "rates", "home", "ledger", "follower")
 
     def __init__(
         self,
@@ -73,6 +74,7 @@
         peers: Peers,
         rates: RatesService,
         home: HomeService,
+        ledger: LedgerService,
         follower: FollowerService,
         platform: Platform,
         timings: TimingSettings,
@@ -81,6 +83,7 @@
         self._peers = peers
         self._rates = rates
         self._home = home
+        self._ledger = ledger
         self._follower = follower
         self._platform = platform
         self._timings = timings
@@ -147,6 +150,7 @@
             "members": self._members(view),
             "groups": self._home.status(),
             "shares": asdict(self._rates.status()),
+            "operations_whole": self._ledger.whole(),
             "counts": control.directory.counts(),
         }
 
--- a/src/crocusspindle/services/ledger.py
+++ b/src/crocusspindle/services/ledger.py
@@ -113,6 +113,10 @@
         """Begin to expire records and to flush those of an outage."""
         self.spawn(self._keep_house())
 
+    def whole(self) -> bool:
+        """Return True if memory alone may decide here on every key it holds."""
+        return self._ledger.places.whole(now_ms())
+
     def holders(self, name: OperationName) -> tuple[MemberId, ...]:
         """Return the members that may decide on an operation, in order."""
         return self._ledger.places.pair(name)
