Judge a refusal in the demo by the sending that it answers

Both words were true; the judge laid the second on the first sending. Ruled out: the fleet's refusal, which is made at the entry before anything is handed over. Change: a refusal after a sending that broke off counts as unknown, as the callers' guide says.

--- a/src/crocusspindle_standins/callers.py
+++ b/src/crocusspindle_standins/callers.py
@@ -120,6 +120,7 @@
         """
         began_s = time.monotonic()
         found = (Verdict.NO_ANSWER, 0, "no address")
+        lost = False
         for address in (await self._where())[:3]:
             try:
                 async with asyncio.timeout(ANSWER_S):
@@ -129,9 +130,14 @@
                 self.addresses.until_s = 0.0
             except (TimeoutError, aiohttp.ClientError, OSError) as error:
                 found = (Verdict.NO_ANSWER, 0, type(error).__name__)
+                lost = True
                 if method != "GET":
                     break
         verdict, status, reason = found
+        if lost and verdict in (Verdict.OVER_RATE, Verdict.REFUSED):
+            # "Not run" speaks of the sending that it answers. The one before broke
+            # off without a word and may have run.
+            verdict = Verdict.UNKNOWN
         self.records.append(
             Sent(
                 request=request,
