Let shares fill before the fleet tests send bursts

One of 200 requests sent at once got 429: shares open empty and the test began at the first token. A second at 1,000/s fills what the tests send at once; nothing else changes.

--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -12,6 +12,7 @@
 from crocusspindle_standins.fleet import Fleet, Layout, TargetGroup, sha256
 
 SHARES_OPEN_S = 10.0
+SHARES_FILL_S = 1.0
 KEY = "key-of-the-caller"
 QUICK = {
     "where_max_age_ms": 2000,
@@ -158,6 +159,8 @@
             caller = Caller(fleet, session)
             for node in range(nodes):
                 await caller.until_served(node)
+            # New shares open empty; a burst of requests needs them filled.
+            await asyncio.sleep(SHARES_FILL_S)
             return caller
 
         yield start
