Let a reader that was cut off bring no departed target back

The first reader was cut off from the store for 12 s while others read on.

Change: before a reader takes the store for having been away it asks six peers (Peek, which makes nobody a reader); if one saw the store meanwhile, its list counts. When the store came back is passed on with the state, so that a second reader waits for lapsed entries as the first does. A reader that cannot read says so at once, and one that ranks first asks others instead of only itself: it used to run out of proofs although its peers had them.

--- a/src/crocusspindle/gateway/knowledge.py
+++ b/src/crocusspindle/gateway/knowledge.py
@@ -1,5 +1,6 @@
 """Hold what this node believes, and tell its services when that changes."""
 
+import math
 import zlib
 from collections.abc import Callable, Sequence
 from dataclasses import astuple
@@ -47,6 +48,7 @@
         self.view: Belief[View] = Belief()
         self.open_nodes: list[tuple[str, str]] = []
         self.open_digest = NO_DIGEST
+        self.store_back_at_ms = -math.inf
         self._listeners: list[Callable[[], None]] = []
 
     def listen(self, changed: Callable[[], None]) -> None:
@@ -127,6 +129,9 @@
         self.view.prove(state.view_number, asked_ms - state.view_age_ms)
         if state.open_nodes is not None:
             self.take_open_nodes(state.open_nodes)
+        if state.store_back_ms < NEVER_MS:
+            back_at_ms = asked_ms - state.store_back_ms
+            self.store_back_at_ms = max(self.store_back_at_ms, back_at_ms)
         self.tell()
 
     def _take_targets_state(self, state: State, asked_ms: float) -> None:
@@ -145,6 +150,7 @@
         view_number: int,
         open_digest: int,
         unknown: bool = False,
+        reads: bool = False,
     ) -> State:
         """Return what a node that believes these has to learn."""
         at_ms = now_ms()
@@ -167,7 +173,9 @@
                 else None
             ),
             open_nodes=self.open_nodes if self.open_digest != open_digest else None,
+            store_back_ms=_whole(at_ms - self.store_back_at_ms),
             unknown=unknown,
+            reads=reads,
         )
 
 
--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -17,7 +17,7 @@
 from crocusspindle.errors import PlatformError
 from crocusspindle.gateway.exchange import Address, Exchange
 from crocusspindle.gateway.knowledge import Knowledge, packed_node, unpacked_node
-from crocusspindle.gateway.messages import Done, Hello, Ping, Probe, State
+from crocusspindle.gateway.messages import Done, Hello, Peek, Ping, Probe, State
 from crocusspindle.gateway.reading import ASKED_MS, OWN_MS, Reading
 from crocusspindle.ids import HostId
 from crocusspindle.kernel import Service
@@ -33,6 +33,10 @@
 OLD_PROOF_MS: Final = 2_000.0
 """A reader whose proofs are older has lost the store; another one may have it."""
 
+CONSULTED: Final = 6
+"""Peers asked at once whether the store was there all along. With a third of the fleet
+cut off, all six are one time in a thousand."""
+
 TRIES: Final = 3
 """Silent readers tried before this node reads for itself."""
 
@@ -93,6 +97,8 @@
         self._exchange.handle(Ping, self._ping)
         self._exchange.handle(State, self._state)
         self._exchange.handle(Probe, self._answer_probe)
+        self._exchange.handle(Peek, self._answer_peek)
+        self._reading.consult = self._consult
         self._knowledge.listen(self._push)
         self.spawn(self._introduce())
         self.spawn(self._keep_view())
@@ -157,6 +163,9 @@
             self._wake.set()
 
     async def _freshen(self) -> None:
+        if self._reading.lost:
+            # Peers may reach the store, and a proof that was passed on is one too.
+            self._suspect(self._node.host, "lost the store")
         for reader in self._candidates()[:TRIES]:
             if reader == self._node.host:
                 break
@@ -172,11 +181,11 @@
             for host in self._known()
             if self._suspect_until_ms.get(host, -math.inf) <= at_ms
         }
-        return order(READER_DUTY, known | {self._node.host})
+        return order(READER_DUTY, known)
 
     def _known(self) -> set[HostId]:
         view = self._knowledge.view.content
-        known = set(self._met)
+        known = {*self._met, self._node.host}
         if view is not None:
             known |= set(view.by_host)
             known -= {seat.node.host for seat in view.fenced}
@@ -196,6 +205,9 @@
         self._knowledge.take_state(state, asked_ms)
         if state.unknown:
             self._exchange.tell(to, self._own_hello())
+        if not state.reads:
+            self._suspect(reader, "lost the store")
+            return False
         oldest_ms = max(state.configuration_age_ms, state.targets_age_ms)
         if oldest_ms > OLD_PROOF_MS:
             self._suspect(reader, "old proofs")
@@ -235,6 +247,35 @@
             ping.view_number,
             ping.open_digest,
             unknown=host is None,
+            reads=not self._reading.lost,
+        )
+
+    async def _consult(self) -> None:
+        others = self._known() - {self._node.host}
+        asked = order(b"consulted " + self._node.host.encode(), others)[:CONSULTED]
+        await asyncio.gather(*(self._peek(host) for host in asked))
+
+    async def _peek(self, host: HostId) -> None:
+        to = self.address(host)
+        if to is None:
+            return
+        asked_ms, known = now_ms(), self._knowledge
+        peek = Peek(
+            known.configuration.version,
+            known.targets_digest,
+            known.view.version,
+            known.open_digest,
+        )
+        state = await self._exchange.ask(to, peek, PING_SILENT_S, PING_LIMIT_S)
+        if isinstance(state, State):
+            self._knowledge.take_state(state, asked_ms)
+
+    async def _answer_peek(self, peek: Peek, sender: Address) -> State:
+        return self._knowledge.state_for(
+            peek.configuration_version,
+            peek.targets_digest,
+            peek.view_number,
+            peek.open_digest,
         )
 
     async def _first_proofs(self) -> None:
--- a/src/crocusspindle/gateway/messages.py
+++ b/src/crocusspindle/gateway/messages.py
@@ -85,7 +85,9 @@
     """Tell what is newest; contents come only where the asker's differ.
 
     Ages are counted from when the read began whose answer was the proof.
-    ``unknown`` asks the pinging node to introduce itself.
+    ``unknown`` asks the pinging node to introduce itself, ``reads`` tells whether the
+    answering node has the store within reach, and ``store_back_ms`` how long ago the
+    store came back after it had been away from the whole fleet.
     """
 
     configuration_version: int
@@ -99,7 +101,9 @@
     view_age_ms: float
     view: list[Any] | None
     open_nodes: list[Any] | None
+    store_back_ms: int
     unknown: bool = False
+    reads: bool = False
 
 
 @message(4)
@@ -205,6 +209,17 @@
     incarnation: str
 
 
+@message(16)
+@dataclass(frozen=True, slots=True)
+class Peek:
+    """Ask a node what it believes, without making it a reader."""
+
+    configuration_version: int
+    targets_digest: int
+    view_number: int
+    open_digest: int
+
+
 @message(14)
 @dataclass(frozen=True, slots=True)
 class Done:
--- a/src/crocusspindle/gateway/reading.py
+++ b/src/crocusspindle/gateway/reading.py
@@ -46,6 +46,10 @@
 two seconds allowed."""
 
 RETRY_S: Final = 0.25
+LOST_MS: Final = 600.0
+"""Calls that fail for this long are more than one lost answer: someone else may have
+the store within reach."""
+
 AWAY_MS: Final = 2_000.0
 """A list that nobody could prove for this long may have lost entries of targets that
 live: proofs are younger than 1.6 s while the store is there, and an entry lapses only
@@ -74,7 +78,8 @@
         self._missing: set[str] = set()
         self._positions: dict[Table, int] = {}
         self._newest = 0
-        self._back_ms = -math.inf
+        self._failing_since_ms: dict[Table, float] = {}
+        self.consult: Callable[[], Awaitable[None]] = _nobody
 
     async def start(self) -> None:
         """Start the loops; they rest until somebody wants to know."""
@@ -98,9 +103,19 @@
     def _begin_anew(self) -> None:
         # What this node read when it last was a reader is long out of date. It goes
         # on from what it believes, so that only what left since then is missing.
+        self._adopt_believed()
+        self._missing.clear()
+        self._failing_since_ms.clear()
+
+    def _adopt_believed(self) -> None:
         believed = self._knowledge.targets.content or ()
         self._targets = {str(target.identity): target for target in believed}
-        self._missing.clear()
+
+    @property
+    def lost(self) -> bool:
+        """Return True if this node tries to read and the store does not answer."""
+        since_ms = min(self._failing_since_ms.values(), default=math.inf)
+        return now_ms() - since_ms > LOST_MS
 
     @property
     def active(self) -> bool:
@@ -123,7 +138,6 @@
         table: Table,
         take: Callable[[Changes, bool, float], Awaitable[None]],
     ) -> None:
-        failing = False
         while True:
             await self._rest()
             began_ms = now_ms()
@@ -135,18 +149,17 @@
                 self._positions.pop(table, None)
                 continue
             except PlatformError as error:
-                if not failing:
-                    failing = True
-                    log_state_change(
-                        self._log, "store lost", table=table.value, error=str(error)
-                    )
+                self._note_failure(table, error)
                 await asyncio.sleep(RETRY_S)
                 continue
-            if failing:
-                failing = False
+            if self._failing_since_ms.pop(table, None) is not None:
                 log_state_change(self._log, "store regained", table=table.value)
+            if table is Table.TARGETS and self._was_away():
+                await self._look_who_saw_the_store()
+                if self._knowledge.targets.version > changes.version:
+                    # Peers know more than this answer; what it lacks comes again.
+                    continue
             self._newest = max(self._newest, changes.version)
-            self._note_answer(table)
             await take(changes, whole, began_ms)
             self._positions[table] = changes.version
             self._knowledge.tell()
@@ -159,11 +172,28 @@
             return await self._platform.read(table), True
         return await self._platform.follow(table, position, WAIT_MS), False
 
-    def _note_answer(self, table: Table) -> None:
-        if table is not Table.TARGETS or self._knowledge.targets.content is None:
+    def _note_failure(self, table: Table, error: PlatformError) -> None:
+        if table not in self._failing_since_ms:
+            self._failing_since_ms[table] = now_ms()
+            log_state_change(
+                self._log, "store lost", table=table.value, error=str(error)
+            )
+
+    def _was_away(self) -> bool:
+        targets = self._knowledge.targets
+        return targets.content is not None and targets.age_ms(now_ms()) > AWAY_MS
+
+    async def _look_who_saw_the_store(self) -> None:
+        # Only this node may have been cut off, from the store or from everyone. Targets
+        # that left meanwhile look like entries that lapsed, and kept for these they
+        # would get work from the whole fleet ten seconds after they had left.
+        await self.consult()
+        if self._was_away():
+            self._knowledge.store_back_at_ms = now_ms()
+            log_state_change(self._log, "the store was away from the whole fleet")
             return
-        if self._knowledge.targets.age_ms(now_ms()) > AWAY_MS:
-            self._back_ms = now_ms()
+        self._adopt_believed()
+        self._missing &= self._targets.keys()
 
     async def _take_configuration(
         self, changes: Changes, whole: bool, began_ms: float
@@ -205,7 +235,7 @@
     def _drop_missing(self) -> None:
         # While the store was away entries lapsed of targets that live. Dropping them
         # at its return would leave a service without targets for two seconds.
-        kept_until_ms = self._back_ms + BACK_MS
+        kept_until_ms = self._knowledge.store_back_at_ms + BACK_MS
         if now_ms() < kept_until_ms:
             return
         for key in self._missing:
@@ -247,6 +277,10 @@
         await self._take_fleet(changes, True, began_ms)
 
 
+async def _nobody() -> None:
+    """Ask nobody: a node that has not met its peers yet."""
+
+
 def _plain(node: NodeAddress) -> tuple[object, ...]:
     return (
         node.host,
--- a/tests/gateway/test_reading.py
+++ b/tests/gateway/test_reading.py
@@ -168,6 +168,69 @@
     assert listed(knowledge) == ["t1"]
 
 
+async def test_a_reader_that_was_cut_off_brings_no_target_back(fixture):
+    """One node loses the store, others read on, and a target leaves meanwhile.
+
+    When the node is back it finds the entry missing, as after an outage of the store.
+    Kept for two seconds and passed on, the target would get work from the whole fleet
+    ten seconds after it had left.
+    """
+    store, knowledge = fixture
+
+    async def peers_read_on():
+        peers = [parse_target("t1", store.rows["t1"])]
+        knowledge.take_targets(peers, store.version, now_ms())
+
+    store.reading.consult = peers_read_on
+    store.away = True
+    await asyncio.sleep(0.3)
+    del store.rows["t2"]
+    store.removed.append("t2")
+    taken = []
+    knowledge.listen(lambda: taken.append(listed(knowledge)))
+    store.away = False
+    await asyncio.sleep(0.2)
+    since_told = taken[taken.index(["t1"]) :]
+    assert all(names == ["t1"] for names in since_told)
+
+
+async def test_a_second_reader_waits_for_lapsed_entries_as_the_first_does(fixture):
+    """The store was away from all, and another reader has it back a moment sooner.
+
+    The list that it passes on still holds the entries that lapsed. A reader that took
+    this for a calm store would drop them all at its first look.
+    """
+    store, knowledge = fixture
+    store.away = True
+    await asyncio.sleep(0.3)
+    lapsed, store.rows = store.rows, {}
+    store.removed = list(lapsed)
+
+    async def first_reader_has_it_back():
+        believed = knowledge.targets.content
+        knowledge.take_targets(believed, store.version, now_ms())
+        knowledge.store_back_at_ms = now_ms()
+
+    store.reading.consult = first_reader_has_it_back
+    store.away = False
+    await asyncio.sleep(0.15)
+    assert listed(knowledge) == ["t1", "t2"]
+    await asyncio.sleep(0.5)
+    assert listed(knowledge) == []
+
+
+async def test_a_reader_without_the_store_says_so(fixture):
+    """Those who ask it go to another reader before their proofs are old."""
+    store, _ = fixture
+    assert not store.reading.lost
+    store.away = True
+    await asyncio.sleep(0.8)
+    assert store.reading.lost
+    store.away = False
+    await asyncio.sleep(0.1)
+    assert not store.reading.lost
+
+
 async def rest(store) -> None:
     store.reading._wanted_until_ms = 0.0
     await asyncio.sleep(0.1)
