End the heartbeat to a peer that left, whatever hides the cancellation

A call of grpclib that is cancelled while its connection closes ends with the library's own error in place of the cancellation; the loop took it for one more failure of the peer and went on. The same left a task for ever at each member that left the view.

Ruled out: slow draining (the log shows it drained in time).

Change: each round looks whether the peer is still followed.

--- a/src/crocusspindle/services/peers.py
+++ b/src/crocusspindle/services/peers.py
@@ -199,7 +199,12 @@
         # A connection can fall silent for good while new ones work. The echo
         # has a deadline; past it the connection is dropped with every request
         # on it, which then moves or ends, and a new one is made.
-        while True:
+        #
+        # A cancelled call ends with the library's own error when its connection closes
+        # in the same moment. The failure hides the cancellation, and a loop that went
+        # on for it would beat to a former member for good and keep this process from
+        # ending: it exits with a failure ten seconds late. So each round looks.
+        while self._peers.get(peer.member.member) is peer:
             with suppress(*PEER_FAILURES):
                 await self._beat_on_one_connection(peer)
             peer.channel.close()
