Send lists and the configuration as what changed in them

Change: each document goes out compressed with the form that the asker holds as the dictionary. A node that lacks that form takes nothing, proves nothing and asks.

--- a/src/crocusspindle/gateway/knowledge.py
+++ b/src/crocusspindle/gateway/knowledge.py
@@ -19,6 +19,7 @@
 from crocusspindle.core.view import NodeAddress, Seat, View
 from crocusspindle.errors import InvalidInputError
 from crocusspindle.gateway.messages import State
+from crocusspindle.gateway.updates import Forms, Packed
 from crocusspindle.ids import DomainId, HostId, Incarnation, ServiceId
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
@@ -28,9 +29,9 @@
 """Stands for the age of a proof that is not there."""
 
 
-def digest_of(content: Any) -> int:
+def digest_of(form: bytes) -> int:
     """Return a digest by which two nodes see that they hold the same."""
-    return zlib.crc32(msgpack.packb(content)) or 1
+    return zlib.crc32(form) or 1
 
 
 class Knowledge(Service):
@@ -42,13 +43,16 @@
         self._parse = parse
         self._log = Logger("knowledge")
         self.configuration: Belief[Configuration] = Belief()
-        self.configuration_bytes = b""
         self.targets: Belief[tuple[ListedTarget, ...]] = Belief()
         self.targets_digest = NO_DIGEST
         self.view: Belief[View] = Belief()
         self.open_nodes: list[tuple[str, str]] = []
         self.open_digest = NO_DIGEST
         self.store_back_at_ms = -math.inf
+        self._forms: dict[str, Forms] = {
+            document: Forms()
+            for document in ("configuration", "targets", "view", "open")
+        }
         self._listeners: list[Callable[[], None]] = []
 
     def listen(self, changed: Callable[[], None]) -> None:
@@ -68,7 +72,7 @@
             log_state_change(self._log, "configuration refused", findings=str(error))
             return
         if self.configuration.take(content, content.version, proved_at_ms):
-            self.configuration_bytes = value
+            self._forms["configuration"].take(content.version, value)
             log_state_change(
                 self._log,
                 "configuration in force",
@@ -81,7 +85,8 @@
     ) -> None:
         """Take the list of targets as of a version of the store."""
         ordered = tuple(sorted(listed, key=lambda entry: entry.identity))
-        digest = digest_of(packed_targets(ordered))
+        form = _form(packed_targets(ordered))
+        digest = digest_of(form)
         if version < self.targets.version:
             return
         self.targets.take(ordered, version, proved_at_ms)
@@ -89,6 +94,7 @@
             # Entries that were waited for after an outage go without a new version.
             self.targets.content = ordered
             self.targets_digest = digest
+            self._forms["targets"].take(digest, form)
             log_state_change(
                 self._log,
                 "targets changed",
@@ -100,6 +106,7 @@
     def take_view(self, view: View, proved_at_ms: float) -> None:
         """Take a view of the members."""
         if self.view.take(view, view.number, proved_at_ms):
+            self._forms["view"].take(view.number, _form(packed_view(view)))
             log_state_change(
                 self._log,
                 "view in force",
@@ -111,37 +118,59 @@
     def take_open_nodes(self, open_nodes: Sequence[tuple[str, str]]) -> None:
         """Take the list of nodes that callers may be sent to."""
         self.open_nodes = [(address, domain) for address, domain in open_nodes]
-        self.open_digest = digest_of(self.open_nodes)
+        form = _form(self.open_nodes)
+        self.open_digest = digest_of(form)
+        self._forms["open"].take(self.open_digest, form)
 
-    def take_state(self, state: State, asked_ms: float) -> None:
-        """Take a reader's answer; its ages count from when it was asked."""
-        if state.configuration is not None:
+    def take_state(self, state: State, asked_ms: float) -> bool:
+        """Take a reader's answer; its ages count from when it was asked.
+
+        Return False if a content could not be taken for want of the older form.
+        """
+        configuration = self._unpacked("configuration", state.configuration)
+        if configuration is not None:
             self.take_configuration(
-                zlib.decompress(state.configuration),
-                asked_ms - state.configuration_age_ms,
+                configuration, asked_ms - state.configuration_age_ms
             )
         self.configuration.prove(
             state.configuration_version, asked_ms - state.configuration_age_ms
         )
-        self._take_targets_state(state, asked_ms)
-        if state.view is not None:
-            self.take_view(unpacked_view(state.view), asked_ms - state.view_age_ms)
+        targets = self._take_targets_state(state, asked_ms)
+        view = self._unpacked("view", state.view)
+        if view is not None:
+            content = unpacked_view(msgpack.unpackb(view))
+            self.take_view(content, asked_ms - state.view_age_ms)
         self.view.prove(state.view_number, asked_ms - state.view_age_ms)
-        if state.open_nodes is not None:
-            self.take_open_nodes(state.open_nodes)
+        open_nodes = self._unpacked("open", state.open_nodes)
+        if open_nodes is not None:
+            self.take_open_nodes(msgpack.unpackb(open_nodes))
         if state.store_back_ms < NEVER_MS:
             back_at_ms = asked_ms - state.store_back_ms
             self.store_back_at_ms = max(self.store_back_at_ms, back_at_ms)
         self.tell()
+        return all(
+            packed is None or form is not None
+            for packed, form in (
+                (state.configuration, configuration),
+                (state.targets, targets),
+                (state.view, view),
+                (state.open_nodes, open_nodes),
+            )
+        )
+
+    def _unpacked(self, document: str, packed: Packed | None) -> bytes | None:
+        return None if packed is None else self._forms[document].unpacked(packed)
 
-    def _take_targets_state(self, state: State, asked_ms: float) -> None:
+    def _take_targets_state(self, state: State, asked_ms: float) -> bytes | None:
         proved_at_ms = asked_ms - state.targets_age_ms
-        if state.targets is not None:
-            listed = unpacked_targets(msgpack.unpackb(zlib.decompress(state.targets)))
+        form = self._unpacked("targets", state.targets)
+        if form is not None:
+            listed = unpacked_targets(msgpack.unpackb(form))
             self.take_targets(listed, state.targets_version, proved_at_ms)
         elif state.targets_digest == self.targets_digest:
             content = self.targets.content or ()
             self.targets.take(content, state.targets_version, proved_at_ms)
+        return form
 
     def state_for(
         self,
@@ -156,35 +185,46 @@
         at_ms = now_ms()
         config, targets, view = self.configuration, self.targets, self.view
         newer = config.version > configuration_version
-        other = self.targets_digest != targets_digest
+        # A node that has just started holds nothing yet, and tells nothing.
+        other_targets = self.targets_digest not in (targets_digest, NO_DIGEST)
+        other_open = self.open_digest not in (open_digest, NO_DIGEST)
         return State(
             configuration_version=config.version,
             configuration_age_ms=_whole(config.age_ms(at_ms)),
-            configuration=zlib.compress(self.configuration_bytes) if newer else None,
+            configuration=(
+                self._packed("configuration", configuration_version) if newer else None
+            ),
             targets_version=targets.version,
             targets_digest=self.targets_digest,
             targets_age_ms=_whole(targets.age_ms(at_ms)),
-            targets=_compressed(targets.content or ()) if other else None,
+            targets=(
+                self._packed("targets", targets_digest) if other_targets else None
+            ),
             view_number=view.version,
             view_age_ms=_whole(view.age_ms(at_ms)),
             view=(
-                packed_view(view.content)
-                if view.content is not None and view.version > view_number
+                self._packed("view", view_number)
+                if view.version > view_number
                 else None
             ),
-            open_nodes=self.open_nodes if self.open_digest != open_digest else None,
+            open_digest=self.open_digest,
+            open_nodes=self._packed("open", open_digest) if other_open else None,
             store_back_ms=_whole(at_ms - self.store_back_at_ms),
             unknown=unknown,
             reads=reads,
         )
 
+    def _packed(self, document: str, key: int) -> Packed:
+        return self._forms[document].packed_for(key)
+
 
 def _whole(age_ms: float) -> int:
     return int(min(age_ms + 1, NEVER_MS))
 
 
-def _compressed(listed: Sequence[ListedTarget]) -> bytes:
-    return zlib.compress(msgpack.packb(packed_targets(listed)))
+def _form(content: Any) -> bytes:
+    form: bytes = msgpack.packb(content)
+    return form
 
 
 def packed_targets(listed: Sequence[ListedTarget]) -> list[Any]:
--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -290,7 +290,9 @@
     async def _state(self, state: State, sender: Address) -> None:
         # Pushed, not asked for: contents count, but how long it was on its way is
         # not known, so it proves nothing.
-        self._knowledge.take_state(state, -math.inf)
+        if not self._knowledge.take_state(state, -math.inf):
+            # An earlier push was lost, and this one tells only what changed since.
+            self._wake.set()
 
     def _push(self) -> None:
         if self._knowledge.view.version != self._view_seen:
--- a/src/crocusspindle/gateway/messages.py
+++ b/src/crocusspindle/gateway/messages.py
@@ -1,6 +1,6 @@
 """Define the messages between nodes and pack them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, fields
 from typing import Any, Final, TypeVar
 
@@ -84,6 +84,8 @@
 class State:
     """Tell what is newest; contents come only where the asker's differ.
 
+    Each content holds what `Forms` packs for the form that the asker has.
+
     Ages are counted from when the read began whose answer was the proof.
     ``unknown`` asks the pinging node to introduce itself, ``reads`` tells whether the
     answering node has the store within reach, and ``store_back_ms`` how long ago the
@@ -92,15 +94,16 @@
 
     configuration_version: int
     configuration_age_ms: float
-    configuration: bytes | None
+    configuration: Sequence[Any] | None
     targets_version: int
     targets_digest: int
     targets_age_ms: float
-    targets: bytes | None
+    targets: Sequence[Any] | None
     view_number: int
     view_age_ms: float
-    view: list[Any] | None
-    open_nodes: list[Any] | None
+    view: Sequence[Any] | None
+    open_digest: int
+    open_nodes: Sequence[Any] | None
     store_back_ms: int
     unknown: bool = False
     reads: bool = False
--- /dev/null
+++ b/tests/gateway/test_knowledge.py
@@ -0,0 +1,101 @@
+"""Tell peers what is believed, and take what they tell."""
+
+from crocusspindle.clock import now_ms
+from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
+from crocusspindle.core.view import NodeAddress, Seat, View
+from crocusspindle.gateway.knowledge import Knowledge
+from crocusspindle.gateway.messages import State, pack, packed, unpack, unpacked
+from crocusspindle.ids import DomainId, HostId, Incarnation, ServiceId
+from crocusspindle.platform.documents import parse_configuration
+
+
+def target(number: int) -> ListedTarget:
+    return ListedTarget(
+        TargetIdentity(f"t{number}"),
+        ServiceId("books"),
+        f"127.0.0.1:{number}",
+        DomainId("a"),
+        2,
+        Readiness.READY,
+    )
+
+
+def seat(number: int) -> Seat:
+    node = NodeAddress(
+        HostId(f"n{number}"),
+        Incarnation(f"{number:08x}"),
+        "127.0.0.1",
+        7340,
+        DomainId("a"),
+        "127.0.0.1:80",
+    )
+    return Seat(node, 1)
+
+
+def sent(state: State) -> State:
+    """Return a state as it arrives at the other node."""
+    arrived = unpack(unpacked(packed(pack(state))))
+    assert isinstance(arrived, State)
+    return arrived
+
+
+def state_for(told: Knowledge, asker: Knowledge) -> State:
+    return sent(
+        told.state_for(
+            asker.configuration.version,
+            asker.targets_digest,
+            asker.view.version,
+            asker.open_digest,
+        )
+    )
+
+
+def informed() -> Knowledge:
+    knowledge = Knowledge(parse_configuration)
+    knowledge.take_targets([target(n) for n in range(5)], 7, now_ms())
+    knowledge.take_view(View(3, tuple(seat(n) for n in range(5))), now_ms())
+    knowledge.take_open_nodes([("127.0.0.1:80", "a")])
+    return knowledge
+
+
+def test_a_node_that_knows_nothing_tells_nothing():
+    """All processes were killed, and one that has the store asks others for more.
+
+    They hold nothing yet. An empty list taken for an answer ended the asking process,
+    just when nobody else served; and a list of no targets would have been as bad.
+    """
+    asker, newcomer = informed(), Knowledge(parse_configuration)
+    assert asker.take_state(state_for(newcomer, asker), now_ms())
+    assert len(asker.targets.content) == 5
+    assert asker.open_nodes == [("127.0.0.1:80", "a")]
+
+
+def test_a_newcomer_learns_everything_and_later_only_changes():
+    reader, newcomer = informed(), Knowledge(parse_configuration)
+    whole = state_for(reader, newcomer)
+    assert newcomer.take_state(whole, now_ms())
+    assert newcomer.targets.content == reader.targets.content
+    assert newcomer.view.content == reader.view.content
+    reader.take_view(View(4, tuple(seat(n) for n in range(4))), now_ms())
+    change = state_for(reader, newcomer)
+    assert change.targets is None
+    assert len(packed(pack(change))) < len(packed(pack(whole))) / 2
+    assert newcomer.take_state(change, now_ms())
+    assert newcomer.view.content == reader.view.content
+
+
+def test_a_node_that_missed_a_push_says_so_and_proves_nothing():
+    """A pushed view builds on one that was lost on its way.
+
+    A proof taken with it would let a quota keeper act on a view that is out of force.
+    """
+    reader, node = informed(), Knowledge(parse_configuration)
+    node.take_state(state_for(reader, node), now_ms())
+    proved_at_ms = node.view.proved_at_ms
+    reader.take_view(View(4, tuple(seat(n) for n in range(4))), now_ms())
+    lost = reader.view.version
+    reader.take_view(View(5, tuple(seat(n) for n in range(3))), now_ms())
+    push = sent(reader.state_for(-1, reader.targets_digest, lost, reader.open_digest))
+    assert not node.take_state(push, now_ms() + 50.0)
+    assert node.view.version == 3
+    assert node.view.proved_at_ms == proved_at_ms
