--- /dev/null
+++ b/tests/core/test_operations_machine.py
@@ -0,0 +1,148 @@
+"""Search for orders of events after which an operation runs twice."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from crocusspindle.core.operation_places import holders
+from crocusspindle.core.operation_records import (
+    OperationName,
+)
+from crocusspindle.ids import CustomerId, OperationKey
+from tests.core.operations_market import KEY_EPOCH_MS, LIMITS, Market
+from tests.core.small_fleet import Node, started
+
+FATES = st.lists(
+    st.sampled_from(["ok", "ok", "lost", "late", "pause", "release"]), max_size=4
+)
+
+
+ROUNDS = st.sampled_from([0, 1, 2, 6])
+
+
+class OperationMachine(RuleBasedStateMachine):
+    """Search for orders of events after which an operation runs twice."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet = started(4, ledger_limits=LIMITS)
+        self.market = Market(self.fleet)
+        self.starts = 4
+
+    def pick(self, index: int) -> Node:
+        nodes = list(self.fleet.nodes.values())
+        return nodes[index % len(nodes)]
+
+    def go_on(self, rounds: int) -> None:
+        for _ in range(rounds):
+            self.fleet.round()
+            any(self.fleet.propose(node) for node in self.fleet.awake())
+
+    @rule(
+        key=st.integers(0, 5),
+        second=st.booleans(),
+        stale=st.booleans(),
+        fates=FATES,
+        prefer_peer=st.booleans(),
+    )
+    def order(
+        self, key: int, second: bool, stale: bool, fates: list[str], prefer_peer: bool
+    ) -> None:
+        """Ask a holder by the newest view, or by one of the views still in use."""
+        epoch = int(self.fleet.t_ms // KEY_EPOCH_MS)
+        name = OperationName(CustomerId("club"), OperationKey(f"{key}.{epoch}"))
+        views = sorted({one.view.number for one in self.fleet.awake() if one.view})
+        if not views:
+            return
+        known = self.fleet.views[views[0 if stale else -1]]
+        node = self.fleet.nodes.get(holders(name, known.names)[-1 if second else 0])
+        if node is not None and node.awake:
+            self.market.order(node, name, list(fates), prefer_peer)
+
+    @rule(
+        index=st.integers(0, 9),
+        kind=st.sampled_from(["join", "crash", "restart", "leave"]),
+        rounds=ROUNDS,
+    )
+    def change_members(self, index: int, kind: str, rounds: int) -> None:
+        old = self.pick(index)
+        if kind == "join" and len(self.fleet.nodes) > 7:
+            return
+        if kind == "leave":
+            for peer in self.fleet.awake():
+                peer.membership.leaves(old.me.member)
+        if kind in ("crash", "leave", "restart") and len(self.fleet.nodes) > 2:
+            self.fleet.kill(old)
+        if kind in ("join", "restart"):
+            address = old.me.peer_address if kind == "restart" else str(self.starts)
+            node = self.fleet.start(f"n{self.starts}", address)
+            self.starts += 1
+            for peer in self.fleet.awake():
+                peer.membership.asks_to_join(node.me)
+        self.go_on(rounds)
+
+    @rule(rounds=ROUNDS)
+    def platform_for_all(self, rounds: int) -> None:
+        self.fleet.reach = set(self.fleet.nodes)
+        self.go_on(rounds)
+
+    @rule(reach=st.sets(st.integers(0, 7), max_size=2), rounds=st.just(6) | ROUNDS)
+    def platform_for_few(self, reach: set[int], rounds: int) -> None:
+        self.fleet.reach = {self.pick(index).me.member for index in reach}
+        self.go_on(rounds)
+
+    @rule(rounds=st.just(6) | ROUNDS)
+    def platform_for_nobody(self, rounds: int) -> None:
+        self.fleet.reach.clear()
+        self.go_on(rounds)
+
+    @rule(group=st.sets(st.integers(0, 7), max_size=3), one_way=st.booleans())
+    def cut(self, group: set[int], one_way: bool) -> None:
+        names = {self.pick(index).me.member for index in group}
+        self.fleet.blocked.clear()
+        self.fleet.part(names)
+        if one_way:
+            kept = {pair for pair in self.fleet.blocked if pair[0] in names}
+            self.fleet.blocked = kept
+
+    @rule(rounds=ROUNDS)
+    def pass_time(self, rounds: int) -> None:
+        self.go_on(rounds)
+
+    @rule(index=st.integers(0, 9), rounds=ROUNDS)
+    def stop_or_wake(self, index: int, rounds: int) -> None:
+        node = self.pick(index)
+        node.awake = not node.awake
+        self.go_on(rounds)
+
+    @rule(index=st.integers(0, 9))
+    def a_late_message_arrives(self, index: int) -> None:
+        if self.market.late:
+            self.market.late.pop(index % len(self.market.late))()
+
+    @rule(index=st.integers(0, 9))
+    def a_paused_step_goes_on(self, index: int) -> None:
+        if self.market.held:
+            self.market.held.pop(index % len(self.market.held))()
+
+    @rule(index=st.none() | st.integers(0, 9))
+    def flush(self, index: int | None) -> None:
+        nodes = self.fleet.awake() if index is None else [self.pick(index)]
+        for node in nodes:
+            self.market.flush(node)
+        self.market.tell_marks()
+
+    @rule()
+    def load(self) -> None:
+        for node in self.fleet.awake():
+            self.market.load(node)
+
+    @invariant()
+    def nothing_ran_twice(self) -> None:
+        assert all(count == 1 for count in self.market.runs.values())
+
+
+TestOperations = OperationMachine.TestCase
+TestOperations.settings = settings(
+    max_examples=60, stateful_step_count=40, derandomize=True, deadline=None
+)
