Let the tests' callers send each request once

Traced with one line a request at callers and entries: each had been sent to the node that was then killed, and ran; the library sent it again by itself on another connection, or met a refused connection there, and the caller took the answer of the second sending, 429 "rate", for a word on the only one it knew of. The fleet had said nothing wrong: the judge was.

Ruled out: an entry that repeats a request and then refuses it (each entry's lines show one answer a sending).

Change: sessions of the demo and of the fleet tests do not send again; a broken connection is now always reported and judged, which is stricter.

--- a/src/crocusspindle_standins/demo.py
+++ b/src/crocusspindle_standins/demo.py
@@ -26,6 +26,7 @@
     Verdict,
     most_over_rate,
 )
+from crocusspindle_standins.calling import calling_session
 from crocusspindle_standins.deployments import DEPLOYMENTS, ECHO, Deployment
 from crocusspindle_standins.fleet import Fleet, sha256
 
@@ -86,9 +87,7 @@
     async def run(self) -> dict[str, Any]:
         """Return the measured fields."""
         await self._set_up()
-        async with aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0)
-        ) as session:
+        async with calling_session(connector=aiohttp.TCPConnector(limit=0)) as session:
             await self._compare(session)
             await self._load(session)
         return await self._report()
--- a/src/crocusspindle_standins/on_platform/fleet.py
+++ b/src/crocusspindle_standins/on_platform/fleet.py
@@ -14,6 +14,7 @@
 import aiohttp
 from aiohttp import web
 
+from crocusspindle_standins.calling import calling_session
 from crocusspindle_standins.on_platform.store import TableStore
 from crocusspindle_standins.on_platform.target import StampedTarget
 from crocusspindle_standins.processes import free_ports
@@ -102,7 +103,7 @@
 
     async def start(self, gateways: int = 3, targets: int = 4) -> None:
         """Start everything and wait until all gateways are ready."""
-        self.session = aiohttp.ClientSession()
+        self.session = calling_session()
         self.runner = web.AppRunner(self.store.app())
         await self.runner.setup()
         site = web.TCPSite(self.runner, "127.0.0.1", 0)
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -9,6 +9,7 @@
 import aiohttp
 import pytest
 
+from crocusspindle_standins.calling import calling_session
 from crocusspindle_standins.fleet import Fleet, Layout, TargetGroup, sha256
 
 SHARES_OPEN_S = 10.0
@@ -151,7 +152,7 @@
             )
             await fleet.until_in_force(number, fleet.nodes)
             session = await stack.enter_async_context(
-                aiohttp.ClientSession(
+                calling_session(
                     connector=aiohttp.TCPConnector(limit=0),
                     timeout=aiohttp.ClientTimeout(total=15, sock_connect=1),
                 )
