Ask for the whole where an update does not fit, and let a node try to read again

A node whose text of a version differs from the reader's (the store held the version twice) could take no update to it, asked with the same key again and would never have learnt of the next version. It now names no key after an update that did not fit, and gets the whole. The new test fails without it: the second answer is the same update again.

A node that had lost the store counted itself as lost while it rested, passed itself over for good and wrote a line about it twice a second. Who does not try says nothing of the store now, and a suspicion that holds is not written again. The new test fails without it.

The keys travel as one value, Held, in place of four fields in three places.

--- a/src/crocusspindle/gateway/knowledge.py
+++ b/src/crocusspindle/gateway/knowledge.py
@@ -4,7 +4,7 @@
 import zlib
 from collections.abc import Callable, Sequence
 from dataclasses import astuple
-from typing import Any, ClassVar, Final
+from typing import Any, ClassVar, Final, NamedTuple
 
 import msgpack
 
@@ -34,6 +34,18 @@
     return zlib.crc32(form) or 1
 
 
+class Held(NamedTuple):
+    """Hold the keys of the forms that a node can take an update to."""
+
+    configuration_version: int
+    targets_digest: int
+    view_number: int
+    open_digest: int
+
+
+NOTHING_HELD: Final = Held(-1, NO_DIGEST, -1, NO_DIGEST)
+
+
 class Knowledge(Service):
     """Hold configuration, targets, view and open nodes, each with its proof."""
 
@@ -53,6 +65,7 @@
             document: Forms()
             for document in ("configuration", "targets", "view", "open")
         }
+        self._needs_whole = False
         self._listeners: list[Callable[[], None]] = []
 
     def listen(self, changed: Callable[[], None]) -> None:
@@ -148,7 +161,7 @@
             back_at_ms = asked_ms - state.store_back_ms
             self.store_back_at_ms = max(self.store_back_at_ms, back_at_ms)
         self.tell()
-        return all(
+        taken = all(
             packed is None or form is not None
             for packed, form in (
                 (state.configuration, configuration),
@@ -157,6 +170,22 @@
                 (state.open_nodes, open_nodes),
             )
         )
+        # Two forms may bear the same key: the store's text of a version that was
+        # written twice. No update to the one fits the other, so that a node which went
+        # on naming its key would never learn of another version.
+        self._needs_whole = not taken
+        return taken
+
+    def held(self) -> Held:
+        """Return what this node can take an update to."""
+        if self._needs_whole:
+            return NOTHING_HELD
+        return Held(
+            self.configuration.version,
+            self.targets_digest,
+            self.view.version,
+            self.open_digest,
+        )
 
     def _unpacked(self, document: str, packed: Packed | None) -> bytes | None:
         return None if packed is None else self._forms[document].unpacked(packed)
@@ -173,42 +202,38 @@
         return form
 
     def state_for(
-        self,
-        configuration_version: int,
-        targets_digest: int,
-        view_number: int,
-        open_digest: int,
-        unknown: bool = False,
-        reads: bool = False,
+        self, asker: Held, unknown: bool = False, reads: bool = False
     ) -> State:
-        """Return what a node that believes these has to learn."""
+        """Return what a node that holds these has to learn."""
         at_ms = now_ms()
         config, targets, view = self.configuration, self.targets, self.view
-        newer = config.version > configuration_version
+        newer = config.version > asker.configuration_version
         # A node that has just started holds nothing yet, and tells nothing.
-        other_targets = self.targets_digest not in (targets_digest, NO_DIGEST)
-        other_open = self.open_digest not in (open_digest, NO_DIGEST)
+        other_targets = self.targets_digest not in (asker.targets_digest, NO_DIGEST)
+        other_open = self.open_digest not in (asker.open_digest, NO_DIGEST)
         return State(
             configuration_version=config.version,
             configuration_age_ms=_whole(config.age_ms(at_ms)),
             configuration=(
-                self._packed("configuration", configuration_version) if newer else None
+                self._packed("configuration", asker.configuration_version)
+                if newer
+                else None
             ),
             targets_version=targets.version,
             targets_digest=self.targets_digest,
             targets_age_ms=_whole(targets.age_ms(at_ms)),
             targets=(
-                self._packed("targets", targets_digest) if other_targets else None
+                self._packed("targets", asker.targets_digest) if other_targets else None
             ),
             view_number=view.version,
             view_age_ms=_whole(view.age_ms(at_ms)),
             view=(
-                self._packed("view", view_number)
-                if view.version > view_number
+                self._packed("view", asker.view_number)
+                if view.version > asker.view_number
                 else None
             ),
             open_digest=self.open_digest,
-            open_nodes=self._packed("open", open_digest) if other_open else None,
+            open_nodes=self._packed("open", asker.open_digest) if other_open else None,
             store_back_ms=_whole(at_ms - self.store_back_at_ms),
             unknown=unknown,
             reads=reads,
--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -16,7 +16,13 @@
 )
 from crocusspindle.errors import PlatformError
 from crocusspindle.gateway.exchange import Address, Exchange
-from crocusspindle.gateway.knowledge import Knowledge, packed_node, unpacked_node
+from crocusspindle.gateway.knowledge import (
+    NOTHING_HELD,
+    Held,
+    Knowledge,
+    packed_node,
+    unpacked_node,
+)
 from crocusspindle.gateway.messages import Done, Hello, Peek, Ping, Probe, State
 from crocusspindle.gateway.reading import ASKED_MS, OWN_MS, Reading
 from crocusspindle.ids import HostId
@@ -82,7 +88,7 @@
         self._met_hosts: dict[tuple[Address, str], HostId] = {}
         self._pinged_ms: dict[HostId, float] = {}
         self._ready: dict[HostId, bool] = {}
-        self._pushed: tuple[int, int, int, int] = (-1, 0, -1, 0)
+        self._pushed = NOTHING_HELD
         self._suspect_until_ms: dict[HostId, float] = {}
         self._wake = asyncio.Event()
         self._view_seen = -1
@@ -215,17 +221,15 @@
         return True
 
     def _suspect(self, reader: HostId, reason: str) -> None:
+        if self._suspect_until_ms.get(reader, -math.inf) > now_ms():
+            return
         self._suspect_until_ms[reader] = now_ms() + SUSPECT_MS
         log_state_change(self._log, "reader passed over", host=reader, reason=reason)
 
     def _own_ping(self) -> Ping:
-        known = self._knowledge
         return Ping(
             self._node.incarnation,
-            known.configuration.version,
-            known.targets_digest,
-            known.view.version,
-            known.open_digest,
+            self._knowledge.held(),
             self.ready,
             self.leaving,
         )
@@ -242,10 +246,7 @@
             if ping.leaving:
                 self._refresh_open()
         return self._knowledge.state_for(
-            ping.configuration_version,
-            ping.targets_digest,
-            ping.view_number,
-            ping.open_digest,
+            Held(*ping.held),
             unknown=host is None,
             reads=not self._reading.lost,
         )
@@ -259,24 +260,13 @@
         to = self.address(host)
         if to is None:
             return
-        asked_ms, known = now_ms(), self._knowledge
-        peek = Peek(
-            known.configuration.version,
-            known.targets_digest,
-            known.view.version,
-            known.open_digest,
-        )
+        asked_ms, peek = now_ms(), Peek(self._knowledge.held())
         state = await self._exchange.ask(to, peek, PING_SILENT_S, PING_LIMIT_S)
         if isinstance(state, State):
             self._knowledge.take_state(state, asked_ms)
 
     async def _answer_peek(self, peek: Peek, sender: Address) -> State:
-        return self._knowledge.state_for(
-            peek.configuration_version,
-            peek.targets_digest,
-            peek.view_number,
-            peek.open_digest,
-        )
+        return self._knowledge.state_for(Held(*peek.held))
 
     async def _first_proofs(self) -> None:
         # Who asks a reader that rested waits for its first answers from the store.
@@ -300,16 +290,10 @@
             self._view_seen_ms = now_ms()
         if not self._reading.active:
             return
-        known = self._knowledge
-        newest = (
-            known.configuration.version,
-            known.targets_digest,
-            known.view.version,
-            known.open_digest,
-        )
+        newest = self._knowledge.held()
         if newest == self._pushed:
             return
-        state = known.state_for(*self._pushed)
+        state = self._knowledge.state_for(self._pushed)
         self._pushed = newest
         since_ms = now_ms() - PRESENT_MS
         for host, pinged_ms in self._pinged_ms.items():
--- a/src/crocusspindle/gateway/messages.py
+++ b/src/crocusspindle/gateway/messages.py
@@ -68,13 +68,13 @@
 @message(2)
 @dataclass(frozen=True, slots=True)
 class Ping:
-    """Ask a reader what is newest, and tell that this node lives."""
+    """Ask a reader what is newest, and tell that this node lives.
+
+    ``held`` are the keys of `Held`.
+    """
 
     incarnation: str
-    configuration_version: int
-    targets_digest: int
-    view_number: int
-    open_digest: int
+    held: Sequence[int]
     ready: bool
     leaving: bool
 
@@ -217,10 +217,7 @@
 class Peek:
     """Ask a node what it believes, without making it a reader."""
 
-    configuration_version: int
-    targets_digest: int
-    view_number: int
-    open_digest: int
+    held: Sequence[int]
 
 
 @message(14)
--- a/src/crocusspindle/gateway/reading.py
+++ b/src/crocusspindle/gateway/reading.py
@@ -130,6 +130,8 @@
         if now_ms() > self._wanted_until_ms and self._wanted.is_set():
             self._wanted.clear()
             self._positions.clear()
+            # Who does not try cannot say that the store is out of reach.
+            self._failing_since_ms.clear()
             log_state_change(self._log, "rests from reading")
         await self._wanted.wait()
 
--- a/tests/gateway/test_knowledge.py
+++ b/tests/gateway/test_knowledge.py
@@ -1,9 +1,11 @@
 """Tell peers what is believed, and take what they tell."""
 
+import json
+
 from crocusspindle.clock import now_ms
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
 from crocusspindle.core.view import NodeAddress, Seat, View
-from crocusspindle.gateway.knowledge import Knowledge
+from crocusspindle.gateway.knowledge import Held, Knowledge
 from crocusspindle.gateway.messages import State, pack, packed, unpack, unpacked
 from crocusspindle.ids import DomainId, HostId, Incarnation, ServiceId
 from crocusspindle.platform.documents import parse_configuration
@@ -40,14 +42,7 @@
 
 
 def state_for(told: Knowledge, asker: Knowledge) -> State:
-    return sent(
-        told.state_for(
-            asker.configuration.version,
-            asker.targets_digest,
-            asker.view.version,
-            asker.open_digest,
-        )
-    )
+    return sent(told.state_for(asker.held()))
 
 
 def informed() -> Knowledge:
@@ -95,7 +90,28 @@
     reader.take_view(View(4, tuple(seat(n) for n in range(4))), now_ms())
     lost = reader.view.version
     reader.take_view(View(5, tuple(seat(n) for n in range(3))), now_ms())
-    push = sent(reader.state_for(-1, reader.targets_digest, lost, reader.open_digest))
+    held = Held(-1, reader.targets_digest, lost, reader.open_digest)
+    push = sent(reader.state_for(held))
     assert not node.take_state(push, now_ms() + 50.0)
     assert node.view.version == 3
     assert node.view.proved_at_ms == proved_at_ms
+
+
+def configuration(version: int, text: str) -> bytes:
+    document = {"version": f"{version:08x}", "routes": {}, "note": text}
+    return json.dumps(document).encode()
+
+
+def test_a_node_with_another_text_of_the_same_version_learns_the_next():
+    """The operator's tool wrote a version twice, with its fields in another order.
+
+    The reader holds one text, a node the other, and what changed since then fits only
+    the reader's. The node would serve the old routes and the withdrawn keys for good.
+    """
+    reader, node = Knowledge(parse_configuration), Knowledge(parse_configuration)
+    node.take_configuration(configuration(5, "first text" * 9), now_ms())
+    reader.take_configuration(configuration(5, "another text" * 9), now_ms())
+    reader.take_configuration(configuration(6, "another text!" * 9), now_ms())
+    assert not node.take_state(state_for(reader, node), now_ms())
+    assert node.take_state(state_for(reader, node), now_ms())
+    assert node.configuration.version == 6
--- a/tests/gateway/test_reading.py
+++ b/tests/gateway/test_reading.py
@@ -231,6 +231,17 @@
     assert not store.reading.lost
 
 
+async def test_a_node_that_does_not_try_to_read_has_not_lost_the_store(fixture):
+    """It would pass itself over for as long as others read, and never try again."""
+    store, _ = fixture
+    store.away = True
+    await asyncio.sleep(0.8)
+    assert store.reading.lost
+    await rest(store)
+    await asyncio.sleep(0.1)
+    assert not store.reading.lost
+
+
 async def rest(store) -> None:
     store.reading._wanted_until_ms = 0.0
     await asyncio.sleep(0.1)
