Name at least this node when callers ask where to go

A leaving node names those whose heartbeats it heard lately; on a busy host all were late for a moment.

Change: a node that finds nobody names itself, since it serves on for as long as callers may keep its address.

--- a/src/crocusspindle/services/entry.py
+++ b/src/crocusspindle/services/entry.py
@@ -11,13 +11,14 @@
 
 from crocusspindle import instruments
 from crocusspindle.clock import now_ms
+from crocusspindle.core.caller_addresses import caller_addresses
 from crocusspindle.core.decisions import Outcome
 from crocusspindle.core.directory import digest_of
 from crocusspindle.core.loans import OverRate, Spent, Unfit
 from crocusspindle.core.model import Customer, Route
 from crocusspindle.core.operation_records import Answer, OperationName
 from crocusspindle.core.rendezvous import order
-from crocusspindle.ids import CustomerId, MemberId, OperationKey
+from crocusspindle.ids import CustomerId, DomainId, MemberId, OperationKey
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
 from crocusspindle.metrics import Metrics
@@ -51,9 +52,6 @@
 OPERATION_KEY: Final = "Idempotency-Key"
 OPERATION_KEY_MAX: Final = 200
 LONGEST_TIMEOUT_MS: Final = 600_000.0
-ADDRESSES_MAX: Final = 6
-"""Addresses in one answer: holders of the customer's shares first, and enough others
-that a lost failure domain leaves two."""
 
 PRIVATE_HEADERS: Final = frozenset(
     {
@@ -170,7 +168,7 @@
             headers={"Cache-Control": f"private, max-age={int(max_age_ms / 1e3)}"},
         )
 
-    def _addresses(self, customer: Customer) -> list[tuple[str, str]]:
+    def _addresses(self, customer: Customer) -> list[tuple[str, DomainId]]:
         """Return where a customer's callers go, best first.
 
         Holders of the customer's shares spend without asking anyone. The rest
@@ -181,12 +179,13 @@
             return []
         key = customer.customer.encode()
         ranked = [*self._rates.holders(customer), *order(key, view.names)]
-        found: list[tuple[str, str]] = []
-        for member_id in dict.fromkeys(ranked):
-            member = view.find(member_id)
-            if member is not None and self._serves(member_id):
-                found.append((member.caller_address, member.domain))
-        return found[:ADDRESSES_MAX]
+        members = [
+            member
+            for member_id in dict.fromkeys(ranked)
+            if (member := view.find(member_id)) is not None
+        ]
+        own = view.find(self._control.me.member)
+        return caller_addresses(members, self._serves, own)
 
     def _serves(self, member: MemberId) -> bool:
         if member == self._control.me.member:
