Let a node that has just started name the members to callers

The caller asks the first node first, and that node has just been started: it knows the view, is no member of it yet and has had no heartbeat back.

Change: it names the members that the fleet agrees on.

--- a/src/crocusspindle/core/caller_addresses.py
+++ b/src/crocusspindle/core/caller_addresses.py
@@ -1,6 +1,6 @@
 """Choose the addresses that a customer's callers are told to use."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 from typing import Final
 
 from crocusspindle.core.members import ViewMember
@@ -12,7 +12,7 @@
 
 
 def caller_addresses(
-    ranked: Iterable[ViewMember],
+    ranked: Sequence[ViewMember],
     serves: Callable[[MemberId], bool],
     own: ViewMember | None,
 ) -> list[tuple[str, DomainId]]:
@@ -21,13 +21,10 @@
     The load is a busy host whose peers' echoes are all late for a moment while this
     node is about to leave, so that nobody seems to serve. An empty list would leave
     callers with nowhere to go; a leaving node still serves for as long as callers may
-    keep its address, so it names itself.
+    keep its address, so it names itself. A node that has just started is no member
+    yet and has heard nobody; it names the members that the fleet agrees on.
     """
-    found = [
-        (member.caller_address, member.domain)
-        for member in ranked
-        if serves(member.member)
-    ]
-    if not found and own is not None:
-        return [(own.caller_address, own.domain)]
-    return found[:ADDRESSES_MAX]
+    named = [member for member in ranked if serves(member.member)]
+    if not named:
+        named = [*ranked] if own is None else [own]
+    return [(member.caller_address, member.domain) for member in named[:ADDRESSES_MAX]]
