Draw what pooled evidence and the threshold for errors cost and buy

The choice of 6 nats, and of one placer a service that hears of every ending, rested on argument. Bounds join the check.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -4,7 +4,7 @@
 
 import fire
 
-from benchmarks import capacity, health, queueing, shares
+from benchmarks import capacity, gray_targets, health, queueing, shares
 
 
 def check() -> None:
@@ -12,6 +12,7 @@
     broken: list[str] = []
     for name, module in (
         ("health", health),
+        ("gray targets", gray_targets),
         ("queueing", queueing),
         ("shares", shares),
     ):
