Push only when what is believed changed, not when an update did not fit

A reader compared what it had pushed with the keys by which it asks, and these become empty after an update that did not fit: it pushed to the other reader, whose push did not fit again, as fast as the network carried it.

Ruled out: the compression itself (a form is packed once a base).

Change: what is pushed follows from what is believed, what is asked for from what an update can be taken to.

--- a/src/crocusspindle/gateway/knowledge.py
+++ b/src/crocusspindle/gateway/knowledge.py
@@ -178,8 +178,10 @@
 
     def held(self) -> Held:
         """Return what this node can take an update to."""
-        if self._needs_whole:
-            return NOTHING_HELD
+        return NOTHING_HELD if self._needs_whole else self.keys()
+
+    def keys(self) -> Held:
+        """Return the keys of what this node believes."""
         return Held(
             self.configuration.version,
             self.targets_digest,
--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -290,7 +290,7 @@
             self._view_seen_ms = now_ms()
         if not self._reading.active:
             return
-        newest = self._knowledge.held()
+        newest = self._knowledge.keys()
         if newest == self._pushed:
             return
         state = self._knowledge.state_for(self._pushed)
