Push nothing on that was pushed: two readers swapped lists for ever

Two readers at once, with different lists, push to each other; the pushes cross, each takes the other's for news and pushes again.

The new test fails without it.

--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -89,6 +89,7 @@
         self._pinged_ms: dict[HostId, float] = {}
         self._ready: dict[HostId, bool] = {}
         self._pushed = NOTHING_HELD
+        self._taking_push = False
         self._suspect_until_ms: dict[HostId, float] = {}
         self._wake = asyncio.Event()
         self._view_seen = -1
@@ -280,7 +281,11 @@
     async def _state(self, state: State, sender: Address) -> None:
         # Pushed, not asked for: contents count, but how long it was on its way is
         # not known, so it proves nothing.
-        if not self._knowledge.take_state(state, -math.inf):
+        self._taking_push = True
+        taken = self._knowledge.take_state(state, -math.inf)
+        self._taking_push = False
+        self._pushed = self._knowledge.keys()
+        if not taken:
             # An earlier push was lost, and this one tells only what changed since.
             self._wake.set()
 
@@ -288,7 +293,9 @@
         if self._knowledge.view.version != self._view_seen:
             self._view_seen = self._knowledge.view.version
             self._view_seen_ms = now_ms()
-        if not self._reading.active:
+        # Two readers with different lists would swap them for ever, as fast as the
+        # network carries it. Who asks this node learns what was pushed to it in time.
+        if self._taking_push or not self._reading.active:
             return
         newest = self._knowledge.keys()
         if newest == self._pushed:
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -43,3 +43,22 @@
     assert reader.take_state(state_for(other, reader), now_ms())
     membership._push()
     assert len(told.messages) == 2
+
+
+async def test_what_was_pushed_to_a_reader_is_not_pushed_on():
+    """Two readers at once have different lists, and push them to each other.
+
+    Each takes the other's. If that counted as news they would swap for ever: 280,000
+    datagrams between failure domains in five seconds.
+    """
+    reader, other, told = informed(), informed(), Told()
+    reading = SimpleNamespace(active=True, lost=False)
+    membership = Membership(seat(0).node, told, reader, reading, set)
+    reader.listen(membership._push)
+    membership._meet(seat(1).node)
+    membership._pinged_ms[seat(1).node.host] = now_ms()
+    membership._push()
+    other.take_open_nodes([("127.0.0.1:81", "a")])
+    await membership._state(state_for(other, reader), ("127.0.0.1", 7340))
+    assert reader.open_nodes == [("127.0.0.1:81", "a")]
+    assert len(told.messages) == 1
