--- a/benchmarks/gray_targets.py
+++ b/benchmarks/gray_targets.py
@@ -274,7 +274,7 @@
     try:
         yield
     finally:
-        target_gauge.EJECT_NATS = kept_nats  # type: ignore[misc]
+        target_gauge.EJECT_NATS = kept_nats  # type: ignore[misc]  # the same
 
 
 @dataclass(frozen=True)
