--- /dev/null
+++ b/src/crocusspindle_standins/virtual/fleet.py
@@ -0,0 +1,149 @@
+"""Start the nodes of a fleet in virtual time, and look at what they believe."""
+
+import asyncio
+import json
+import random
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
+from crocusspindle.core.view import NodeAddress
+from crocusspindle.gateway.exchange import Exchange
+from crocusspindle.gateway.knowledge import Knowledge
+from crocusspindle.gateway.membership import Membership
+from crocusspindle.gateway.reading import Reading
+from crocusspindle.ids import DomainId, HostId, Incarnation, ServiceId
+from crocusspindle.platform.fleet_platform import Table
+from crocusspindle_standins.virtual.loop import VirtualLoop
+from crocusspindle_standins.virtual.network import Link, Network
+from crocusspindle_standins.virtual.store import (
+    CONFIGURATION_KEY,
+    Store,
+    StoreClient,
+    target_row,
+)
+
+PEER_PORT: Final = 7_340
+START_WITHIN_S: Final = 0.3
+DOMAINS: Final = ("a", "b", "c", "d")
+ROUTES: Final = 60
+
+
+@dataclass(frozen=True, slots=True)
+class HostSize:
+    """Hold what a host can carry."""
+
+    link_mbit_s: float
+    cores: float = 1.0
+
+
+class Node:
+    """Run the services of one host that keep its beliefs fresh."""
+
+    def __init__(self, address: NodeAddress, store: Store, draw: random.Random) -> None:
+        self.address = address
+        platform = StoreClient(store, address.host)
+        self.exchange = Exchange((address.ip, address.peer_port), draw)
+        self.knowledge = Knowledge(platform.parse_configuration)
+        self.reading = Reading(platform, self.knowledge)
+        self.membership = Membership(
+            address, self.exchange, self.knowledge, self.reading, set
+        )
+        self.membership.is_ready = lambda: self.knowledge.view.content is not None
+
+    async def start(self) -> None:
+        """Start the services in their order."""
+        for service in (self.exchange, self.reading, self.membership):
+            await service.start()
+
+    async def kill(self) -> None:
+        """End all at once, as a killed process would."""
+        await self.exchange.stop()
+        for service in (self.membership, self.reading, self.exchange):
+            await service.cancel_tasks()
+
+
+class VirtualFleet:
+    """Hold hosts, their links and the store."""
+
+    def __init__(
+        self, loop: VirtualLoop, sizes: Sequence[HostSize], targets: int, seed: int
+    ) -> None:
+        self._draw = random.Random(seed)
+        self.store = Store()
+        self.network = Network(loop)
+        loop.network = self.network
+        self.sizes = {f"n{number:03}": size for number, size in enumerate(sizes)}
+        self.nodes: dict[str, Node] = {}
+        for number in range(targets):
+            self._list_target(number)
+        self.store.put(Table.CONFIGURATION, CONFIGURATION_KEY, _configuration())
+
+    def _list_target(self, number: int) -> None:
+        target = ListedTarget(
+            TargetIdentity(f"i-{self._draw.getrandbits(40):010x}"),
+            ServiceId(f"service-{number % 3}"),
+            f"10.9.{number // 250}.{number % 250}:8422",
+            DomainId(DOMAINS[number % len(DOMAINS)]),
+            2,
+            Readiness.READY,
+        )
+        self.store.put(Table.TARGETS, target.identity, target_row(target))
+
+    async def start_all(self) -> None:
+        """Start all hosts, as a platform does: within 0.3 s, in any order."""
+        names = list(self.sizes)
+        self._draw.shuffle(names)
+        for name in names:
+            await asyncio.sleep(START_WITHIN_S / len(names))
+            await self.start(name)
+
+    async def start(self, name: str) -> None:
+        """Start a process on a host."""
+        number = list(self.sizes).index(name)
+        ip = f"10.1.{number // 250}.{number % 250}"
+        self.network.links.setdefault(ip, Link(self.sizes[name].link_mbit_s))
+        address = NodeAddress(
+            HostId(name),
+            Incarnation(f"{self._draw.getrandbits(32):08x}"),
+            ip,
+            PEER_PORT,
+            DomainId(DOMAINS[number % len(DOMAINS)]),
+            f"{ip}:8782",
+        )
+        self.nodes[name] = Node(address, self.store, self._draw)
+        await self.nodes[name].start()
+
+    def views(self) -> Counter[int]:
+        """Return how many nodes have each view in force."""
+        return Counter(node.knowledge.view.version for node in self.nodes.values())
+
+    def named(self) -> int:
+        """Return how many running processes the store's view names."""
+        row = self.store.tables[Table.FLEET].get("view")
+        if row is None or row.value is None:
+            return 0
+        _, seats, _ = json.loads(row.value)
+        named = {seat[1] for seat in seats}
+        running = {node.address.incarnation for node in self.nodes.values()}
+        return len(named & running)
+
+    def readers(self) -> list[str]:
+        """Return the hosts that read the store now."""
+        return [name for name, node in self.nodes.items() if node.reading.active]
+
+    def sent(self) -> int:
+        """Return how many datagrams were sent."""
+        return sum(link.sent for link in self.network.links.values())
+
+    def sent_bytes(self) -> int:
+        """Return how many bytes of datagrams were sent."""
+        return sum(link.sent_bytes for link in self.network.links.values())
+
+
+def _configuration() -> bytes:
+    document = {"version": "00000002", "routes": {}, "services": {}, "tenants": {}}
+    document["note"] = " ".join(f"route-{number:04}" for number in range(ROUTES * 12))
+    return json.dumps(document).encode()
--- /dev/null
+++ b/src/crocusspindle_standins/virtual/store.py
@@ -0,0 +1,128 @@
+"""Keep the platform's tables in memory, for nodes in virtual time."""
+
+import asyncio
+import json
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from typing import Any, Final, Self
+
+from crocusspindle.core.configuration import Configuration
+from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
+from crocusspindle.errors import PlatformUnavailableError
+from crocusspindle.ids import DomainId, ServiceId
+from crocusspindle.platform.documents import parse_configuration
+from crocusspindle.platform.fleet_platform import Changes, StoredRow, Table
+
+CALL_S: Final = 0.01
+LEAST_WAIT_S: Final = 1e-6
+"""A shorter wait is lost in the rounding of the clock, and would never end."""
+
+CONFIGURATION_KEY: Final = "config"
+
+
+class Store:
+    """Hold rows, and count the calls of each host."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.tables: dict[Table, dict[str, StoredRow]] = {t: {} for t in Table}
+        self.calls: Counter[str] = Counter()
+        self.view_writes = 0
+        self._news = asyncio.Event()
+
+    def put(self, table: Table, key: str, value: bytes | None) -> int:
+        """Write a row and return the version."""
+        self.version += 1
+        self.tables[table][key] = StoredRow(key, self.version, value)
+        self._news.set()
+        self._news = asyncio.Event()
+        return self.version
+
+    async def changed(self, wait_s: float) -> None:
+        """Wait until a row is written, for a time at most."""
+        try:
+            await asyncio.wait_for(self._news.wait(), wait_s)
+        except TimeoutError:
+            return
+
+
+class StoreClient:
+    """Call the store as one host."""
+
+    def __init__(self, store: Store, host: str) -> None:
+        self._store = store
+        self._host = host
+
+    @classmethod
+    def from_config(cls, options: Mapping[str, Any]) -> Self:
+        """Build the client of a store that the options hold."""
+        return cls(options["store"], options["host"])
+
+    async def _call(self) -> None:
+        self._store.calls[self._host] += 1
+        await asyncio.sleep(CALL_S)
+
+    async def read(self, table: Table) -> Changes:
+        """Return all rows of a table."""
+        await self._call()
+        rows = [r for r in self._store.tables[table].values() if r.value is not None]
+        return Changes(rows, self._store.version)
+
+    async def follow(self, table: Table, after: int, wait_ms: float) -> Changes:
+        """Return what changed after a version, at once or when something does."""
+        await self._call()
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + wait_ms / 1e3
+        while True:
+            rows = [r for r in self._store.tables[table].values() if r.version > after]
+            left_s = ends_s - loop.time()
+            if rows or left_s <= LEAST_WAIT_S:
+                rows.sort(key=lambda row: row.version)
+                return Changes(rows, self._store.version)
+            await self._store.changed(left_s)
+
+    async def put(self, key: str, value: bytes, expected: int | None) -> int | None:
+        """Write a row of the fleet's table; return its version, None on conflict."""
+        await self._call()
+        held = self._store.tables[Table.FLEET].get(key)
+        if expected is not None and expected != (held.version if held else 0):
+            return None
+        return self._store.put(Table.FLEET, key, value)
+
+    def configuration(self, rows: Sequence[StoredRow]) -> bytes | None:
+        """Return the newest value of the row that holds the configuration."""
+        values = [row.value for row in rows if row.key == CONFIGURATION_KEY]
+        return values[-1] if values else None
+
+    def parse_configuration(self, value: bytes) -> Configuration:
+        """Parse a configuration in the platform's form."""
+        return parse_configuration(value)
+
+    def parse_target(self, key: str, value: bytes) -> ListedTarget | None:
+        """Return the target of a row as `target_row` wrote it."""
+        service, address, domain, slots, readiness = json.loads(value)
+        return ListedTarget(
+            TargetIdentity(key),
+            ServiceId(service),
+            address,
+            DomainId(domain),
+            slots,
+            Readiness(readiness),
+        )
+
+    async def close(self) -> None:
+        """Release nothing."""
+
+
+class AbsentStore(StoreClient):
+    """Answer no call: the host is cut off from the store."""
+
+    async def _call(self) -> None:
+        await asyncio.sleep(1.0)
+        raise PlatformUnavailableError("the store is out of reach")
+
+
+def target_row(target: ListedTarget) -> bytes:
+    """Return the row of a target."""
+    fields = (target.service, target.address, target.domain, target.slots)
+    return json.dumps([*fields, target.readiness.value]).encode()
--- /dev/null
+++ b/tests/gateway/test_fleet_settles.py
@@ -0,0 +1,78 @@
+"""Start whole fleets in virtual time and see them come to rest."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import logbook
+import pytest
+
+from crocusspindle_standins.virtual.fleet import HostSize, VirtualFleet
+from crocusspindle_standins.virtual.loop import VirtualLoop, VirtualTime, run
+
+LARGE = HostSize(200.0, 2.15)
+SMALL = HostSize(10.0, 0.43)
+TARGETS = 198
+
+READY_AFTER_S = 10.0
+"""Callers come twelve seconds after the hosts start at the earliest."""
+
+READERS = 2
+"""One reads, and another one may be on its way to resting."""
+
+CALLS_PER_S = 20.0
+"""Three tables followed at a call per half second by each of them, and some writes."""
+
+DATAGRAMS_PER_HOST_S = 20.0
+"""A host asks twice a second and is answered; the rest is room for one start."""
+
+
+@pytest.fixture
+def play(monkeypatch):
+    """Return a function that plays a scene on a fleet."""
+
+    def play_on(
+        sizes: list[HostSize], scene: Callable[[VirtualFleet], Awaitable[None]]
+    ) -> None:
+        loop = VirtualLoop()
+        monkeypatch.setattr("crocusspindle.clock.time", VirtualTime(loop))
+
+        async def whole() -> None:
+            await scene(VirtualFleet(loop, sizes, TARGETS, seed=1))
+
+        with logbook.NullHandler().applicationbound():
+            run(loop, whole())
+
+    return play_on
+
+
+async def assert_rests(fleet: VirtualFleet, for_s: float) -> None:
+    """Look for a while: one view that names all, few readers, few messages."""
+    views, calls, sent = fleet.views(), fleet.store.calls.total(), fleet.sent()
+    assert len(views) == 1
+    assert fleet.named() == len(fleet.nodes)
+    assert len(fleet.readers()) <= READERS
+    await asyncio.sleep(for_s)
+    assert fleet.views() == views
+    assert fleet.store.calls.total() - calls <= CALLS_PER_S * for_s
+    assert fleet.sent() - sent <= DATAGRAMS_PER_HOST_S * len(fleet.nodes) * for_s
+
+
+@pytest.mark.parametrize(
+    ("large", "small"), [(0, 30), (8, 125), (0, 133), (8, 292), (0, 300)]
+)
+def test_a_fleet_that_starts_comes_to_rest(play, large, small):
+    """A hundred hosts and more start at once, most of them with a narrow link.
+
+    The view of the members changed several times a second for as long as the fleet
+    ran, and nearly every host read the store for itself. Callers heard that nobody
+    kept their customer, or waited for one placer after the other.
+    """
+
+    async def scene(fleet: VirtualFleet) -> None:
+        await fleet.start_all()
+        await asyncio.sleep(READY_AFTER_S - 2.0)
+        per_host = fleet.sent() / len(fleet.nodes) / (READY_AFTER_S - 2.0)
+        assert per_host <= DATAGRAMS_PER_HOST_S
+        await assert_rests(fleet, 2.0)
+
+    play([LARGE] * large + [SMALL] * small, scene)
