--- a/src/crocusspindle/gateway/exchange.py
+++ b/src/crocusspindle/gateway/exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Any, ClassVar, Final
 
 from crocusspindle.errors import PeerError
@@ -18,6 +19,12 @@
 """Ten times the longest way between failure domains: a datagram that was lost is sent
 again before a caller would notice."""
 
+LARGE_BYTES: Final = 1_400
+"""An answer that fills more than one packet may be on its way for long on a narrow
+link, behind others of its kind. Sent again for each copy of its ask it would fill the
+link for good: a copy hears that the peer is at work while the answer may still come."""
+
+LARGE_AGAIN_S: Final = 0.5
 ANSWERS_KEPT: Final = 4_096
 """Answers kept for asks that come again: some seconds of a busy node's."""
 
@@ -43,7 +50,7 @@
         self._late: dict[type[Any], LateHandler] = {}
         self._next_ask = draw.getrandbits(40)
         self._asks: dict[int, _Pending] = {}
-        self._handled: dict[tuple[Address, int], bytes | None] = {}
+        self._handled: dict[tuple[Address, int], _Answered | None] = {}
 
     def handle(self, kind: type[Any], handler: Handler) -> None:
         """Call a handler for each message of a type; what it returns is the answer.
@@ -148,14 +155,24 @@
     def _asked(self, number: int, content: Any, sender: Address) -> None:
         key = (sender, number)
         if key in self._handled:
-            answer = self._handled[key]
-            self._send(sender, answer or packed([BUSY, number]))
+            self._answer_copy(key, self._handled[key])
             return
         self._handled[key] = None
         while len(self._handled) > ANSWERS_KEPT:
             del self._handled[next(iter(self._handled))]
         self.spawn(self._answer(key, content))
 
+    def _answer_copy(
+        self, key: tuple[Address, int], answered: "_Answered | None"
+    ) -> None:
+        sender, number = key
+        now = asyncio.get_running_loop().time()
+        if answered is None or answered.may_still_come(now):
+            self._send(sender, packed([BUSY, number]))
+            return
+        answered.sent = now
+        self._send(sender, answered.data)
+
     async def _answer(self, key: tuple[Address, int], content: Any) -> None:
         sender, number = key
         answer = await self._call(content, sender)
@@ -163,7 +180,7 @@
             self._handled.pop(key, None)
             return
         data = packed([ANSWER, number, *pack(answer)])
-        self._handled[key] = data
+        self._handled[key] = _Answered(data, asyncio.get_running_loop().time())
         self._send(sender, data)
 
     async def _call(self, content: Any, sender: Address) -> Any | None:
@@ -171,6 +188,17 @@
         return None if handler is None else await handler(content, sender)
 
 
+@dataclass(slots=True)
+class _Answered:
+    """Keep an answer for copies of its ask, and when it was last sent."""
+
+    data: bytes
+    sent: float
+
+    def may_still_come(self, now: float) -> bool:
+        return len(self.data) > LARGE_BYTES and now - self.sent < LARGE_AGAIN_S
+
+
 class _Pending:
     """Hold one ask until its answer is here."""
 
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -8,6 +8,7 @@
 from crocusspindle.gateway.exchange import Exchange
 from crocusspindle.gateway.messages import (
     Done,
+    Hello,
     NotMineAnswer,
     SpendAnswer,
     SpendAsk,
@@ -26,9 +27,11 @@
         super().__init__(address, random.Random(1))
         self.sent = 0
         self._lost = set(lost)
+        self.lengths = []
 
     def _send(self, to, data):
         self.sent += 1
+        self.lengths.append(len(data))
         if self.sent - 1 not in self._lost:
             super()._send(to, data)
 
@@ -130,3 +133,22 @@
 def test_messages_survive_packing():
     for content in (Done(), SpendAsk("club", 1.5)):
         assert unpack(unpacked(packed(pack(content)))) == content
+
+
+async def test_a_large_answer_is_not_sent_again_while_it_may_be_on_its_way(pair):
+    """A whole list goes out over a narrow link behind others, and its ask comes again.
+
+    With each copy of the ask the list went out once more. The link was full of copies
+    for as long as anyone asked, and its host was taken for gone by the whole fleet.
+    """
+    asker, answerer = pair
+    answerer._lost = set(range(50))
+
+    async def tell(ask, sender):
+        return Hello(("x" * 5_000,))
+
+    answerer.handle(SpendAsk, tell)
+    await asker.ask(address(answerer), SpendAsk("club", 10.0), 0.2, 0.3)
+    lengths = answerer.lengths
+    assert len(lengths) > 1
+    assert sum(length > 5_000 for length in lengths) == 1
