--- /dev/null
+++ b/src/crocusspindle/core/reader_choice.py
@@ -0,0 +1,77 @@
+"""Choose whom a node asks for what is newest, and whom it passes over for a while."""
+
+import math
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from crocusspindle.core.rendezvous import order
+from crocusspindle.ids import HostId, Incarnation
+
+READER_DUTY: Final = b"reader"
+SUSPECT_MS: Final = 2_000.0
+"""How long a reader is passed over after its first silence."""
+
+SUSPECT_MAX_MS: Final = 32_000.0
+"""Readers that stay silent are tried again ever more rarely. Tried every two seconds, a
+few of them at the front would take more time than that to get past, and no node would
+ever come to the one that answers."""
+
+JITTER: Final = 0.25
+
+
+@dataclass(slots=True)
+class _Suspicion:
+    incarnation: Incarnation | None
+    length_ms: float
+    until_ms: float
+
+
+class ReaderChoice:
+    """Rank the nodes that may be asked, by one node's own experience with them.
+
+    The load is a fleet many of whose nodes cannot carry the duty, or are cut off. The
+    harm prevented: all nodes asking all silent ones in turn, for ever.
+    """
+
+    def __init__(self, draw: random.Random) -> None:
+        self._draw = draw
+        self._suspicions: dict[HostId, _Suspicion] = {}
+
+    def candidates(
+        self, known: Mapping[HostId, Incarnation | None], now_ms: float
+    ) -> list[HostId]:
+        """Return the nodes to ask, the best first.
+
+        A node that was started anew since it was silent is tried at once.
+        """
+        return order(
+            READER_DUTY,
+            [host for host, life in known.items() if self._may_ask(host, life, now_ms)],
+        )
+
+    def _may_ask(self, host: HostId, life: Incarnation | None, now_ms: float) -> bool:
+        suspicion = self._suspicions.get(host)
+        if suspicion is None or suspicion.until_ms <= now_ms:
+            return True
+        return suspicion.incarnation != life
+
+    def suspect(self, host: HostId, life: Incarnation | None, now_ms: float) -> bool:
+        """Pass a node over for a while; return False if it is passed over already."""
+        known = self._suspicions.get(host)
+        if known is None or known.incarnation != life:
+            known = _Suspicion(life, SUSPECT_MS, -math.inf)
+            self._suspicions[host] = known
+        elif known.until_ms > now_ms:
+            return False
+        else:
+            known.length_ms = min(SUSPECT_MAX_MS, known.length_ms * 2)
+        # Nodes that were disappointed together must not come back together.
+        spread = self._draw.uniform(1.0 - JITTER, 1.0 + JITTER)
+        known.until_ms = now_ms + known.length_ms * spread
+        return True
+
+    def trust(self, host: HostId) -> None:
+        """Forget what spoke against a node that has answered well."""
+        self._suspicions.pop(host, None)
--- a/src/crocusspindle/gateway/assembly.py
+++ b/src/crocusspindle/gateway/assembly.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from crocusspindle.core.byte_pace import BytePace
 from crocusspindle.core.policies import Policies
+from crocusspindle.core.reader_choice import ReaderChoice
 from crocusspindle.core.view import NodeAddress
 from crocusspindle.errors import Finding, SettingsError
 from crocusspindle.gateway.admission import Admission
@@ -63,7 +65,11 @@
     knowledge = Knowledge(platform.parse_configuration)
     reading = Reading(platform, knowledge)
     quota = Quota(node, bounds, exchange, knowledge)
-    membership = Membership(node, exchange, knowledge, reading, quota.over)
+    choice = ReaderChoice(draw)
+    pace = BytePace(settings.contents_bytes_per_ms)
+    membership = Membership(
+        node, exchange, knowledge, reading, quota.over, choice, pace
+    )
     placing = Placing(node, bounds, exchange, knowledge, draw, policies)
     admission = Admission(bounds, dialect, knowledge)
     sending = Sending(node, dialect, placing, metrics, draw)
--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -6,6 +6,8 @@
 from typing import ClassVar, Final
 
 from crocusspindle.clock import now_ms
+from crocusspindle.core.byte_pace import BytePace
+from crocusspindle.core.reader_choice import READER_DUTY, ReaderChoice
 from crocusspindle.core.rendezvous import order
 from crocusspindle.core.view import (
     NodeAddress,
@@ -25,17 +27,22 @@
 )
 from crocusspindle.gateway.messages import Done, Hello, Peek, Ping, Probe, State
 from crocusspindle.gateway.reading import ASKED_MS, OWN_MS, Reading
-from crocusspindle.ids import HostId
+from crocusspindle.ids import HostId, Incarnation
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
 
-READER_DUTY: Final = b"reader"
 PING_S: Final = 0.5
-PING_SILENT_S: Final = 0.15
-"""A peer answers within 3 ms; three sendings that all get lost are rare."""
+PING_SILENT_S: Final = 0.3
+"""A peer answers within 3 ms; seven sendings that all get lost hardly happen. What it
+has just told to hundreds of others may fill a narrow link for a part of this."""
+
+FIRST_PROOFS_MS: Final = 250.0
+"""A reader that was resting has its first answers from the store within this."""
+
+PING_LIMIT_S: Final = 1.0
+"""An answer with whole lists may take this long on a narrow link. A peer whose link is
+that far behind says meanwhile that it is at work."""
 
-PING_LIMIT_S: Final = 0.3
-SUSPECT_MS: Final = 2_000.0
 OLD_PROOF_MS: Final = 2_000.0
 """A reader whose proofs are older has lost the store; another one may have it."""
 
@@ -77,8 +84,12 @@
         knowledge: Knowledge,
         reading: Reading,
         over: Callable[[], set[SeatKey]],
+        choice: ReaderChoice,
+        pace: BytePace,
     ) -> None:
         self._node = node
+        self._choice = choice
+        self._pace = pace
         self._exchange = exchange
         self._knowledge = knowledge
         self._reading = reading
@@ -90,7 +101,6 @@
         self._ready: dict[HostId, bool] = {}
         self._pushed = NOTHING_HELD
         self._taking_push = False
-        self._suspect_until_ms: dict[HostId, float] = {}
         self._wake = asyncio.Event()
         self._view_seen = -1
         self._view_seen_ms = now_ms()
@@ -132,8 +142,12 @@
                 await asyncio.sleep(PING_S)
         for node in self._reading.nodes.values():
             self._meet(node)
-            if node.host != self._node.host:
-                self._exchange.tell((node.ip, node.peer_port), self._own_hello())
+        # Whoever may be asked first knows this process by then. Told to all, the start
+        # of a fleet would take as many messages as it has pairs of nodes.
+        for host in self._candidates()[:TRIES]:
+            to = self.address(host)
+            if to is not None and host != self._node.host:
+                self._exchange.tell(to, self._own_hello())
         if self._knowledge.view.content is None:
             # The whole fleet starts: who asks at once knows only itself yet, and each
             # node would read the platform for itself.
@@ -182,13 +196,12 @@
         self._reading.want(OWN_MS)
 
     def _candidates(self) -> list[HostId]:
-        at_ms = now_ms()
-        known = {
-            host
-            for host in self._known()
-            if self._suspect_until_ms.get(host, -math.inf) <= at_ms
-        }
-        return order(READER_DUTY, known)
+        known = {host: self._life(host) for host in self._known()}
+        return self._choice.candidates(known, now_ms())
+
+    def _life(self, host: HostId) -> Incarnation | None:
+        node = self._met.get(host)
+        return None if node is None else node.incarnation
 
     def _known(self) -> set[HostId]:
         view = self._knowledge.view.content
@@ -219,13 +232,17 @@
         if oldest_ms > OLD_PROOF_MS:
             self._suspect(reader, "old proofs")
             return False
+        self._choice.trust(reader)
+        if state.later:
+            # It would have to wait for its turn, and the store has it at once.
+            self._reading.want(OWN_MS)
         return True
 
     def _suspect(self, reader: HostId, reason: str) -> None:
-        if self._suspect_until_ms.get(reader, -math.inf) > now_ms():
-            return
-        self._suspect_until_ms[reader] = now_ms() + SUSPECT_MS
-        log_state_change(self._log, "reader passed over", host=reader, reason=reason)
+        if self._choice.suspect(reader, self._life(reader), now_ms()):
+            log_state_change(
+                self._log, "reader passed over", host=reader, reason=reason
+            )
 
     def _own_ping(self) -> Ping:
         return Ping(
@@ -236,21 +253,26 @@
         )
 
     async def _ping(self, ping: Ping, sender: Address) -> State:
-        if not self._reading.active:
-            self._reading.want(ASKED_MS)
-            await self._first_proofs()
         self._reading.want(ASKED_MS)
+        await self._first_proofs()
         host = self._met_hosts.get((sender, ping.incarnation))
         if host is not None:
             self._pinged_ms[host] = -math.inf if ping.leaving else now_ms()
             self._ready[host] = ping.ready
             if ping.leaving:
                 self._refresh_open()
-        return self._knowledge.state_for(
+        state = self._knowledge.state_for(
             Held(*ping.held),
             unknown=host is None,
             reads=not self._reading.lost,
         )
+        if self._may_give(state):
+            return state
+        return state.without_contents()
+
+    def _may_give(self, state: State) -> bool:
+        length = state.contents_bytes
+        return length == 0 or self._pace.take(length, now_ms())
 
     async def _consult(self) -> None:
         others = self._known() - {self._node.host}
@@ -270,8 +292,9 @@
         return self._knowledge.state_for(Held(*peek.held))
 
     async def _first_proofs(self) -> None:
-        # Who asks a reader that rested waits for its first answers from the store.
-        ends_ms = now_ms() + PING_SILENT_S * 1e3
+        # Who asks a reader that rested waits for its first answers from the store. All
+        # do: those that came second went on to the next, which had rested as well.
+        ends_ms = self._reading.since_ms + FIRST_PROOFS_MS
         while now_ms() < ends_ms:
             oldest = self._knowledge.configuration.age_ms(now_ms())
             if oldest < OLD_PROOF_MS:
@@ -305,8 +328,12 @@
         since_ms = now_ms() - PRESENT_MS
         for host, pinged_ms in self._pinged_ms.items():
             to = self.address(host)
-            if pinged_ms > since_ms and to is not None and host != self._node.host:
-                self._exchange.tell(to, state)
+            if pinged_ms <= since_ms or to is None or host == self._node.host:
+                continue
+            if not self._may_give(state):
+                # The others learn of it when they ask next.
+                return
+            self._exchange.tell(to, state)
 
     def _present(self) -> dict[HostId, NodeAddress]:
         since_ms = now_ms() - PRESENT_MS
@@ -342,13 +369,15 @@
     async def _renew_view(self) -> None:
         age_ms = now_ms() - self._reading.since_ms
         belief = self._knowledge.view
-        present = self._present()
+        present = {**self._newcomers(), **self._present()}
         if age_ms < SETTLE_MS or belief.age_ms(now_ms()) > OLD_PROOF_MS:
             return
         view = belief.content
         if not self._writes_view(view, present):
             return
-        if view is not None and not self._may_remove(view, present, age_ms):
+        if view is not None and self._hears_few(view, present, age_ms):
+            return
+        if view is not None and age_ms < REMOVE_AFTER_MS:
             kept = {
                 host: seat.node
                 for host, seat in view.by_host.items()
@@ -362,6 +391,17 @@
         if await self._reading.write_view(next_view(view, present, self._over())):
             self._knowledge.tell()
 
+    def _newcomers(self) -> dict[HostId, NodeAddress]:
+        # They have written their rows since the view was, so nobody has heard of them
+        # yet. Named one by one as they ask, the start of a fleet would take as many
+        # views as it has stragglers, each told to all.
+        written = self._reading.view_row_version
+        return {
+            host: node
+            for host, node in self._reading.nodes.items()
+            if self._reading.row_versions[host] > written
+        }
+
     def _writes_view(
         self, view: View | None, present: Mapping[HostId, NodeAddress]
     ) -> bool:
@@ -396,14 +436,15 @@
         stays = probe.incarnation == self._node.incarnation and not self.leaving
         return Done() if stays else None
 
-    def _may_remove(
+    def _hears_few(
         self, view: View, present: Mapping[HostId, NodeAddress], age_ms: float
     ) -> bool:
         # A node cut off from its peers hears nobody and would take all for gone,
         # while the reader whom they ask puts them back: views would change without
-        # end, and no customer would keep its keeper. Whoever hears less than half
+        # end, and no customer would keep its keeper. So would they if each of many
+        # nodes that read for themselves put itself back. Whoever hears less than half
         # waits long enough for the others' reader to show itself.
         if 2 * len(present) > len(view.seats):
-            return age_ms >= REMOVE_AFTER_MS
+            return False
         quiet_ms = now_ms() - self._view_seen_ms
-        return min(age_ms, quiet_ms) >= REMOVE_MOST_AFTER_MS
+        return min(age_ms, quiet_ms) < REMOVE_MOST_AFTER_MS
--- a/src/crocusspindle/gateway/messages.py
+++ b/src/crocusspindle/gateway/messages.py
@@ -1,12 +1,13 @@
 """Define the messages between nodes and pack them."""
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, fields
+from dataclasses import dataclass, fields, replace
 from typing import Any, Final, TypeVar
 
 import msgpack
 
 from crocusspindle.errors import PeerError
+from crocusspindle.gateway.updates import WHOLE
 
 _BY_CODE: Final[dict[int, type[Any]]] = {}
 _CODES: Final[dict[type[Any], int]] = {}
@@ -89,7 +90,8 @@
     Ages are counted from when the read began whose answer was the proof.
     ``unknown`` asks the pinging node to introduce itself, ``reads`` tells whether the
     answering node has the store within reach, and ``store_back_ms`` how long ago the
-    store came back after it had been away from the whole fleet.
+    store came back after it had been away from the whole fleet. ``later`` tells that
+    the answering node has whole contents of the store and no room for them now.
     """
 
     configuration_version: int
@@ -107,6 +109,26 @@
     store_back_ms: int
     unknown: bool = False
     reads: bool = False
+    later: bool = False
+
+    @property
+    def contents_bytes(self) -> int:
+        """Return how long the contents are."""
+        contents = (self.configuration, self.targets, self.view, self.open_nodes)
+        return sum(len(packed[1]) for packed in contents if packed is not None)
+
+    def without_contents(self) -> "State":
+        """Return the state that only tells what is newest."""
+        from_store = (self.configuration, self.targets, self.view)
+        whole = any(packed and packed[0] == WHOLE for packed in from_store)
+        return replace(
+            self,
+            configuration=None,
+            targets=None,
+            view=None,
+            open_nodes=None,
+            later=whole,
+        )
 
 
 @message(4)
--- a/src/crocusspindle/gateway/reading.py
+++ b/src/crocusspindle/gateway/reading.py
@@ -74,6 +74,7 @@
         self.since_ms = math.inf
         self.view_row_version = 0
         self.nodes: dict[HostId, NodeAddress] = {}
+        self.row_versions: dict[HostId, int] = {}
         self._targets: dict[str, ListedTarget] = {}
         self._missing: set[str] = set()
         self._positions: dict[Table, int] = {}
@@ -256,6 +257,7 @@
             elif row.key.startswith(HOST_PREFIX):
                 node = unpacked_node(json.loads(row.value))
                 self.nodes[node.host] = node
+                self.row_versions[node.host] = row.version
         belief = self._knowledge.view
         belief.prove(belief.version, began_ms)
 
--- a/src/crocusspindle/gateway/settings.py
+++ b/src/crocusspindle/gateway/settings.py
@@ -10,6 +10,13 @@
 """The part of the time to a withdrawal's end after which requests with a key are no
 longer owed: a quota keeper that stops then costs no caller."""
 
+BYTES_PER_MS: Final = 125.0
+"""What a link of one Mbit/s carries."""
+
+CONTENTS_LINK_PART: Final = 0.25
+"""The part of a host's link that lists for other nodes may take; the rest is for
+callers, who come at the same time."""
+
 
 @dataclass(frozen=True)
 class Bounds:
@@ -49,3 +56,9 @@
     platform_form: str
     platform: Mapping[str, Any]
     bounds: Bounds = field(default_factory=Bounds)
+    link_mbit_s: float = 1_000.0
+
+    @property
+    def contents_bytes_per_ms(self) -> float:
+        """Return how many bytes of whole lists may leave for other nodes."""
+        return self.link_mbit_s * BYTES_PER_MS * CONTENTS_LINK_PART
--- a/src/crocusspindle/platform/settings_file.py
+++ b/src/crocusspindle/platform/settings_file.py
@@ -51,6 +51,7 @@
         findings.append(Finding(source, "internal_ports", "must hold a port"))
         ports = [0]
     text("platform", "address")
+    limits = document.get("limits", {})
     settings = GatewaySettings(
         host=HostId(text("node")),
         domain=DomainId(text("zone")),
@@ -63,12 +64,24 @@
         platform_form=text("platform", "form"),
         platform=document.get("platform", {}),
         bounds=_bounds(document.get("bounds", {}), source, findings),
+        link_mbit_s=_positive(limits, "link_mbps", 1_000.0, source, findings),
     )
     if findings:
         raise SettingsError(findings)
     return settings
 
 
+def _positive(
+    limits: Any, name: str, default: float, source: str, findings: list[Finding]
+) -> float:
+    """Return a limit of the host; the default where the file does not name it."""
+    found = limits.get(name, default) if isinstance(limits, Mapping) else None
+    if isinstance(found, int | float) and not isinstance(found, bool) and found > 0:
+        return float(found)
+    findings.append(Finding(source, f"limits.{name}", "must be a number above 0"))
+    return default
+
+
 def _bounds(entries: Mapping[str, Any], source: str, findings: list[Finding]) -> Bounds:
     usual = Bounds()
 
--- a/src/crocusspindle_standins/virtual/fleet.py
+++ b/src/crocusspindle_standins/virtual/fleet.py
@@ -8,12 +8,15 @@
 from dataclasses import dataclass
 from typing import Final
 
+from crocusspindle.core.byte_pace import BytePace
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
+from crocusspindle.core.reader_choice import ReaderChoice
 from crocusspindle.core.view import NodeAddress
 from crocusspindle.gateway.exchange import Exchange
 from crocusspindle.gateway.knowledge import Knowledge
 from crocusspindle.gateway.membership import Membership
 from crocusspindle.gateway.reading import Reading
+from crocusspindle.gateway.settings import BYTES_PER_MS, CONTENTS_LINK_PART
 from crocusspindle.ids import DomainId, HostId, Incarnation, ServiceId
 from crocusspindle.platform.fleet_platform import Table
 from crocusspindle_standins.virtual.loop import VirtualLoop
@@ -42,14 +45,26 @@
 class Node:
     """Run the services of one host that keep its beliefs fresh."""
 
-    def __init__(self, address: NodeAddress, store: Store, draw: random.Random) -> None:
+    def __init__(
+        self,
+        address: NodeAddress,
+        size: HostSize,
+        store: Store,
+        draw: random.Random,
+    ) -> None:
         self.address = address
         platform = StoreClient(store, address.host)
         self.exchange = Exchange((address.ip, address.peer_port), draw)
         self.knowledge = Knowledge(platform.parse_configuration)
         self.reading = Reading(platform, self.knowledge)
         self.membership = Membership(
-            address, self.exchange, self.knowledge, self.reading, set
+            address,
+            self.exchange,
+            self.knowledge,
+            self.reading,
+            set,
+            ReaderChoice(draw),
+            BytePace(size.link_mbit_s * BYTES_PER_MS * CONTENTS_LINK_PART),
         )
         self.membership.is_ready = lambda: self.knowledge.view.content is not None
 
@@ -113,9 +128,13 @@
             DomainId(DOMAINS[number % len(DOMAINS)]),
             f"{ip}:8782",
         )
-        self.nodes[name] = Node(address, self.store, self._draw)
+        self.nodes[name] = Node(address, self.sizes[name], self.store, self._draw)
         await self.nodes[name].start()
 
+    async def kill(self, name: str) -> None:
+        """Kill the process on a host; it leaves without a word."""
+        await self.nodes.pop(name).kill()
+
     def views(self) -> Counter[int]:
         """Return how many nodes have each view in force."""
         return Counter(node.knowledge.view.version for node in self.nodes.values())
--- a/tests/gateway/test_fleet_settles.py
+++ b/tests/gateway/test_fleet_settles.py
@@ -76,3 +76,47 @@
         await assert_rests(fleet, 2.0)
 
     play([LARGE] * large + [SMALL] * small, scene)
+
+
+@pytest.mark.parametrize(("large", "small"), [(8, 125), (0, 133)])
+def test_a_fleet_goes_on_without_its_reader(play, large, small):
+    """The host that reads for all loses power.
+
+    Everyone finds the next one by itself. If they found different ones, the members
+    would be named and put out by turns, and their duties would move each time.
+    """
+
+    async def scene(fleet: VirtualFleet) -> None:
+        await fleet.start_all()
+        await asyncio.sleep(READY_AFTER_S)
+        (reader,) = fleet.readers()
+        await fleet.kill(reader)
+        await asyncio.sleep(6.0)
+        await assert_rests(fleet, 2.0)
+        assert len(fleet.views()) == 1
+
+    play([LARGE] * large + [SMALL] * small, scene)
+
+
+@pytest.mark.parametrize(("large", "small"), [(8, 125), (0, 133)])
+def test_a_fleet_that_was_killed_as_a_whole_is_named_again_at_once(play, large, small):
+    """All processes are killed at the same moment and started again within a second.
+
+    Until the view names the new ones, no customer has a keeper: callers were refused
+    for eight seconds at this size, where they are owed service long before.
+    """
+
+    async def scene(fleet: VirtualFleet) -> None:
+        await fleet.start_all()
+        await asyncio.sleep(READY_AFTER_S)
+        for name in list(fleet.nodes):
+            await fleet.kill(name)
+        await asyncio.sleep(1.0)
+        await fleet.start_all()
+        await asyncio.sleep(2.0)
+        assert fleet.named() == len(fleet.nodes)
+        assert len(fleet.views()) == 1
+        await asyncio.sleep(6.0)
+        await assert_rests(fleet, 2.0)
+
+    play([LARGE] * large + [SMALL] * small, scene)
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -1,14 +1,17 @@
 """Push what changed to those who ask, and nothing else."""
 
+import random
 from types import SimpleNamespace
 
 import pytest
 
 from crocusspindle.clock import now_ms
+from crocusspindle.core.byte_pace import BytePace
+from crocusspindle.core.reader_choice import READER_DUTY, ReaderChoice
 from crocusspindle.core.rendezvous import order
 from crocusspindle.core.view import View
 from crocusspindle.gateway.knowledge import Held
-from crocusspindle.gateway.membership import READER_DUTY, SETTLE_MS, Membership
+from crocusspindle.gateway.membership import SETTLE_MS, Membership
 from tests.gateway.test_knowledge import informed, seat, sent, state_for
 
 
@@ -22,6 +25,11 @@
         self.messages.append(content)
 
 
+def membership_of(node, exchange, knowledge, reading) -> Membership:
+    choice, pace = ReaderChoice(random.Random(1)), BytePace(1e6)
+    return Membership(node, exchange, knowledge, reading, set, choice, pace)
+
+
 def test_a_reader_that_could_not_take_an_update_pushes_nothing_for_it():
     """Two readers at once push to each other, and an update does not fit one of them.
 
@@ -32,7 +40,7 @@
     reader, other, told = informed(), informed(), Told()
     node, peer = seat(0).node, seat(1).node
     reading = SimpleNamespace(active=True, lost=False)
-    membership = Membership(node, told, reader, reading, set)
+    membership = membership_of(node, told, reader, reading)
     membership._meet(peer)
     membership._pinged_ms[peer.host] = now_ms()
     membership._push()
@@ -56,7 +64,7 @@
     """
     reader, other, told = informed(), informed(), Told()
     reading = SimpleNamespace(active=True, lost=False)
-    membership = Membership(seat(0).node, told, reader, reading, set)
+    membership = membership_of(seat(0).node, told, reader, reading)
     reader.listen(membership._push)
     membership._meet(seat(1).node)
     membership._pinged_ms[seat(1).node.host] = now_ms()
@@ -92,10 +100,13 @@
         active=True,
         lost=False,
         since_ms=now_ms() - 2 * SETTLE_MS,
+        nodes={},
+        row_versions={},
+        view_row_version=0,
         write_view=write_view,
     )
     writer = seat(rest[0]).node
-    membership = Membership(writer, Told(), knowledge, reading, set)
+    membership = membership_of(writer, Told(), knowledge, reading)
     for number in (back, rest[1]):
         membership._meet(seat(number).node)
         membership._pinged_ms[seat(number).node.host] = now_ms()
