--- a/src/crocusspindle/core/reader_choice.py
+++ b/src/crocusspindle/core/reader_choice.py
@@ -2,11 +2,11 @@
 
 import math
 import random
-from collections.abc import Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
 
-from crocusspindle.core.rendezvous import order
+from crocusspindle.core.view import NodeAddress, by_capacity
 from crocusspindle.ids import HostId, Incarnation
 
 READER_DUTY: Final = b"reader"
@@ -23,7 +23,7 @@
 
 @dataclass(slots=True)
 class _Suspicion:
-    incarnation: Incarnation | None
+    incarnation: Incarnation
     length_ms: float
     until_ms: float
 
@@ -39,30 +39,26 @@
         self._draw = draw
         self._suspicions: dict[HostId, _Suspicion] = {}
 
-    def candidates(
-        self, known: Mapping[HostId, Incarnation | None], now_ms: float
-    ) -> list[HostId]:
+    def candidates(self, known: Iterable[NodeAddress], now_ms: float) -> list[HostId]:
         """Return the nodes to ask, the best first.
 
         A node that was started anew since it was silent is tried at once.
         """
-        return order(
-            READER_DUTY,
-            [host for host, life in known.items() if self._may_ask(host, life, now_ms)],
-        )
+        may_be_asked = [node for node in known if self._may_ask(node, now_ms)]
+        return by_capacity(READER_DUTY, may_be_asked)
 
-    def _may_ask(self, host: HostId, life: Incarnation | None, now_ms: float) -> bool:
-        suspicion = self._suspicions.get(host)
+    def _may_ask(self, node: NodeAddress, now_ms: float) -> bool:
+        suspicion = self._suspicions.get(node.host)
         if suspicion is None or suspicion.until_ms <= now_ms:
             return True
-        return suspicion.incarnation != life
+        return suspicion.incarnation != node.incarnation
 
-    def suspect(self, host: HostId, life: Incarnation | None, now_ms: float) -> bool:
+    def suspect(self, node: NodeAddress, now_ms: float) -> bool:
         """Pass a node over for a while; return False if it is passed over already."""
-        known = self._suspicions.get(host)
-        if known is None or known.incarnation != life:
-            known = _Suspicion(life, SUSPECT_MS, -math.inf)
-            self._suspicions[host] = known
+        known = self._suspicions.get(node.host)
+        if known is None or known.incarnation != node.incarnation:
+            known = _Suspicion(node.incarnation, SUSPECT_MS, -math.inf)
+            self._suspicions[node.host] = known
         elif known.until_ms > now_ms:
             return False
         else:
--- a/src/crocusspindle/core/view.py
+++ b/src/crocusspindle/core/view.py
@@ -1,15 +1,18 @@
 """Hold the agreed list of members and rank them for a duty."""
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
-from crocusspindle.core.rendezvous import order
+from crocusspindle.core.rendezvous import order_by_weight
 from crocusspindle.ids import DomainId, HostId, Incarnation
 
 
 @dataclass(frozen=True, slots=True)
 class NodeAddress:
-    """Tell where a node is and which start of its process is meant."""
+    """Tell where a node is, which start of its process is meant, and what it carries.
+
+    ``capacity`` counts hundredths of a core or Mbit/s of the link, whichever is less.
+    """
 
     host: HostId
     incarnation: Incarnation
@@ -17,6 +20,18 @@
     peer_port: int
     domain: DomainId
     caller_address: str
+    capacity: int = 100
+
+    @property
+    def duty_weight(self) -> float:
+        """Return the weight with which duties fall to this node.
+
+        The load is a fleet of few large hosts and many small ones. A duty that serves
+        the whole fleet fills a small host's processor and link, and all callers wait.
+        By the square, a host of twenty times the size has as many duties as 400 small
+        ones, and hosts of about one size still share them evenly.
+        """
+        return float(self.capacity) ** 2
 
 
 SeatKey = tuple[Incarnation, int]
@@ -55,7 +70,12 @@
 
     def ranked(self, duty: str) -> list[HostId]:
         """Return the members by rank for a duty."""
-        return order(duty.encode(), self.by_host)
+        return by_capacity(duty.encode(), (seat.node for seat in self.seats))
+
+
+def by_capacity(duty: bytes, nodes: Iterable[NodeAddress]) -> list[HostId]:
+    """Return the hosts of nodes by rank for a duty, larger ones first more often."""
+    return order_by_weight(duty, {node.host: node.duty_weight for node in nodes})
 
 
 def next_view(
--- a/src/crocusspindle/gateway/assembly.py
+++ b/src/crocusspindle/gateway/assembly.py
@@ -57,6 +57,7 @@
         settings.peer_port,
         settings.domain,
         settings.caller_address,
+        settings.capacity,
     )
     bounds = LiveBounds(settings.bounds)
     metrics = Metrics(settings.host, settings.domain)
--- a/src/crocusspindle/gateway/knowledge.py
+++ b/src/crocusspindle/gateway/knowledge.py
@@ -302,7 +302,7 @@
 
 def unpacked_node(parts: Sequence[Any]) -> NodeAddress:
     """Return the node of `packed_node`."""
-    host, incarnation, ip, port, domain, caller_address = parts
+    host, incarnation, ip, port, domain, caller_address, capacity = parts
     return NodeAddress(
         HostId(host),
         Incarnation(incarnation),
@@ -310,6 +310,7 @@
         port,
         DomainId(domain),
         caller_address,
+        capacity,
     )
 
 
--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -13,6 +13,7 @@
     NodeAddress,
     SeatKey,
     View,
+    by_capacity,
     members_changed,
     next_view,
 )
@@ -27,7 +28,7 @@
 )
 from crocusspindle.gateway.messages import Done, Hello, Peek, Ping, Probe, State
 from crocusspindle.gateway.reading import ASKED_MS, OWN_MS, Reading
-from crocusspindle.ids import HostId, Incarnation
+from crocusspindle.ids import HostId
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
 
@@ -196,19 +197,16 @@
         self._reading.want(OWN_MS)
 
     def _candidates(self) -> list[HostId]:
-        known = {host: self._life(host) for host in self._known()}
-        return self._choice.candidates(known, now_ms())
+        return self._choice.candidates(self._known().values(), now_ms())
 
-    def _life(self, host: HostId) -> Incarnation | None:
-        node = self._met.get(host)
-        return None if node is None else node.incarnation
-
-    def _known(self) -> set[HostId]:
+    def _known(self) -> dict[HostId, NodeAddress]:
         view = self._knowledge.view.content
-        known = {*self._met, self._node.host}
-        if view is not None:
-            known |= set(view.by_host)
-            known -= {seat.node.host for seat in view.fenced}
+        if view is None:
+            return dict(self._met)
+        named = {host: seat.node for host, seat in view.by_host.items()}
+        known = {**named, **self._met}
+        for seat in view.fenced:
+            known.pop(seat.node.host, None)
         return known
 
     async def _ping_reader(self, reader: HostId) -> bool:
@@ -239,7 +237,8 @@
         return True
 
     def _suspect(self, reader: HostId, reason: str) -> None:
-        if self._choice.suspect(reader, self._life(reader), now_ms()):
+        node = self._known().get(reader, self._node)
+        if self._choice.suspect(node, now_ms()):
             log_state_change(
                 self._log, "reader passed over", host=reader, reason=reason
             )
@@ -275,7 +274,7 @@
         return length == 0 or self._pace.take(length, now_ms())
 
     async def _consult(self) -> None:
-        others = self._known() - {self._node.host}
+        others = self._known().keys() - {self._node.host}
         asked = order(b"consulted " + self._node.host.encode(), others)[:CONSULTED]
         await asyncio.gather(*(self._peek(host) for host in asked))
 
@@ -410,8 +409,9 @@
         # it, nobody would ever write: the view would name processes that are gone,
         # and their customers would have no keeper.
         out = set() if view is None else {seat.node.host for seat in view.fenced}
-        eligible = present.keys() - out or set(present)
-        return bool(eligible) and order(READER_DUTY, eligible)[0] == self._node.host
+        eligible = [node for host, node in present.items() if host not in out]
+        ranked = by_capacity(READER_DUTY, eligible or present.values())
+        return bool(ranked) and ranked[0] == self._node.host
 
     async def _still_there(
         self, view: View, present: Mapping[HostId, NodeAddress]
--- a/src/crocusspindle/gateway/reading.py
+++ b/src/crocusspindle/gateway/reading.py
@@ -12,6 +12,7 @@
 from crocusspindle.errors import PlatformError, PlatformUnavailableError
 from crocusspindle.gateway.knowledge import (
     Knowledge,
+    packed_node,
     packed_view,
     unpacked_node,
     unpacked_view,
@@ -274,7 +275,7 @@
 
     async def register(self, node: NodeAddress) -> None:
         """Write this node's own row and learn of those that were here before."""
-        value = json.dumps(list(_plain(node))).encode()
+        value = json.dumps(packed_node(node)).encode()
         await self._platform.put(HOST_PREFIX + node.host, value, None)
         began_ms = now_ms()
         changes = await self._platform.read(Table.FLEET)
@@ -285,17 +286,6 @@
     """Ask nobody: a node that has not met its peers yet."""
 
 
-def _plain(node: NodeAddress) -> tuple[object, ...]:
-    return (
-        node.host,
-        node.incarnation,
-        node.ip,
-        node.peer_port,
-        node.domain,
-        node.caller_address,
-    )
-
-
 def _check_not_stale(changes: Changes, newest: int) -> None:
     # After it has dropped its history the store may answer from the past. Such an
     # answer makes a target that leaves ready again, and as a proof it would let a
--- a/src/crocusspindle/gateway/settings.py
+++ b/src/crocusspindle/gateway/settings.py
@@ -10,6 +10,7 @@
 """The part of the time to a withdrawal's end after which requests with a key are no
 longer owed: a quota keeper that stops then costs no caller."""
 
+HUNDREDTHS: Final = 100.0
 BYTES_PER_MS: Final = 125.0
 """What a link of one Mbit/s carries."""
 
@@ -57,6 +58,12 @@
     platform: Mapping[str, Any]
     bounds: Bounds = field(default_factory=Bounds)
     link_mbit_s: float = 1_000.0
+    cores: float = 1.0
+
+    @property
+    def capacity(self) -> int:
+        """Return what the host can carry, as `NodeAddress` counts it."""
+        return max(1, round(min(self.link_mbit_s, self.cores * HUNDREDTHS)))
 
     @property
     def contents_bytes_per_ms(self) -> float:
--- a/src/crocusspindle/platform/settings_file.py
+++ b/src/crocusspindle/platform/settings_file.py
@@ -65,6 +65,8 @@
         platform=document.get("platform", {}),
         bounds=_bounds(document.get("bounds", {}), source, findings),
         link_mbit_s=_positive(limits, "link_mbps", 1_000.0, source, findings),
+        cores=_positive(limits, "cores", 1.0, source, findings)
+        * _positive(limits, "cpu_share", 1.0, source, findings),
     )
     if findings:
         raise SettingsError(findings)
--- a/src/crocusspindle_standins/virtual/fleet.py
+++ b/src/crocusspindle_standins/virtual/fleet.py
@@ -16,7 +16,11 @@
 from crocusspindle.gateway.knowledge import Knowledge
 from crocusspindle.gateway.membership import Membership
 from crocusspindle.gateway.reading import Reading
-from crocusspindle.gateway.settings import BYTES_PER_MS, CONTENTS_LINK_PART
+from crocusspindle.gateway.settings import (
+    BYTES_PER_MS,
+    CONTENTS_LINK_PART,
+    HUNDREDTHS,
+)
 from crocusspindle.ids import DomainId, HostId, Incarnation, ServiceId
 from crocusspindle.platform.fleet_platform import Table
 from crocusspindle_standins.virtual.loop import VirtualLoop
@@ -41,6 +45,11 @@
     link_mbit_s: float
     cores: float = 1.0
 
+    @property
+    def capacity(self) -> int:
+        """Return what the host tells of itself."""
+        return round(min(self.link_mbit_s, self.cores * HUNDREDTHS))
+
 
 class Node:
     """Run the services of one host that keep its beliefs fresh."""
@@ -127,6 +136,7 @@
             PEER_PORT,
             DomainId(DOMAINS[number % len(DOMAINS)]),
             f"{ip}:8782",
+            self.sizes[name].capacity,
         )
         self.nodes[name] = Node(address, self.sizes[name], self.store, self._draw)
         await self.nodes[name].start()
--- a/tests/core/test_reader_choice.py
+++ b/tests/core/test_reader_choice.py
@@ -4,9 +4,18 @@
 
 from crocusspindle.core.byte_pace import BURST_MS, BytePace
 from crocusspindle.core.reader_choice import SUSPECT_MAX_MS, SUSPECT_MS, ReaderChoice
-from crocusspindle.ids import HostId, Incarnation
+from crocusspindle.core.view import NodeAddress
+from crocusspindle.ids import DomainId, HostId, Incarnation
 
-HOSTS = {HostId(f"n{number}"): Incarnation(f"{number:08x}") for number in range(12)}
+
+def node(host: str, incarnation: str = "1") -> NodeAddress:
+    return NodeAddress(
+        HostId(host), Incarnation(incarnation + host), "::1", 1, DomainId("a"), "::1:2"
+    )
+
+
+NODES = [node(f"n{number}") for number in range(12)]
+BY_HOST = {one.host: one for one in NODES}
 ROUND_MS = 950.0
 """What a node takes to ask three readers that are silent, and to rest."""
 
@@ -18,28 +27,28 @@
     ever came to the tenth, and every host read the store for itself.
     """
     choice = ReaderChoice(random.Random(1))
-    ranked = choice.candidates(HOSTS, 0.0)
+    ranked = choice.candidates(NODES, 0.0)
     now_ms, met = 0.0, 0
     for _ in range(60):
         now_ms += ROUND_MS
-        for reader in choice.candidates(HOSTS, now_ms)[:3]:
+        for reader in choice.candidates(NODES, now_ms)[:3]:
             if reader in ranked[9:]:
                 met += 1
                 break
-            choice.suspect(reader, HOSTS[reader], now_ms)
+            choice.suspect(BY_HOST[reader], now_ms)
     assert met > 40
 
 
 def test_a_reader_that_answers_again_is_trusted_as_before():
     choice = ReaderChoice(random.Random(1))
-    first = choice.candidates(HOSTS, 0.0)[0]
+    first = choice.candidates(NODES, 0.0)[0]
     now_ms = 0.0
     for _ in range(8):
-        choice.suspect(first, HOSTS[first], now_ms)
+        choice.suspect(BY_HOST[first], now_ms)
         now_ms += 2 * SUSPECT_MAX_MS
     choice.trust(first)
-    choice.suspect(first, HOSTS[first], now_ms)
-    assert choice.candidates(HOSTS, now_ms + 1.5 * SUSPECT_MS)[0] == first
+    choice.suspect(BY_HOST[first], now_ms)
+    assert choice.candidates(NODES, now_ms + 1.5 * SUSPECT_MS)[0] == first
 
 
 def test_a_reader_that_was_started_anew_is_asked_at_once():
@@ -49,10 +58,10 @@
     a minute, and both would read the store.
     """
     choice = ReaderChoice(random.Random(1))
-    first = choice.candidates(HOSTS, 0.0)[0]
-    choice.suspect(first, HOSTS[first], 0.0)
-    assert choice.candidates(HOSTS, 100.0)[0] != first
-    anew = {**HOSTS, first: Incarnation("ffffffff")}
+    first = choice.candidates(NODES, 0.0)[0]
+    choice.suspect(BY_HOST[first], 0.0)
+    assert choice.candidates(NODES, 100.0)[0] != first
+    anew = [node(first, "2"), *(one for one in NODES if one.host != first)]
     assert choice.candidates(anew, 100.0)[0] == first
 
 
--- a/tests/core/test_rendezvous.py
+++ b/tests/core/test_rendezvous.py
@@ -1,4 +1,4 @@
-from crocusspindle.core.rendezvous import order
+from crocusspindle.core.rendezvous import order, order_by_weight
 
 
 def test_only_the_keys_of_a_lost_member_move():
@@ -12,3 +12,26 @@
             assert after[key] == before[key][1]
         else:
             assert after[key] == before[key][0]
+
+
+def test_a_weight_is_the_part_of_the_keys_that_a_member_heads():
+    weights = {"large": 400.0, **{f"small{number}": 1.0 for number in range(100)}}
+    heads = [order_by_weight(b"%d" % key, weights)[0] for key in range(5_000)]
+    assert 0.77 < heads.count("large") / len(heads) < 0.83
+
+
+def test_only_the_keys_of_a_member_that_leaves_move():
+    """A large host leaves: the duties of all others stay where they are."""
+    weights = {f"n{number}": float(number + 1) for number in range(20)}
+    rest = {name: weight for name, weight in weights.items() if name != "n19"}
+    for key in range(300):
+        before = order_by_weight(b"%d" % key, weights)
+        after = order_by_weight(b"%d" % key, rest)
+        assert after == [name for name in before if name != "n19"]
+
+
+def test_members_of_one_weight_are_ordered_as_without_weights():
+    names = [f"n{number}" for number in range(30)]
+    for key in range(100):
+        weights = dict.fromkeys(names, 7.0)
+        assert order_by_weight(b"%d" % key, weights) == order(b"%d" % key, names)
--- a/tests/core/test_view.py
+++ b/tests/core/test_view.py
@@ -1,5 +1,7 @@
 """Change the view of the members, and hold beliefs with their proofs."""
 
+from dataclasses import replace
+
 from crocusspindle.core.proof import Belief
 from crocusspindle.core.view import NodeAddress, members_changed, next_view
 from crocusspindle.ids import DomainId, HostId, Incarnation
@@ -63,3 +65,20 @@
     belief.prove(7, 800.0)
     belief.prove(7, 300.0)
     assert belief.age_ms(1_000.0) == 200.0
+
+
+def test_large_hosts_have_nearly_all_duties_of_a_mixed_fleet():
+    """Eight large hosts and 125 small ones start, and each duty falls to one of them.
+
+    By name alone 19 of 20 duties fell to small hosts: a placer of 300 requests a second
+    was passed over for being slow, and two placers at once gave the same slots away.
+    """
+    sizes = {f"n{number}": 200 if number < 8 else 10 for number in range(133)}
+    nodes = {
+        HostId(name): replace(node(name), capacity=capacity)
+        for name, capacity in sizes.items()
+    }
+    view = next_view(None, nodes)
+    heads = [view.ranked(f"placer {number}")[0] for number in range(500)]
+    assert sum(sizes[host] == 200 for host in heads) > 0.9 * len(heads)
+    assert len(set(heads)) > 8
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -138,6 +138,20 @@
     assert settings.bounds.view_fence_ms == 3_000
 
 
+def test_what_a_host_carries_is_the_scarcer_of_processor_and_link():
+    limits = {"cpu_share": 0.5, "cores": 3, "link_mbps": 10.0}
+    assert translate({**SETTINGS, "limits": limits}, "file").capacity == 10
+    limits["link_mbps"] = 1_000.0
+    assert translate({**SETTINGS, "limits": limits}, "file").capacity == 150
+    assert translate(SETTINGS, "file").capacity == 100
+
+
+@pytest.mark.parametrize("limits", [{"cores": 0}, {"link_mbps": "ten"}, "none"])
+def test_limits_that_are_no_numbers_above_zero_are_named(limits):
+    with pytest.raises(SettingsError, match=r"limits\."):
+        translate({**SETTINGS, "limits": limits}, "file")
+
+
 def test_all_findings_of_bad_settings_come_together():
     bad = {**SETTINGS, "node": 3, "internal_ports": [], "bounds": {"grace_s": "x"}}
     with pytest.raises(SettingsError) as failed:
