--- a/src/crocusspindle/core/asks.py
+++ b/src/crocusspindle/core/asks.py
@@ -12,7 +12,8 @@
     """Ask for a place for one sending.
 
     `aim_ms` is what is left of the route's aim. A `hedge` is a repeat whose first
-    sending still runs.
+    sending still runs. A request that was `counted` was asked of another placer
+    before, which may only be slow.
     """
 
     sender: HostId
@@ -24,6 +25,7 @@
     deadline_ms: float
     repeat: bool = False
     hedge: bool = False
+    counted: bool = False
     body_bytes: int = 0
     excluded: frozenset[TargetIdentity] = frozenset()
 
--- a/src/crocusspindle/core/service_placer.py
+++ b/src/crocusspindle/core/service_placer.py
@@ -104,7 +104,8 @@
             if not self._budget.repeat(now_ms):
                 return Refused("repeats", self._usual_ms(ask))
         else:
-            self._budget.request(now_ms)
+            if not ask.counted:
+                self._budget.request(now_ms)
             self._queue.arrived(now_ms)
         self._refresh(now_ms)
         placed = self._place(ask, now_ms)
--- a/src/crocusspindle/gateway/messages.py
+++ b/src/crocusspindle/gateway/messages.py
@@ -145,6 +145,7 @@
     body_bytes: int
     repeat: bool
     hedge: bool
+    counted: bool
     excluded: list[str]
 
 
@@ -188,6 +189,20 @@
     left_ms: float
 
 
+@message(17)
+@dataclass(frozen=True, slots=True)
+class RepeatsNote:
+    """Tell the other placers of a service what was counted, as ages from now.
+
+    ``known_ms`` is for how long the sender knows of all that was placed. Each record
+    holds its origin, its number and its slots.
+    """
+
+    service: str
+    known_ms: int
+    records: Sequence[Sequence[Any]]
+
+
 @message(9)
 @dataclass(frozen=True, slots=True)
 class SpendAsk:
--- a/src/crocusspindle/gateway/placing.py
+++ b/src/crocusspindle/gateway/placing.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import random
+from collections import deque
 from dataclasses import dataclass
-from typing import ClassVar, Final
+from typing import Any, ClassVar, Final
 
 from crocusspindle.clock import now_ms
 from crocusspindle.core.asks import Ask, Placed, Refused, Waiting
@@ -11,9 +12,10 @@
 from crocusspindle.core.listed_target import ListedTarget, TargetIdentity
 from crocusspindle.core.policies import Policies
 from crocusspindle.core.repeat_budget import RepeatBudget
+from crocusspindle.core.repeat_record import RepeatRecord, Slot
 from crocusspindle.core.service_placer import ServicePlacer
 from crocusspindle.core.target_gauge import EJECTION_MS, Ending, Standing
-from crocusspindle.core.view import NodeAddress
+from crocusspindle.core.view import NodeAddress, View
 from crocusspindle.gateway.exchange import Address, Exchange
 from crocusspindle.gateway.knowledge import Knowledge
 from crocusspindle.gateway.messages import (
@@ -23,6 +25,7 @@
     PlaceAnswer,
     PlaceAsk,
     RefusedAnswer,
+    RepeatsNote,
 )
 from crocusspindle.gateway.reload import LiveBounds
 from crocusspindle.ids import DomainId, GrantId, HostId, ServiceId
@@ -41,10 +44,18 @@
 IDLE_SETTLE_S: Final = 0.1
 """How soon the first that waits is looked at again if no work ends meanwhile."""
 
+VIEWS_KEPT: Final = 16
+"""Views by which a new placer tells how long it was one of those that are told."""
+
 FALLBACK_HEDGE_MS: Final = 1_000.0
 ENDINGS: Final = tuple(Ending)
 
 
+def placer_duty(service: ServiceId) -> str:
+    """Return the name of the duty to place for a service."""
+    return f"placer {service}"
+
+
 @dataclass(frozen=True, slots=True)
 class Place:
     """Hold where to send, and the placer to tell how it ended."""
@@ -84,6 +95,7 @@
         self._targets_digest = 0
         self._ranked: dict[ServiceId, list[HostId]] = {}
         self._ranked_view = -1
+        self._views: deque[tuple[float, View | None]] = deque(maxlen=VIEWS_KEPT)
         self._domains: dict[str, DomainId] = {}
         self._suspect_until_ms: dict[HostId, float] = {}
         self._settled: dict[int, tuple[Waiting, asyncio.Event]] = {}
@@ -94,6 +106,7 @@
         self._exchange.handle(PlaceAsk, self._place_ask)
         self._exchange.handle(EndedNote, self._ended_note)
         self._exchange.handle(EjectedNote, self._ejected_note)
+        self._exchange.handle(RepeatsNote, self._repeats_note)
         self._exchange.handle_late(PlaceAnswer, self._give_back)
         self._knowledge.listen(self._learn)
 
@@ -121,8 +134,11 @@
             self._ranked.clear()
             seats = () if known.view.content is None else known.view.content.seats
             self._domains = {seat.node.ip: seat.node.domain for seat in seats}
+            self._views.append((now_ms(), known.view.content))
             for service, budget in self._budgets.items():
                 budget.set_rank(self._own_rank(service), now_ms())
+                # Whoever takes over goes on from here.
+                self._tell_repeats(service, budget)
 
     def _of(self, service: ServiceId) -> list[ListedTarget]:
         return [entry for entry in self._targets.values() if entry.service == service]
@@ -131,7 +147,7 @@
         ranked = self._ranked.get(service)
         if ranked is None:
             view = self._knowledge.view.content
-            ranked = [] if view is None else view.ranked(f"placer {service}")
+            ranked = [] if view is None else view.ranked(placer_duty(service))
             self._ranked[service] = ranked
         return ranked
 
@@ -149,6 +165,7 @@
             )
             placer = ServicePlacer(bounds.floor_share, budget, self._policies, now_ms())
             budget.set_rank(self._own_rank(service), now_ms())
+            budget.knows_since(self._told_since_ms(service))
             self._budgets[service] = budget
             placer.set_targets(self._of(service), now_ms())
             if not self._placers:
@@ -157,6 +174,50 @@
             log_state_change(self._log, "places for a service", service=service)
         return placer
 
+    def _told_since_ms(self, service: ServiceId) -> float:
+        """Return since when this node was told all that placers of a service count."""
+        since_ms = now_ms()
+        for from_ms, view in reversed(self._views):
+            ranked = [] if view is None else view.ranked(placer_duty(service))
+            if self._node.host not in ranked[:PLACERS]:
+                break
+            since_ms = from_ms
+        return since_ms
+
+    def _tell_repeats(self, service: ServiceId, budget: RepeatBudget) -> None:
+        at_ms = now_ms()
+        records = [
+            [
+                record.origin,
+                record.number,
+                [
+                    [round(at_ms - slot.ended_ms), slot.requests, slot.repeats]
+                    for slot in record.slots
+                ],
+            ]
+            for record in budget.records(self._node.incarnation, at_ms)
+        ]
+        known_ms = round(budget.known_ms(at_ms))
+        self._tell_others(service, RepeatsNote(service, known_ms, records))
+
+    async def _repeats_note(self, note: RepeatsNote, sender: Address) -> None:
+        at_ms = now_ms()
+        records = [
+            RepeatRecord(
+                origin,
+                number,
+                tuple(
+                    Slot(at_ms - age_ms, requests, repeats)
+                    for age_ms, requests, repeats in slots
+                ),
+            )
+            for origin, number, slots in note.records
+        ]
+        service = ServiceId(note.service)
+        self._placer(service)
+        own = self._node.incarnation
+        self._budgets[service].hear(own, records, note.known_ms, at_ms)
+
     async def _place_ask(
         self, message: PlaceAsk, sender: Address
     ) -> PlaceAnswer | RefusedAnswer:
@@ -171,11 +232,15 @@
             deadline_ms=at_ms + message.left_ms,
             repeat=message.repeat,
             hedge=message.hedge,
+            counted=message.counted,
             body_bytes=message.body_bytes,
             excluded=frozenset(TargetIdentity(name) for name in message.excluded),
         )
         placer = self._placer(ServiceId(message.service))
         answer = placer.ask(ask, at_ms)
+        budget = self._budgets[ServiceId(message.service)]
+        if budget.is_due_to_tell(at_ms):
+            self._tell_repeats(ServiceId(message.service), budget)
         if isinstance(answer, Waiting):
             answer = await self._wait(placer, answer)
         self._tell_changes(ServiceId(message.service), placer)
@@ -251,10 +316,13 @@
     def _tell_successors(
         self, service: ServiceId, target: TargetIdentity, left_ms: float
     ) -> None:
+        self._tell_others(service, EjectedNote(service, target, left_ms))
+
+    def _tell_others(self, service: ServiceId, note: Any) -> None:
         for host in self._rank(service)[:PLACERS]:
             to = self._address(host)
             if host != self._node.host and to is not None:
-                self._exchange.tell(to, EjectedNote(service, target, left_ms))
+                self._exchange.tell(to, note)
 
     async def _ejected_note(self, note: EjectedNote, sender: Address) -> None:
         until_ms = now_ms() + note.left_ms
@@ -276,13 +344,13 @@
             if asked >= PLACERS:
                 break
             asked += 1
-            answer = await self._ask_placer(host, service, ask)
+            answer = await self._ask_placer(host, service, ask, counted=asked > 1)
             if answer is not None:
                 return answer
         return self._place_alone(service, ask)
 
     async def _ask_placer(
-        self, host: HostId, service: ServiceId, ask: Ask
+        self, host: HostId, service: ServiceId, ask: Ask, counted: bool
     ) -> Place | Refused | None:
         to = self._address(host)
         if to is None:
@@ -298,6 +366,7 @@
             ask.body_bytes,
             ask.repeat,
             ask.hedge,
+            counted,
             list(ask.excluded),
         )
         answer = await self._exchange.ask(to, message, SILENT_S, left_ms / 1e3)
--- a/tests/core/test_repeats_across_placers.py
+++ b/tests/core/test_repeats_across_placers.py
@@ -2,7 +2,10 @@
 
 import pytest
 
+from crocusspindle.core.asks import Ask
 from crocusspindle.core.repeat_budget import RepeatBudget
+from crocusspindle.core.service_placer import ServicePlacer
+from crocusspindle.ids import DomainId, HostId
 
 RATIO = 0.2
 EXTRA = 218.0
@@ -28,6 +31,15 @@
         for number, budget in enumerate(self.budgets):
             budget.set_rank((number - first) % len(self.budgets), now_ms)
 
+    def tell(self, from_: int, now_ms: float) -> None:
+        """Let a placer tell the others what it counted."""
+        budget = self.budgets[from_]
+        records = budget.records(f"p{from_}", now_ms)
+        for number, other in enumerate(self.budgets):
+            if number != from_:
+                known_ms = budget.known_ms(now_ms)
+                other.hear(f"p{number}", records, known_ms, now_ms)
+
     def pass_time(self, from_s: float, to_s: float, refused: bool) -> None:
         """Send requests; each is repeated three times if targets refuse them."""
         step_ms = 1_000.0 / REQUESTS_PER_S
@@ -39,6 +51,8 @@
             for _ in range(3 if refused else 0):
                 if budget.repeat(now_ms):
                     self.repeats.append(now_ms)
+                if budget.is_due_to_tell(now_ms):
+                    self.tell(self.first, now_ms)
             now_ms += step_ms
 
     def most_beyond(self) -> float:
@@ -62,7 +76,8 @@
     With each change another host places for the service. It counted the requests that
     came to itself and let a fifth of them be repeated, while its predecessor had let
     as many through a moment before: the service got half as many repeats again as the
-    bound allows, just when it could carry least.
+    bound allows, just when it could carry least. The counts stayed where they were
+    when the duty moved; told to whoever may take over, they stay below the bound.
     """
     placers = Placers(3)
     placers.pass_time(0.0, CALM_S, refused=False)
@@ -72,3 +87,46 @@
         now_s += every_s
         placers.rank((placers.first + 1) % 3, now_s * 1e3)
     assert placers.most_beyond() <= 0.0
+
+
+def test_a_request_that_came_by_a_slow_placer_is_counted_once():
+    """The first placer is slow, and its entries ask the second one as well.
+
+    Counted by both, each request earned the service two shares of a repeat.
+    """
+    asked = Ask(
+        HostId("entry"), DomainId("a"), "r", False, 1, 800.0, 2_000.0, counted=True
+    )
+    budget = RepeatBudget(RATIO, 0.0, WINDOW_MS)
+    budget.knows_since(-2 * WINDOW_MS)
+    placer = ServicePlacer(0.7, budget)
+    for now_ms in range(100):
+        placer.ask(asked, float(now_ms))
+    assert not budget.repeat(100.0)
+
+
+def test_a_placer_that_is_lost_leaves_little_unknown():
+    """The first placer loses power in the middle of trouble, between two tellings.
+
+    What it had not told is used once more by the next. The bound holds all the same.
+    """
+    placers = Placers(3)
+    placers.pass_time(0.0, CALM_S, refused=False)
+    placers.pass_time(CALM_S, CALM_S + 1.1, refused=True)
+    placers.rank(1, (CALM_S + 1.1) * 1e3)
+    placers.pass_time(CALM_S + 1.1, CALM_S + 12.0, refused=True)
+    assert placers.most_beyond() <= 0.0
+    assert len(placers.repeats) > 0.7 * RATIO * REQUESTS_PER_S * 10.0
+
+
+def test_a_placer_that_nobody_told_repeats_little():
+    """All three that are told lose power together, and a fourth takes over.
+
+    They may have used the whole bound a moment before.
+    """
+    budget = RepeatBudget(RATIO, EXTRA, WINDOW_MS)
+    used = 0
+    for now_ms in range(0, 9_000, 2):
+        budget.request(float(now_ms))
+        used += budget.repeat(float(now_ms))
+    assert used <= 0.1 * (RATIO * 4_500 + EXTRA)
