--- a/benchmarks/placing_trial.py
+++ b/benchmarks/placing_trial.py
@@ -210,6 +210,8 @@
         self._number = 0
         self._held: list[tuple[_Request, Waiting, bool]] = []
         self._budget = RepeatBudget(site.budget_ratio, site.budget_extra, 10_000.0)
+        # It is the only placer that the service ever had.
+        self._budget.knows_since(-math.inf)
         self.placer = ServicePlacer(FLOOR_SHARE, self._budget, policies)
         self.placer.set_targets(self._listed(), 0.0)
         self.tallies = {work.name: Tally() for work in site.works}
