--- a/src/crocusspindle/core/floor_watch.py
+++ b/src/crocusspindle/core/floor_watch.py
@@ -31,6 +31,10 @@
 UNUSED_PART: Final = 0.6
 """Part of that time after which a target is due: the rest is for a request to come."""
 
+FLOOR_MARGIN: Final = 0.15
+"""How far above its floor a service keeps the share of its targets that get work: some
+of those that seem sound are not."""
+
 
 class FloorWatch:
     """Follow how many go unserved, and bring ejected targets back while many do."""
@@ -87,12 +91,39 @@
         lost += _overdue(ready, now_ms)
         return lost > UNSERVED_SHARE * max(LEAST_ENDINGS, len(self._unserved))
 
+    def owed(self, gauges: Collection[TargetGauge], now_ms: float) -> list[TargetGauge]:
+        """Return the targets of which one should get the next request, if any.
+
+        The load is a service many of whose targets lose their work while others are
+        sound, but far, slow or long unproved, or were ejected and are sound again. Each
+        request for itself is best off elsewhere; all together leave them without any
+        work, and the service with fewer targets than it is owed.
+        """
+        if not self.pressed:
+            return []
+        sound = [gauge for gauge in gauges if _seems_sound(gauge, now_ms)]
+        unused = [gauge for gauge in sound if self.unused(gauge, now_ms)]
+        used_share = 1.0 - len(unused) / max(1, len(sound))
+        return unused if used_share < self._floor_share + FLOOR_MARGIN else []
+
     @staticmethod
     def unused(gauge: TargetGauge, now_ms: float) -> bool:
         """Return True if a target is due for a request."""
         return now_ms - gauge.last_used_ms >= WINDOW_MS * UNUSED_PART
 
 
+def _seems_sound(gauge: TargetGauge, now_ms: float) -> bool:
+    if gauge.listed.readiness is not Readiness.READY:
+        return False
+    again_ms = SOUND_AGAIN_MS
+    if gauge.standing is Standing.EJECTED:
+        # Who failed at its last return as well is less likely to be sound.
+        again_ms = max(again_ms, gauge.ejection_ms / 2)
+    if now_ms - gauge.last_failed_ms < again_ms:
+        return False
+    return gauge.doubt_nats(now_ms) < OVERDUE_NATS
+
+
 def _is_short(ready: list[TargetGauge], queued: int) -> bool:
     well = [gauge for gauge in ready if gauge.standing is Standing.WELL]
     slots = sum(gauge.listed.slots for gauge in well)
--- a/src/crocusspindle/core/service_placer.py
+++ b/src/crocusspindle/core/service_placer.py
@@ -213,6 +213,9 @@
         return gauge.reachable(sender, now_ms)
 
     def _place(self, ask: Ask, now_ms: float) -> Placed | None:
+        owed = self._owed(ask, now_ms)
+        if owed is not None:
+            return self._grant(owed, ask, now_ms)
         usable = self._usable(ask, now_ms)
         trial = None if ask.repeat else self._trial(usable, ask, now_ms)
         if trial is not None:
@@ -227,6 +230,31 @@
         trials = [gauge for gauge in usable if gauge.standing is Standing.TRIAL]
         return self._grant(trials[0], ask, now_ms) if trials else None
 
+    def _owed(self, ask: Ask, now_ms: float) -> TargetGauge | None:
+        """Return a target that is owed work for the sake of the service's floor."""
+        if ask.repeat or not self._policies.has(Policy.FLOOR_TRIALS):
+            return None
+        owed = [
+            gauge
+            for gauge in self._floor.owed(self._gauges.values(), now_ms)
+            if not gauge.grants
+            and gauge.listed.identity not in ask.excluded
+            and self._reachable(gauge, ask.sender, now_ms)
+        ]
+        if not owed:
+            return None
+        chosen = min(
+            owed,
+            key=lambda gauge: (
+                gauge.standing is Standing.EJECTED,
+                gauge.last_failed_ms,
+                gauge.last_used_ms,
+            ),
+        )
+        if chosen.standing is Standing.EJECTED:
+            chosen.begin_trial(now_ms)
+        return chosen
+
     def _trial(
         self, usable: list[TargetGauge], ask: Ask, now_ms: float
     ) -> TargetGauge | None:
--- a/tests/core/test_floor_under_trouble.py
+++ b/tests/core/test_floor_under_trouble.py
@@ -211,7 +211,8 @@
     than a tenth of the orders is lost.
 
     Targets that were sound again stayed without work for two seconds and more, and
-    the rest carried it all.
+    the rest carried it all: each order by itself was best off at a near, quick and
+    lately proved target, and only work that may be repeated ever tried the others.
     """
     troubles = [ALWAYS_BROKEN, NEVER_REACHED, *BROKEN_BY_TURNS, HANGS]
     service = Service(troubles, safe_share, seed)
