--- a/src/crocusspindle/core/repeat_budget.py
+++ b/src/crocusspindle/core/repeat_budget.py
@@ -123,6 +123,10 @@
         if self._repeats:
             self._repeats.pop()
 
+    def state(self, now_ms: float) -> tuple[int, float]:
+        """Return how many repeats were used in the window, and how many it allows."""
+        return self._used(now_ms), self._allowed(now_ms)
+
     def known_ms(self, now_ms: float) -> float:
         """Return for how long all that was placed is known here."""
         if math.isnan(self._since_ms):
--- a/src/crocusspindle/gateway/assembly.py
+++ b/src/crocusspindle/gateway/assembly.py
@@ -62,7 +62,7 @@
     bounds = LiveBounds(settings.bounds)
     metrics = Metrics(settings.host, settings.domain)
     platform = platform_of(settings)
-    exchange = Exchange((settings.ip, settings.peer_port), draw)
+    exchange = Exchange((settings.ip, settings.peer_port), draw, metrics)
     knowledge = Knowledge(platform.parse_configuration)
     reading = Reading(platform, knowledge)
     quota = Quota(node, bounds, exchange, knowledge)
--- a/src/crocusspindle/gateway/exchange.py
+++ b/src/crocusspindle/gateway/exchange.py
@@ -7,13 +7,16 @@
 from typing import Any, ClassVar, Final
 
 from crocusspindle.errors import PeerError
+from crocusspindle.gateway import instruments
 from crocusspindle.gateway.messages import pack, packed, unpack, unpacked
 from crocusspindle.kernel import Service
+from crocusspindle.metrics import Metrics
 
 ASK: Final = 0
 ANSWER: Final = 1
 BUSY: Final = 2
 TELL: Final = 3
+BUSY_NAME: Final = "Busy"
 
 RESEND_S: Final = 0.04
 """Ten times the longest way between failure domains: a datagram that was lost is sent
@@ -43,8 +46,9 @@
 
     name: ClassVar[str] = "exchange"
 
-    def __init__(self, address: Address, draw: random.Random) -> None:
+    def __init__(self, address: Address, draw: random.Random, metrics: Metrics) -> None:
         self._address = address
+        self._metrics = metrics
         self._transport: asyncio.DatagramTransport | None = None
         self._handlers: dict[type[Any], Handler] = {}
         self._late: dict[type[Any], LateHandler] = {}
@@ -78,7 +82,7 @@
 
     def tell(self, to: Address, content: Any) -> None:
         """Send a message once, without an answer."""
-        self._send(to, packed([TELL, 0, *pack(content)]))
+        self._send(to, packed([TELL, 0, *pack(content)]), type(content))
 
     async def ask(
         self, to: Address, content: Any, silent_s: float, limit_s: float
@@ -103,7 +107,7 @@
         ends = loop.time() + limit_s
         try:
             while loop.time() < min(ends, pending.heard + silent_s):
-                self._send(to, data)
+                self._send(to, data, type(content))
                 if await _settled(pending.answer, RESEND_S):
                     return pending.answer.result()
             return None
@@ -117,7 +121,10 @@
         except TimeoutError:
             return None
 
-    def _send(self, to: Address, data: bytes) -> None:
+    def _send(self, to: Address, data: bytes, kind: type[Any] | None) -> None:
+        name = BUSY_NAME if kind is None else kind.__name__
+        self._metrics.add(instruments.MESSAGES, type=name)
+        self._metrics.add(instruments.MESSAGE_BYTES, len(data), type=name)
         if self._transport is not None and not self._transport.is_closing():
             self._transport.sendto(data, to)
 
@@ -168,10 +175,10 @@
         sender, number = key
         now = asyncio.get_running_loop().time()
         if answered is None or answered.may_still_come(now):
-            self._send(sender, packed([BUSY, number]))
+            self._send(sender, packed([BUSY, number]), None)
             return
         answered.sent = now
-        self._send(sender, answered.data)
+        self._send(sender, answered.data, answered.kind)
 
     async def _answer(self, key: tuple[Address, int], content: Any) -> None:
         sender, number = key
@@ -180,8 +187,9 @@
             self._handled.pop(key, None)
             return
         data = packed([ANSWER, number, *pack(answer)])
-        self._handled[key] = _Answered(data, asyncio.get_running_loop().time())
-        self._send(sender, data)
+        now = asyncio.get_running_loop().time()
+        self._handled[key] = _Answered(data, type(answer), now)
+        self._send(sender, data, type(answer))
 
     async def _call(self, content: Any, sender: Address) -> Any | None:
         handler = self._handlers.get(type(content))
@@ -193,6 +201,7 @@
     """Keep an answer for copies of its ask, and when it was last sent."""
 
     data: bytes
+    kind: type[Any]
     sent: float
 
     def may_still_come(self, now: float) -> bool:
--- a/src/crocusspindle/gateway/instruments.py
+++ b/src/crocusspindle/gateway/instruments.py
@@ -40,6 +40,24 @@
     meaning="Time from a request's head to its answer, by kind of route.",
     when_rising="Compare with the targets' own latency in the log's `sends`.",
 )
+MESSAGES: Final = declare(
+    "gateway_messages",
+    InstrumentKind.COUNTER,
+    unit="datagrams",
+    labels=("type",),
+    meaning="Datagrams that this node sent to others, by type of message.",
+    when_rising="More than two `Ping` a second, or `State` on several hosts: nodes do "
+    "not agree who reads for the fleet; see `reader passed over` in the log.",
+)
+MESSAGE_BYTES: Final = declare(
+    "gateway_message_bytes",
+    InstrumentKind.COUNTER,
+    unit="bytes",
+    labels=("type",),
+    meaning="Bytes of these datagrams, by type of message.",
+    when_rising="`State` near a quarter of the host's link: whole lists are asked for "
+    "faster than they may leave; the members or the targets change all the time.",
+)
 LOG_DROPPED: Final = declare(
     "log_dropped",
     InstrumentKind.GAUGE,
--- a/src/crocusspindle/gateway/placing.py
+++ b/src/crocusspindle/gateway/placing.py
@@ -1,6 +1,7 @@
 """Place requests for the fleet, and find the placer that does it for this node."""
 
 import asyncio
+import math
 import random
 from collections import deque
 from dataclasses import dataclass
@@ -44,6 +45,7 @@
 IDLE_SETTLE_S: Final = 0.1
 """How soon the first that waits is looked at again if no work ends meanwhile."""
 
+BOUND_LOGGED_EACH_MS: Final = 1_000.0
 VIEWS_KEPT: Final = 16
 """Views by which a new placer tells how long it was one of those that are told."""
 
@@ -98,6 +100,7 @@
         self._views: deque[tuple[float, View | None]] = deque(maxlen=VIEWS_KEPT)
         self._domains: dict[str, DomainId] = {}
         self._suspect_until_ms: dict[HostId, float] = {}
+        self._bound_logged_ms = -math.inf
         self._settled: dict[int, tuple[Waiting, asyncio.Event]] = {}
         self._log = Logger("placing")
 
@@ -200,6 +203,25 @@
         known_ms = round(budget.known_ms(at_ms))
         self._tell_others(service, RepeatsNote(service, known_ms, records))
 
+    def _log_bound(
+        self, service: ServiceId, budget: RepeatBudget, at_ms: float
+    ) -> None:
+        # One line a second tells what bound the repeats; one for each refusal is in
+        # the lines of the entries.
+        if at_ms < self._bound_logged_ms + BOUND_LOGGED_EACH_MS:
+            return
+        self._bound_logged_ms = at_ms
+        used, allowed = budget.state(at_ms)
+        log_state_change(
+            self._log,
+            "repeats at their bound",
+            service=service,
+            rank=self._own_rank(service),
+            used=used,
+            allowed=round(allowed),
+            known_ms=round(budget.known_ms(at_ms)),
+        )
+
     async def _repeats_note(self, note: RepeatsNote, sender: Address) -> None:
         at_ms = now_ms()
         records = [
@@ -241,6 +263,8 @@
         budget = self._budgets[ServiceId(message.service)]
         if budget.is_due_to_tell(at_ms):
             self._tell_repeats(ServiceId(message.service), budget)
+        if isinstance(answer, Refused) and answer.reason == "repeats":
+            self._log_bound(ServiceId(message.service), budget, at_ms)
         if isinstance(answer, Waiting):
             answer = await self._wait(placer, answer)
         self._tell_changes(ServiceId(message.service), placer)
--- a/src/crocusspindle_standins/virtual/fleet.py
+++ b/src/crocusspindle_standins/virtual/fleet.py
@@ -22,6 +22,7 @@
     HUNDREDTHS,
 )
 from crocusspindle.ids import DomainId, HostId, Incarnation, ServiceId
+from crocusspindle.metrics import Metrics
 from crocusspindle.platform.fleet_platform import Table
 from crocusspindle_standins.virtual.loop import VirtualLoop
 from crocusspindle_standins.virtual.network import Link, Network
@@ -63,7 +64,8 @@
     ) -> None:
         self.address = address
         platform = StoreClient(store, address.host)
-        self.exchange = Exchange((address.ip, address.peer_port), draw)
+        metrics = Metrics(address.host, address.domain)
+        self.exchange = Exchange((address.ip, address.peer_port), draw, metrics)
         self.knowledge = Knowledge(platform.parse_configuration)
         self.reading = Reading(platform, self.knowledge)
         self.membership = Membership(
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -17,6 +17,7 @@
     unpack,
     unpacked,
 )
+from crocusspindle.metrics import Metrics
 from crocusspindle_standins.processes import free_ports
 
 
@@ -24,16 +25,16 @@
     """Lose the datagrams whose numbers are named, counted from 0."""
 
     def __init__(self, address, lost=()):
-        super().__init__(address, random.Random(1))
+        super().__init__(address, random.Random(1), Metrics("n1", "a"))
         self.sent = 0
         self._lost = set(lost)
         self.lengths = []
 
-    def _send(self, to, data):
+    def _send(self, to, data, kind):
         self.sent += 1
         self.lengths.append(len(data))
         if self.sent - 1 not in self._lost:
-            super()._send(to, data)
+            super()._send(to, data, kind)
 
 
 @pytest.fixture
@@ -120,7 +121,7 @@
     """Something else sends to the port; the node must not end over it."""
     asker, answerer = pair
     for data in (b"", b"\xc1", packed([9]), packed([0, 1, 99]), packed([0, 1, 9])):
-        asker._send(address(answerer), data)
+        asker._send(address(answerer), data, None)
 
     async def spend(ask, sender):
         return NotMineAnswer()
