--- a/src/crocusspindle/core/floor_watch.py
+++ b/src/crocusspindle/core/floor_watch.py
@@ -35,6 +35,17 @@
 """How far above its floor a service keeps the share of its targets that get work: some
 of those that seem sound are not."""
 
+RELAPSED_PART: Final = 0.5
+"""Part of its ejection after which a target that failed at its return counts as sound
+again: sooner, and most of the work that is owed would go to targets that stay bad."""
+
+PROPER_MS: Final = 6_000.0
+"""A target that has not failed for this long, as long as two returns take, is sound."""
+
+BUSY_ENDINGS: Final = 1.5
+"""From so many endings a target and window on, a calm service keeps its floor as well:
+trouble that begins finds no targets that had been left out before."""
+
 
 class FloorWatch:
     """Follow how many go unserved, and bring ejected targets back while many do."""
@@ -99,12 +110,18 @@
         request for itself is best off elsewhere; all together leave them without any
         work, and the service with fewer targets than it is owed.
         """
-        if not self.pressed:
-            return []
         sound = [gauge for gauge in gauges if _seems_sound(gauge, now_ms)]
+        if not self.pressed and len(self._unserved) < BUSY_ENDINGS * len(sound):
+            # So little work would all go by turns, wherever it is best off.
+            return []
         unused = [gauge for gauge in sound if self.unused(gauge, now_ms)]
+        proper = [gauge for gauge in unused if _is_proper(gauge, now_ms)]
+        if self.pressed and proper:
+            # Work is safest there, if farther or slower, and few may be left.
+            return proper
         used_share = 1.0 - len(unused) / max(1, len(sound))
-        return unused if used_share < self._floor_share + FLOOR_MARGIN else []
+        margin = FLOOR_MARGIN if self.pressed else 0.0
+        return unused if used_share < self._floor_share + margin else []
 
     @staticmethod
     def unused(gauge: TargetGauge, now_ms: float) -> bool:
@@ -118,10 +135,28 @@
     again_ms = SOUND_AGAIN_MS
     if gauge.standing is Standing.EJECTED:
         # Who failed at its last return as well is less likely to be sound.
-        again_ms = max(again_ms, gauge.ejection_ms / 2)
-    if now_ms - gauge.last_failed_ms < again_ms:
-        return False
-    return gauge.doubt_nats(now_ms) < OVERDUE_NATS
+        again_ms = max(again_ms, gauge.ejection_ms * RELAPSED_PART)
+    return now_ms - _failed_ms(gauge, now_ms) >= again_ms
+
+
+def _is_proper(gauge: TargetGauge, now_ms: float) -> bool:
+    well = gauge.standing is Standing.WELL
+    return well and now_ms - _failed_ms(gauge, now_ms) >= PROPER_MS
+
+
+def _failed_ms(gauge: TargetGauge, now_ms: float) -> float:
+    # Work that hangs was lost when it was sent. A target that hung for a moment is
+    # sound again long before that work's time is over.
+    return max(gauge.last_failed_ms, _newest_overdue_ms(gauge, now_ms))
+
+
+def _newest_overdue_ms(gauge: TargetGauge, now_ms: float) -> float:
+    begins_ms = (
+        grant.began_ms
+        for grant in gauge.grants.values()
+        if grant.age_nats(now_ms - grant.began_ms) >= OVERDUE_NATS
+    )
+    return max(begins_ms, default=-math.inf)
 
 
 def _is_short(ready: list[TargetGauge], queued: int) -> bool:
--- a/src/crocusspindle/core/service_placer.py
+++ b/src/crocusspindle/core/service_placer.py
@@ -237,7 +237,7 @@
         owed = [
             gauge
             for gauge in self._floor.owed(self._gauges.values(), now_ms)
-            if not gauge.grants
+            if self._has_room(gauge, now_ms)
             and gauge.listed.identity not in ask.excluded
             and self._reachable(gauge, ask.sender, now_ms)
         ]
@@ -255,6 +255,12 @@
             chosen.begin_trial(now_ms)
         return chosen
 
+    @staticmethod
+    def _has_room(gauge: TargetGauge, now_ms: float) -> bool:
+        if gauge.standing is Standing.EJECTED:
+            return len(gauge.grants) < gauge.listed.slots
+        return gauge.free(now_ms)
+
     def _trial(
         self, usable: list[TargetGauge], ask: Ask, now_ms: float
     ) -> TargetGauge | None:
