--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -2,21 +2,14 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import ClassVar, Final
 
 from crocusspindle.clock import now_ms
 from crocusspindle.core.byte_pace import BytePace
-from crocusspindle.core.reader_choice import READER_DUTY, ReaderChoice
+from crocusspindle.core.reader_choice import ReaderChoice
 from crocusspindle.core.rendezvous import order
-from crocusspindle.core.view import (
-    NodeAddress,
-    SeatKey,
-    View,
-    by_capacity,
-    members_changed,
-    next_view,
-)
+from crocusspindle.core.view import NodeAddress, SeatKey
 from crocusspindle.errors import PlatformError
 from crocusspindle.gateway.exchange import Address, Exchange
 from crocusspindle.gateway.knowledge import (
@@ -28,6 +21,7 @@
 )
 from crocusspindle.gateway.messages import Done, Hello, Peek, Ping, Probe, State
 from crocusspindle.gateway.reading import ASKED_MS, OWN_MS, Reading
+from crocusspindle.gateway.view_keeper import ViewKeeper
 from crocusspindle.ids import HostId
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
@@ -61,19 +55,11 @@
 FIRST_START_S: Final = 0.5
 """All nodes start within 0.3 s of each other."""
 
-SETTLE_MS: Final = 250.0
-"""Before it adds members, a new reader lets those that start with it find it. Until the
-view names their new processes, no customer of theirs has a keeper."""
-
-REMOVE_AFTER_MS: Final = 2_500.0
-"""A new reader waits until everyone has found it before it takes anyone for gone."""
-
-REMOVE_MOST_AFTER_MS: Final = 10_000.0
 VIEW_S: Final = 0.2
 
 
 class Membership(Service):
-    """Ping the reader; as the reader, answer, and write the view."""
+    """Ping the reader; as the reader, answer, and have the view kept."""
 
     name: ClassVar[str] = "membership"
     needs: ClassVar[tuple[str, ...]] = ("exchange", "knowledge", "reading")
@@ -94,7 +80,7 @@
         self._exchange = exchange
         self._knowledge = knowledge
         self._reading = reading
-        self._over = over
+        self._views = ViewKeeper(node, exchange, knowledge, reading, over)
         self._log = Logger("membership")
         self._met: dict[HostId, NodeAddress] = {node.host: node}
         self._met_hosts: dict[tuple[Address, str], HostId] = {}
@@ -103,8 +89,6 @@
         self._pushed = NOTHING_HELD
         self._taking_push = False
         self._wake = asyncio.Event()
-        self._view_seen = -1
-        self._view_seen_ms = now_ms()
         self.is_ready: Callable[[], bool] = lambda: False
         self.ready = False
         self.leaving = False
@@ -312,9 +296,7 @@
             self._wake.set()
 
     def _push(self) -> None:
-        if self._knowledge.view.version != self._view_seen:
-            self._view_seen = self._knowledge.view.version
-            self._view_seen_ms = now_ms()
+        self._views.note_view()
         # Two readers with different lists would swap them for ever, as fast as the
         # network carries it. Who asks this node learns what was pushed to it in time.
         if self._taking_push or not self._reading.active:
@@ -361,90 +343,10 @@
             await asyncio.sleep(VIEW_S)
             self._refresh_open()
             try:
-                await self._renew_view()
+                await self._views.renew(self._present())
             except PlatformError as error:
                 log_state_change(self._log, "view not written", error=str(error))
 
-    async def _renew_view(self) -> None:
-        age_ms = now_ms() - self._reading.since_ms
-        belief = self._knowledge.view
-        present = {**self._newcomers(), **self._present()}
-        if age_ms < SETTLE_MS or belief.age_ms(now_ms()) > OLD_PROOF_MS:
-            return
-        view = belief.content
-        if not self._writes_view(view, present):
-            return
-        if view is not None and self._hears_few(view, present, age_ms):
-            return
-        if view is not None and age_ms < REMOVE_AFTER_MS:
-            kept = {
-                host: seat.node
-                for host, seat in view.by_host.items()
-                if host not in present
-            }
-            present = {**kept, **present}
-        if view is not None:
-            present = {**await self._still_there(view, present), **present}
-        if not members_changed(view, present):
-            return
-        if await self._reading.write_view(next_view(view, present, self._over())):
-            self._knowledge.tell()
-
-    def _newcomers(self) -> dict[HostId, NodeAddress]:
-        # They have written their rows since the view was, so nobody has heard of them
-        # yet. Named one by one as they ask, the start of a fleet would take as many
-        # views as it has stragglers, each told to all.
-        written = self._reading.view_row_version
-        return {
-            host: node
-            for host, node in self._reading.nodes.items()
-            if self._reading.row_versions[host] > written
-        }
-
-    def _writes_view(
-        self, view: View | None, present: Mapping[HostId, NodeAddress]
-    ) -> bool:
-        # A host that the view has put out is no reader to anyone until the view names
-        # it again. If it came back and ranked first, and the others left the view to
-        # it, nobody would ever write: the view would name processes that are gone,
-        # and their customers would have no keeper.
-        out = set() if view is None else {seat.node.host for seat in view.fenced}
-        eligible = [node for host, node in present.items() if host not in out]
-        ranked = by_capacity(READER_DUTY, eligible or present.values())
-        return bool(ranked) and ranked[0] == self._node.host
-
-    async def _still_there(
-        self, view: View, present: Mapping[HostId, NodeAddress]
-    ) -> dict[HostId, NodeAddress]:
-        # Members may ask another reader for a while. Put out for that, they would
-        # hand their duties over for nothing, and over again when they are back.
-        silent = [seat.node for h, seat in view.by_host.items() if h not in present]
-        answers = await asyncio.gather(*(self._probe_node(node) for node in silent))
-        return {
-            node.host: node
-            for node, lives in zip(silent, answers, strict=True)
-            if lives
-        }
-
-    async def _probe_node(self, node: NodeAddress) -> bool:
-        probe = Probe(node.incarnation)
-        to = (node.ip, node.peer_port)
-        answer = await self._exchange.ask(to, probe, PING_SILENT_S, PING_LIMIT_S)
-        return isinstance(answer, Done)
-
     async def _answer_probe(self, probe: Probe, sender: Address) -> Done | None:
         stays = probe.incarnation == self._node.incarnation and not self.leaving
         return Done() if stays else None
-
-    def _hears_few(
-        self, view: View, present: Mapping[HostId, NodeAddress], age_ms: float
-    ) -> bool:
-        # A node cut off from its peers hears nobody and would take all for gone,
-        # while the reader whom they ask puts them back: views would change without
-        # end, and no customer would keep its keeper. So would they if each of many
-        # nodes that read for themselves put itself back. Whoever hears less than half
-        # waits long enough for the others' reader to show itself.
-        if 2 * len(present) > len(view.seats):
-            return False
-        quiet_ms = now_ms() - self._view_seen_ms
-        return min(age_ms, quiet_ms) < REMOVE_MOST_AFTER_MS
--- /dev/null
+++ b/src/crocusspindle/gateway/view_keeper.py
@@ -0,0 +1,137 @@
+"""Write the view of the members, on the node that reads for the others."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import Final
+
+from crocusspindle.clock import now_ms
+from crocusspindle.core.reader_choice import READER_DUTY
+from crocusspindle.core.view import (
+    NodeAddress,
+    SeatKey,
+    View,
+    by_capacity,
+    members_changed,
+    next_view,
+)
+from crocusspindle.gateway.exchange import Exchange
+from crocusspindle.gateway.knowledge import Knowledge
+from crocusspindle.gateway.messages import Done, Probe
+from crocusspindle.gateway.reading import Reading
+from crocusspindle.ids import HostId
+
+SETTLE_MS: Final = 250.0
+"""Before it adds members, a new reader lets those that start with it find it. Until the
+view names their new processes, no customer of theirs has a keeper."""
+
+REMOVE_AFTER_MS: Final = 2_500.0
+"""A new reader waits until everyone has found it before it takes anyone for gone."""
+
+REMOVE_MOST_AFTER_MS: Final = 10_000.0
+PROOF_MS: Final = 2_000.0
+"""A view proved longer ago may have been replaced."""
+
+PROBE_SILENT_S: Final = 0.3
+PROBE_LIMIT_S: Final = 1.0
+
+Present = Mapping[HostId, NodeAddress]
+
+
+class ViewKeeper:
+    """Renew the view from who is present, if that falls to this node."""
+
+    def __init__(
+        self,
+        node: NodeAddress,
+        exchange: Exchange,
+        knowledge: Knowledge,
+        reading: Reading,
+        over: Callable[[], set[SeatKey]],
+    ) -> None:
+        self._node = node
+        self._exchange = exchange
+        self._knowledge = knowledge
+        self._reading = reading
+        self._over = over
+        self._number_seen = -1
+        self._seen_ms = now_ms()
+
+    def note_view(self) -> None:
+        """Note when the view last changed."""
+        if self._knowledge.view.version != self._number_seen:
+            self._number_seen = self._knowledge.view.version
+            self._seen_ms = now_ms()
+
+    async def renew(self, heard: Present) -> None:
+        """Write a view of those that are there, given who was heard lately."""
+        age_ms = now_ms() - self._reading.since_ms
+        belief = self._knowledge.view
+        if age_ms < SETTLE_MS or belief.age_ms(now_ms()) > PROOF_MS:
+            return
+        present = {**self._newcomers(), **heard}
+        view = belief.content
+        if not self._is_writer(view, present):
+            return
+        if view is not None:
+            if self._hears_few(view, present, age_ms):
+                return
+            present = {**await self._silent_members(view, present, age_ms), **present}
+        if not members_changed(view, present):
+            return
+        if await self._reading.write_view(next_view(view, present, self._over())):
+            self._knowledge.tell()
+
+    def _newcomers(self) -> dict[HostId, NodeAddress]:
+        # They have written their rows since the view was, so nobody has heard of them
+        # yet. Named one by one as they ask, the start of a fleet would take as many
+        # views as it has stragglers, each told to all.
+        written = self._reading.view_row_version
+        return {
+            host: node
+            for host, node in self._reading.nodes.items()
+            if self._reading.row_versions[host] > written
+        }
+
+    def _is_writer(self, view: View | None, present: Present) -> bool:
+        # A host that the view has put out is no reader to anyone until the view names
+        # it again. If it came back and ranked first, and the others left the view to
+        # it, nobody would ever write: the view would name processes that are gone,
+        # and their customers would have no keeper.
+        out = set() if view is None else {seat.node.host for seat in view.fenced}
+        eligible = [node for host, node in present.items() if host not in out]
+        ranked = by_capacity(READER_DUTY, eligible or present.values())
+        return bool(ranked) and ranked[0] == self._node.host
+
+    def _hears_few(self, view: View, present: Present, age_ms: float) -> bool:
+        # A node cut off from its peers hears nobody and would take all for gone,
+        # while the reader whom they ask puts them back: views would change without
+        # end, and no customer would keep its keeper. So would they if each of many
+        # nodes that read for themselves put itself back. Whoever hears less than half
+        # waits long enough for the others' reader to show itself.
+        if 2 * len(present) > len(view.seats):
+            return False
+        quiet_ms = now_ms() - self._seen_ms
+        return min(age_ms, quiet_ms) < REMOVE_MOST_AFTER_MS
+
+    async def _silent_members(
+        self, view: View, present: Present, age_ms: float
+    ) -> dict[HostId, NodeAddress]:
+        """Return the members that were not heard and are there all the same."""
+        silent = [seat.node for h, seat in view.by_host.items() if h not in present]
+        if age_ms < REMOVE_AFTER_MS:
+            return {node.host: node for node in silent}
+        # Members may ask another reader for a while. Put out for that, they would
+        # hand their duties over for nothing, and over again when they are back.
+        answers = await asyncio.gather(*(self._probe(node) for node in silent))
+        return {
+            node.host: node
+            for node, lives in zip(silent, answers, strict=True)
+            if lives
+        }
+
+    async def _probe(self, node: NodeAddress) -> bool:
+        to = (node.ip, node.peer_port)
+        answer = await self._exchange.ask(
+            to, Probe(node.incarnation), PROBE_SILENT_S, PROBE_LIMIT_S
+        )
+        return isinstance(answer, Done)
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -11,7 +11,8 @@
 from crocusspindle.core.rendezvous import order
 from crocusspindle.core.view import View
 from crocusspindle.gateway.knowledge import Held
-from crocusspindle.gateway.membership import SETTLE_MS, Membership
+from crocusspindle.gateway.membership import Membership
+from crocusspindle.gateway.view_keeper import SETTLE_MS
 from tests.gateway.test_knowledge import informed, seat, sent, state_for
 
 
@@ -110,6 +111,6 @@
     for number in (back, rest[1]):
         membership._meet(seat(number).node)
         membership._pinged_ms[seat(number).node.host] = now_ms()
-    await membership._renew_view()
+    await membership._views.renew(membership._present())
     (newest,) = written
     assert {s.node.host for s in newest.seats} == set(ranked)
