--- a/src/crocusspindle/gateway/placing.py
+++ b/src/crocusspindle/gateway/placing.py
@@ -1,22 +1,18 @@
 """Place requests for the fleet, and find the placer that does it for this node."""
 
 import asyncio
-import math
 import random
-from collections import deque
 from dataclasses import dataclass
-from typing import Any, ClassVar, Final
+from typing import ClassVar, Final
 
 from crocusspindle.clock import now_ms
 from crocusspindle.core.asks import Ask, Placed, Refused, Waiting
 from crocusspindle.core.fallback_choice import FallbackChoice
 from crocusspindle.core.listed_target import ListedTarget, TargetIdentity
 from crocusspindle.core.policies import Policies
-from crocusspindle.core.repeat_budget import RepeatBudget
-from crocusspindle.core.repeat_record import RepeatRecord, Slot
 from crocusspindle.core.service_placer import ServicePlacer
 from crocusspindle.core.target_gauge import EJECTION_MS, Ending, Standing
-from crocusspindle.core.view import NodeAddress, View
+from crocusspindle.core.view import NodeAddress
 from crocusspindle.gateway.exchange import Address, Exchange
 from crocusspindle.gateway.knowledge import Knowledge
 from crocusspindle.gateway.messages import (
@@ -28,15 +24,13 @@
     RefusedAnswer,
     RepeatsNote,
 )
+from crocusspindle.gateway.placer_ranks import PLACERS, PlacerRanks
 from crocusspindle.gateway.reload import LiveBounds
-from crocusspindle.ids import DomainId, GrantId, HostId, ServiceId
+from crocusspindle.gateway.repeat_sharing import RepeatSharing
+from crocusspindle.ids import GrantId, HostId, ServiceId
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
 
-PLACERS: Final = 3
-"""Members by rank that are tried before a node places on its own: with that many lost
-at once most of the fleet is gone."""
-
 SILENT_S: Final = 0.09
 """Two sendings that were lost, or a placer that is gone."""
 
@@ -45,19 +39,10 @@
 IDLE_SETTLE_S: Final = 0.1
 """How soon the first that waits is looked at again if no work ends meanwhile."""
 
-BOUND_LOGGED_EACH_MS: Final = 1_000.0
-VIEWS_KEPT: Final = 16
-"""Views by which a new placer tells how long it was one of those that are told."""
-
 FALLBACK_HEDGE_MS: Final = 1_000.0
 ENDINGS: Final = tuple(Ending)
 
 
-def placer_duty(service: ServiceId) -> str:
-    """Return the name of the duty to place for a service."""
-    return f"placer {service}"
-
-
 @dataclass(frozen=True, slots=True)
 class Place:
     """Hold where to send, and the placer to tell how it ended."""
@@ -90,17 +75,13 @@
         self._exchange = exchange
         self._knowledge = knowledge
         self._policies = policies
+        self._ranks = PlacerRanks(node, exchange, knowledge)
+        self._repeats = RepeatSharing(node, bounds, self._ranks)
         self._fallback = FallbackChoice(draw)
         self._placers: dict[ServiceId, ServicePlacer] = {}
-        self._budgets: dict[ServiceId, RepeatBudget] = {}
         self._targets: dict[TargetIdentity, ListedTarget] = {}
         self._targets_digest = 0
-        self._ranked: dict[ServiceId, list[HostId]] = {}
-        self._ranked_view = -1
-        self._views: deque[tuple[float, View | None]] = deque(maxlen=VIEWS_KEPT)
-        self._domains: dict[str, DomainId] = {}
         self._suspect_until_ms: dict[HostId, float] = {}
-        self._bound_logged_ms = -math.inf
         self._settled: dict[int, tuple[Waiting, asyncio.Event]] = {}
         self._log = Logger("placing")
 
@@ -132,44 +113,18 @@
             self._targets = {entry.identity: entry for entry in listed}
             for service, placer in self._placers.items():
                 placer.set_targets(self._of(service), now_ms())
-        if known.view.version != self._ranked_view:
-            self._ranked_view = known.view.version
-            self._ranked.clear()
-            seats = () if known.view.content is None else known.view.content.seats
-            self._domains = {seat.node.ip: seat.node.domain for seat in seats}
-            self._views.append((now_ms(), known.view.content))
-            for service, budget in self._budgets.items():
-                budget.set_rank(self._own_rank(service), now_ms())
-                # Whoever takes over goes on from here.
-                self._tell_repeats(service, budget)
+        if self._ranks.take_view():
+            self._repeats.take_ranks()
 
     def _of(self, service: ServiceId) -> list[ListedTarget]:
         return [entry for entry in self._targets.values() if entry.service == service]
 
-    def _rank(self, service: ServiceId) -> list[HostId]:
-        ranked = self._ranked.get(service)
-        if ranked is None:
-            view = self._knowledge.view.content
-            ranked = [] if view is None else view.ranked(placer_duty(service))
-            self._ranked[service] = ranked
-        return ranked
-
-    def _own_rank(self, service: ServiceId) -> int:
-        ranked = self._rank(service)
-        host = self._node.host
-        return ranked.index(host) if host in ranked else len(ranked)
-
     def _placer(self, service: ServiceId) -> ServicePlacer:
         placer = self._placers.get(service)
         if placer is None:
-            bounds = self._bounds.now
-            budget = RepeatBudget(
-                bounds.budget_ratio, bounds.budget_extra, bounds.budget_window_ms
-            )
-            placer = ServicePlacer(bounds.floor_share, budget, self._policies, now_ms())
-            budget.set_rank(self._own_rank(service), now_ms())
-            budget.knows_since(self._told_since_ms(service))
-            self._budgets[service] = budget
+            budget = self._repeats.budget(service)
+            floor_share = self._bounds.now.floor_share
+            placer = ServicePlacer(floor_share, budget, self._policies, now_ms())
             placer.set_targets(self._of(service), now_ms())
             if not self._placers:
                 self.spawn(self._settle_regularly())
@@ -177,68 +132,8 @@
             log_state_change(self._log, "places for a service", service=service)
         return placer
 
-    def _told_since_ms(self, service: ServiceId) -> float:
-        """Return since when this node was told all that placers of a service count."""
-        since_ms = now_ms()
-        for from_ms, view in reversed(self._views):
-            ranked = [] if view is None else view.ranked(placer_duty(service))
-            if self._node.host not in ranked[:PLACERS]:
-                break
-            since_ms = from_ms
-        return since_ms
-
-    def _tell_repeats(self, service: ServiceId, budget: RepeatBudget) -> None:
-        at_ms = now_ms()
-        records = [
-            [
-                record.origin,
-                record.number,
-                [
-                    [round(at_ms - slot.ended_ms), slot.requests, slot.repeats]
-                    for slot in record.slots
-                ],
-            ]
-            for record in budget.records(self._node.incarnation, at_ms)
-        ]
-        known_ms = round(budget.known_ms(at_ms))
-        self._tell_others(service, RepeatsNote(service, known_ms, records))
-
-    def _log_bound(
-        self, service: ServiceId, budget: RepeatBudget, at_ms: float
-    ) -> None:
-        # One line a second tells what bound the repeats; one for each refusal is in
-        # the lines of the entries.
-        if at_ms < self._bound_logged_ms + BOUND_LOGGED_EACH_MS:
-            return
-        self._bound_logged_ms = at_ms
-        used, allowed = budget.state(at_ms)
-        log_state_change(
-            self._log,
-            "repeats at their bound",
-            service=service,
-            rank=self._own_rank(service),
-            used=used,
-            allowed=round(allowed),
-            known_ms=round(budget.known_ms(at_ms)),
-        )
-
     async def _repeats_note(self, note: RepeatsNote, sender: Address) -> None:
-        at_ms = now_ms()
-        records = [
-            RepeatRecord(
-                origin,
-                number,
-                tuple(
-                    Slot(at_ms - age_ms, requests, repeats)
-                    for age_ms, requests, repeats in slots
-                ),
-            )
-            for origin, number, slots in note.records
-        ]
-        service = ServiceId(note.service)
-        self._placer(service)
-        own = self._node.incarnation
-        self._budgets[service].hear(own, records, note.known_ms, at_ms)
+        self._repeats.hear(note)
 
     async def _place_ask(
         self, message: PlaceAsk, sender: Address
@@ -246,7 +141,7 @@
         at_ms = now_ms()
         ask = Ask(
             sender=HostId(sender[0]),
-            domain=self._domains.get(sender[0], DomainId("")),
+            domain=self._ranks.domain_of(sender),
             route=message.route,
             idempotent=message.idempotent,
             priority=message.priority,
@@ -260,11 +155,9 @@
         )
         placer = self._placer(ServiceId(message.service))
         answer = placer.ask(ask, at_ms)
-        budget = self._budgets[ServiceId(message.service)]
-        if budget.is_due_to_tell(at_ms):
-            self._tell_repeats(ServiceId(message.service), budget)
+        self._repeats.tell_if_due(ServiceId(message.service))
         if isinstance(answer, Refused) and answer.reason == "repeats":
-            self._log_bound(ServiceId(message.service), budget, at_ms)
+            self._repeats.log_bound(ServiceId(message.service))
         if isinstance(answer, Waiting):
             answer = await self._wait(placer, answer)
         self._tell_changes(ServiceId(message.service), placer)
@@ -340,13 +233,7 @@
     def _tell_successors(
         self, service: ServiceId, target: TargetIdentity, left_ms: float
     ) -> None:
-        self._tell_others(service, EjectedNote(service, target, left_ms))
-
-    def _tell_others(self, service: ServiceId, note: Any) -> None:
-        for host in self._rank(service)[:PLACERS]:
-            to = self._address(host)
-            if host != self._node.host and to is not None:
-                self._exchange.tell(to, note)
+        self._ranks.tell_others(service, EjectedNote(service, target, left_ms))
 
     async def _ejected_note(self, note: EjectedNote, sender: Address) -> None:
         until_ms = now_ms() + note.left_ms
@@ -354,15 +241,10 @@
         self._placer(ServiceId(note.service)).adopt(target, until_ms, now_ms())
         self._fallback.avoid(target, until_ms)
 
-    def _address(self, host: HostId) -> tuple[str, int] | None:
-        view = self._knowledge.view.content
-        seat = None if view is None else view.by_host.get(host)
-        return None if seat is None else (seat.node.ip, seat.node.peer_port)
-
     async def place(self, service: ServiceId, ask: Ask) -> Place | Refused:
         """Return where to send a request, from its placer or by own choice."""
         asked = 0
-        for host in self._rank(service):
+        for host in self._ranks.ranked(service):
             if self._suspect_until_ms.get(host, 0.0) > now_ms():
                 continue
             if asked >= PLACERS:
@@ -376,7 +258,7 @@
     async def _ask_placer(
         self, host: HostId, service: ServiceId, ask: Ask, counted: bool
     ) -> Place | Refused | None:
-        to = self._address(host)
+        to = self._ranks.address(host)
         if to is None:
             return None
         left_ms = ask.deadline_ms - now_ms()
--- /dev/null
+++ b/src/crocusspindle/gateway/repeat_sharing.py
@@ -0,0 +1,104 @@
+"""Keep one count of a service's repeats at all nodes that may place for it."""
+
+import math
+from typing import Final
+
+from crocusspindle.clock import now_ms
+from crocusspindle.core.repeat_budget import RepeatBudget
+from crocusspindle.core.repeat_record import RepeatRecord, Slot
+from crocusspindle.core.view import NodeAddress
+from crocusspindle.gateway.messages import RepeatsNote
+from crocusspindle.gateway.placer_ranks import PlacerRanks
+from crocusspindle.gateway.reload import LiveBounds
+from crocusspindle.ids import ServiceId
+from crocusspindle.log_lines import Logger, log_state_change
+
+LOGGED_EACH_MS: Final = 1_000.0
+
+
+class RepeatSharing:
+    """Hold the budgets of repeats, and exchange what was counted."""
+
+    def __init__(
+        self, node: NodeAddress, bounds: LiveBounds, ranks: PlacerRanks
+    ) -> None:
+        self._own = node.incarnation
+        self._bounds = bounds
+        self._ranks = ranks
+        self._budgets: dict[ServiceId, RepeatBudget] = {}
+        self._logged_ms = -math.inf
+        self._log = Logger("placing")
+
+    def budget(self, service: ServiceId) -> RepeatBudget:
+        """Return the budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            bounds = self._bounds.now
+            budget = RepeatBudget(
+                bounds.budget_ratio, bounds.budget_extra, bounds.budget_window_ms
+            )
+            budget.set_rank(self._ranks.own_rank(service), now_ms())
+            budget.knows_since(self._ranks.told_since_ms(service))
+            self._budgets[service] = budget
+        return budget
+
+    def take_ranks(self) -> None:
+        """Take over new ranks; whoever takes a duty over goes on from these counts."""
+        for service, budget in self._budgets.items():
+            budget.set_rank(self._ranks.own_rank(service), now_ms())
+            self._tell(service, budget)
+
+    def tell_if_due(self, service: ServiceId) -> None:
+        """Tell the other placers what was counted, if they should know by now."""
+        budget = self.budget(service)
+        if budget.is_due_to_tell(now_ms()):
+            self._tell(service, budget)
+
+    def _tell(self, service: ServiceId, budget: RepeatBudget) -> None:
+        at_ms = now_ms()
+        records = [_packed(one, at_ms) for one in budget.records(self._own, at_ms)]
+        known_ms = round(budget.known_ms(at_ms))
+        self._ranks.tell_others(service, RepeatsNote(service, known_ms, records))
+
+    def hear(self, note: RepeatsNote) -> None:
+        """Take over what another placer counted."""
+        at_ms = now_ms()
+        records = [
+            RepeatRecord(
+                origin,
+                number,
+                tuple(Slot(at_ms - age_ms, *counts) for age_ms, *counts in slots),
+            )
+            for origin, number, slots in note.records
+        ]
+        budget = self.budget(ServiceId(note.service))
+        budget.hear(self._own, records, note.known_ms, at_ms)
+
+    def log_bound(self, service: ServiceId) -> None:
+        """Tell what bounds a service's repeats, once a second at most.
+
+        Each refusal has a line of its own at its entry.
+        """
+        at_ms = now_ms()
+        if at_ms < self._logged_ms + LOGGED_EACH_MS:
+            return
+        self._logged_ms = at_ms
+        budget = self.budget(service)
+        used, allowed = budget.state(at_ms)
+        log_state_change(
+            self._log,
+            "repeats at their bound",
+            service=service,
+            rank=self._ranks.own_rank(service),
+            used=used,
+            allowed=round(allowed),
+            known_ms=round(budget.known_ms(at_ms)),
+        )
+
+
+def _packed(record: RepeatRecord, at_ms: float) -> list[object]:
+    slots = [
+        [round(at_ms - slot.ended_ms), slot.requests, slot.repeats]
+        for slot in record.slots
+    ]
+    return [record.origin, record.number, slots]
