--- a/src/crocusspindle/core/floor_watch.py
+++ b/src/crocusspindle/core/floor_watch.py
@@ -40,11 +40,12 @@
 again: sooner, and most of the work that is owed would go to targets that stay bad."""
 
 PROPER_MS: Final = 6_000.0
-"""A target that has not failed for this long, as long as two returns take, is sound."""
+"""A target that has not failed for this long is sound as far as can be told: a failure
+after a return counts as a relapse up to the same time."""
 
 BUSY_ENDINGS: Final = 1.5
 """From so many endings a target and window on, a calm service keeps its floor as well:
-trouble that begins finds no targets that had been left out before."""
+when trouble begins, no targets have been left out before."""
 
 
 class FloorWatch:
@@ -110,10 +111,12 @@
         request for itself is best off elsewhere; all together leave them without any
         work, and the service with fewer targets than it is owed.
         """
-        sound = [gauge for gauge in gauges if _seems_sound(gauge, now_ms)]
-        if not self.pressed and len(self._unserved) < BUSY_ENDINGS * len(sound):
+        if not self.pressed and len(self._unserved) < BUSY_ENDINGS * len(gauges):
             # So little work would all go by turns, wherever it is best off.
             return []
+        if not any(self.unused(gauge, now_ms) for gauge in gauges):
+            return []
+        sound = [gauge for gauge in gauges if _seems_sound(gauge, now_ms)]
         unused = [gauge for gauge in sound if self.unused(gauge, now_ms)]
         proper = [gauge for gauge in unused if _is_proper(gauge, now_ms)]
         if self.pressed and proper:
