--- a/src/crocusspindle/gateway/assembly.py
+++ b/src/crocusspindle/gateway/assembly.py
@@ -66,7 +66,7 @@
     knowledge = Knowledge(platform.parse_configuration)
     reading = Reading(platform, knowledge)
     quota = Quota(node, bounds, exchange, knowledge)
-    choice = ReaderChoice(draw)
+    choice = ReaderChoice(node.host, draw)
     pace = BytePace(settings.contents_bytes_per_ms)
     membership = Membership(
         node, exchange, knowledge, reading, quota.over, choice, pace
--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -214,7 +214,7 @@
         if oldest_ms > OLD_PROOF_MS:
             self._suspect(reader, "old proofs")
             return False
-        self._choice.trust(reader)
+        self._choice.trust(reader, now_ms())
         if state.later:
             # It would have to wait for its turn, and the store has it at once.
             self._reading.want(OWN_MS)
--- a/src/crocusspindle_standins/virtual/fleet.py
+++ b/src/crocusspindle_standins/virtual/fleet.py
@@ -74,7 +74,7 @@
             self.knowledge,
             self.reading,
             set,
-            ReaderChoice(draw),
+            ReaderChoice(address.host, draw),
             BytePace(size.link_mbit_s * BYTES_PER_MS * CONTENTS_LINK_PART),
         )
         self.membership.is_ready = lambda: self.knowledge.view.content is not None
@@ -147,6 +147,14 @@
         """Kill the process on a host; it leaves without a word."""
         await self.nodes.pop(name).kill()
 
+    def cut_off(self, name: str) -> None:
+        """Cut a host off from all others; it still reaches the store."""
+        self.network.cut_off.add(self.nodes[name].address.ip)
+
+    def rejoin(self, name: str) -> None:
+        """End a host's cut."""
+        self.network.cut_off.discard(self.nodes[name].address.ip)
+
     def views(self) -> Counter[int]:
         """Return how many nodes have each view in force."""
         return Counter(node.knowledge.view.version for node in self.nodes.values())
--- a/src/crocusspindle_standins/virtual/network.py
+++ b/src/crocusspindle_standins/virtual/network.py
@@ -41,6 +41,7 @@
     def __init__(self, loop: VirtualLoop) -> None:
         self._loop = loop
         self.links: dict[str, Link] = {}
+        self.cut_off: set[str] = set()
         self._protocols: dict[Address, asyncio.DatagramProtocol] = {}
 
     def open(
@@ -55,8 +56,8 @@
         self._protocols.pop(address, None)
 
     def send(self, sender: Address, to: Address, data: bytes) -> None:
-        """Put a datagram on its way."""
-        if len(data) > DATAGRAM_MAX_BYTES:
+        """Put a datagram on its way, if there is one."""
+        if len(data) > DATAGRAM_MAX_BYTES or {sender[0], to[0]} & self.cut_off:
             return
         now_s = self._loop.time()
         out, into = self.links[sender[0]], self.links[to[0]]
--- a/tests/gateway/test_fleet_settles.py
+++ b/tests/gateway/test_fleet_settles.py
@@ -120,3 +120,31 @@
         await assert_rests(fleet, 2.0)
 
     play([LARGE] * large + [SMALL] * small, scene)
+
+
+@pytest.mark.parametrize("cut_s", [4.0, 12.0])
+def test_a_host_that_was_cut_off_asks_the_others_reader_again(play, cut_s):
+    """A host loses the way to all its peers, and finds every one of them silent.
+
+    When the way is back it is offered to callers only once it asks the reader that all
+    ask. If it remembered the silence for longer, it would make a reader of its own of
+    whomever it tries next, and callers would be told two different lists of hosts.
+    """
+
+    async def scene(fleet: VirtualFleet) -> None:
+        await fleet.start_all()
+        await asyncio.sleep(READY_AFTER_S)
+        (reader,) = fleet.readers()
+        name = next(name for name in fleet.nodes if name != reader)
+        fleet.cut_off(name)
+        await asyncio.sleep(cut_s)
+        fleet.rejoin(name)
+        await asyncio.sleep(5.0)
+        assert fleet.named() == len(fleet.nodes)
+        open_lists = {node.knowledge.open_digest for node in fleet.nodes.values()}
+        assert len(open_lists) == 1
+        addresses = {address for address, _ in fleet.nodes[name].knowledge.open_nodes}
+        assert fleet.nodes[name].address.caller_address in addresses
+        assert len(fleet.readers()) <= READERS
+
+    play([LARGE] * 2 + [SMALL] * 34, scene)
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -27,7 +27,7 @@
 
 
 def membership_of(node, exchange, knowledge, reading) -> Membership:
-    choice, pace = ReaderChoice(random.Random(1)), BytePace(1e6)
+    choice, pace = ReaderChoice(node.host, random.Random(1)), BytePace(1e6)
     return Membership(node, exchange, knowledge, reading, set, choice, pace)
 
 
