--- a/src/crocusspindle/gateway/exchange.py
+++ b/src/crocusspindle/gateway/exchange.py
@@ -28,6 +28,8 @@
 link for good: a copy hears that the peer is at work while the answer may still come."""
 
 LARGE_AGAIN_S: Final = 0.5
+"""After this a large answer that was not heard is taken for lost."""
+
 ANSWERS_KEPT: Final = 4_096
 """Answers kept for asks that come again: some seconds of a busy node's."""
 
--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -21,26 +21,20 @@
 )
 from crocusspindle.gateway.messages import Done, Hello, Peek, Ping, Probe, State
 from crocusspindle.gateway.reading import ASKED_MS, OWN_MS, Reading
-from crocusspindle.gateway.view_keeper import ViewKeeper
+from crocusspindle.gateway.view_keeper import (
+    OLD_PROOF_MS,
+    PEER_LIMIT_S,
+    PEER_SILENT_S,
+    ViewKeeper,
+)
 from crocusspindle.ids import HostId
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
 
 PING_S: Final = 0.5
-PING_SILENT_S: Final = 0.3
-"""A peer answers within 3 ms; seven sendings that all get lost hardly happen. What it
-has just told to hundreds of others may fill a narrow link for a part of this."""
-
 FIRST_PROOFS_MS: Final = 250.0
 """A reader that was resting has its first answers from the store within this."""
 
-PING_LIMIT_S: Final = 1.0
-"""An answer with whole lists may take this long on a narrow link. A peer whose link is
-that far behind says meanwhile that it is at work."""
-
-OLD_PROOF_MS: Final = 2_000.0
-"""A reader whose proofs are older has lost the store; another one may have it."""
-
 CONSULTED: Final = 6
 """Peers asked at once whether the store was there all along. With a third of the fleet
 cut off, all six are one time in a thousand."""
@@ -199,7 +193,7 @@
             return False
         asked_ms = now_ms()
         state = await self._exchange.ask(
-            to, self._own_ping(), PING_SILENT_S, PING_LIMIT_S
+            to, self._own_ping(), PEER_SILENT_S, PEER_LIMIT_S
         )
         if not isinstance(state, State):
             self._suspect(reader, "silent")
@@ -267,7 +261,7 @@
         if to is None:
             return
         asked_ms, peek = now_ms(), Peek(self._knowledge.held())
-        state = await self._exchange.ask(to, peek, PING_SILENT_S, PING_LIMIT_S)
+        state = await self._exchange.ask(to, peek, PEER_SILENT_S, PEER_LIMIT_S)
         if isinstance(state, State):
             self._knowledge.take_state(state, asked_ms)
 
--- a/src/crocusspindle/gateway/settings.py
+++ b/src/crocusspindle/gateway/settings.py
@@ -11,6 +11,8 @@
 longer owed: a quota keeper that stops then costs no caller."""
 
 HUNDREDTHS: Final = 100.0
+"""What a core is, in the unit in which hosts tell what they carry."""
+
 BYTES_PER_MS: Final = 125.0
 """What a link of one Mbit/s carries."""
 
--- a/src/crocusspindle/gateway/view_keeper.py
+++ b/src/crocusspindle/gateway/view_keeper.py
@@ -28,11 +28,17 @@
 """A new reader waits until everyone has found it before it takes anyone for gone."""
 
 REMOVE_MOST_AFTER_MS: Final = 10_000.0
-PROOF_MS: Final = 2_000.0
-"""A view proved longer ago may have been replaced."""
+OLD_PROOF_MS: Final = 2_000.0
+"""A reader whose proofs are older has lost the store; another one may have it, and the
+view may have been replaced."""
 
-PROBE_SILENT_S: Final = 0.3
-PROBE_LIMIT_S: Final = 1.0
+PEER_SILENT_S: Final = 0.3
+"""A peer answers within 3 ms; seven sendings that all get lost hardly happen. What it
+has just told to hundreds of others may fill a narrow link for a part of this."""
+
+PEER_LIMIT_S: Final = 1.0
+"""An answer with whole lists may take this long on a narrow link. A peer whose link is
+that far behind says meanwhile that it is at work."""
 
 Present = Mapping[HostId, NodeAddress]
 
@@ -66,7 +72,7 @@
         """Write a view of those that are there, given who was heard lately."""
         age_ms = now_ms() - self._reading.since_ms
         belief = self._knowledge.view
-        if age_ms < SETTLE_MS or belief.age_ms(now_ms()) > PROOF_MS:
+        if age_ms < SETTLE_MS or belief.age_ms(now_ms()) > OLD_PROOF_MS:
             return
         present = {**self._newcomers(), **heard}
         view = belief.content
@@ -132,6 +138,6 @@
     async def _probe(self, node: NodeAddress) -> bool:
         to = (node.ip, node.peer_port)
         answer = await self._exchange.ask(
-            to, Probe(node.incarnation), PROBE_SILENT_S, PROBE_LIMIT_S
+            to, Probe(node.incarnation), PEER_SILENT_S, PEER_LIMIT_S
         )
         return isinstance(answer, Done)
