--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -248,6 +248,8 @@
         return state.without_contents()
 
     def _may_give(self, state: State) -> bool:
+        # Contents leave at a part of the link only, or answers without any would wait
+        # behind them until this node is taken for gone.
         length = state.contents_bytes
         return length == 0 or self._pace.take(length, now_ms())
 
--- a/src/crocusspindle_standins/virtual/loop.py
+++ b/src/crocusspindle_standins/virtual/loop.py
@@ -63,6 +63,7 @@
         """Return the virtual time in seconds."""
         return self._virtual.now_s
 
+    # The real one takes more ways to name a socket than nodes use.
     async def create_datagram_endpoint(  # type: ignore[override]
         self,
         protocol_factory: Callable[[], asyncio.DatagramProtocol],
