Send no contents that a datagram cannot hold; the store has them

Cause: whole contents, and changes, travel as one datagram. Over 65,507 bytes sending fails without a word: the asker takes the reader for silent, tries the next ones with the same result, and serves by the old configuration. Thousands of routes added at once come to that.

Change: over 60,000 bytes the answer says "later" without contents, and the asker reads the tables once.

Test (fails before: two versions in force after 2 s): 1,500 routes of random words on a fleet of 48; one version everywhere within 2 s, at most three calls a host.

--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -19,7 +19,7 @@
     packed_node,
     unpacked_node,
 )
-from crocusspindle.gateway.messages import Done, Hello, Peek, Ping, Probe, State
+from crocusspindle.gateway.messages import CONTENTS_MAX_BYTES, Done, Hello, Peek, Ping, Probe, State
 from crocusspindle.gateway.reading import ASKED_MS, OWN_MS, Reading, ReadReason
 from crocusspindle.gateway.view_keeper import (
     OLD_PROOF_MS,
@@ -261,14 +261,14 @@
             unknown=host is None,
             reads=not self._reading.lost,
         )
-        if self._may_give(state):
-            return state
-        return state.without_contents()
+        return state if self._may_give(state) else state.without_contents()
 
     def _may_give(self, state: State) -> bool:
         # Contents leave at a part of the link only, or answers without any would wait
         # behind them until this node is taken for gone.
         length = state.contents_bytes
+        if length > CONTENTS_MAX_BYTES:
+            return False
         return length == 0 or self._pace.take(length, now_ms())
 
     async def _consult(self) -> None:
--- a/src/crocusspindle/gateway/messages.py
+++ b/src/crocusspindle/gateway/messages.py
@@ -9,6 +9,10 @@
 from crocusspindle.errors import PeerError
 from crocusspindle.gateway.updates import WHOLE
 
+CONTENTS_MAX_BYTES: Final = 60_000
+"""A datagram holds 65,507 bytes, and a longer one is lost without a word: its reader
+would be taken for silent by every host that asks."""
+
 _BY_CODE: Final[dict[int, type[Any]]] = {}
 _CODES: Final[dict[type[Any], int]] = {}
 _FIELDS: Final[dict[type[Any], tuple[str, ...]]] = {}
@@ -91,7 +95,8 @@
     ``unknown`` asks the pinging node to introduce itself, ``reads`` tells whether the
     answering node has the store within reach, and ``store_back_ms`` how long ago the
     store came back after it had been away from the whole fleet. ``later`` tells that
-    the answering node has whole contents of the store and no room for them now.
+    the answering node has contents of the store and no room for them now, and that it
+    would have to give them whole or cannot give them at all.
     """
 
     configuration_version: int
@@ -121,13 +126,14 @@
         """Return the state that only tells what is newest."""
         from_store = (self.configuration, self.targets, self.view)
         whole = any(packed and packed[0] == WHOLE for packed in from_store)
+        too_long = self.contents_bytes > CONTENTS_MAX_BYTES
         return replace(
             self,
             configuration=None,
             targets=None,
             view=None,
             open_nodes=None,
-            later=whole,
+            later=whole or too_long,
         )
 
 
--- a/src/crocusspindle_standins/virtual/fleet.py
+++ b/src/crocusspindle_standins/virtual/fleet.py
@@ -103,10 +103,11 @@
         loop.network = self.network
         self.sizes = {f"n{number:03}": size for number, size in enumerate(sizes)}
         self.nodes: dict[str, Node] = {}
+        self._versions = 1
         self._targets: list[TargetIdentity] = []
         for number in range(targets):
             self._list_target(number)
-        self.store.put(Table.CONFIGURATION, CONFIGURATION_KEY, _configuration())
+        self.configure(ROUTES)
 
     def _list_target(self, number: int) -> None:
         target = ListedTarget(
@@ -120,6 +121,15 @@
         self._targets.append(target.identity)
         self.store.put(Table.TARGETS, target.identity, target_row(target))
 
+    def configure(self, routes: int) -> None:
+        """Write a configuration that takes some twelve words a route."""
+        words = (f"{self._draw.getrandbits(40):010x}" for _ in range(routes * 12))
+        document = {"routes": {}, "services": {}, "tenants": {}}
+        self._versions += 1
+        document |= {"version": f"{self._versions:08}", "note": " ".join(words)}
+        value = json.dumps(document).encode()
+        self.store.put(Table.CONFIGURATION, CONFIGURATION_KEY, value)
+
     def replace_targets(self, count: int) -> None:
         """Take targets off the list and put others in their place."""
         for _ in range(count):
@@ -190,8 +200,3 @@
         """Return how many bytes of datagrams were sent."""
         return sum(link.sent_bytes for link in self.network.links.values())
 
-
-def _configuration() -> bytes:
-    document = {"version": "00000002", "routes": {}, "services": {}, "tenants": {}}
-    document["note"] = " ".join(f"route-{number:04}" for number in range(ROUTES * 12))
-    return json.dumps(document).encode()
--- a/tests/gateway/test_fleet_settles.py
+++ b/tests/gateway/test_fleet_settles.py
@@ -16,6 +16,9 @@
 READY_AFTER_S = 10.0
 """Callers come twelve seconds after the hosts start at the earliest."""
 
+IN_FORCE_S = 2.0
+"""A change is in force everywhere within this of the store's acknowledgement."""
+
 READERS = 2
 """One reads, and another one may be on its way to resting."""
 
@@ -107,6 +110,29 @@
     play([SMALL] * 150, scene, targets=900)
 
 
+def test_a_configuration_that_no_datagram_holds_comes_from_the_store(play):
+    """An operator adds routes by the thousand, more than the reader can send.
+
+    Sent all the same, the answer is lost on its way. Every host takes the reader for
+    silent, tries the others one by one, and serves by the old configuration meanwhile.
+    """
+
+    async def scene(fleet: VirtualFleet) -> None:
+        await fleet.start_all()
+        await asyncio.sleep(READY_AFTER_S)
+        calls = fleet.store.calls.total()
+        fleet.configure(routes=1_500)
+        await asyncio.sleep(IN_FORCE_S)
+        versions = {n.knowledge.configuration.version for n in fleet.nodes.values()}
+        assert len(versions) == 1
+        await asyncio.sleep(3.0)
+        await assert_rests(fleet, 2.0)
+        rest = CALLS_PER_S * (IN_FORCE_S + 5.0)
+        assert fleet.store.calls.total() - calls <= 3 * len(fleet.nodes) + rest
+
+    play([LARGE] * 2 + [SMALL] * 46, scene)
+
+
 @pytest.mark.parametrize(("large", "small"), [(8, 125), (0, 133)])
 def test_a_fleet_goes_on_without_its_reader(play, large, small):
     """The host that reads for all loses power.
