--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -19,7 +19,15 @@
     packed_node,
     unpacked_node,
 )
-from crocusspindle.gateway.messages import CONTENTS_MAX_BYTES, Done, Hello, Peek, Ping, Probe, State
+from crocusspindle.gateway.messages import (
+    CONTENTS_MAX_BYTES,
+    Done,
+    Hello,
+    Peek,
+    Ping,
+    Probe,
+    State,
+)
 from crocusspindle.gateway.reading import ASKED_MS, OWN_MS, Reading, ReadReason
 from crocusspindle.gateway.view_keeper import (
     OLD_PROOF_MS,
--- a/src/crocusspindle_standins/virtual/fleet.py
+++ b/src/crocusspindle_standins/virtual/fleet.py
@@ -199,4 +199,3 @@
     def sent_bytes(self) -> int:
         """Return how many bytes of datagrams were sent."""
         return sum(link.sent_bytes for link in self.network.links.values())
-
