--- a/src/crocusspindle_standins/virtual/fleet.py
+++ b/src/crocusspindle_standins/virtual/fleet.py
@@ -124,9 +124,14 @@
     def configure(self, routes: int) -> None:
         """Write a configuration that takes some twelve words a route."""
         words = (f"{self._draw.getrandbits(40):010x}" for _ in range(routes * 12))
-        document = {"routes": {}, "services": {}, "tenants": {}}
         self._versions += 1
-        document |= {"version": f"{self._versions:08}", "note": " ".join(words)}
+        document = {
+            "version": f"{self._versions:08}",
+            "routes": {},
+            "services": {},
+            "tenants": {},
+            "note": " ".join(words),
+        }
         value = json.dumps(document).encode()
         self.store.put(Table.CONFIGURATION, CONFIGURATION_KEY, value)
 
