Let duties of a mixed fleet fall to its large hosts in all but one case of fifty

Cause: by the square of what a host carries, the 275 small hosts of a fleet with 18 large ones are first for 13 services in 100. Seen on the large fleet: a service with 73 targets was placed by a host of 0.43 cores, which was passed over 501 times in five seconds; no other placer was.

Ruled out: the cube, which leaves 1.5 in 100 there (12 of 500 in the test, where ten are allowed).

Change: the fourth power.

Tests: three mixes, at most one duty in fifty on a small host (fails before: 19, 64 and 82 of 500). That small hosts remain possible is asked more strictly than before: with all large ones gone, 500 duties spread over more than 100 hosts, in place of one head beside the eight large ones.

--- a/src/crocusspindle/core/view.py
+++ b/src/crocusspindle/core/view.py
@@ -28,10 +28,10 @@
 
         The load is a fleet of few large hosts and many small ones. A duty that serves
         the whole fleet fills a small host's processor and link, and all callers wait.
-        By the square, a host of twenty times the size has as many duties as 400 small
-        ones, and hosts of about one size still share them evenly.
+        By the fourth power, a host of ten times the size has as many duties as 10,000
+        small ones, and hosts of about one size still share them.
         """
-        return float(self.capacity) ** 2
+        return float(self.capacity) ** 4
 
 
 SeatKey = tuple[Incarnation, int]
--- a/tests/core/test_view.py
+++ b/tests/core/test_view.py
@@ -2,8 +2,10 @@
 
 from dataclasses import replace
 
+import pytest
+
 from crocusspindle.core.proof import Belief
-from crocusspindle.core.view import NodeAddress, members_changed, next_view
+from crocusspindle.core.view import NodeAddress, View, members_changed, next_view
 from crocusspindle.ids import DomainId, HostId, Incarnation
 
 
@@ -67,18 +69,39 @@
     assert belief.age_ms(1_000.0) == 200.0
 
 
-def test_large_hosts_have_nearly_all_duties_of_a_mixed_fleet():
-    """Eight large hosts and 125 small ones start, and each duty falls to one of them.
-
-    By name alone 19 of 20 duties fell to small hosts: a placer of 300 requests a second
-    was passed over for being slow, and two placers at once gave the same slots away.
-    """
-    sizes = {f"n{number}": 200 if number < 8 else 10 for number in range(133)}
+def mixed_fleet(large: int, small: int, sizes: tuple[int, int]) -> View:
+    """Return the view of hosts of two sizes; the large ones come first by name."""
+    capacities = [sizes[0]] * large + [sizes[1]] * small
+    names = [f"n{number:03}" for number in range(large + small)]
     nodes = {
         HostId(name): replace(node(name), capacity=capacity)
-        for name, capacity in sizes.items()
+        for name, capacity in zip(names, capacities, strict=True)
     }
-    view = next_view(None, nodes)
-    heads = [view.ranked(f"placer {number}")[0] for number in range(500)]
-    assert sum(sizes[host] == 200 for host in heads) > 0.9 * len(heads)
-    assert len(set(heads)) > 8
+    return next_view(None, nodes)
+
+
+def heads_of(view: View, duties: int) -> list[HostId]:
+    return [view.ranked(f"placer {number}")[0] for number in range(duties)]
+
+
+@pytest.mark.parametrize(
+    ("large", "small", "sizes"),
+    [(8, 125, (200, 10)), (8, 125, (100, 10)), (18, 275, (200, 20))],
+)
+def test_large_hosts_have_nearly_all_duties_of_a_mixed_fleet(large, small, sizes):
+    """A few large hosts and hundreds of small ones start, and duties fall to them.
+
+    A small host that places for a busy service is passed over for being slow, and two
+    placers at once give the same slots away: one service in fifty may have that.
+    """
+    view = mixed_fleet(large, small, sizes)
+    heads = heads_of(view, 500)
+    on_large = sum(view.by_host[head].node.capacity == sizes[0] for head in heads)
+    assert on_large >= 0.98 * len(heads)
+    assert len(set(heads)) >= large
+
+
+def test_small_hosts_have_the_duties_when_the_large_ones_are_gone():
+    """All large hosts lose power. The duties spread over the small ones."""
+    heads = heads_of(mixed_fleet(0, 125, (200, 10)), 500)
+    assert len(set(heads)) > 100
