Count what a customer earned while its keeper's host started again

Its customers had not been admitted by anybody since the host's former process ended, which was before the new one began.

Ruled out: taking the time of the power cut for known (no process saw it); counting from the new process's start in every case: a member that kept the customer in between may have spent the rate.

Change: a keeper whose host headed the customer in the view directly before the one that names its new process, with no restarted keeper before that, owns what was earned since its process began.

Tests: a restarted keeper has its burst 2 s after its process began (fails before), and has nothing if a view lies in between.

--- a/src/crocusspindle/cli.py
+++ b/src/crocusspindle/cli.py
@@ -17,6 +17,7 @@
 import yaml
 
 from crocusspindle import __version__
+from crocusspindle.clock import now_ms
 from crocusspindle.errors import (
     CrocusspindleError,
     Finding,
@@ -293,7 +294,7 @@
 def _run_gateway(path: str | None) -> None:
     from crocusspindle.gateway.serve import serve  # noqa: PLC0415 - slow to import
 
-    serve(path)
+    serve(path, now_ms())
 
 
 def _losses(files: Sequence[str]) -> dict[str, Any]:
--- a/src/crocusspindle/core/duty_history.py
+++ b/src/crocusspindle/core/duty_history.py
@@ -36,10 +36,13 @@
     """Hold the views one after the other in which a node headed a duty.
 
     ``ended_ms`` is when it learnt of the view that ended the term, None before.
+    ``succeeds_itself`` tells that the former process of its host had the duty until
+    the first of these views, and nobody else can have had it in between.
     """
 
     views: tuple[SeenView, ...]
     ended_ms: float | None
+    succeeds_itself: bool
 
     @property
     def since_ms(self) -> float:
@@ -75,15 +78,35 @@
     def last_term(self, duty: str, after_view: int) -> Term | None:
         """Return the last term as the first for a duty, by views after a number."""
         views: list[SeenView] = []
+        before: SeenView | None = None
         ended_ms: float | None = None
         for seen in reversed(self._views):
             if seen.view.number > after_view and self._heads(seen.view, duty):
                 views.append(seen)
             elif views:
+                before = seen
                 break
             else:
                 ended_ms = seen.seen_ms
-        return Term(tuple(reversed(views)), ended_ms) if views else None
+        if not views:
+            return None
+        views.reverse()
+        itself = before is not None and self._succeeds(before, views[0], duty)
+        return Term(tuple(views), ended_ms, itself)
+
+    def _succeeds(self, before: SeenView, first: SeenView, duty: str) -> bool:
+        if first.view.number != before.view.number + 1:
+            return False
+        own = before.view.by_host.get(self._host)
+        if own is None or own.node.incarnation == self._incarnation:
+            return False
+        rank = _rank_of(own, before.view, duty)
+        if not rank.first:
+            return False
+        # Who had the duty before may not have known of it, and have acted for longer.
+        # A member that still runs is asked; what a process that ended did is unknown.
+        former = rank.former
+        return former is None or former in first.view.seats
 
     def _heads(self, view: View, duty: str) -> bool:
         rank = self.rank_in(view, duty)
@@ -95,16 +118,20 @@
         if own is None or own.node.incarnation != self._incarnation:
             # The view still means this host's former process, or none.
             return None
-        fenced = {seat.key for seat in view.fenced}
-        everyone = (*view.seats, *view.fenced)
-        seats = {seat.node.host: seat for seat in everyone}
-        ranked = View(view.number, everyone).ranked(duty)
-        place = ranked.index(self._host)
-        above = [seats[host] for host in ranked[:place]]
-        # Those below had the duty only if they were there before this node.
-        below = [seats[host] for host in ranked[place + 1 :]]
-        older = [seat for seat in below if seat.joined < own.joined]
-        out = [seat for seat in older if seat.key in fenced]
-        former = next((seat for seat in older if seat.key not in fenced), None)
-        first = all(seat.key in fenced for seat in above)
-        return DutyRank(first, (*above, *out), former)
+        return _rank_of(own, view, duty)
+
+
+def _rank_of(own: Seat, view: View, duty: str) -> DutyRank:
+    fenced = {seat.key for seat in view.fenced}
+    everyone = (*view.seats, *view.fenced)
+    seats = {seat.node.host: seat for seat in everyone}
+    ranked = View(view.number, everyone).ranked(duty)
+    place = ranked.index(own.node.host)
+    above = [seats[host] for host in ranked[:place]]
+    # Those below had the duty only if they were there before this member.
+    below = [seats[host] for host in ranked[place + 1 :]]
+    older = [seat for seat in below if seat.joined < own.joined]
+    out = [seat for seat in older if seat.key in fenced]
+    former = next((seat for seat in older if seat.key not in fenced), None)
+    first = all(seat.key in fenced for seat in above)
+    return DutyRank(first, (*above, *out), former)
--- a/src/crocusspindle/core/quota_keeper.py
+++ b/src/crocusspindle/core/quota_keeper.py
@@ -68,7 +68,10 @@
 
 
 class QuotaKeeper:
-    """Admit requests of the customers that this node keeps."""
+    """Admit requests of the customers that this node keeps.
+
+    ``began_ms`` is when its process began.
+    """
 
     def __init__(
         self,
@@ -76,8 +79,10 @@
         incarnation: Incarnation,
         fence_ms: float,
         window_ms: float,
+        began_ms: float = math.inf,
     ) -> None:
         self._window_ms = window_ms
+        self._began_ms = began_ms
         self._fence_ms = fence_ms
         self._view: View | None = None
         self._view_proved_at_ms = -math.inf
@@ -219,6 +224,9 @@
         """Return since when nobody but this node can have admitted the customer."""
         put_out: dict[SeatKey, float] = {}
         owned_ms = term.since_ms
+        if term.succeeds_itself:
+            # Its host's former process had ended when this one began.
+            owned_ms = min(owned_ms, self._began_ms)
         for seen in term.views:
             rank = self._history.rank_in(seen.view, customer)
             if rank is None:
--- a/src/crocusspindle/gateway/__main__.py
+++ b/src/crocusspindle/gateway/__main__.py
@@ -16,7 +16,12 @@
     os.environ.update(
         UV_USE_IO_URING="0", SSL_CERT_FILE=os.devnull, SSL_CERT_DIR=os.devnull
     )
-    from crocusspindle.errors import (  # noqa: PLC0415 - after the variables are set
+    from crocusspindle.clock import (  # noqa: PLC0415 - after the variables are set
+        now_ms,
+    )
+
+    began_ms = now_ms()
+    from crocusspindle.errors import (  # noqa: PLC0415 - the same
         CrocusspindleError,
     )
     from crocusspindle.gateway.serve import (  # noqa: PLC0415 - the same
@@ -24,7 +29,7 @@
     )
 
     try:
-        serve(arguments[0] if arguments else None)
+        serve(arguments[0] if arguments else None, began_ms)
     except (CrocusspindleError, OSError) as error:
         print(f"crocusspindle: {error}", file=sys.stderr)
         return 1
--- a/src/crocusspindle/gateway/assembly.py
+++ b/src/crocusspindle/gateway/assembly.py
@@ -46,6 +46,7 @@
     dialect: Dialect,
     lines: LineHandler,
     policies: Policies,
+    began_ms: float,
 ) -> Kernel:
     """Build a node's services; raise ``SettingsError`` with all findings."""
     settings = read(path)
@@ -65,7 +66,7 @@
     exchange = Exchange((settings.ip, settings.peer_port), draw, metrics)
     knowledge = Knowledge(platform.parse_configuration)
     reading = Reading(platform, knowledge)
-    quota = Quota(node, bounds, exchange, knowledge)
+    quota = Quota(node, bounds, exchange, knowledge, began_ms)
     choice = ReaderChoice(node.host, draw)
     pace = BytePace(settings.contents_bytes_per_ms)
     membership = Membership(
--- a/src/crocusspindle/gateway/quota.py
+++ b/src/crocusspindle/gateway/quota.py
@@ -54,6 +54,7 @@
         bounds: LiveBounds,
         exchange: Exchange,
         knowledge: Knowledge,
+        began_ms: float,
     ) -> None:
         self._node = node
         self._bounds = bounds
@@ -64,6 +65,7 @@
             node.incarnation,
             bounds.now.view_fence_ms,
             bounds.now.quota_window_ms,
+            began_ms,
         )
         self._reserve = QuotaReserve(node.host, bounds.now.quota_window_ms, now_ms())
         self._configuration_version = -1
--- a/src/crocusspindle/gateway/serve.py
+++ b/src/crocusspindle/gateway/serve.py
@@ -15,11 +15,17 @@
 """Names of mechanisms that are off for a trial, separated by commas."""
 
 
-def serve(path: str | None) -> None:
-    """Serve; raise ``SettingsError`` with all findings of the settings."""
+def serve(path: str | None, began_ms: float) -> None:
+    """Serve; raise ``SettingsError`` with all findings of the settings.
+
+    Parameters
+    ----------
+    began_ms
+        When this process began: loading its modules takes a small host seconds.
+    """
     file = settings_file.path_of(path)
     policies = Policies.from_names(os.environ.get(WITHOUT_ENV, ""))
     lines = set_up_lines()
     words = dialect.dialect()
     read = settings_file.read_settings
-    kernel.run(lambda: assembly.build(file, read, words, lines, policies))
+    kernel.run(lambda: assembly.build(file, read, words, lines, policies, began_ms))
--- a/tests/core/test_quota_keeper.py
+++ b/tests/core/test_quota_keeper.py
@@ -1,5 +1,6 @@
 """Keep one bucket a customer while members come, go, restart and lose touch."""
 
+import math
 import random
 
 import pytest
@@ -36,8 +37,8 @@
     return {HostId(name): node(name) for name in names}
 
 
-def new_keeper(of: NodeAddress) -> QuotaKeeper:
-    made = QuotaKeeper(of.host, of.incarnation, FENCE_MS, WINDOW_MS)
+def new_keeper(of: NodeAddress, began_ms: float = math.inf) -> QuotaKeeper:
+    made = QuotaKeeper(of.host, of.incarnation, FENCE_MS, WINDOW_MS, began_ms)
     made.set_rules({CLUB: RULE})
     return made
 
@@ -124,6 +125,34 @@
     assert admitted(club, 300.0, 9) == 3
 
 
+def test_a_restarted_keeper_opens_with_what_was_earned_since_it_began():
+    """A whole fleet loses power, and callers are back as soon as its hosts are.
+
+    A process needs two seconds until it serves, in which nobody can have admitted its
+    customers: its host's former process had ended. Opened empty, most callers of the
+    first seconds would be refused.
+    """
+    view = next_view(None, present("a", "b"))
+    (first, _) = by_rank("a", "b")
+    again = {HostId(name): node(name, "2") for name in ("a", "b")}
+    club = new_keeper(again[HostId(first)], 100.0)
+    club.set_view(view, 1_900.0, 1_900.0)
+    club.set_view(next_view(view, again), 2_000.0, 2_000.0)
+    assert admitted(club, 2_100.0, 30) == 5
+
+
+def test_a_restarted_process_has_earned_nothing_while_another_kept_its_customers():
+    """A keeper's host is away for a view, in which its heir may have spent the rate."""
+    first, second = by_rank("a", "b")
+    view = next_view(None, present("a", "b"))
+    away = next_view(view, present(second))
+    again = {HostId(first): node(first, "2"), HostId(second): node(second, "2")}
+    club = new_keeper(again[HostId(first)], 100.0)
+    club.set_view(view, 1_900.0, 1_900.0)
+    club.set_view(next_view(away, again), 2_000.0, 2_000.0)
+    assert admitted(club, 2_100.0, 30) == 1
+
+
 def test_a_joining_keeper_takes_the_bucket_over():
     """A host joins that ranks above the keeper of a customer.
 
@@ -275,7 +304,7 @@
             name = draw.choice(names)
             life[name] += 1
             nodes[HostId(name)] = node(name, str(life[name]))
-            keepers[name] = new_keeper(nodes[HostId(name)])
+            keepers[name] = new_keeper(nodes[HostId(name)], now_ms)
         cut = {n: until for n, until in cut.items() if until > now_ms}
         there = {h: n for h, n in nodes.items() if h not in cut}
         seats = {seat.node.host: seat.node for seat in view.seats}
