Try to register again ever more rarely, and not in step

Cause: a row that the store refuses was written again each half second by every host whose row was refused. 66 of 293 rows were refused at one start of the large fleet; at thousands of hosts the store would do little else.

Change: a Backoff of the core, doubled up to 4 s and drawn half up and half down. The virtual store takes a bounded number of writes a second.

--- a/src/crocusspindle/gateway/assembly.py
+++ b/src/crocusspindle/gateway/assembly.py
@@ -70,7 +70,7 @@
     choice = ReaderChoice(node.host, draw)
     pace = BytePace(settings.contents_bytes_per_ms)
     membership = Membership(
-        node, exchange, knowledge, reading, quota.over, choice, pace
+        node, exchange, knowledge, reading, quota.over, choice, pace, draw
     )
     placing = Placing(node, bounds, exchange, knowledge, draw, policies)
     admission = Admission(bounds, dialect, knowledge)
--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import math
+import random
 from collections.abc import Callable
 from typing import ClassVar, Final
 
 from crocusspindle.clock import now_ms
+from crocusspindle.core.backoff import Backoff
 from crocusspindle.core.byte_pace import BytePace
 from crocusspindle.core.reader_choice import ReaderChoice
 from crocusspindle.core.rendezvous import order
@@ -54,6 +56,10 @@
 """A member that has not pinged for two periods is probed, and is away if it does not
 answer that either."""
 
+REGISTER_AGAIN_MS: Final = 500.0
+REGISTER_MAX_MS: Final = 4_000.0
+"""A host whose row is not written takes no callers: not longer, whatever the store."""
+
 AGAIN_S: Final = 0.25
 """Who waits for whole lists asks again as soon as there may be room."""
 
@@ -81,10 +87,12 @@
         over: Callable[[], set[SeatKey]],
         choice: ReaderChoice,
         pace: BytePace,
+        draw: random.Random,
     ) -> None:
         self._node = node
         self._choice = choice
         self._pace = pace
+        self._draw = draw
         self._exchange = exchange
         self._knowledge = knowledge
         self._reading = reading
@@ -128,13 +136,14 @@
         return None if node is None else (node.ip, node.peer_port)
 
     async def _introduce(self) -> None:
+        backoff = Backoff(REGISTER_AGAIN_MS, REGISTER_MAX_MS, self._draw)
         while True:
             try:
                 await self._reading.register(self._node)
                 break
             except PlatformError as error:
                 log_state_change(self._log, "cannot register", error=str(error))
-                await asyncio.sleep(PING_S)
+                await asyncio.sleep(backoff.next_ms() / 1e3)
         for node in self._reading.nodes.values():
             self._meet(node)
         # Whoever may be asked first knows this process by then. Told to all, the start
--- a/src/crocusspindle_standins/virtual/fleet.py
+++ b/src/crocusspindle_standins/virtual/fleet.py
@@ -76,6 +76,7 @@
             set,
             ReaderChoice(address.host, draw),
             BytePace(size.link_mbit_s * BYTES_PER_MS * CONTENTS_LINK_PART),
+            draw,
         )
         self.membership.is_ready = lambda: self.knowledge.view.content is not None
 
--- a/src/crocusspindle_standins/virtual/store.py
+++ b/src/crocusspindle_standins/virtual/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 from collections import Counter
 from collections.abc import Mapping, Sequence
 from typing import Any, Final, Self
@@ -14,6 +15,7 @@
 from crocusspindle.platform.fleet_platform import Changes, StoredRow, Table
 
 CALL_S: Final = 0.01
+WRITES_WAITING_S: Final = 1.0
 LEAST_WAIT_S: Final = 1e-6
 """A shorter wait is lost in the rounding of the clock, and would never end."""
 
@@ -27,7 +29,9 @@
         self.version = 0
         self.tables: dict[Table, dict[str, StoredRow]] = {t: {} for t in Table}
         self.calls: Counter[str] = Counter()
-        self.view_writes = 0
+        self.writes_per_s = math.inf
+        self.refused_writes = 0
+        self._writes_end_s = 0.0
         self._news = asyncio.Event()
 
     def put(self, table: Table, key: str, value: bytes | None) -> int:
@@ -38,6 +42,15 @@
         self._news = asyncio.Event()
         return self.version
 
+    async def write_turn(self) -> None:
+        """Wait for the writes before this one; refuse it if a second of them waits."""
+        now_s = asyncio.get_running_loop().time()
+        if self._writes_end_s > now_s + WRITES_WAITING_S:
+            self.refused_writes += 1
+            raise PlatformUnavailableError("too many writes wait")
+        self._writes_end_s = max(now_s, self._writes_end_s) + 1.0 / self.writes_per_s
+        await asyncio.sleep(self._writes_end_s - now_s)
+
     async def changed(self, wait_s: float) -> None:
         """Wait until a row is written, for a time at most."""
         try:
@@ -84,6 +97,7 @@
     async def put(self, key: str, value: bytes, expected: int | None) -> int | None:
         """Write a row of the fleet's table; return its version, None on conflict."""
         await self._call()
+        await self._store.write_turn()
         held = self._store.tables[Table.FLEET].get(key)
         if expected is not None and expected != (held.version if held else 0):
             return None
--- a/tests/gateway/test_fleet_settles.py
+++ b/tests/gateway/test_fleet_settles.py
@@ -91,6 +91,23 @@
     play([LARGE] * large + [SMALL] * small, scene)
 
 
+def test_rows_that_the_store_refuses_come_back_ever_more_rarely(play):
+    """Six times as many hosts start as the store takes rows in a second.
+
+    Tried again at a fixed pace, most calls are refused again, for as many seconds as
+    the store needs: at thousands of hosts it would do little else.
+    """
+
+    async def scene(fleet: VirtualFleet) -> None:
+        fleet.store.writes_per_s = 25.0
+        await fleet.start_all()
+        await asyncio.sleep(READY_AFTER_S)
+        assert fleet.named() == len(fleet.nodes)
+        assert fleet.store.refused_writes <= 2 * len(fleet.nodes)
+
+    play([LARGE] * 8 + [SMALL] * 142, scene)
+
+
 def test_targets_that_come_and_go_do_not_send_hosts_to_the_store(play):
     """A service of hundreds of targets is replaced, a few of them every half second.
 
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -28,7 +28,8 @@
 
 def membership_of(node, exchange, knowledge, reading) -> Membership:
     choice, pace = ReaderChoice(node.host, random.Random(1)), BytePace(1e6)
-    return Membership(node, exchange, knowledge, reading, set, choice, pace)
+    draw = random.Random(1)
+    return Membership(node, exchange, knowledge, reading, set, choice, pace, draw)
 
 
 def test_a_reader_that_could_not_take_an_update_pushes_nothing_for_it():
