--- a/benchmarks/gray_targets.py
+++ b/benchmarks/gray_targets.py
@@ -7,7 +7,6 @@
 ``python -m benchmarks.gray_targets``; all time is virtual and every run is seeded.
 """
 
-import csv
 import heapq
 import json
 import random
@@ -20,6 +19,7 @@
 
 import fire
 
+from benchmarks.result_table import write_table
 from crocusspindle.core import target_gauge
 from crocusspindle.core.asks import Ask, Placed
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
@@ -378,15 +378,7 @@
 def main() -> None:
     """Measure all, write the table and the figure."""
     found = rows()
-    with RESULTS_PATH.open("w", newline="") as file:
-        writer = csv.writer(file, lineterminator="\n")
-        writer.writerow(Row.__dataclass_fields__)
-        for row in found:
-            cells = (getattr(row, name) for name in Row.__dataclass_fields__)
-            writer.writerow(
-                f"{cell:.4g}" if isinstance(cell, float) else cell for cell in cells
-            )
-    print(RESULTS_PATH.read_text())
+    write_table(Row, found, RESULTS_PATH)
     plot(found)
 
 
--- a/benchmarks/placing.py
+++ b/benchmarks/placing.py
@@ -6,7 +6,6 @@
 ``python -m benchmarks.placing``; all time is virtual.
 """
 
-import csv
 import json
 import math
 import statistics
@@ -19,6 +18,7 @@
 import fire
 
 from benchmarks.placing_trial import BadPaths, Gray, PlacingTrial, Site, Work
+from benchmarks.result_table import write_table
 from crocusspindle.core.policies import Policies, Policy
 from crocusspindle.core.target_gauge import Ending
 
@@ -159,15 +159,7 @@
     """Measure all, write the table and the figure."""
     names = ["", *(policy.value for policy in Policy)]
     found = rows(((load, name) for load in LOADS for name in names), SEEDS)
-    with RESULTS_PATH.open("w", newline="") as file:
-        writer = csv.writer(file, lineterminator="\n")
-        writer.writerow(Row.__dataclass_fields__)
-        for row in found:
-            cells = (getattr(row, name) for name in Row.__dataclass_fields__)
-            writer.writerow(
-                f"{cell:.4g}" if isinstance(cell, float) else cell for cell in cells
-            )
-    print(RESULTS_PATH.read_text())
+    write_table(Row, found, RESULTS_PATH)
     plot(found)
 
 
--- /dev/null
+++ b/benchmarks/result_table.py
@@ -0,0 +1,20 @@
+"""Write the rows of a benchmark as a table that can be compared line by line."""
+
+import csv
+from collections.abc import Iterable
+from dataclasses import astuple, fields
+from pathlib import Path
+from typing import Any
+
+
+def write_table(kind: type[Any], rows: Iterable[Any], path: Path) -> None:
+    """Write dataclass rows under the names of their fields, and print the table."""
+    with path.open("w", newline="") as file:
+        writer = csv.writer(file, lineterminator="\n")
+        writer.writerow(field.name for field in fields(kind))
+        for row in rows:
+            writer.writerow(
+                f"{cell:.4g}" if isinstance(cell, float) else cell
+                for cell in astuple(row)
+            )
+    print(path.read_text())
--- /dev/null
+++ b/tests/core/quota_world.py
@@ -0,0 +1,50 @@
+"""Make keepers, views and a customer for the tests of quotas."""
+
+import math
+
+from crocusspindle.core.configuration import CustomerRule
+from crocusspindle.core.quota_keeper import Admitted, QuotaKeeper
+from crocusspindle.core.view import NodeAddress, View, next_view
+from crocusspindle.ids import CustomerId, DomainId, HostId, Incarnation
+
+FENCE_MS = 3_000.0
+WINDOW_MS = 5_000.0
+CLUB = CustomerId("club")
+RULE = CustomerRule(CLUB, rate_per_s=10.0, burst=5.0)
+
+
+def node(host: str, incarnation: str = "1") -> NodeAddress:
+    return NodeAddress(
+        HostId(host),
+        Incarnation(f"{host}-{incarnation}"),
+        "127.0.0.1",
+        1,
+        DomainId("a"),
+        "127.0.0.1:2",
+    )
+
+
+def present(*names: str) -> dict[HostId, NodeAddress]:
+    return {HostId(name): node(name) for name in names}
+
+
+def new_keeper(of: NodeAddress, began_ms: float = math.inf) -> QuotaKeeper:
+    made = QuotaKeeper(of.host, of.incarnation, FENCE_MS, WINDOW_MS, began_ms)
+    made.set_rules({CLUB: RULE})
+    return made
+
+
+def keeper(name: str, view: View, now_ms: float) -> QuotaKeeper:
+    seat = view.by_host.get(HostId(name))
+    made = new_keeper(seat.node if seat else node(name))
+    made.set_view(view, now_ms, now_ms)
+    return made
+
+
+def by_rank(*names: str) -> list[str]:
+    return [str(host) for host in next_view(None, present(*names)).ranked(CLUB)]
+
+
+def admitted(of: QuotaKeeper, now_ms: float, asks: int) -> int:
+    answers = [of.spend(CLUB, 0.0, now_ms) for _ in range(asks)]
+    return sum(isinstance(answer, Admitted) for answer in answers)
