--- /dev/null
+++ b/benchmarks/fleet_start.py
@@ -0,0 +1,108 @@
+"""Start whole fleets in virtual time, and count what their membership costs.
+
+The real services of `serve` keep beliefs and views; links have a width, processors are
+free. Each row is one fleet: ten seconds from the start, then at rest for ten.
+"""
+
+import asyncio
+import math
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final
+from unittest.mock import patch
+
+import fire
+import logbook
+
+from benchmarks.result_table import write_table
+from crocusspindle_standins.virtual.fleet import HostSize, VirtualFleet
+from crocusspindle_standins.virtual.loop import VirtualLoop, VirtualTime, run
+
+LARGE: Final = HostSize(200.0, 2.15)
+SMALL: Final = HostSize(20.0, 0.43)
+FLEETS: Final = ((0, 30), (0, 133), (8, 125), (0, 300), (18, 275), (36, 564))
+TARGETS: Final = 600
+STARTED_S: Final = 10.0
+LOOK_S: Final = 0.25
+SEED: Final = 1
+RESULTS_PATH: Final = Path("benchmarks/results/fleet-start.csv")
+
+
+@dataclass(frozen=True)
+class Row:
+    """Hold what one fleet cost; ``known_s`` is when all hosts had all lists."""
+
+    hosts: int
+    large: int
+    known_s: float
+    views: int
+    start_calls: int
+    start_datagrams_a_host: float
+    start_mb: float
+    busiest_kb: float
+    rest_calls_s: float
+    rest_datagrams_a_host_s: float
+    rest_bytes_a_host_s: float
+
+
+def _all_known(fleet: VirtualFleet) -> bool:
+    return all(
+        node.knowledge.configuration.content is not None
+        and node.knowledge.targets.content is not None
+        and node.knowledge.view.content is not None
+        for node in fleet.nodes.values()
+    )
+
+
+async def _play(loop: VirtualLoop, large: int, small: int) -> Row:
+    fleet = VirtualFleet(loop, [LARGE] * large + [SMALL] * small, TARGETS, SEED)
+    began_s = loop.time()
+    await fleet.start_all()
+    known_s = math.inf
+    while loop.time() < began_s + STARTED_S:
+        if known_s == math.inf and _all_known(fleet):
+            known_s = loop.time() - began_s
+        await asyncio.sleep(LOOK_S)
+    hosts = large + small
+    calls, sent = fleet.store.calls.total(), fleet.sent()
+    sent_bytes = fleet.sent_bytes()
+    busiest = max(link.sent_bytes for link in fleet.network.links.values())
+    await asyncio.sleep(STARTED_S)
+    return Row(
+        hosts,
+        large,
+        known_s,
+        max(fleet.views()),
+        calls,
+        sent / hosts,
+        sent_bytes / 1e6,
+        busiest / 1e3,
+        (fleet.store.calls.total() - calls) / STARTED_S,
+        (fleet.sent() - sent) / hosts / STARTED_S,
+        (fleet.sent_bytes() - sent_bytes) / hosts / STARTED_S,
+    )
+
+
+def play(large: int, small: int) -> Row:
+    """Return what one fleet cost."""
+    loop = VirtualLoop()
+    rows: list[Row] = []
+
+    async def whole() -> None:
+        rows.append(await _play(loop, large, small))
+
+    with (
+        patch("crocusspindle.clock.time", VirtualTime(loop)),
+        logbook.NullHandler().applicationbound(),
+    ):
+        run(loop, whole())
+    return rows[0]
+
+
+def main() -> None:
+    """Play all fleets and write the table."""
+    write_table(Row, [play(large, small) for large, small in FLEETS], RESULTS_PATH)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
