--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -240,9 +240,8 @@
         return True
 
     async def _wait_for_contents(self, later: bool) -> None:
-        # All hosts of a fleet that starts ask at once, and the store would have to
-        # answer each of them. Most are given the whole when they ask again. Only a
-        # process that joins a fleet with callers, and knows nothing, does not wait.
+        # Most hosts of a starting fleet get the contents when they ask again. Reading
+        # at once would send all of them to the store.
         if not later:
             self._waits_since_ms = math.inf
             return
--- a/tests/core/test_placing_cost.py
+++ b/tests/core/test_placing_cost.py
@@ -43,10 +43,6 @@
 
 @pytest.mark.parametrize("gray", [None, REFUSING], ids=["calm", "refusing"])
 def test_placing_among_hundreds_of_targets_leaves_the_host_time_to_serve(gray):
-    """A placer looks at each of its targets several times for each request.
-
-    With hundreds of them it has no processor left: its answers come late, the others
-    take it for silent, and two placers give the same slots away.
-    """
+    """Guards against a placer too busy to answer, whom others take for silent."""
     calls, requests = calls_of(replace(BUSY, gray=gray))
     assert calls <= CALLS_PER_REQUEST * requests
--- a/tests/core/test_quota_opening.py
+++ b/tests/core/test_quota_opening.py
@@ -15,12 +15,7 @@
 
 
 def test_a_restarted_keeper_opens_with_what_was_earned_since_it_began():
-    """A whole fleet loses power, and callers are back as soon as its hosts are.
-
-    A process needs two seconds until it serves, in which nobody can have admitted its
-    customers: its host's former process had ended. Opened empty, most callers of the
-    first seconds would be refused.
-    """
+    """Guards against refusing most callers right after a whole fleet lost power."""
     view = next_view(None, present("a", "b"))
     (first, _) = by_rank("a", "b")
     again = {HostId(name): node(name, "2") for name in ("a", "b")}
@@ -31,7 +26,7 @@
 
 
 def test_a_restarted_process_has_earned_nothing_while_another_kept_its_customers():
-    """A keeper's host is away for a view, in which its heir may have spent the rate."""
+    """Guards against quota earned twice over a host that was away for a view."""
     first, second = by_rank("a", "b")
     view = next_view(None, present("a", "b"))
     away = next_view(view, present(second))
@@ -43,11 +38,7 @@
 
 
 def test_a_keeper_that_nobody_asked_opens_with_what_it_earned():
-    """A fleet starts and takes a few views for it; callers come seconds later.
-
-    Its customers have not sent anything yet, and what they may send at once has been
-    there for long. Opened empty, each customer's first requests would be refused.
-    """
+    """Guards against refusing the first requests of a fleet that has just started."""
     first, second = by_rank("a", "b")
     view = next_view(next_view(None, present(second)), present("a", "b"))
     club = keeper(first, view, 0.0)
@@ -58,11 +49,7 @@
 
 
 def test_what_a_former_member_may_have_spent_is_not_earned_twice():
-    """A keeper loses power, and its heir is asked for the first time a while later.
-
-    Until the former keeper's proof had run out, it may have admitted requests on the
-    far side of a cut: only the time since then counts for the heir.
-    """
+    """Guards against an heir that counts time in which a cut-off keeper still acts."""
     _, second = by_rank("a", "b")
     view = next_view(None, present("a", "b"))
     heir = keeper(second, view, 0.0)
@@ -75,11 +62,7 @@
 
 
 def test_a_keeper_that_nobody_asked_hands_over_what_it_earned():
-    """A host joins above a keeper that nobody has asked yet.
-
-    The customer has sent nothing. If the keeper handed over an empty bucket, the
-    customer's first requests would be refused.
-    """
+    """Guards against an empty bucket for a customer that has sent nothing."""
     _, second = by_rank("a", "b")
     former = keeper(second, next_view(None, present(second)), 0.0)
     later = next_view(former._view, present("a", "b"))
@@ -89,11 +72,7 @@
 
 
 def test_an_empty_bucket_that_was_lost_is_handed_over_empty():
-    """A keeper has spent the burst when a host joins above it.
-
-    It learns of the view before it is asked to release. Taken for one that nobody had
-    asked, it would hand the burst over a second time.
-    """
+    """Guards against a burst that is handed over after it was spent."""
     _, second = by_rank("a", "b")
     former = keeper(second, next_view(None, present(second)), 0.0)
     assert admitted(former, 0.0, 9) == 5
--- a/tests/core/test_view.py
+++ b/tests/core/test_view.py
@@ -89,11 +89,7 @@
     [(8, 125, (200, 10)), (8, 125, (100, 10)), (18, 275, (200, 20))],
 )
 def test_large_hosts_have_nearly_all_duties_of_a_mixed_fleet(large, small, sizes):
-    """A few large hosts and hundreds of small ones start, and duties fall to them.
-
-    A small host that places for a busy service is passed over for being slow, and two
-    placers at once give the same slots away: one service in fifty may have that.
-    """
+    """Guards against busy services that a small host places too slowly."""
     view = mixed_fleet(large, small, sizes)
     heads = heads_of(view, 500)
     on_large = sum(view.by_host[head].node.capacity == sizes[0] for head in heads)
@@ -102,6 +98,6 @@
 
 
 def test_small_hosts_have_the_duties_when_the_large_ones_are_gone():
-    """All large hosts lose power. The duties spread over the small ones."""
+    """Guards against duties that nobody has once all large hosts lost power."""
     heads = heads_of(mixed_fleet(0, 125, (200, 10)), 500)
     assert len(set(heads)) > 100
--- a/tests/gateway/test_fleet_settles.py
+++ b/tests/gateway/test_fleet_settles.py
@@ -92,11 +92,7 @@
 
 
 def test_rows_that_the_store_refuses_come_back_ever_more_rarely(play):
-    """Six times as many hosts start as the store takes rows in a second.
-
-    Tried again at a fixed pace, most calls are refused again, for as many seconds as
-    the store needs: at thousands of hosts it would do little else.
-    """
+    """Guards against hosts that keep a store busy with rows that it refuses."""
 
     async def scene(fleet: VirtualFleet) -> None:
         fleet.store.writes_per_s = 25.0
@@ -109,11 +105,7 @@
 
 
 def test_targets_that_come_and_go_do_not_send_hosts_to_the_store(play):
-    """A service of hundreds of targets is replaced, a few of them every half second.
-
-    Every host learns of each change. Were that the whole list each time, the reader's
-    link would be full, and the others would fall behind and read for themselves.
-    """
+    """Guards against hosts that fall behind the list and read it for themselves."""
 
     async def scene(fleet: VirtualFleet) -> None:
         await fleet.start_all()
@@ -131,11 +123,7 @@
 
 
 def test_a_configuration_that_no_datagram_holds_comes_from_the_store(play):
-    """An operator adds routes by the thousand, more than the reader can send.
-
-    Sent all the same, the answer is lost on its way. Every host takes the reader for
-    silent, tries the others one by one, and serves by the old configuration meanwhile.
-    """
+    """Guards against a reader taken for silent since its answer cannot be sent."""
 
     async def scene(fleet: VirtualFleet) -> None:
         await fleet.start_all()
@@ -178,8 +166,7 @@
     """All processes are killed at the same moment and started again within a second.
 
     Until the view names the new ones, no customer has a keeper: callers were refused
-    for eight seconds at this size, where they are owed service long before. Hosts that
-    wait until the reader has room for them serve nobody meanwhile.
+    for eight seconds at this size, where they are owed service long before.
     """
 
     async def scene(fleet: VirtualFleet) -> None:
--- a/tests/gateway/test_updates.py
+++ b/tests/gateway/test_updates.py
@@ -68,11 +68,7 @@
 
 @pytest.mark.parametrize("count", [800, 2_000, 6_000])
 def test_a_change_of_a_long_document_costs_what_changed(count):
-    """A fleet of hundreds of targets has a list of 40 kB, and one of them leaves.
-
-    Where the whole list is sent instead, the reader's link is full for as long as
-    targets come and go, and hundreds of hosts read the platform for themselves.
-    """
+    """Guards against sending a list of hundreds of targets whole at each change."""
     reader, node = Forms(), Forms()
     rows = members(count)
     reader.take(1, form(rows))
