Give the tests of a new process the time at which it began

Two tests of a node that has just started failed on to this commit: the quota service takes one more argument since restarts count what was earned meanwhile. I had run the tests of the core and of membership, not these.

--- a/tests/gateway/test_just_started.py
+++ b/tests/gateway/test_just_started.py
@@ -38,7 +38,8 @@
     knowledge = informed()
     knowledge.born_ms = born_ms
     knowledge.take_view(View(4, (seat(0), seat(1))), now_ms())
-    return Quota(seat(0).node, LiveBounds(Bounds()), keeper, knowledge)
+    bounds = LiveBounds(Bounds())
+    return Quota(seat(0).node, bounds, keeper, knowledge, now_ms())
 
 
 async def test_a_caller_that_comes_first_waits_for_the_first_configuration():
