--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -58,7 +58,7 @@
 
 REGISTER_AGAIN_MS: Final = 500.0
 REGISTER_MAX_MS: Final = 4_000.0
-"""A host whose row is not written takes no callers: not longer, whatever the store."""
+"""Longest wait between tries: a host without its row takes no callers."""
 
 AGAIN_S: Final = 0.25
 """Who waits for whole lists asks again as soon as there may be room."""
