Ask a reader again whose first answer had old proofs

Cause: a node that nobody has answered yet passes over whom it suspects until it has been through all others. An answer with old proofs, or of a reader that lost the store, did not count as one. A host that met the first reader's old proofs at its start, and ranked next itself, read the store for itself for good: it was told of nobody else's readiness, and told its callers of itself alone.

Change: any answer shows that this node is not cut off, so that the one that gave it is asked again at the next heartbeat, and ever more rarely after that.

--- a/src/crocusspindle/core/reader_choice.py
+++ b/src/crocusspindle/core/reader_choice.py
@@ -86,7 +86,11 @@
         self._suspicions[node.host] = suspicion
         return True
 
+    def heard(self, now_ms: float) -> None:
+        """Note that a node answered, whatever it knows: this one is not cut off."""
+        self._answered_ms = now_ms
+
     def trust(self, host: HostId, now_ms: float) -> None:
         """Forget what spoke against a node that has answered well."""
         self._suspicions.pop(host, None)
-        self._answered_ms = now_ms
+        self.heard(now_ms)
--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -228,12 +228,11 @@
         self._knowledge.take_state(state, asked_ms)
         if state.unknown:
             self._exchange.tell(to, self._own_hello())
-        if not state.reads:
-            self._suspect(reader, "lost the store")
-            return False
         oldest_ms = max(state.configuration_age_ms, state.targets_age_ms)
-        if oldest_ms > OLD_PROOF_MS:
-            self._suspect(reader, "old proofs")
+        if not state.reads or oldest_ms > OLD_PROOF_MS:
+            reason = "old proofs" if state.reads else "lost the store"
+            self._suspect(reader, reason)
+            self._choice.heard(now_ms())
             return False
         self._choice.trust(reader, now_ms())
         await self._wait_for_contents(state.later)
--- a/src/crocusspindle_standins/virtual/store.py
+++ b/src/crocusspindle_standins/virtual/store.py
@@ -29,6 +29,7 @@
         self.version = 0
         self.tables: dict[Table, dict[str, StoredRow]] = {t: {} for t in Table}
         self.calls: Counter[str] = Counter()
+        self.call_s = CALL_S
         self.writes_per_s = math.inf
         self.refused_writes = 0
         self._writes_end_s = 0.0
@@ -73,7 +74,7 @@
 
     async def _call(self) -> None:
         self._store.calls[self._host] += 1
-        await asyncio.sleep(CALL_S)
+        await asyncio.sleep(self._store.call_s)
 
     async def read(self, table: Table) -> Changes:
         """Return all rows of a table."""
--- a/tests/gateway/test_fleet_settles.py
+++ b/tests/gateway/test_fleet_settles.py
@@ -188,6 +188,23 @@
     play([LARGE] * large + [SMALL] * small, scene)
 
 
+@pytest.mark.parametrize("hosts", [3, 5, 8])
+def test_a_reader_whose_first_proofs_were_old_is_asked_again(play, hosts):
+    """Guards against a host that reads for itself for good after a slow start."""
+
+    async def scene(fleet: VirtualFleet) -> None:
+        fleet.store.call_s = 0.4
+        await fleet.start_all()
+        await asyncio.sleep(2.0)
+        fleet.store.call_s = 0.01
+        await asyncio.sleep(READY_AFTER_S - 2.0)
+        for node in fleet.nodes.values():
+            assert len(node.knowledge.open_nodes) == hosts
+        assert len(fleet.readers()) <= 1
+
+    play([LARGE] * hosts, scene)
+
+
 @pytest.mark.parametrize("cut_s", [4.0, 12.0])
 def test_a_host_that_was_cut_off_asks_the_others_reader_again(play, cut_s):
     """A host loses the way to all its peers, and finds every one of them silent.
