Log what a request asks for as a digest, and tell a crashed target from a gray one

Callers saw a service lose its targets one after the other. Nor could a lost connection tell whether the target's process had ended.

Each request line now has 'content', a digest of method, host, path, customer and body. After a lost connection the sender opens one more to the target: a refused one is the ending 'crashed', any other is 'broken' as before. No decision changes: both eject the target alike.

--- a/src/crocusspindle/core/target_gauge.py
+++ b/src/crocusspindle/core/target_gauge.py
@@ -21,6 +21,7 @@
     SHED = "shed"
     MISDIRECTED = "misdirected"
     ABANDONED = "abandoned"
+    CRASHED = "crashed"
 
     @property
     def arrived(self) -> bool:
@@ -33,6 +34,12 @@
         return self.arrived and self not in (Ending.SHED, Ending.MISDIRECTED)
 
 
+BROKEN_OFF: Final = frozenset(
+    {Ending.BROKEN, Ending.CRASHED, Ending.CLOSED, Ending.MISDIRECTED}
+)
+"""Endings that a sound target hardly ever gives."""
+
+
 class Standing(Enum):
     """Tell what work a target gets."""
 
@@ -235,7 +242,7 @@
             self._answered(end, now_ms)
         elif end.ending is Ending.ERROR:
             self._suspect(ERROR_NATS, end, now_ms)
-        elif end.ending in (Ending.BROKEN, Ending.CLOSED, Ending.MISDIRECTED):
+        elif end.ending in BROKEN_OFF:
             # Sound targets hardly ever break a connection; a gray one breaks all.
             self.last_failed_ms = now_ms
             self.eject(now_ms)
--- a/src/crocusspindle/gateway/admission.py
+++ b/src/crocusspindle/gateway/admission.py
@@ -9,6 +9,7 @@
 
 from crocusspindle.clock import now_ms
 from crocusspindle.core.configuration import Configuration, CustomerRule, RouteRule
+from crocusspindle.core.request_content import content_digest
 from crocusspindle.gateway.answers import Refusal
 from crocusspindle.gateway.case import BODY_BUFFER_BYTES, Case
 from crocusspindle.gateway.dialect import Dialect
@@ -48,23 +49,29 @@
         customer = self._customer(configuration, route, request)
         self._check_length(configuration, request)
         time_left_ms = self._time_left_ms(request)
-        case = Case(
-            request_id,
-            route,
-            customer,
-            Outgoing(request_id, request.method, request.path_qs, CIMultiDict(), None),
-            began_ms,
-            began_ms + min(time_left_ms, route.timeout_ms - FINISH_MS),
-        )
-        body = await self._body(configuration, request, case)
-        case.outgoing = Outgoing(
+        ends_ms = began_ms + min(time_left_ms, route.timeout_ms - FINISH_MS)
+        first = await self._first_part(configuration, request, ends_ms)
+        body: bytes | AsyncIterator[bytes] | None = first
+        length = len(first or b"")
+        if first is not None and length > BODY_BUFFER_BYTES:
+            body = _streamed(first, request, configuration.limits.body_bytes)
+            length = request.content_length or 0
+        outgoing = Outgoing(
             request_id,
             request.method,
             request.raw_path,
             self._headers(request, customer, body),
             body,
         )
-        return case
+        content = content_digest(
+            request.method,
+            route.host,
+            request.raw_path,
+            customer.customer if customer is not None else None,
+            (first or b"")[:BODY_BUFFER_BYTES],
+            length,
+        )
+        return Case(request_id, route, customer, outgoing, content, began_ms, ends_ms)
 
     def is_idempotent(self, request: web.BaseRequest) -> bool:
         """Return True if a request is known to be one that may run more than once."""
@@ -126,26 +133,27 @@
         except ValueError:
             return PATIENCE_MS
 
-    async def _body(
-        self, configuration: Configuration, request: web.BaseRequest, case: Case
-    ) -> bytes | AsyncIterator[bytes] | None:
+    async def _first_part(
+        self, configuration: Configuration, request: web.BaseRequest, ends_ms: float
+    ) -> bytes | None:
+        """Return the whole body, or the first part of one that is too long to hold."""
         if not request.body_exists:
             return None
         await _invite_body(request)
         first = bytearray()
         limit = configuration.limits.body_bytes
         while len(first) <= BODY_BUFFER_BYTES:
-            part = await self._part(request, case)
+            part = await self._part(request, ends_ms)
             if not part:
-                return bytes(first)
+                break
             first += part
             if len(first) > limit:
                 raise Refusal(413, "body-too-long")
-        return _streamed(bytes(first), request, limit)
+        return bytes(first)
 
     @staticmethod
-    async def _part(request: web.BaseRequest, case: Case) -> bytes:
-        left_s = max(0.0, (case.ends_ms - now_ms()) / 1e3)
+    async def _part(request: web.BaseRequest, ends_ms: float) -> bytes:
+        left_s = max(0.0, (ends_ms - now_ms()) / 1e3)
         try:
             async with asyncio.timeout(left_s):
                 return await request.content.readany()
--- a/src/crocusspindle/gateway/case.py
+++ b/src/crocusspindle/gateway/case.py
@@ -6,6 +6,7 @@
 from crocusspindle.core.configuration import CustomerRule, RouteRule
 from crocusspindle.core.listed_target import TargetIdentity
 from crocusspindle.gateway.sender import Outgoing
+from crocusspindle.ids import ContentDigest
 
 BODY_BUFFER_BYTES: Final = 1 << 20
 """A body up to this size is here before the request is sent, so that a refused sending
@@ -20,6 +21,7 @@
     route: RouteRule
     customer: CustomerRule | None
     outgoing: Outgoing
+    content: ContentDigest
     began_ms: float
     ends_ms: float
     sends: list[dict[str, object]] = field(default_factory=list)
--- a/src/crocusspindle/gateway/entry.py
+++ b/src/crocusspindle/gateway/entry.py
@@ -174,6 +174,7 @@
             "view": self._knowledge.view.version,
             "sends": case.sends,
             "body_bytes": case.body_bytes,
+            "content": case.content,
             "quota_wait_ms": round(case.quota_wait_ms),
             "version": configuration.version,
             "proof_age_ms": _age_ms(configuration),
--- a/src/crocusspindle/gateway/sender.py
+++ b/src/crocusspindle/gateway/sender.py
@@ -24,6 +24,14 @@
 PROMISES: Final = frozenset({408, 421, 429, 503})
 """Statuses that promise a caller that its request was not run."""
 
+CONNECTION_LOST: Final = (
+    aiohttp.ServerDisconnectedError,
+    aiohttp.ClientOSError,
+    aiohttp.ClientPayloadError,
+)
+CRASH_CHECK_S: Final = 0.1
+"""A target that lives takes a connection within a few milliseconds."""
+
 SERVER_ERROR: Final = 500
 MISDIRECTED: Final = 421
 SUCCESS: Final = range(200, 300)
@@ -108,11 +116,27 @@
             sent = Sent(Ending.CLOSED, 0.0, detail=str(error))
         except TimeoutError:
             sent = Sent(Ending.SILENT, 0.0, detail="no answer in time")
+        except CONNECTION_LOST as error:
+            sent = Sent(await self._loss(target), 0.0, detail=repr(error))
         except (aiohttp.ClientError, OSError, ValueError) as error:
             sent = Sent(Ending.BROKEN, 0.0, detail=repr(error))
         sent.latency_ms = now_ms() - began_ms
         return sent
 
+    async def _loss(self, target: ListedTarget) -> Ending:
+        # A gray target that breaks connections takes the next one; the port of a
+        # process that ended refuses it.
+        host, _, port = target.address.rpartition(":")
+        try:
+            async with asyncio.timeout(CRASH_CHECK_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionError:
+            return Ending.CRASHED
+        except (TimeoutError, OSError):
+            return Ending.BROKEN
+        writer.close()
+        return Ending.BROKEN
+
     async def _exchange(
         self, target: ListedTarget, outgoing: Outgoing, deadline_ms: float
     ) -> Sent:
--- a/src/crocusspindle/ids.py
+++ b/src/crocusspindle/ids.py
@@ -33,5 +33,8 @@
 Incarnation = NewType("Incarnation", str)
 """One start of the process on a host."""
 
+ContentDigest = NewType("ContentDigest", str)
+"""What a request asks and for whom: equal for each time that a caller repeats it."""
+
 GrantId = NewType("GrantId", int)
 """One placement, unique within the placer that made it."""
--- a/src/crocusspindle_standins/on_platform/fleet.py
+++ b/src/crocusspindle_standins/on_platform/fleet.py
@@ -16,7 +16,7 @@
 
 from crocusspindle_standins.calling import calling_session
 from crocusspindle_standins.on_platform.store import TableStore
-from crocusspindle_standins.on_platform.target import StampedTarget
+from crocusspindle_standins.on_platform.target import TABLE, StampedTarget
 from crocusspindle_standins.processes import free_ports
 
 SOURCE: Final = Path(__file__).resolve().parents[2]
@@ -100,6 +100,7 @@
     runner: web.AppRunner | None = None
     beats: asyncio.Task[None] | None = None
     requests: int = 0
+    _shown: dict[str, str] = field(default_factory=dict)
 
     async def start(self, gateways: int = 3, targets: int = 4) -> None:
         """Start everything and wait until all gateways are ready."""
@@ -132,9 +133,18 @@
     async def _beat(self) -> None:
         while True:
             for target in self.targets:
-                await target.beat(self.store)
+                await self._show(target)
             await asyncio.sleep(BEAT_S)
 
+    async def _show(self, target: StampedTarget) -> None:
+        # The entry of an instance that has ended lapses.
+        shown = self._shown.get(target.address)
+        if shown is not None and shown != target.identity:
+            await self.store.remove(TABLE, shown)
+        if target.is_up:
+            await target.beat(self.store)
+            self._shown[target.address] = target.identity
+
     async def add_gateway(self, number: int) -> Gateway:
         """Start one more gateway on an address of its own."""
         gateway = Gateway(
--- a/src/crocusspindle_standins/on_platform/target.py
+++ b/src/crocusspindle_standins/on_platform/target.py
@@ -4,6 +4,7 @@
 import json
 import socket
 import struct
+import time
 from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
@@ -19,6 +20,20 @@
 UNFRAMED_PAUSE_S: Final = 0.02
 
 
+CRASHING: Final = "crashes"
+"""A request whose path has this word ends the process that begins to run it."""
+
+SHUTDOWN_S: Final = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """Note which request that ends the target began to run, by the steady clock."""
+
+    path: str
+    at_s: float
+
+
 class Trouble(Enum):
     """Tell how a target treats its work."""
 
@@ -42,26 +57,60 @@
     zone: str
     slots: int = 2
     work_s: float = 0.02
+    back_after_s: float = 1.0
     trouble: Trouble = Trouble.NONE
     ran: Counter[str] = field(default_factory=Counter)
     seen: list[dict[str, str]] = field(default_factory=list)
     address: str = ""
+    starts: int = 0
+    crashes: list[Crash] = field(default_factory=list)
     _present: int = 0
     _sequence: int = 0
+    _server: web.Server | None = None
     _runner: web.ServerRunner | None = None
-
-    async def start(self, host: str) -> None:
-        """Listen on a free port of a host."""
-        self._runner = web.ServerRunner(web.Server(self._serve))
+    _restart: asyncio.Task[None] | None = None
+
+    @property
+    def is_up(self) -> bool:
+        """Return True while the target listens."""
+        return self._runner is not None
+
+    async def start(self, host: str, port: int = 0) -> None:
+        """Listen on a port of a host, on a free one unless it is named."""
+        self.starts += 1
+        self._server = web.Server(self._serve)
+        self._runner = web.ServerRunner(self._server, shutdown_timeout=SHUTDOWN_S)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, host, 0)
+        site = web.TCPSite(self._runner, host, port, reuse_address=True)
         await site.start()
         self.address = f"{host}:{site.port}"
 
     async def stop(self) -> None:
         """End as a crash does: without a word."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        if self._restart is not None:
+            self._restart.cancel()
+        await self._end()
+
+    async def _end(self) -> None:
+        runner, self._runner = self._runner, None
+        if runner is None or self._server is None:
+            return
+        for site in list(runner.sites):
+            await site.stop()
+        for connection in list(self._server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+        await runner.cleanup()
+
+    async def _crash(self) -> None:
+        # Comes back at its address as another instance, as supervised processes do.
+        if self._runner is None:
+            return
+        host, _, port = self.address.rpartition(":")
+        await self._end()
+        await asyncio.sleep(self.back_after_s)
+        self.identity = f"{self.identity.partition('.')[0]}.{self.starts}"
+        await self.start(host, int(port))
 
     async def beat(self, store: TableStore, state: str = "ready") -> None:
         """Write the target's own entry."""
@@ -98,6 +147,11 @@
         body = await request.content.read()
         self.ran[request_id] += 1
         self.seen.append({**request.headers, "path": request.path_qs})
+        if CRASHING in request.path_qs:
+            self.crashes.append(Crash(request.path_qs, time.monotonic()))
+            await asyncio.sleep(self.work_s)
+            self._restart = asyncio.create_task(self._crash())
+            await asyncio.sleep(HANG_S)
         if self.trouble is Trouble.HANGS:
             await asyncio.sleep(HANG_S)
         if self.trouble is Trouble.RESETS and request.transport is not None:
