Move the choice of a target out of the placer of a service

The choice stands in core/target_choice.py now; code moved, nothing decided otherwise. tests/core pass.

--- a/src/crocusspindle/core/service_placer.py
+++ b/src/crocusspindle/core/service_placer.py
@@ -27,15 +27,9 @@
 from crocusspindle.core.policies import ALL_POLICIES, Policies, Policy
 from crocusspindle.core.repeat_budget import RepeatBudget
 from crocusspindle.core.route_latencies import RouteLatencies
-from crocusspindle.core.target_costs import (
-    Weighing,
-    cost_ms,
-    least_far_cost_ms,
-    terms_of,
-)
+from crocusspindle.core.target_choice import TargetChoice
 from crocusspindle.core.target_gauge import (
     HUNG_NATS,
-    OVERDUE_NATS,
     Ending,
     Grant,
     Standing,
@@ -46,11 +40,6 @@
 from crocusspindle.core.unreached_share import UnreachedShare
 from crocusspindle.ids import GrantId, HostId
 
-UNSAFE_TRIAL_AFTER_MS: Final = 1_500.0
-"""A trial waits this long for a request that may be repeated before it risks one that
-may not."""
-
-
 REFRESH_MS: Final = 5.0
 """What becomes due by time alone is noticed within this."""
 
@@ -67,15 +56,13 @@
     ) -> None:
         self._budget = budget
         self._policies = policies
-        self._terms = terms_of(policies)
-        self._blames_paths = policies.has(Policy.PATH_BLAME)
-        self._near_first = policies.has(Policy.NEAR_FIRST)
         self._refreshed_ms = -math.inf
         self._gauges: dict[TargetIdentity, TargetGauge] = {}
         self._latencies = RouteLatencies(policies.has(Policy.ROUTE_LATENCIES))
         self._turns = TurnRate(now_ms)
         self._unreached = UnreachedShare()
         self._floor = FloorWatch(floor_share)
+        self._choice = TargetChoice(self._gauges, self._floor, self._turns, policies)
         self._queue = PlacementQueue(policies, now_ms)
         self._number = 0
         self._changes: list[StandingChange] = []
@@ -160,7 +147,7 @@
             gauge.standing is Standing.WELL
             and gauge.listed.readiness is Readiness.READY
             and gauge.listed.identity not in ask.excluded
-            and self._reachable(gauge, ask.sender, now_ms)
+            and self._choice.reachable(gauge, ask.sender, now_ms)
             for gauge in self._gauges.values()
         )
 
@@ -219,130 +206,9 @@
         gauge.eject(now_ms)
         self._note_change(gauge, Ending.SILENT, None)
 
-    def _usable(self, ask: Ask, now_ms: float) -> list[TargetGauge]:
-        return [
-            gauge
-            for gauge in self._gauges.values()
-            if gauge.standing is not Standing.EJECTED
-            and gauge.free(now_ms)
-            and gauge.listed.readiness is Readiness.READY
-            and gauge.listed.identity not in ask.excluded
-            and (not gauge.paths or self._reachable(gauge, ask.sender, now_ms))
-        ]
-
-    def _reachable(self, gauge: TargetGauge, sender: HostId, now_ms: float) -> bool:
-        return not self._blames_paths or gauge.reachable(sender, now_ms)
-
     def _place(self, ask: Ask, now_ms: float) -> Placed | None:
-        owed = self._owed(ask, now_ms)
-        if owed is not None:
-            return self._grant(owed, ask, now_ms)
-        usable = self._usable(ask, now_ms)
-        trial = None if ask.repeat else self._trial(usable, ask, now_ms)
-        if trial is not None:
-            return self._grant(trial, ask, now_ms)
-        well = [gauge for gauge in usable if gauge.standing is Standing.WELL]
-        if self._policies.has(Policy.DOUBT_BY_AGE):
-            well = [
-                gauge for gauge in well if gauge.doubt_nats(now_ms) < OVERDUE_NATS
-            ] or well
-        if well:
-            return self._grant(self._best(well, ask, now_ms), ask, now_ms)
-        trials = [gauge for gauge in usable if gauge.standing is Standing.TRIAL]
-        return self._grant(trials[0], ask, now_ms) if trials else None
-
-    def _owed(self, ask: Ask, now_ms: float) -> TargetGauge | None:
-        """Return a target that is owed work for the sake of the service's floor."""
-        if ask.repeat or not self._policies.has(Policy.FLOOR_TRIALS):
-            return None
-        owed = [
-            gauge
-            for gauge in self._floor.owed(self._gauges.values(), now_ms)
-            if self._has_room(gauge, now_ms)
-            and self._may_take_owed(gauge, ask, now_ms)
-            and gauge.listed.identity not in ask.excluded
-            and self._reachable(gauge, ask.sender, now_ms)
-        ]
-        if not owed:
-            return None
-        chosen = min(
-            owed,
-            key=lambda gauge: (
-                gauge.standing is Standing.EJECTED,
-                gauge.last_failed_ms,
-                gauge.last_used_ms,
-            ),
-        )
-        if chosen.standing is Standing.EJECTED:
-            chosen.begin_trial(now_ms)
-        return chosen
-
-    def _may_take_owed(self, gauge: TargetGauge, ask: Ask, now_ms: float) -> bool:
-        # Callers of its own domain mostly come in time. Taken by whoever comes first,
-        # owed work went to another domain three times in four, at the price of its
-        # bytes.
-        near = gauge.listed.domain == ask.domain
-        return near or self._floor.is_pressing(gauge, now_ms)
-
-    @staticmethod
-    def _has_room(gauge: TargetGauge, now_ms: float) -> bool:
-        if gauge.standing is Standing.EJECTED:
-            return len(gauge.grants) < gauge.listed.slots
-        return gauge.free(now_ms)
-
-    def _trial(
-        self, usable: list[TargetGauge], ask: Ask, now_ms: float
-    ) -> TargetGauge | None:
-        """Return a target that this request should try, if there is one."""
-        trials = [gauge for gauge in usable if gauge.standing is Standing.TRIAL]
-        if not self._policies.has(Policy.SAFE_FIRST):
-            return trials[0] if trials else None
-        if not ask.idempotent:
-            trials = [
-                gauge
-                for gauge in trials
-                if now_ms - gauge.ejected_until_ms > UNSAFE_TRIAL_AFTER_MS
-            ]
-        else:
-            trials += self._returning(ask, now_ms)
-        trials.sort(key=lambda gauge: gauge.listed.domain != ask.domain)
-        if not trials:
-            return None
-        if trials[0].standing is Standing.EJECTED:
-            trials[0].begin_trial(now_ms)
-        return trials[0]
-
-    def _returning(self, ask: Ask, now_ms: float) -> list[TargetGauge]:
-        # What tries an ejected target costs its caller a second sending at most, so
-        # the target need not stay out for as long as it would for work that runs once.
-        return [
-            gauge
-            for gauge in self._gauges.values()
-            if gauge.may_be_tried(now_ms)
-            and gauge.listed.readiness is Readiness.READY
-            and gauge.listed.identity not in ask.excluded
-            and self._reachable(gauge, ask.sender, now_ms)
-        ]
-
-    def _best(self, targets: list[TargetGauge], ask: Ask, now_ms: float) -> TargetGauge:
-        weighing = Weighing(ask, self._usual_ms(ask), self._turns, now_ms)
-        explores = ask.idempotent and not ask.repeat
-        explores = explores and self._policies.has(Policy.SAFE_FIRST)
-        if explores and self._floor.pressed:
-            unused = [gauge for gauge in targets if self._floor.unused(gauge, now_ms)]
-            targets = unused or targets
-
-        def rank(gauge: TargetGauge) -> tuple[float, float]:
-            since_ms = gauge.proved_ms if explores else gauge.last_used_ms
-            return (cost_ms(gauge, weighing, self._terms), since_ms)
-
-        if not self._near_first:
-            return min(targets, key=rank)
-        near = [gauge for gauge in targets if gauge.listed.domain == ask.domain]
-        best = min(near, key=rank, default=None)
-        if best is not None and rank(best)[0] < least_far_cost_ms(weighing):
-            return best
-        return min(targets, key=rank)
+        chosen = self._choice.choose(ask, self._usual_ms(ask), now_ms)
+        return None if chosen is None else self._grant(chosen, ask, now_ms)
 
     def _grant(self, gauge: TargetGauge, ask: Ask, now_ms: float) -> Placed:
         self._number += 1
