Hold back requests that crash the targets that run them

What callers saw: one request, repeated, ended 19 targets of a service one after the other; up to 50 of 120 look-ups in five seconds were refused as full, others' work broke off with each crash.

Cause: every ending spoke against the target only. Nothing compared requests, so a safe one went to a second target at once, and its caller's next attempt, under another id at another host, went on as if nothing had been. Class: a query of death, retried.

Ruled out: targets that crash by themselves. In the record's lines one customer's look-up is common to the crashes, the rest differs.

Change: the placer reports which requests ran at a target whose process ended. Such a request runs alone at an idle target next time, one copy at once, without a hedge; an answer clears it. Two crashes, one of them alone, or three among others hold it: refused at once by every host, with the time of its next trial. Crashes that a held request explains count against nobody else. Records go to all hosts at once, with the reader's answers to those who missed that, and to the store, so that they outlive all processes.

--- a/src/crocusspindle/clock.py
+++ b/src/crocusspindle/clock.py
@@ -14,6 +14,11 @@
     return time.clock_gettime_ns(time.CLOCK_BOOTTIME) / 1e6
 
 
+def wall_ms() -> int:
+    """Return the time of day in whole milliseconds, for what outlives a process."""
+    return round(time.time() * 1e3)
+
+
 def remaining_s(deadline_ms: float) -> float:
     """Return the seconds left to a deadline, never below zero."""
     return max(0.0, (deadline_ms - now_ms()) / 1e3)
--- a/src/crocusspindle/core/asks.py
+++ b/src/crocusspindle/core/asks.py
@@ -4,7 +4,7 @@
 
 from crocusspindle.core.listed_target import ListedTarget, TargetIdentity
 from crocusspindle.core.target_gauge import Ending, Standing
-from crocusspindle.ids import DomainId, GrantId, HostId
+from crocusspindle.ids import NO_CONTENT, ContentDigest, DomainId, GrantId, HostId
 
 
 @dataclass(frozen=True, slots=True)
@@ -13,7 +13,7 @@
 
     `aim_ms` is what is left of the route's aim. A `hedge` is a repeat whose first
     sending still runs. A request that was `counted` was asked of another placer
-    before, which may only be slow.
+    before, which may only be slow. A `trial` is a held request's next sending.
     """
 
     sender: HostId
@@ -27,6 +27,8 @@
     hedge: bool = False
     counted: bool = False
     body_bytes: int = 0
+    content: ContentDigest = NO_CONTENT
+    trial: bool = False
     excluded: frozenset[TargetIdentity] = frozenset()
 
 
--- /dev/null
+++ b/src/crocusspindle/core/crash_table.py
@@ -0,0 +1,180 @@
+"""Know which requests crash the targets that run them, and hold those back.
+
+The load is one request, repeated by its caller at any host, under which every target
+that runs it ends. Each end also breaks what else runs there, so that many innocent
+requests look alike after one crash. Whoever was there runs alone the next time: an
+answer clears it, a second crash under it alone convicts it.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from enum import Enum
+from typing import Final
+
+from crocusspindle.core.crash_record import Crash, CrashRecord
+from crocusspindle.core.listed_target import TargetIdentity
+from crocusspindle.ids import ContentDigest
+
+CRASHES_ALONE: Final = 2
+"""Crashes that hold a request, one of which came while it ran alone."""
+
+CRASHES_WITH_OTHERS: Final = 3
+FIRST_HOLD_MS: Final = 15_000.0
+HOLD_FACTOR: Final = 4.0
+TRIALS_MOST: Final = 3
+"""Trials of a held request; after the last it stays held until it is forgotten."""
+
+FORGET_MS: Final = 86_400_000.0
+RECORDS_MAX: Final = 4_096
+SHARED_MAX: Final = 128
+
+
+class Isolation(Enum):
+    """Tell how a request is kept apart from others' work at a target."""
+
+    NONE = "none"
+    PREFERRED = "preferred"
+    REQUIRED = "required"
+
+
+@dataclass(frozen=True, slots=True)
+class CrashSeen:
+    """Tell of a target that ended, and of all that ran there."""
+
+    target: TargetIdentity
+    contents: frozenset[ContentDigest]
+
+
+class CrashTable:
+    """Hold the record of each request under which targets have crashed.
+
+    All times are by the wall clock, which hosts share and which outlives a process.
+    """
+
+    def __init__(self) -> None:
+        self._records: dict[ContentDigest, CrashRecord] = {}
+
+    def __contains__(self, content: ContentDigest) -> bool:
+        """Return True if there is a record of a request."""
+        return content in self._records
+
+    def record(self, content: ContentDigest) -> CrashRecord | None:
+        """Return the record of a request."""
+        return self._records.get(content)
+
+    def shared(self) -> list[CrashRecord]:
+        """Return the records that every host has to know, in a fixed order."""
+        shared = [record for record in self._records.values() if record.is_shared]
+        shared.sort(key=lambda record: (-record.last_ms, record.content))
+        return sorted(shared[:SHARED_MAX], key=lambda record: record.content)
+
+    def see(self, crash: CrashSeen, at_ms: float) -> list[CrashRecord]:
+        """Take a crash into account and return the records that changed."""
+        alone = len(crash.contents) == 1
+        entry = Crash(crash.target, alone)
+        changed = [self._add(content, entry, at_ms) for content in crash.contents]
+        self._drop_old(at_ms)
+        return [record for record in changed if record is not None]
+
+    def _add(
+        self, content: ContentDigest, crash: Crash, at_ms: float
+    ) -> CrashRecord | None:
+        record = self._records.get(content, CrashRecord(content))
+        added = record.with_crash(crash, at_ms)
+        if added == record:
+            return None
+        self._records[content] = added
+        return added
+
+    def clear(self, content: ContentDigest, at_ms: float) -> CrashRecord | None:
+        """Note that a target answered a request and lives; return its record."""
+        record = self._records.get(content)
+        if record is None or not record.crashes:
+            return None
+        cleared = CrashRecord(
+            content,
+            record.generation + 1,
+            last_ms=at_ms,
+            was_shared=record.is_shared,
+        )
+        self._records[content] = cleared
+        return cleared
+
+    def begin_trial(self, content: ContentDigest, at_ms: float) -> CrashRecord | None:
+        """Note that a held request is sent once more; return its record."""
+        record = self._records.get(content)
+        if record is None:
+            return None
+        record = replace(record, trials=record.trials + 1, last_ms=at_ms)
+        self._records[content] = record
+        return record
+
+    def merge(self, records: Iterable[CrashRecord], now_ms: float) -> list[CrashRecord]:
+        """Take over what others know and return the records that changed."""
+        changed: list[CrashRecord] = []
+        for told in records:
+            held = self._records.get(told.content)
+            merged = told if held is None else held.merged(told)
+            if merged != held and merged.last_ms > now_ms - FORGET_MS:
+                self._records[told.content] = merged
+                changed.append(merged)
+        self._drop_old(now_ms)
+        return changed
+
+    def isolation(self, content: ContentDigest) -> Isolation:
+        """Return how a request has to be kept apart from other work."""
+        crashes = self._unexplained(content)
+        if not crashes:
+            return Isolation.NONE
+        if len(crashes) == 1:
+            return Isolation.PREFERRED
+        return Isolation.REQUIRED
+
+    def is_held(self, content: ContentDigest) -> bool:
+        """Return True if a request is sent in trials only."""
+        return _convict(self._unexplained(content))
+
+    def held_until_ms(self, content: ContentDigest) -> float:
+        """Return when a held request may be tried next."""
+        record = self._records.get(content)
+        if record is None or not self.is_held(content):
+            return 0.0
+        return record.last_ms + self.hold_ms(content)
+
+    def hold_ms(self, content: ContentDigest) -> float:
+        """Return the wait before the next trial of a held request."""
+        record = self._records[content]
+        if record.trials >= TRIALS_MOST:
+            return FORGET_MS
+        return FIRST_HOLD_MS * HOLD_FACTOR**record.trials
+
+    def _unexplained(self, content: ContentDigest) -> frozenset[Crash]:
+        record = self._records.get(content)
+        if record is None or not record.crashes:
+            return frozenset()
+        explained = {
+            crash.target
+            for other in self._records.values()
+            if len(other.crashes) > len(record.crashes) and _convict(other.crashes)
+            for crash in other.crashes
+        }
+        return frozenset(c for c in record.crashes if c.target not in explained)
+
+    def _drop_old(self, now_ms: float) -> None:
+        for record in list(self._records.values()):
+            if record.last_ms <= now_ms - FORGET_MS:
+                del self._records[record.content]
+        surplus = len(self._records) - RECORDS_MAX
+        if surplus <= 0:
+            return
+        least_first = sorted(
+            self._records.values(),
+            key=lambda record: (record.is_shared, record.last_ms),
+        )
+        for record in least_first[:surplus]:
+            del self._records[record.content]
+
+
+def _convict(crashes: frozenset[Crash]) -> bool:
+    alone = any(crash.alone for crash in crashes)
+    return len(crashes) >= (CRASHES_ALONE if alone else CRASHES_WITH_OTHERS)
--- /dev/null
+++ b/src/crocusspindle/core/crash_watch.py
@@ -0,0 +1,76 @@
+"""Find out by the endings of work which targets crashed, and what ran there."""
+
+from collections.abc import Iterable
+from typing import Final
+
+from crocusspindle.core.crash_table import CrashSeen, CrashTable
+from crocusspindle.core.listed_target import TargetIdentity
+from crocusspindle.core.target_gauge import Ending
+from crocusspindle.ids import ContentDigest
+
+SHOWN_LATER_MS: Final = 6_000.0
+"""A process that came back at once broke work this long ago at most, when the next
+request meets another instance at its address."""
+
+
+class CrashWatch:
+    """Watch the targets of one service."""
+
+    def __init__(self, table: CrashTable) -> None:
+        self._table = table
+        self._answered: list[ContentDigest] = []
+        self._crashed: dict[TargetIdentity, set[ContentDigest]] = {}
+        self._broken: dict[TargetIdentity, dict[ContentDigest, float]] = {}
+        self._seen: list[CrashSeen] = []
+
+    def ended(
+        self,
+        target: TargetIdentity,
+        content: ContentDigest,
+        running: Iterable[ContentDigest],
+        ending: Ending,
+        now_ms: float,
+    ) -> None:
+        """Take the end of one sending into account, beside what still runs there."""
+        if ending is Ending.ANSWERED:
+            if content in self._table:
+                self._answered.append(content)
+        elif ending is Ending.CRASHED:
+            self._note_crash(target, {content, *running})
+        elif ending is Ending.BROKEN:
+            self._broken.setdefault(target, {})[content] = now_ms
+        elif ending in (Ending.CLOSED, Ending.MISDIRECTED):
+            lost = self._broken.pop(target, {})
+            since_ms = now_ms - SHOWN_LATER_MS
+            self._note_crash(target, {c for c, at in lost.items() if at > since_ms})
+
+    def _note_crash(self, target: TargetIdentity, contents: set[ContentDigest]) -> None:
+        # All that ran there ends one by one. Counted one by one, the last would seem
+        # to have been alone.
+        known = self._crashed.setdefault(target, set())
+        new = {content for content in contents if content} - known
+        if new:
+            known |= new
+            self._seen.append(CrashSeen(target, frozenset(known)))
+
+    def keep(self, listed: Iterable[TargetIdentity]) -> None:
+        """Forget targets that have left the list."""
+        kept = set(listed)
+        for found in (self._crashed, self._broken):
+            for target in found.keys() - kept:
+                del found[target]
+
+    @property
+    def has_seen(self) -> bool:
+        """Return True if there were crashes since they were last asked for."""
+        return bool(self._seen)
+
+    def answered(self) -> list[ContentDigest]:
+        """Return the requests with a record that were answered since the last call."""
+        answered, self._answered = self._answered, []
+        return answered
+
+    def seen(self) -> list[CrashSeen]:
+        """Return the crashes since the last call."""
+        seen, self._seen = self._seen, []
+        return seen
--- a/src/crocusspindle/core/service_placer.py
+++ b/src/crocusspindle/core/service_placer.py
@@ -11,6 +11,8 @@
 from typing import Final
 
 from crocusspindle.core.asks import Ask, Placed, Refused, StandingChange, Waiting
+from crocusspindle.core.crash_table import CrashTable, Isolation
+from crocusspindle.core.crash_watch import CrashWatch
 from crocusspindle.core.floor_watch import FloorWatch
 from crocusspindle.core.hedge_time import hedge_after_ms
 from crocusspindle.core.latency_sample import LatencySample
@@ -38,7 +40,7 @@
 )
 from crocusspindle.core.turn_rate import TurnRate
 from crocusspindle.core.unreached_share import UnreachedShare
-from crocusspindle.ids import GrantId, HostId
+from crocusspindle.ids import NO_CONTENT, ContentDigest, GrantId, HostId
 
 REFRESH_MS: Final = 5.0
 """What becomes due by time alone is noticed within this."""
@@ -53,7 +55,10 @@
         budget: RepeatBudget,
         policies: Policies = ALL_POLICIES,
         now_ms: float = 0.0,
+        crashes: CrashTable | None = None,
     ) -> None:
+        self._crashes = CrashTable() if crashes is None else crashes
+        self.crash_watch = CrashWatch(self._crashes)
         self._budget = budget
         self._policies = policies
         self._refreshed_ms = -math.inf
@@ -62,7 +67,9 @@
         self._turns = TurnRate(now_ms)
         self._unreached = UnreachedShare()
         self._floor = FloorWatch(floor_share)
-        self._choice = TargetChoice(self._gauges, self._floor, self._turns, policies)
+        self._choice = TargetChoice(
+            self._gauges, self._floor, self._turns, policies, self._crashes
+        )
         self._queue = PlacementQueue(policies, now_ms)
         self._number = 0
         self._changes: list[StandingChange] = []
@@ -71,6 +78,7 @@
         """Take over the list of the service's targets."""
         self._floor.forget_owed()
         entries = {entry.identity: entry for entry in listed}
+        self.crash_watch.keep(entries)
         for identity in self._gauges.keys() - entries.keys():
             del self._gauges[identity]
         for identity, entry in entries.items():
@@ -100,7 +108,7 @@
 
     def ask(self, ask: Ask, now_ms: float) -> Placed | Refused | Waiting:
         """Place a sending, queue it for a slot, or refuse it at once."""
-        if ask.hedge and not self._may_hedge(now_ms):
+        if ask.hedge and not self._may_hedge(ask, now_ms):
             return Refused("full", self._usual_ms(ask))
         if ask.repeat:
             if not self._budget.repeat(now_ms):
@@ -118,7 +126,9 @@
             return Refused("full", self._usual_ms(ask))
         return self._wait(ask, now_ms)
 
-    def _may_hedge(self, now_ms: float) -> bool:
+    def _may_hedge(self, ask: Ask, now_ms: float) -> bool:
+        if self._crashes.isolation(ask.content) is not Isolation.NONE:
+            return False
         # A second sending takes the slot of someone's first one when slots are short.
         if not self._policies.has(Policy.HEDGING) or len(self._queue):
             return False
@@ -138,6 +148,8 @@
         return self._sample(ask).usual_ms
 
     def _wait(self, ask: Ask, now_ms: float) -> Refused | Waiting:
+        if ask.trial:
+            return Refused("held", RETRY_MIN_MS)
         if not self._any_open_to(ask, now_ms):
             return self._refuse_all_out(ask, now_ms)
         return self._queue.join(ask, self._sample(ask), self._open_slots(), now_ms)
@@ -215,6 +227,8 @@
         sample = self._sample(ask)
         number = GrantId(self._number)
         least_ms = self._latencies.least_ms
+        if self._crashes.isolation(ask.content) is not Isolation.NONE:
+            gauge.isolated = None if gauge.grants else number
         gauge.grants[number] = Grant(
             number,
             ask.sender,
@@ -224,6 +238,7 @@
             ask.aim_ms,
             sample,
             least_ms,
+            ask.content,
         )
         gauge.last_used_ms = now_ms
         hedge_ms = max(least_ms, hedge_after_ms(sample, ask.aim_ms))
@@ -237,12 +252,16 @@
         sender: HostId,
         latency_ms: float,
         now_ms: float,
+        content: ContentDigest = NO_CONTENT,
     ) -> None:
         """Take the end of a sending into account and place those who wait."""
         gauge = self._gauges.get(target)
         if gauge is None:
             return
         known = gauge.grants.pop(grant, None)
+        content = content if known is None else known.content
+        running = [other.content for other in gauge.grants.values()]
+        self.crash_watch.ended(target, content, running, ending, now_ms)
         self._floor.ended(ending, now_ms)
         before = gauge.standing
         gauge.note(self._work_end(known, ending, sender, latency_ms, now_ms))
@@ -254,7 +273,9 @@
             self._turns.turned(before is Standing.WELL)
             self._note_change(gauge, ending, sender)
         self._refresh_if_due(now_ms)
-        self._serve_queue(now_ms)
+        # A copy of what has just crashed a target may wait here, and be held by it.
+        if not self.crash_watch.has_seen:
+            self._serve_queue(now_ms)
 
     def _work_end(
         self,
@@ -302,6 +323,10 @@
         slots = self._open_slots()
         free = self._any_free(now_ms)
         for waiting in self._queue.in_order(now_ms):
+            if self._crashes.is_held(waiting.ask.content):
+                hold_ms = self._crashes.hold_ms(waiting.ask.content)
+                waiting.settled = Refused("held", hold_ms)
+                continue
             # Most that wait in a full service find nothing free: a look at each target
             # for each of them would take the placer's processor just when it is short.
             if free and self._queue.may_start(waiting, slots, now_ms):
--- a/src/crocusspindle/core/target_choice.py
+++ b/src/crocusspindle/core/target_choice.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from crocusspindle.core.asks import Ask
+from crocusspindle.core.crash_table import CrashTable, Isolation
 from crocusspindle.core.floor_watch import FloorWatch
 from crocusspindle.core.listed_target import Readiness, TargetIdentity
 from crocusspindle.core.policies import Policies, Policy
@@ -15,7 +16,7 @@
 )
 from crocusspindle.core.target_gauge import OVERDUE_NATS, Standing, TargetGauge
 from crocusspindle.core.turn_rate import TurnRate
-from crocusspindle.ids import HostId
+from crocusspindle.ids import ContentDigest, HostId
 
 UNSAFE_TRIAL_AFTER_MS: Final = 1_500.0
 """A trial waits this long for a request that may be repeated before it risks one that
@@ -31,7 +32,9 @@
         floor: FloorWatch,
         turns: TurnRate,
         policies: Policies,
+        crashes: CrashTable,
     ) -> None:
+        self._crashes = crashes
         self._gauges = gauges
         self._floor = floor
         self._turns = turns
@@ -57,6 +60,9 @@
 
     def choose(self, ask: Ask, usual_ms: float, now_ms: float) -> TargetGauge | None:
         """Return the target that an ask should go to, if one can take it."""
+        isolation = self._crashes.isolation(ask.content)
+        if isolation is not Isolation.NONE:
+            return self._apart(ask, isolation, usual_ms, now_ms)
         owed = self._owed(ask, now_ms)
         if owed is not None:
             return owed
@@ -74,6 +80,27 @@
         trials = [gauge for gauge in usable if gauge.standing is Standing.TRIAL]
         return trials[0] if trials else None
 
+    def _apart(
+        self, ask: Ask, isolation: Isolation, usual_ms: float, now_ms: float
+    ) -> TargetGauge | None:
+        """Return a target for a request that may end it, with others' work there."""
+        if self._runs(ask.content):
+            return None
+        usable = self._usable(ask, now_ms)
+        usable = [g for g in usable if g.standing is Standing.WELL] or usable
+        idle = [gauge for gauge in usable if not gauge.grants]
+        if isolation is Isolation.REQUIRED:
+            usable = []
+        candidates = idle or usable
+        return self._best(candidates, ask, usual_ms, now_ms) if candidates else None
+
+    def _runs(self, content: ContentDigest) -> bool:
+        return any(
+            grant.content == content
+            for gauge in self._gauges.values()
+            for grant in gauge.grants.values()
+        )
+
     def _owed(self, ask: Ask, now_ms: float) -> TargetGauge | None:
         """Return a target that is owed work for the sake of the service's floor."""
         if ask.repeat or not self._policies.has(Policy.FLOOR_TRIALS):
@@ -110,7 +137,7 @@
     @staticmethod
     def _has_room(gauge: TargetGauge, now_ms: float) -> bool:
         if gauge.standing is Standing.EJECTED:
-            return len(gauge.grants) < gauge.listed.slots
+            return not gauge.is_isolated and len(gauge.grants) < gauge.listed.slots
         return gauge.free(now_ms)
 
     def _trial(
--- a/src/crocusspindle/core/target_gauge.py
+++ b/src/crocusspindle/core/target_gauge.py
@@ -6,7 +6,7 @@
 
 from crocusspindle.core.latency_sample import LatencySample
 from crocusspindle.core.listed_target import ListedTarget
-from crocusspindle.ids import GrantId, HostId
+from crocusspindle.ids import NO_CONTENT, ContentDigest, GrantId, HostId
 
 
 class Ending(Enum):
@@ -132,6 +132,7 @@
     aim_ms: float
     sample: LatencySample
     least_ms: float
+    content: ContentDigest = NO_CONTENT
 
     def age_nats(self, age_ms: float) -> float:
         """Return how unusual it is for sound work to last for an age."""
@@ -179,10 +180,16 @@
     full_until_ms: float = float("-inf")
     unreached: dict[HostId, float] = field(default_factory=dict)
     paths: dict[HostId, float] = field(default_factory=dict)
+    isolated: GrantId | None = None
+
+    @property
+    def is_isolated(self) -> bool:
+        """Return True while a request runs here that may end the target."""
+        return self.isolated is not None and self.isolated in self.grants
 
     def free(self, now_ms: float) -> bool:
         """Return True if the target has a slot for one more request."""
-        if now_ms < self.full_until_ms:
+        if now_ms < self.full_until_ms or self.is_isolated:
             return False
         return len(self.grants) < self.room
 
--- a/src/crocusspindle/gateway/assembly.py
+++ b/src/crocusspindle/gateway/assembly.py
@@ -11,6 +11,7 @@
 from crocusspindle.core.view import NodeAddress
 from crocusspindle.errors import Finding, SettingsError
 from crocusspindle.gateway.admission import Admission
+from crocusspindle.gateway.crash_sharing import CrashSharing
 from crocusspindle.gateway.dialect import Dialect
 from crocusspindle.gateway.entry import Entry
 from crocusspindle.gateway.exchange import Exchange
@@ -72,10 +73,11 @@
     membership = Membership(
         node, exchange, knowledge, reading, quota.over, choice, pace, draw
     )
-    placing = Placing(node, bounds, exchange, knowledge, draw, policies)
+    crashes = CrashSharing(exchange, knowledge, metrics)
+    placing = Placing(node, bounds, exchange, knowledge, draw, policies, crashes)
     admission = Admission(bounds, dialect, knowledge)
     sending = Sending(node, dialect, placing, metrics, draw)
-    entry = Entry(admission, dialect, knowledge, sending, quota, metrics)
+    entry = Entry(admission, dialect, knowledge, sending, quota, crashes, metrics)
     ports = Ports(
         settings, dialect, knowledge, membership, entry, metrics, bounds, lines
     )
@@ -86,6 +88,7 @@
         reading,
         quota,
         membership,
+        crashes,
         placing,
         entry,
         ports,
--- a/src/crocusspindle/gateway/entry.py
+++ b/src/crocusspindle/gateway/entry.py
@@ -15,6 +15,7 @@
 from crocusspindle.gateway.admission import Admission
 from crocusspindle.gateway.answers import Refusal, refusal_response, send_answer
 from crocusspindle.gateway.case import Case
+from crocusspindle.gateway.crash_sharing import CrashSharing
 from crocusspindle.gateway.dialect import Dialect
 from crocusspindle.gateway.knowledge import NEVER_MS, Knowledge
 from crocusspindle.gateway.quota import GAP_RETRY_MS, Quota
@@ -48,7 +49,7 @@
     """Serve callers' requests."""
 
     name: ClassVar[str] = "entry"
-    needs: ClassVar[tuple[str, ...]] = ("knowledge", "placing", "quota")
+    needs: ClassVar[tuple[str, ...]] = ("knowledge", "placing", "quota", "crashes")
 
     def __init__(
         self,
@@ -57,8 +58,10 @@
         knowledge: Knowledge,
         sending: Sending,
         quota: Quota,
+        crashes: CrashSharing,
         metrics: Metrics,
     ) -> None:
+        self._crashes = crashes
         self._admission = admission
         self._dialect = dialect
         self._knowledge = knowledge
@@ -106,6 +109,7 @@
             obtained.case = await self._admission.admit(
                 request, request_id, obtained.began_ms
             )
+            self._check_held(obtained.case)
             if obtained.case.customer is not None:
                 await self._spend(obtained.case, obtained.case.customer)
             obtained.sent = await self._sending.send(obtained.case)
@@ -119,6 +123,11 @@
             self.running -= 1
         return obtained
 
+    def _check_held(self, case: Case) -> None:
+        refused = self._crashes.refusal(case.content)
+        if refused is not None:
+            raise Refusal(503, refused.reason, refused.retry_after_ms)
+
     async def _respond(
         self, request: web.BaseRequest, obtained: Obtained
     ) -> web.StreamResponse:
--- a/src/crocusspindle/gateway/instruments.py
+++ b/src/crocusspindle/gateway/instruments.py
@@ -32,6 +32,15 @@
     when_rising="`broken` and `error`: gray targets; `unreached` and `silent`: paths "
     "or hung targets; `shed`: targets without room.",
 )
+CRASHES: Final = declare(
+    "gateway_target_crashes",
+    InstrumentKind.COUNTER,
+    unit="targets",
+    labels=("service",),
+    meaning="Targets whose process ended while work ran there, by their placer.",
+    when_rising="Look for `crash record changed` in the log: one `content` in several "
+    "crashes is a request that ends its targets; see docs/OPERATIONS.md.",
+)
 REQUEST_MS: Final = declare(
     "gateway_request_ms",
     InstrumentKind.HISTOGRAM,
--- a/src/crocusspindle/gateway/knowledge.py
+++ b/src/crocusspindle/gateway/knowledge.py
@@ -10,8 +10,10 @@
 
 import msgpack
 
-from crocusspindle.clock import now_ms
+from crocusspindle.clock import now_ms, wall_ms
 from crocusspindle.core.configuration import Configuration
+from crocusspindle.core.crash_record import Crash, CrashRecord
+from crocusspindle.core.crash_table import CrashTable
 from crocusspindle.core.listed_target import (
     ListedTarget,
     Readiness,
@@ -22,7 +24,7 @@
 from crocusspindle.errors import InvalidInputError
 from crocusspindle.gateway.messages import State
 from crocusspindle.gateway.updates import Forms, Packed
-from crocusspindle.ids import DomainId, HostId, Incarnation, ServiceId
+from crocusspindle.ids import ContentDigest, DomainId, HostId, Incarnation, ServiceId
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
 
@@ -48,9 +50,10 @@
     targets_digest: int
     view_number: int
     open_digest: int
+    crash_digest: int
 
 
-NOTHING_HELD: Final = Held(-1, NO_DIGEST, -1, NO_DIGEST)
+NOTHING_HELD: Final = Held(-1, NO_DIGEST, -1, NO_DIGEST, NO_DIGEST)
 
 
 class Knowledge(Service):
@@ -67,12 +70,14 @@
         self.view: Belief[View] = Belief()
         self.open_nodes: list[tuple[str, str]] = []
         self.open_digest = NO_DIGEST
+        self.crashes = CrashTable()
+        self.crash_digest = NO_DIGEST
         self.store_back_at_ms = -math.inf
         self.born_ms = now_ms()
         self._configured = asyncio.Event()
         self._forms: dict[str, Forms] = {
             document: Forms()
-            for document in ("configuration", "targets", "view", "open")
+            for document in ("configuration", "targets", "view", "open", "crashes")
         }
         self._needs_whole = False
         self._listeners: list[Callable[[], None]] = []
@@ -153,6 +158,20 @@
         self.open_digest = digest_of(form)
         self._forms["open"].take(self.open_digest, form)
 
+    def take_crashes(self, records: Sequence[CrashRecord]) -> list[CrashRecord]:
+        """Take over what others know of crashes; return the records that changed."""
+        changed = self.crashes.merge(records, wall_ms())
+        if changed:
+            self.renew_crash_form()
+        return changed
+
+    def renew_crash_form(self) -> None:
+        """Note that what every host has to know of crashes may have changed."""
+        shared = self.crashes.shared()
+        form = _form([packed_record(record) for record in shared])
+        self.crash_digest = digest_of(form) if shared else NO_DIGEST
+        self._forms["crashes"].take(self.crash_digest, form)
+
     def take_state(self, state: State, asked_ms: float) -> bool:
         """Take a reader's answer; its ages count from when it was asked.
 
@@ -175,6 +194,10 @@
         open_nodes = self._unpacked("open", state.open_nodes)
         if open_nodes is not None:
             self.take_open_nodes(msgpack.unpackb(open_nodes))
+        crashes = self._unpacked("crashes", state.crashes)
+        if crashes is not None:
+            records = msgpack.unpackb(crashes)
+            self.take_crashes([unpacked_record(parts) for parts in records])
         if state.store_back_ms < NEVER_MS:
             back_at_ms = asked_ms - state.store_back_ms
             self.store_back_at_ms = max(self.store_back_at_ms, back_at_ms)
@@ -186,6 +209,7 @@
                 (state.targets, targets),
                 (state.view, view),
                 (state.open_nodes, open_nodes),
+                (state.crashes, crashes),
             )
         )
         # Two forms may bear the same key: the store's text of a version that was
@@ -205,6 +229,7 @@
             self.targets_digest,
             self.view.version,
             self.open_digest,
+            self.crash_digest,
         )
 
     def _unpacked(self, document: str, packed: Packed | None) -> bytes | None:
@@ -230,6 +255,7 @@
         newer = config.version > asker.configuration_version
         # A node that has just started holds nothing yet, and tells nothing.
         other_targets = self.targets_digest not in (asker.targets_digest, NO_DIGEST)
+        other_crashes = self.crash_digest not in (asker.crash_digest, NO_DIGEST)
         other_open = self.open_digest not in (asker.open_digest, NO_DIGEST)
         return State(
             configuration_version=config.version,
@@ -254,6 +280,10 @@
             ),
             open_digest=self.open_digest,
             open_nodes=self._packed("open", asker.open_digest) if other_open else None,
+            crash_digest=self.crash_digest,
+            crashes=(
+                self._packed("crashes", asker.crash_digest) if other_crashes else None
+            ),
             store_back_ms=_whole(at_ms - self.store_back_at_ms),
             unknown=unknown,
             reads=reads,
@@ -295,6 +325,31 @@
     ]
 
 
+def packed_record(record: CrashRecord) -> list[Any]:
+    """Return a record of crashes as plain lists."""
+    return [
+        record.content,
+        record.generation,
+        sorted([crash.target, crash.alone] for crash in record.crashes),
+        record.trials,
+        round(record.last_ms),
+        record.was_shared,
+    ]
+
+
+def unpacked_record(parts: Sequence[Any]) -> CrashRecord:
+    """Return the record of `packed_record`."""
+    content, generation, crashes, trials, last_ms, was_shared = parts
+    return CrashRecord(
+        ContentDigest(content),
+        generation,
+        frozenset(Crash(TargetIdentity(target), alone) for target, alone in crashes),
+        trials,
+        last_ms,
+        was_shared,
+    )
+
+
 def packed_node(node: NodeAddress) -> tuple[Any, ...]:
     """Return a node as a plain tuple."""
     return astuple(node)
--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -19,10 +19,12 @@
     Held,
     Knowledge,
     packed_node,
+    packed_record,
     unpacked_node,
 )
 from crocusspindle.gateway.messages import (
     CONTENTS_MAX_BYTES,
+    CrashNote,
     Done,
     Hello,
     Peek,
@@ -228,6 +230,9 @@
         self._knowledge.take_state(state, asked_ms)
         if state.unknown:
             self._exchange.tell(to, self._own_hello())
+        if state.crash_digest != self._knowledge.crash_digest:
+            records = self._knowledge.crashes.shared()
+            self._exchange.tell(to, CrashNote([packed_record(r) for r in records]))
         oldest_ms = max(state.configuration_age_ms, state.targets_age_ms)
         if not state.reads or oldest_ms > OLD_PROOF_MS:
             reason = "old proofs" if state.reads else "lost the store"
@@ -376,6 +381,7 @@
             self._refresh_open()
             try:
                 await self._views.renew(self._present())
+                await self._reading.write_crashes()
             except PlatformError as error:
                 log_state_change(self._log, "view not written", error=str(error))
 
--- a/src/crocusspindle/gateway/messages.py
+++ b/src/crocusspindle/gateway/messages.py
@@ -111,6 +111,8 @@
     view: Sequence[Any] | None
     open_digest: int
     open_nodes: Sequence[Any] | None
+    crash_digest: int
+    crashes: Sequence[Any] | None
     store_back_ms: int
     unknown: bool = False
     reads: bool = False
@@ -119,7 +121,13 @@
     @property
     def contents_bytes(self) -> int:
         """Return how long the contents are."""
-        contents = (self.configuration, self.targets, self.view, self.open_nodes)
+        contents = (
+            self.configuration,
+            self.targets,
+            self.view,
+            self.open_nodes,
+            self.crashes,
+        )
         return sum(len(packed[1]) for packed in contents if packed is not None)
 
     def without_contents(self) -> "State":
@@ -133,6 +141,7 @@
             targets=None,
             view=None,
             open_nodes=None,
+            crashes=None,
             later=whole or too_long,
         )
 
@@ -152,6 +161,7 @@
     repeat: bool
     hedge: bool
     counted: bool
+    content: str
     excluded: list[str]
 
 
@@ -177,12 +187,24 @@
 @message(7)
 @dataclass(frozen=True, slots=True)
 class EndedNote:
-    """Tell a placer how a sending ended, by the ending's place in its enumeration."""
+    """Tell a placer how a sending ended, by the ending's place in its enumeration.
+
+    ``content`` is the request's digest where the target may have crashed.
+    """
 
     target: str
     grant: int
     ending: int
     latency_ms: int
+    content: str = ""
+
+
+@message(18)
+@dataclass(frozen=True, slots=True)
+class CrashNote:
+    """Tell under which requests targets have crashed, as `packed_record` packs it."""
+
+    records: Sequence[Sequence[Any]]
 
 
 @message(8)
--- a/src/crocusspindle/gateway/placing.py
+++ b/src/crocusspindle/gateway/placing.py
@@ -13,6 +13,7 @@
 from crocusspindle.core.service_placer import ServicePlacer
 from crocusspindle.core.target_gauge import EJECTION_MS, Ending, Standing
 from crocusspindle.core.view import NodeAddress
+from crocusspindle.gateway.crash_sharing import CrashSharing
 from crocusspindle.gateway.exchange import Address, Exchange
 from crocusspindle.gateway.knowledge import Knowledge
 from crocusspindle.gateway.messages import (
@@ -27,7 +28,7 @@
 from crocusspindle.gateway.placer_ranks import PLACERS, PlacerRanks
 from crocusspindle.gateway.reload import LiveBounds
 from crocusspindle.gateway.repeat_sharing import RepeatSharing
-from crocusspindle.ids import GrantId, HostId, ServiceId
+from crocusspindle.ids import ContentDigest, GrantId, HostId, ServiceId
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
 
@@ -59,7 +60,12 @@
     """Answer asks for places, and ask the placer of a service."""
 
     name: ClassVar[str] = "placing"
-    needs: ClassVar[tuple[str, ...]] = ("exchange", "knowledge", "membership")
+    needs: ClassVar[tuple[str, ...]] = (
+        "exchange",
+        "knowledge",
+        "membership",
+        "crashes",
+    )
 
     def __init__(
         self,
@@ -69,7 +75,9 @@
         knowledge: Knowledge,
         draw: random.Random,
         policies: Policies,
+        crashes: CrashSharing,
     ) -> None:
+        self._crashes = crashes
         self._node = node
         self._bounds = bounds
         self._exchange = exchange
@@ -124,7 +132,13 @@
         if placer is None:
             budget = self._repeats.budget(service)
             floor_share = self._bounds.now.floor_share
-            placer = ServicePlacer(floor_share, budget, self._policies, now_ms())
+            placer = ServicePlacer(
+                floor_share,
+                budget,
+                self._policies,
+                now_ms(),
+                self._knowledge.crashes,
+            )
             placer.set_targets(self._of(service), now_ms())
             if not self._placers:
                 self.spawn(self._settle_regularly())
@@ -139,6 +153,10 @@
         self, message: PlaceAsk, sender: Address
     ) -> PlaceAnswer | RefusedAnswer:
         at_ms = now_ms()
+        content = ContentDigest(message.content)
+        refused = self._crashes.refusal(content)
+        if refused is not None:
+            return RefusedAnswer(refused.reason, refused.retry_after_ms)
         ask = Ask(
             sender=HostId(sender[0]),
             domain=self._ranks.domain_of(sender),
@@ -151,6 +169,8 @@
             hedge=message.hedge,
             counted=message.counted,
             body_bytes=message.body_bytes,
+            content=content,
+            trial=self._crashes.is_held(content),
             excluded=frozenset(TargetIdentity(name) for name in message.excluded),
         )
         placer = self._placer(ServiceId(message.service))
@@ -162,6 +182,10 @@
             answer = await self._wait(placer, answer)
         self._tell_changes(ServiceId(message.service), placer)
         if isinstance(answer, Placed):
+            if ask.trial:
+                self._crashes.begin_trial(
+                    ServiceId(message.service), self._ranks, content
+                )
             target = answer.target
             return PlaceAnswer(
                 answer.grant, target.identity, round(answer.hedge_after_ms)
@@ -208,7 +232,12 @@
             HostId(sender[0]),
             note.latency_ms,
             now_ms(),
+            ContentDigest(note.content),
         )
+        crashed = placer.crash_watch.has_seen
+        self._crashes.take(target.service, self._ranks, placer.crash_watch)
+        if crashed:
+            placer.settle(now_ms())
         self._wake_settled()
         self._tell_changes(target.service, placer)
         return Done()
@@ -273,6 +302,7 @@
             ask.repeat,
             ask.hedge,
             counted,
+            ask.content,
             list(ask.excluded),
         )
         answer = await self._exchange.ask(to, message, SILENT_S, left_ms / 1e3)
@@ -296,13 +326,42 @@
     def _place_alone(self, service: ServiceId, ask: Ask) -> Place | Refused:
         if ask.repeat:
             return Refused("repeats", EJECTION_MS)
+        if self._crashes.is_suspect(ask.content):
+            # Nobody sees here what else runs at a target, or runs this request.
+            return Refused("suspect", EJECTION_MS)
         target = self._fallback.choose(self._of(service), now_ms())
         if target is None:
             return Refused("no-target", 500.0)
         self._fallback.began(target.identity)
         return Place(service, target, FALLBACK_HEDGE_MS)
 
-    def ended(self, place: Place, ending: Ending, latency_ms: float) -> None:
+    async def crashed(
+        self, place: Place, content: ContentDigest, latency_ms: float
+    ) -> None:
+        """Tell a placer that a target crashed, before its request is sent again."""
+        note = EndedNote(
+            place.target.identity,
+            place.grant or 0,
+            ENDINGS.index(Ending.CRASHED),
+            round(latency_ms),
+            content,
+        )
+        self._fallback.avoid(place.target.identity, now_ms() + EJECTION_MS)
+        if place.grant is None:
+            self._fallback.ended(place.target.identity)
+        first = () if place.placer_at is None else (place.placer_at,)
+        others = (self._ranks.address(h) for h in self._ranks.ranked(place.service))
+        tried = 0
+        for to in dict.fromkeys((*first, *others)):
+            if to is None or tried == PLACERS:
+                continue
+            tried += 1
+            if await self._exchange.ask(to, note, SILENT_S, SILENT_S) is not None:
+                return
+
+    def ended(
+        self, place: Place, content: ContentDigest, ending: Ending, latency_ms: float
+    ) -> None:
         """Tell the placer how a sending ended."""
         failed = ending not in (Ending.ANSWERED, Ending.ABANDONED, Ending.SHED)
         if failed and ending is not Ending.ERROR:
@@ -315,6 +374,7 @@
             place.grant,
             ENDINGS.index(ending),
             round(latency_ms),
+            content if ending is Ending.BROKEN else "",
         )
         # Also to a placer that the view names no more: it goes on placing for a while,
         # and work whose end it does not hear of would look like targets that hang.
--- a/src/crocusspindle/gateway/reading.py
+++ b/src/crocusspindle/gateway/reading.py
@@ -8,17 +8,20 @@
 from typing import ClassVar, Final
 
 from crocusspindle.clock import now_ms
+from crocusspindle.core.crash_record import CrashRecord
 from crocusspindle.core.listed_target import ListedTarget
 from crocusspindle.core.view import NodeAddress, View
 from crocusspindle.errors import PlatformError, PlatformUnavailableError
 from crocusspindle.gateway.knowledge import (
     Knowledge,
     packed_node,
+    packed_record,
     packed_view,
     unpacked_node,
+    unpacked_record,
     unpacked_view,
 )
-from crocusspindle.ids import HostId
+from crocusspindle.ids import ContentDigest, HostId
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
 from crocusspindle.platform.fleet_platform import (
@@ -31,6 +34,7 @@
 
 VIEW_KEY: Final = "view"
 HOST_PREFIX: Final = "host/"
+CRASH_PREFIX: Final = "crash/"
 ASKED_MS: Final = 3_000.0
 """How long a reader goes on after the last ask: a few asks may be lost."""
 
@@ -89,6 +93,7 @@
         self.view_row_version = 0
         self.nodes: dict[HostId, NodeAddress] = {}
         self.row_versions: dict[HostId, int] = {}
+        self._written_crashes: dict[ContentDigest, CrashRecord] = {}
         self._targets: dict[str, ListedTarget] = {}
         self._missing: set[str] = set()
         self._positions: dict[Table, int] = {}
@@ -304,6 +309,10 @@
                 node = unpacked_node(json.loads(row.value))
                 self.nodes[node.host] = node
                 self.row_versions[node.host] = row.version
+            elif row.key.startswith(CRASH_PREFIX):
+                record = unpacked_record(json.loads(row.value))
+                self._written_crashes[record.content] = record
+                self._knowledge.take_crashes([record])
         belief = self._knowledge.view
         belief.prove(belief.version, began_ms)
 
@@ -318,6 +327,14 @@
         self._knowledge.take_view(view, began_ms)
         return True
 
+    async def write_crashes(self) -> None:
+        """Write the records of crashes that the store does not hold yet."""
+        for record in self._knowledge.crashes.shared():
+            if self._written_crashes.get(record.content) != record:
+                value = json.dumps(packed_record(record)).encode()
+                await self._platform.put(CRASH_PREFIX + record.content, value, None)
+                self._written_crashes[record.content] = record
+
     async def register(self, node: NodeAddress) -> None:
         """Write this node's own row and learn of those that were here before."""
         value = json.dumps(packed_node(node)).encode()
--- a/src/crocusspindle/gateway/sending.py
+++ b/src/crocusspindle/gateway/sending.py
@@ -85,6 +85,7 @@
             repeat=repeat,
             hedge=hedge,
             body_bytes=case.body_bytes,
+            content=case.content,
             excluded=frozenset(case.tried),
         )
         place = await self._placing.place(service, ask)
@@ -152,10 +153,13 @@
         try:
             sent = await self._sender.send(place.target, case.outgoing, case.ends_ms)
             ending = sent.ending
+            if ending is Ending.CRASHED:
+                await self._placing.crashed(place, case.content, sent.latency_ms)
             return sent
         finally:
             latency_ms = now_ms() - began_ms
-            self._placing.ended(place, ending, latency_ms)
+            if ending is not Ending.CRASHED:
+                self._placing.ended(place, case.content, ending, latency_ms)
             case.arrived += ending.arrived
             case.may_have_run |= ending.may_have_run
             case.sends.append(
--- a/src/crocusspindle/ids.py
+++ b/src/crocusspindle/ids.py
@@ -1,6 +1,6 @@
 """Name the identifiers that travel through the fleet."""
 
-from typing import NewType
+from typing import Final, NewType
 
 MemberId = NewType("MemberId", str)
 """One start of one node: a restarted node is a new member."""
@@ -36,5 +36,8 @@
 ContentDigest = NewType("ContentDigest", str)
 """What a request asks and for whom: equal for each time that a caller repeats it."""
 
+NO_CONTENT: Final = ContentDigest("")
+"""Stands for a request of which only its sending is known."""
+
 GrantId = NewType("GrantId", int)
 """One placement, unique within the placer that made it."""
--- a/src/crocusspindle_standins/virtual/fleet.py
+++ b/src/crocusspindle_standins/virtual/fleet.py
@@ -12,9 +12,11 @@
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
 from crocusspindle.core.reader_choice import ReaderChoice
 from crocusspindle.core.view import NodeAddress
+from crocusspindle.gateway.crash_sharing import CrashSharing
 from crocusspindle.gateway.exchange import Exchange
 from crocusspindle.gateway.knowledge import Knowledge
 from crocusspindle.gateway.membership import Membership
+from crocusspindle.gateway.placer_ranks import PlacerRanks
 from crocusspindle.gateway.reading import Reading
 from crocusspindle.gateway.settings import (
     BYTES_PER_MS,
@@ -68,6 +70,8 @@
         self.exchange = Exchange((address.ip, address.peer_port), draw, metrics)
         self.knowledge = Knowledge(platform.parse_configuration)
         self.reading = Reading(platform, self.knowledge)
+        self.crashes = CrashSharing(self.exchange, self.knowledge, metrics)
+        self.ranks = PlacerRanks(address, self.exchange, self.knowledge)
         self.membership = Membership(
             address,
             self.exchange,
@@ -82,13 +86,23 @@
 
     async def start(self) -> None:
         """Start the services in their order."""
-        for service in (self.exchange, self.reading, self.membership):
+        for service in (
+            self.exchange,
+            self.reading,
+            self.membership,
+            self.crashes,
+        ):
             await service.start()
 
     async def kill(self) -> None:
         """End all at once, as a killed process would."""
         await self.exchange.stop()
-        for service in (self.membership, self.reading, self.exchange):
+        for service in (
+            self.crashes,
+            self.membership,
+            self.reading,
+            self.exchange,
+        ):
             await service.cancel_tasks()
 
 
--- a/src/crocusspindle_standins/virtual/loop.py
+++ b/src/crocusspindle_standins/virtual/loop.py
@@ -79,6 +79,10 @@
         return transport, protocol
 
 
+DAY_BEGAN_S: Final = 1e9
+"""The virtual time of day at which all loops begin."""
+
+
 class VirtualTime:
     """Stand in for the module ``time`` where the product reads its clock."""
 
@@ -91,6 +95,10 @@
         """Return the virtual time in nanoseconds."""
         return int(self._loop.time() * 1e9)
 
+    def time(self) -> float:
+        """Return the virtual time of day in seconds."""
+        return DAY_BEGAN_S + self._loop.time()
+
 
 def run(loop: VirtualLoop, work: Awaitable[None]) -> None:
     """Run work to its end, then end what it left behind."""
--- a/tests/gateway/test_knowledge.py
+++ b/tests/gateway/test_knowledge.py
@@ -90,7 +90,9 @@
     reader.take_view(View(4, tuple(seat(n) for n in range(4))), now_ms())
     lost = reader.view.version
     reader.take_view(View(5, tuple(seat(n) for n in range(3))), now_ms())
-    held = Held(-1, reader.targets_digest, lost, reader.open_digest)
+    held = Held(
+        -1, reader.targets_digest, lost, reader.open_digest, reader.crash_digest
+    )
     push = sent(reader.state_for(held))
     assert not node.take_state(push, now_ms() + 50.0)
     assert node.view.version == 3
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -49,7 +49,11 @@
     assert len(told.messages) == 1
     for number in (4, 5):
         other.take_view(View(number, tuple(seat(n) for n in range(3))), now_ms())
-    update = sent(other.state_for(Held(-1, other.targets_digest, 4, other.open_digest)))
+    update = sent(
+        other.state_for(
+            Held(-1, other.targets_digest, 4, other.open_digest, other.crash_digest)
+        )
+    )
     assert not reader.take_state(update, now_ms())
     membership._push()
     assert len(told.messages) == 1
