Log the limit that a target names in an answer

Callers saw nothing; targets in need got several times what they had asked for. No line told what a target says of itself, so that a limit nobody reads could not be told from one that each host keeps for itself.

The header is decoded once, at the platform's edge, into requests a second; a value that is no such number is logged and holds nothing. Each sending in the request lines has limit_per_s. No decision changes.

--- a/src/crocusspindle/gateway/sender.py
+++ b/src/crocusspindle/gateway/sender.py
@@ -12,8 +12,10 @@
 from crocusspindle.clock import now_ms, remaining_s
 from crocusspindle.core.listed_target import ListedTarget
 from crocusspindle.core.target_gauge import Ending
+from crocusspindle.errors import InvalidInputError
 from crocusspindle.gateway.dialect import Dialect
 from crocusspindle.gateway.strict_connector import strict_connector
+from crocusspindle.log_lines import Logger, log_state_change
 from crocusspindle.services.targets import CONNECT_TIMEOUT_S, forwarded
 
 BUFFER_BYTES: Final = 1 << 20
@@ -66,6 +68,7 @@
     latency_ms: float
     answer: Answer | None = None
     detail: str = ""
+    limit_per_s: float | None = None
 
 
 class Sender:
@@ -77,6 +80,7 @@
 
     def __init__(self, dialect: Dialect) -> None:
         self._dialect = dialect
+        self._log = Logger("sender")
         self._session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
@@ -153,11 +157,25 @@
             allow_redirects=False,
         )
         try:
-            return await self._judge(response, outgoing)
+            sent = await self._judge(response, outgoing)
+            if sent.ending is not Ending.MISDIRECTED:
+                sent.limit_per_s = self._limit_per_s(target, response)
+            return sent
         except BaseException:
             response.close()
             raise
 
+    def _limit_per_s(
+        self, target: ListedTarget, response: aiohttp.ClientResponse
+    ) -> float | None:
+        try:
+            return self._dialect.target_limit_per_s(response.headers)
+        except InvalidInputError as error:
+            log_state_change(
+                self._log, "limit refused", target=target.identity, error=str(error)
+            )
+            return None
+
     async def _judge(
         self, response: aiohttp.ClientResponse, outgoing: Outgoing
     ) -> Sent:
--- a/src/crocusspindle/gateway/sending.py
+++ b/src/crocusspindle/gateway/sending.py
@@ -171,6 +171,7 @@
                     "after_ms": round(began_ms - case.began_ms),
                     "latency_ms": round(latency_ms),
                     "detail": sent.detail if sent else "",
+                    "limit_per_s": sent.limit_per_s if sent else None,
                 }
             )
             self._metrics.add(instruments.SENDINGS, ending=ending.value)
--- a/src/crocusspindle/platform/dialect.py
+++ b/src/crocusspindle/platform/dialect.py
@@ -1,13 +1,16 @@
 """Name the headers, paths and answers that callers, targets and checks use."""
 
 import json
+import math
 from collections.abc import Mapping, Sequence
 from typing import Final
 
+from crocusspindle.errors import Finding, InvalidInputError
 from crocusspindle.gateway.dialect import Dialect
 
 READINESS_PATH: Final = "/-/readiness"
 WHERE_PATH: Final = "/-/resolve"
+LIMIT_HEADER: Final = "Server-Limit"
 
 
 def dialect() -> Dialect:
@@ -22,11 +25,26 @@
         not_run="X-Not-Executed",
         readiness_path=READINESS_PATH,
         where_path=WHERE_PATH,
+        target_limit_per_s=_target_limit_per_s,
         caller_domain=_caller_domain,
         where_answer=_where_answer,
     )
 
 
+def _target_limit_per_s(headers: Mapping[str, str]) -> float | None:
+    text = headers.get(LIMIT_HEADER)
+    if text is None:
+        return None
+    try:
+        limit_per_s = float(text)
+    except ValueError:
+        limit_per_s = math.nan
+    if math.isfinite(limit_per_s) and limit_per_s >= 0.0:
+        return limit_per_s
+    message = f"{text!r} is no rate of requests a second"
+    raise InvalidInputError([Finding("answer", LIMIT_HEADER, message)])
+
+
 def _caller_domain(query: Mapping[str, str]) -> str:
     return query.get("zone", "")
 
--- a/src/crocusspindle_standins/on_platform/target.py
+++ b/src/crocusspindle_standins/on_platform/target.py
@@ -57,6 +57,8 @@
     zone: str
     slots: int = 2
     work_s: float = 0.02
+    limit: str | None = None
+    arrived_s: list[float] = field(default_factory=list)
     back_after_s: float = 1.0
     trouble: Trouble = Trouble.NONE
     ran: Counter[str] = field(default_factory=Counter)
@@ -134,6 +136,7 @@
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.headers.get("X-Expected-Instance") != self.identity:
             return web.Response(status=421, headers={"X-Instance-Id": self.identity})
+        self.arrived_s.append(time.monotonic())
         if self.trouble is Trouble.SHEDS or self._present >= self.slots + QUEUE:
             return web.Response(status=503, headers={"X-Not-Executed": "1"})
         self._present += 1
@@ -163,6 +166,8 @@
         if self.trouble is Trouble.CROSSES:
             request_id = "of-another"
         headers = {"X-Request-Id": request_id, "X-Server-Stamp": f"s-{self.identity}"}
+        if self.limit is not None:
+            headers["Server-Limit"] = self.limit
         if self.trouble in (Trouble.UNFRAMED, Trouble.UNFRAMED_RESETS):
             return await self._answer_unframed(request, headers)
         answer = b"answer to " + request.path_qs.encode() + b" " + body
