Keep the limits that targets name in their answers

What callers saw: nothing at first. Two targets that had asked for 1 and 1.7 requests a second got 16 and 19 in four seconds, as much as the others.

Cause: nobody read what a target says of its need. Placing knew slots, latencies and failures. Class: backpressure that is passed on and not acted on.

Ruled out: a limit kept by each host for itself, and repeats on top of it. The lines show no limit read at all, and arrivals as before it was named.

Change: the entry tells the placer with each ending what the answer named, and with each ask what it has been told itself, so that a placer that takes over knows. The placer paces each such target by a token bucket that counts every sending, holds half a second at most and begins empty; other placers of the service hear of each sending. Free room follows from the rate: who waits, who is refused and when to come back. Two answers without a limit, sent after the last one that named it, end it. A node without a placer leaves such targets alone.

--- a/src/crocusspindle/core/floor_watch.py
+++ b/src/crocusspindle/core/floor_watch.py
@@ -198,7 +198,12 @@
 
 
 def _is_short(ready: list[TargetGauge], queued: int) -> bool:
-    well = [gauge for gauge in ready if gauge.standing is Standing.WELL]
+    # A target that names a limit has idle slots which take nothing.
+    well = [
+        gauge
+        for gauge in ready
+        if gauge.standing is Standing.WELL and not gauge.limit.holds
+    ]
     slots = sum(gauge.listed.slots for gauge in well)
     busy = sum(len(gauge.grants) for gauge in well)
     return queued > 0 or busy >= PRESSED_SHARE * slots
--- a/src/crocusspindle/core/flow.py
+++ b/src/crocusspindle/core/flow.py
@@ -42,7 +42,7 @@
             self.work_ms = latency_ms
         self.work_ms += STEP * (latency_ms - self.work_ms)
 
-    def spare_per_ms(self, slots: int, now_ms: float) -> float:
+    def spare_per_ms(self, slots: float, now_ms: float) -> float:
         """Return how many requests the slots carry beyond those that arrive."""
         if math.isnan(self.work_ms):
             return 0.0
--- a/src/crocusspindle/core/placement_queue.py
+++ b/src/crocusspindle/core/placement_queue.py
@@ -39,6 +39,11 @@
         """Return how many asks wait."""
         return len(self._line)
 
+    @property
+    def work_ms(self) -> float:
+        """Return the mean time that an answer takes, endless before the first one."""
+        return math.inf if math.isnan(self._flow.work_ms) else self._flow.work_ms
+
     def arrived(self, now_ms: float) -> None:
         """Count a request that is to be sent for the first time."""
         self._flow.arrived(now_ms)
@@ -48,7 +53,7 @@
         self._flow.answered(latency_ms)
 
     def join(
-        self, ask: Ask, sample: LatencySample, open_slots: int, now_ms: float
+        self, ask: Ask, sample: LatencySample, open_slots: float, now_ms: float
     ) -> Waiting | Refused:
         """Let an ask wait if it has hope, or refuse it."""
         ahead = self._line.ahead_of(ask.priority, now_ms)
@@ -69,7 +74,7 @@
         work_ms = sample.quantile_ms(SURE_PART) if sample.known else sample.usual_ms
         return ask.deadline_ms - now_ms - work_ms
 
-    def _late_wait_ms(self, open_slots: int, now_ms: float) -> float:
+    def _late_wait_ms(self, open_slots: float, now_ms: float) -> float:
         # Late work gets only what new requests leave. While these alone fill the
         # service it would wait for nothing.
         spare_per_ms = self._flow.spare_per_ms(open_slots, now_ms)
@@ -79,7 +84,7 @@
         """Yield all that wait, in the order in which slots are theirs."""
         return self._line.in_order(now_ms)
 
-    def may_start(self, waiting: Waiting, open_slots: int, now_ms: float) -> bool:
+    def may_start(self, waiting: Waiting, open_slots: float, now_ms: float) -> bool:
         """Return True if an ask may take a slot that is free.
 
         A late one that takes the last slot of a full service makes the next late too.
@@ -88,7 +93,7 @@
             return True
         return self._flow.spare_per_ms(open_slots, now_ms) > 0.0
 
-    def has_hope(self, waiting: Waiting, open_slots: int, now_ms: float) -> bool:
+    def has_hope(self, waiting: Waiting, open_slots: float, now_ms: float) -> bool:
         """Return True if an ask may still be served before its deadline.
 
         While new requests alone fill the service, who is late waits for their burst to
--- a/src/crocusspindle/core/service_placer.py
+++ b/src/crocusspindle/core/service_placer.py
@@ -27,6 +27,7 @@
     refused_as_full,
 )
 from crocusspindle.core.policies import ALL_POLICIES, Policies, Policy
+from crocusspindle.core.rate_limit import LimitSaid
 from crocusspindle.core.repeat_budget import RepeatBudget
 from crocusspindle.core.route_latencies import RouteLatencies
 from crocusspindle.core.target_choice import TargetChoice
@@ -73,6 +74,7 @@
         self._queue = PlacementQueue(policies, now_ms)
         self._number = 0
         self._changes: list[StandingChange] = []
+        self._paced: list[TargetIdentity] = []
 
     def set_targets(self, listed: Iterable[ListedTarget], now_ms: float) -> None:
         """Take over the list of the service's targets."""
@@ -101,6 +103,28 @@
             gauge.ejected_until_ms = max(gauge.ejected_until_ms, until_ms)
             gauge.last_failed_ms = now_ms
 
+    def hear_limit(self, said: LimitSaid, now_ms: float) -> bool:
+        """Take over what a target said of its limit; return True if it changed."""
+        gauge = self._gauges.get(said.target)
+        return gauge is not None and gauge.limit.hear(said, now_ms)
+
+    def hear_paced(self, said: LimitSaid, now_ms: float) -> None:
+        """Count a sending of another placer to a target with a limit."""
+        gauge = self._gauges.get(said.target)
+        if gauge is not None:
+            gauge.limit.hear(said, now_ms)
+            gauge.limit.sent(now_ms)
+
+    def paced(self) -> list[LimitSaid]:
+        """Return the limits of targets that got work since the last call."""
+        paced, self._paced = self._paced, []
+        return [
+            LimitSaid(target, limit.limit_per_s, limit.asked_ms)
+            for target in paced
+            if target in self._gauges
+            for limit in (self._gauges[target].limit,)
+        ]
+
     def changes(self) -> list[StandingChange]:
         """Return the changes of standing since the last call."""
         changes, self._changes = self._changes, []
@@ -152,7 +176,8 @@
             return Refused("held", RETRY_MIN_MS)
         if not self._any_open_to(ask, now_ms):
             return self._refuse_all_out(ask, now_ms)
-        return self._queue.join(ask, self._sample(ask), self._open_slots(), now_ms)
+        sample = self._sample(ask)
+        return self._queue.join(ask, sample, self._open_slots(sample.usual_ms), now_ms)
 
     def _any_open_to(self, ask: Ask, now_ms: float) -> bool:
         return any(
@@ -163,9 +188,10 @@
             for gauge in self._gauges.values()
         )
 
-    def _open_slots(self) -> int:
+    def _open_slots(self, work_ms: float) -> float:
+        # A limit keeps fewer slots busy than there are, the fewer the shorter the work.
         return sum(
-            gauge.listed.slots
+            min(gauge.listed.slots, gauge.limit.carries(work_ms))
             for gauge in self._gauges.values()
             if gauge.standing is Standing.WELL
             and gauge.listed.readiness is Readiness.READY
@@ -241,6 +267,9 @@
             ask.content,
         )
         gauge.last_used_ms = now_ms
+        if gauge.limit.holds:
+            gauge.limit.sent(now_ms)
+            self._paced.append(gauge.listed.identity)
         hedge_ms = max(least_ms, hedge_after_ms(sample, ask.aim_ms))
         return Placed(number, gauge.listed, hedge_ms)
 
@@ -320,7 +349,7 @@
     def _serve_queue(self, now_ms: float) -> None:
         if not len(self._queue):
             return
-        slots = self._open_slots()
+        slots = self._open_slots(self._queue.work_ms)
         free = self._any_free(now_ms)
         for waiting in self._queue.in_order(now_ms):
             if self._crashes.is_held(waiting.ask.content):
--- a/src/crocusspindle/core/target_choice.py
+++ b/src/crocusspindle/core/target_choice.py
@@ -137,7 +137,8 @@
     @staticmethod
     def _has_room(gauge: TargetGauge, now_ms: float) -> bool:
         if gauge.standing is Standing.EJECTED:
-            return not gauge.is_isolated and len(gauge.grants) < gauge.listed.slots
+            room = len(gauge.grants) < gauge.listed.slots
+            return room and not gauge.is_isolated and gauge.limit.allows(now_ms)
         return gauge.free(now_ms)
 
     def _trial(
@@ -169,6 +170,7 @@
             gauge
             for gauge in self._gauges.values()
             if gauge.may_be_tried(now_ms)
+            and gauge.limit.allows(now_ms)
             and gauge.listed.readiness is Readiness.READY
             and gauge.listed.identity not in ask.excluded
             and self.reachable(gauge, ask.sender, now_ms)
--- a/src/crocusspindle/core/target_gauge.py
+++ b/src/crocusspindle/core/target_gauge.py
@@ -6,6 +6,7 @@
 
 from crocusspindle.core.latency_sample import LatencySample
 from crocusspindle.core.listed_target import ListedTarget
+from crocusspindle.core.rate_limit import RateLimit
 from crocusspindle.ids import NO_CONTENT, ContentDigest, GrantId, HostId
 
 
@@ -181,6 +182,7 @@
     unreached: dict[HostId, float] = field(default_factory=dict)
     paths: dict[HostId, float] = field(default_factory=dict)
     isolated: GrantId | None = None
+    limit: RateLimit = field(default_factory=RateLimit)
 
     @property
     def is_isolated(self) -> bool:
@@ -191,7 +193,7 @@
         """Return True if the target has a slot for one more request."""
         if now_ms < self.full_until_ms or self.is_isolated:
             return False
-        return len(self.grants) < self.room
+        return len(self.grants) < self.room and self.limit.allows(now_ms)
 
     @property
     def room(self) -> int:
--- a/src/crocusspindle/gateway/messages.py
+++ b/src/crocusspindle/gateway/messages.py
@@ -149,7 +149,11 @@
 @message(4)
 @dataclass(frozen=True, slots=True)
 class PlaceAsk:
-    """Ask a service's placer for a target."""
+    """Ask a service's placer for a target.
+
+    ``limits`` are those that targets have named to the asker: target, requests a
+    second, and how long ago the request was sent whose answer said so.
+    """
 
     service: str
     route: str
@@ -163,6 +167,7 @@
     counted: bool
     content: str
     excluded: list[str]
+    limits: Sequence[tuple[str, float, int]]
 
 
 @message(5)
@@ -189,7 +194,8 @@
 class EndedNote:
     """Tell a placer how a sending ended, by the ending's place in its enumeration.
 
-    ``content`` is the request's digest where the target may have crashed.
+    ``content`` is the request's digest where the target may have crashed, and
+    ``limit_per_s`` the limit that the target's answer named.
     """
 
     target: str
@@ -197,6 +203,7 @@
     ending: int
     latency_ms: int
     content: str = ""
+    limit_per_s: float | None = None
 
 
 @message(18)
@@ -207,6 +214,18 @@
     records: Sequence[Sequence[Any]]
 
 
+@message(19)
+@dataclass(frozen=True, slots=True)
+class PacedNote:
+    """Tell other placers that targets with a limit got a request each.
+
+    The entries are as in `PlaceAsk`.
+    """
+
+    service: str
+    limits: Sequence[tuple[str, float, int]]
+
+
 @message(8)
 @dataclass(frozen=True, slots=True)
 class EjectedNote:
--- a/src/crocusspindle/gateway/placing.py
+++ b/src/crocusspindle/gateway/placing.py
@@ -10,6 +10,7 @@
 from crocusspindle.core.fallback_choice import FallbackChoice
 from crocusspindle.core.listed_target import ListedTarget, TargetIdentity
 from crocusspindle.core.policies import Policies
+from crocusspindle.core.rate_limit import LimitSaid
 from crocusspindle.core.service_placer import ServicePlacer
 from crocusspindle.core.target_gauge import EJECTION_MS, Ending, Standing
 from crocusspindle.core.view import NodeAddress
@@ -20,6 +21,7 @@
     Done,
     EjectedNote,
     EndedNote,
+    PacedNote,
     PlaceAnswer,
     PlaceAsk,
     RefusedAnswer,
@@ -28,6 +30,11 @@
 from crocusspindle.gateway.placer_ranks import PLACERS, PlacerRanks
 from crocusspindle.gateway.reload import LiveBounds
 from crocusspindle.gateway.repeat_sharing import RepeatSharing
+from crocusspindle.gateway.told_limits import (
+    ToldLimits,
+    packed_limits,
+    unpacked_limits,
+)
 from crocusspindle.ids import ContentDigest, GrantId, HostId, ServiceId
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
@@ -86,6 +93,7 @@
         self._ranks = PlacerRanks(node, exchange, knowledge)
         self._repeats = RepeatSharing(node, bounds, self._ranks)
         self._fallback = FallbackChoice(draw)
+        self._told = ToldLimits()
         self._placers: dict[ServiceId, ServicePlacer] = {}
         self._targets: dict[TargetIdentity, ListedTarget] = {}
         self._targets_digest = 0
@@ -99,6 +107,7 @@
         self._exchange.handle(EndedNote, self._ended_note)
         self._exchange.handle(EjectedNote, self._ejected_note)
         self._exchange.handle(RepeatsNote, self._repeats_note)
+        self._exchange.handle(PacedNote, self._paced_note)
         self._exchange.handle_late(PlaceAnswer, self._give_back)
         self._knowledge.listen(self._learn)
 
@@ -174,6 +183,8 @@
             excluded=frozenset(TargetIdentity(name) for name in message.excluded),
         )
         placer = self._placer(ServiceId(message.service))
+        for said in unpacked_limits(message.limits, at_ms):
+            self._hear_limit(placer, said)
         answer = placer.ask(ask, at_ms)
         self._repeats.tell_if_due(ServiceId(message.service))
         if isinstance(answer, Refused) and answer.reason == "repeats":
@@ -192,6 +203,20 @@
             )
         return RefusedAnswer(answer.reason, answer.retry_after_ms)
 
+    def _hear_limit(self, placer: ServicePlacer, said: LimitSaid) -> None:
+        if placer.hear_limit(said, now_ms()):
+            log_state_change(
+                self._log,
+                "target limit changed",
+                target=said.target,
+                limit_per_s=said.limit_per_s,
+            )
+
+    async def _paced_note(self, note: PacedNote, sender: Address) -> None:
+        placer = self._placer(ServiceId(note.service))
+        for said in unpacked_limits(note.limits, now_ms()):
+            placer.hear_paced(said, now_ms())
+
     async def _wait(self, placer: ServicePlacer, waiting: Waiting) -> Placed | Refused:
         settled = asyncio.Event()
         self._settled[id(waiting)] = (waiting, settled)
@@ -225,6 +250,10 @@
             # It left the list, and what was known of it with it.
             return Done()
         placer = self._placer(target.service)
+        if note.limit_per_s is not None or ENDINGS[note.ending] is Ending.ANSWERED:
+            asked_ms = now_ms() - note.latency_ms
+            said = LimitSaid(target.identity, note.limit_per_s, asked_ms)
+            self._hear_limit(placer, said)
         placer.ended(
             target.identity,
             GrantId(note.grant),
@@ -243,6 +272,9 @@
         return Done()
 
     def _tell_changes(self, service: ServiceId, placer: ServicePlacer) -> None:
+        paced = packed_limits(placer.paced(), now_ms())
+        if paced:
+            self._ranks.tell_others(service, PacedNote(service, paced))
         for change in placer.changes():
             ejected = change.standing is Standing.EJECTED
             left_ms = round(change.until_ms - now_ms())
@@ -304,6 +336,7 @@
             counted,
             ask.content,
             list(ask.excluded),
+            packed_limits(self._told_of(service), now_ms()),
         )
         answer = await self._exchange.ask(to, message, SILENT_S, left_ms / 1e3)
         if isinstance(answer, RefusedAnswer):
@@ -323,13 +356,23 @@
             service, target, answer.hedge_after_ms, GrantId(answer.grant), host, to
         )
 
+    def _told_of(self, service: ServiceId) -> list[LimitSaid]:
+        return [
+            said
+            for said in self._told.recent(now_ms())
+            if (entry := self._targets.get(said.target)) and entry.service == service
+        ]
+
     def _place_alone(self, service: ServiceId, ask: Ask) -> Place | Refused:
         if ask.repeat:
             return Refused("repeats", EJECTION_MS)
         if self._crashes.is_suspect(ask.content):
             # Nobody sees here what else runs at a target, or runs this request.
             return Refused("suspect", EJECTION_MS)
-        target = self._fallback.choose(self._of(service), now_ms())
+        # How much the others send to a target with a limit is not known here.
+        limited = {said.target for said in self._told_of(service)}
+        open_to_all = [e for e in self._of(service) if e.identity not in limited]
+        target = self._fallback.choose(open_to_all, now_ms())
         if target is None:
             return Refused("no-target", 500.0)
         self._fallback.began(target.identity)
@@ -360,9 +403,17 @@
                 return
 
     def ended(
-        self, place: Place, content: ContentDigest, ending: Ending, latency_ms: float
+        self,
+        place: Place,
+        content: ContentDigest,
+        ending: Ending,
+        latency_ms: float,
+        limit_per_s: float | None,
     ) -> None:
         """Tell the placer how a sending ended."""
+        if limit_per_s is not None or ending is Ending.ANSWERED:
+            asked_ms = now_ms() - latency_ms
+            self._told.hear(LimitSaid(place.target.identity, limit_per_s, asked_ms))
         failed = ending not in (Ending.ANSWERED, Ending.ABANDONED, Ending.SHED)
         if failed and ending is not Ending.ERROR:
             self._fallback.avoid(place.target.identity, now_ms() + EJECTION_MS)
@@ -375,6 +426,7 @@
             ENDINGS.index(ending),
             round(latency_ms),
             content if ending is Ending.BROKEN else "",
+            limit_per_s,
         )
         # Also to a placer that the view names no more: it goes on placing for a while,
         # and work whose end it does not hear of would look like targets that hang.
--- a/src/crocusspindle/gateway/sending.py
+++ b/src/crocusspindle/gateway/sending.py
@@ -159,7 +159,10 @@
         finally:
             latency_ms = now_ms() - began_ms
             if ending is not Ending.CRASHED:
-                self._placing.ended(place, case.content, ending, latency_ms)
+                limit_per_s = sent.limit_per_s if sent else None
+                self._placing.ended(
+                    place, case.content, ending, latency_ms, limit_per_s
+                )
             case.arrived += ending.arrived
             case.may_have_run |= ending.may_have_run
             case.sends.append(
--- /dev/null
+++ b/tests/core/test_rate_limit.py
@@ -0,0 +1,94 @@
+"""See a target's limit kept, renewed and ended by what its answers say."""
+
+import pytest
+
+from crocusspindle.core.listed_target import TargetIdentity
+from crocusspindle.core.rate_limit import (
+    LEAST_PER_S,
+    PLAIN_ANSWERS,
+    LimitSaid,
+    RateLimit,
+)
+
+TARGET = TargetIdentity("t0")
+
+
+def said(limit_per_s, asked_ms):
+    return LimitSaid(TARGET, limit_per_s, asked_ms)
+
+
+def limited(limit_per_s):
+    made = RateLimit()
+    made.hear(said(limit_per_s, 0.0), 0.0)
+    return made
+
+
+def sent_in(limit, for_ms, step_ms=10):
+    """Send whenever the limit allows, and return when."""
+    times = []
+    for at_ms in range(0, for_ms, step_ms):
+        if limit.allows(at_ms):
+            limit.sent(at_ms)
+            times.append(at_ms)
+    return times
+
+
+@pytest.mark.parametrize("limit_per_s", [0.5, 1.0, 1.7, 4.0, 20.0])
+def test_no_four_seconds_hold_much_more_than_the_limit(limit_per_s):
+    times = sent_in(limited(limit_per_s), 30_000)
+    most = max(sum(at <= other < at + 4_000 for other in times) for at in times)
+    assert most <= 4.5 * limit_per_s + 1.0
+    assert len(times) >= 0.9 * 30.0 * limit_per_s - 1.0
+
+
+def test_a_pause_is_made_up_for_a_little_only():
+    """Guards against a burst of all that a target did not get before."""
+    limit = limited(10.0)
+    allowed = 0
+    while limit.allows(60_000.0):
+        limit.sent(60_000.0)
+        allowed += 1
+    assert allowed == 5
+
+
+def test_a_limit_that_was_just_learnt_begins_without_room():
+    """Guards against a placer that takes over and sends what its forerunner has."""
+    assert not limited(1.0).allows(0.0)
+    assert limited(1.0).allows(1_000.0)
+
+
+def test_what_another_placer_sent_counts():
+    limit = limited(1.0)
+    limit.sent(1_000.0)
+    assert not limit.allows(1_000.0)
+
+
+def test_an_older_answer_does_not_undo_a_newer_limit():
+    """Guards against answers that overtake one another."""
+    limit = limited(10.0)
+    assert limit.hear(said(1.0, 2_000.0), 2_100.0)
+    assert not limit.hear(said(10.0, 1_000.0), 2_200.0)
+    for _ in range(PLAIN_ANSWERS + 1):
+        assert not limit.hear(said(None, 1_900.0), 2_300.0)
+    assert limit.limit_per_s == pytest.approx(1.0)
+
+
+def test_answers_without_a_limit_end_it():
+    limit = limited(1.0)
+    ended = [limit.hear(said(None, 100.0 + n), 200.0 + n) for n in range(PLAIN_ANSWERS)]
+    assert ended == [False] * (PLAIN_ANSWERS - 1) + [True]
+    assert not limit.holds and limit.allows(300.0)
+
+
+def test_an_answer_that_names_it_again_renews_it():
+    limit = limited(1.0)
+    limit.hear(said(None, 100.0), 150.0)
+    limit.hear(said(1.0, 200.0), 250.0)
+    limit.hear(said(None, 300.0), 350.0)
+    assert limit.holds
+
+
+def test_a_target_that_takes_nothing_is_asked_now_and_then():
+    """Guards against a limit that nobody can hear the end of."""
+    times = sent_in(limited(0.0), 60_000)
+    assert len(times) == pytest.approx(60.0 * LEAST_PER_S, abs=1)
