Let operators list held requests and free one

Whoever has mended the targets had to write its row by hand.

'crocusspindle held list' and 'held free' work on the platform's store with any node's settings. Digests begin with a letter: the command line would read one of digits alone as a number. Test with real processes in test_crashing_requests.py.

--- a/src/crocusspindle/cli.py
+++ b/src/crocusspindle/cli.py
@@ -99,6 +99,51 @@
         return self._common._action(work)
 
 
+class Held:
+    """Show and free requests that are held back for crashing their targets."""
+
+    def __init__(self, common: "Commands") -> None:
+        self._common = common
+
+    def list(self, settings: str | None = None) -> _Action:
+        """List requests that are held back.
+
+        Parameters
+        ----------
+        settings
+            Settings file of any node that serves; default from
+            CROCUSSPINDLE_SETTINGS.
+        """
+
+        async def work() -> Any:
+            from crocusspindle.gateway import held_requests  # noqa: PLC0415 - slow to import
+
+            async with held_requests.open_platform(settings) as platform:
+                return await held_requests.held_requests(platform)
+
+        return self._common._action(work)
+
+    def free(self, content: str, settings: str | None = None) -> _Action:
+        """Free a request on all hosts, once its targets are mended.
+
+        Parameters
+        ----------
+        content
+            Digest from the list or from the log.
+        settings
+            Settings file of any node that serves; default from
+            CROCUSSPINDLE_SETTINGS.
+        """
+
+        async def work() -> Any:
+            from crocusspindle.gateway import held_requests  # noqa: PLC0415 - slow to import
+
+            async with held_requests.open_platform(settings) as platform:
+                return await held_requests.free_request(platform, str(content))
+
+        return self._common._action(work)
+
+
 class Commands:
     """Run a node of the proxy fleet, or drive a running fleet.
 
@@ -126,6 +171,7 @@
         self._key_file = operator_key_file or os.environ.get(OPERATOR_KEY_FILE_ENV)
         self._ca_file = ca_file
         self.ticket = Tickets(self)
+        self.held = Held(self)
 
     def node(self, settings: str) -> _Action:
         """Run a node until SIGTERM; a second SIGTERM stops it at once."""
--- a/src/crocusspindle/core/request_content.py
+++ b/src/crocusspindle/core/request_content.py
@@ -6,6 +6,8 @@
 from crocusspindle.ids import ContentDigest, CustomerId
 
 DIGEST_BYTES: Final = 8
+PREFIX: Final = "c"
+"""Keeps a digest of digits alone from being read as a number."""
 
 
 def content_digest(
@@ -31,4 +33,4 @@
     for part in (method, host, path, customer or "", str(body_length)):
         digest.update(part.encode(errors="surrogateescape") + b"\n")
     digest.update(body)
-    return ContentDigest(digest.hexdigest())
+    return ContentDigest(PREFIX + digest.hexdigest())
--- a/src/crocusspindle/docs_reference.py
+++ b/src/crocusspindle/docs_reference.py
@@ -13,7 +13,7 @@
 from pydantic_core import PydanticUndefined
 
 from crocusspindle import instruments
-from crocusspindle.cli import Commands, Tickets
+from crocusspindle.cli import Commands, Held, Tickets
 from crocusspindle.exit_codes import MEANINGS
 from crocusspindle.gateway import instruments as gateway_instruments
 from crocusspindle.metrics import Instrument, declared
@@ -176,7 +176,7 @@
 
 
 def _command_rows() -> Iterator[str]:
-    for prefix, group in (("", Commands), ("ticket ", Tickets)):
+    for prefix, group in (("", Commands), ("held ", Held), ("ticket ", Tickets)):
         for name, method in inspect.getmembers(group, inspect.isfunction):
             if name.startswith("_"):
                 continue
--- /dev/null
+++ b/src/crocusspindle/gateway/held_requests.py
@@ -0,0 +1,81 @@
+"""Show the requests that a fleet holds back, and free one."""
+
+import json
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from typing import Any
+
+from crocusspindle.clock import wall_ms
+from crocusspindle.core.crash_record import CrashRecord
+from crocusspindle.core.crash_table import CrashTable
+from crocusspindle.errors import (
+    Finding,
+    InvalidInputError,
+    PlatformUnavailableError,
+)
+from crocusspindle.gateway.assembly import platform_of
+from crocusspindle.gateway.knowledge import packed_record, unpacked_record
+from crocusspindle.gateway.reading import CRASH_PREFIX
+from crocusspindle.ids import ContentDigest
+from crocusspindle.platform import settings_file, table_store
+from crocusspindle.platform.fleet_platform import FleetPlatform, StoredRow, Table
+
+__all__ = ["free_request", "held_requests", "open_platform", "table_store"]
+
+Rows = Mapping[ContentDigest, tuple[StoredRow, CrashRecord]]
+
+
+@asynccontextmanager
+async def open_platform(settings: str | None) -> AsyncIterator[FleetPlatform]:
+    """Open the platform of a settings file; raise ``SettingsError`` with findings."""
+    path = settings_file.path_of(settings)
+    platform = platform_of(settings_file.read_settings(path))
+    try:
+        yield platform
+    finally:
+        await platform.close()
+
+
+async def held_requests(platform: FleetPlatform) -> list[dict[str, Any]]:
+    """Return what the platform's store holds of requests that are held back."""
+    rows = await _rows(platform)
+    table = CrashTable()
+    table.merge([record for _, record in rows.values()], wall_ms())
+    return [
+        {
+            "content": content,
+            "targets": sorted(crash.target for crash in record.crashes),
+            "trials": record.trials,
+            "next_trial_in_ms": max(0, round(table.held_until_ms(content) - wall_ms())),
+        }
+        for content, (_, record) in sorted(rows.items())
+        if table.is_held(content)
+    ]
+
+
+async def free_request(platform: FleetPlatform, content: str) -> dict[str, Any]:
+    """Free a request on all hosts; raise ``InvalidInputError`` if none is held."""
+    found = (await _rows(platform)).get(ContentDigest(content))
+    if found is None or not found[1].crashes:
+        message = f"no request with content {content!r} is held"
+        raise InvalidInputError([Finding("command line", "content", message)])
+    row, record = found
+    freed = replace(
+        CrashRecord(record.content, record.generation + 1, was_shared=True),
+        last_ms=wall_ms(),
+    )
+    value = json.dumps(packed_record(freed)).encode()
+    if await platform.put(row.key, value, row.version) is None:
+        raise PlatformUnavailableError(f"{row.key} has changed meanwhile; try again")
+    return {"content": content, "freed": True}
+
+
+async def _rows(platform: FleetPlatform) -> Rows:
+    changes = await platform.read(Table.FLEET)
+    found: dict[ContentDigest, tuple[StoredRow, CrashRecord]] = {}
+    for row in changes.rows:
+        if row.value is not None and row.key.startswith(CRASH_PREFIX):
+            record = unpacked_record(json.loads(row.value))
+            found[record.content] = (row, record)
+    return found
--- a/src/crocusspindle_standins/on_platform/target.py
+++ b/src/crocusspindle_standins/on_platform/target.py
@@ -58,6 +58,7 @@
     slots: int = 2
     work_s: float = 0.02
     limit: str | None = None
+    withstands: bool = False
     arrived_s: list[float] = field(default_factory=list)
     back_after_s: float = 1.0
     trouble: Trouble = Trouble.NONE
@@ -150,7 +151,7 @@
         body = await request.content.read()
         self.ran[request_id] += 1
         self.seen.append({**request.headers, "path": request.path_qs})
-        if CRASHING in request.path_qs:
+        if CRASHING in request.path_qs and not self.withstands:
             self.crashes.append(Crash(request.path_qs, time.monotonic()))
             await asyncio.sleep(self.work_s)
             self._restart = asyncio.create_task(self._crash())
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -6,6 +6,12 @@
 
 import pytest
 
+from crocusspindle.errors import InvalidInputError
+from crocusspindle.gateway.held_requests import (
+    free_request,
+    held_requests,
+    open_platform,
+)
 from crocusspindle_standins.on_platform.fleet import Fleet
 from crocusspindle_standins.on_platform.target import CRASHING
 
@@ -107,3 +113,24 @@
     await fleet.until_ready()
     await repeat(fleet, path, "GET", for_s=5.0)
     assert retries(fleet) <= RETRIES_MOST
+
+
+async def test_an_operator_lists_held_requests_and_frees_one(fleet):
+    path = f"/pages/{CRASHING}"
+    await repeat(fleet, path, "GET", for_s=2.0)
+    settings = str(fleet.gateways[0].settings)
+    async with open_platform(settings) as platform:
+        async with asyncio.timeout(3.0):
+            while not (held := await held_requests(platform)):
+                await asyncio.sleep(0.1)
+        (entry,) = held
+        assert len(entry["targets"]) >= 2
+        with pytest.raises(InvalidInputError, match="nothing-like-it"):
+            await free_request(platform, "nothing-like-it")
+        for target in fleet.targets:
+            target.withstands = True
+        await free_request(platform, entry["content"])
+        assert await held_requests(platform) == []
+    async with asyncio.timeout(3.0):
+        while (await fleet.call(path))[0] != 200:
+            await asyncio.sleep(0.1)
