Let hosts of a restarted fleet serve before their rows are written

What callers saw: after a power cut of 293 hosts, refusals for five seconds.

Cause: a starting host read nothing before its own row was written, and asked no reader. A part of the store's table takes 200 writes a second, so that the last of 293 rows waits 1.4 s, and those refused for it half a second and more besides.

Ruled out: the reader's room for whole lists (hosts read the store at once then).

Change: a host reads the view first. If there is one, it asks its readers, and its row is written beside that. Only hosts that the view names read for others or write the view: those that start know one another by halves, and each half had agreed on a reader of its own. Whoever pings is present as the process that pings, whatever older row was read since.

Test in test_fleet_settles, fails before at 293 hosts.

--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -60,7 +60,11 @@
 
 REGISTER_AGAIN_MS: Final = 500.0
 REGISTER_MAX_MS: Final = 4_000.0
-"""Longest wait between tries: a host without its row takes no callers."""
+"""Longest wait between tries while nobody else can be found."""
+
+REGISTER_LATER_MAX_MS: Final = 30_000.0
+"""Longest wait between tries of a host that has found the others. They name it without
+its row, which serves those that start when nobody reads."""
 
 AGAIN_S: Final = 0.25
 """Who waits for whole lists asks again as soon as there may be room."""
@@ -101,7 +105,7 @@
         self._views = ViewKeeper(node, exchange, knowledge, reading, over)
         self._log = Logger("membership")
         self._met: dict[HostId, NodeAddress] = {node.host: node}
-        self._met_hosts: dict[tuple[Address, str], HostId] = {}
+        self._stays: dict[tuple[Address, str], NodeAddress] = {}
         self._pinged_ms: dict[HostId, float] = {}
         self._ready: dict[HostId, bool] = {}
         self._pushed = NOTHING_HELD
@@ -138,14 +142,7 @@
         return None if node is None else (node.ip, node.peer_port)
 
     async def _introduce(self) -> None:
-        backoff = Backoff(REGISTER_AGAIN_MS, REGISTER_MAX_MS, self._draw)
-        while True:
-            try:
-                await self._reading.register(self._node)
-                break
-            except PlatformError as error:
-                log_state_change(self._log, "cannot register", error=str(error))
-                await asyncio.sleep(backoff.next_ms() / 1e3)
+        await self._find_fleet()
         for node in self._reading.nodes.values():
             self._meet(node)
         # Whoever may be asked first knows this process by then. Told to all, the start
@@ -161,6 +158,37 @@
             await asyncio.sleep(FIRST_START_S)
         self.spawn(self._keep_fresh())
 
+    async def _find_fleet(self) -> None:
+        """Learn who is there, and have this node's row written."""
+        backoff = Backoff(REGISTER_AGAIN_MS, REGISTER_MAX_MS, self._draw)
+        registered = False
+        while True:
+            try:
+                if self._knowledge.view.content is None:
+                    await self._reading.read_fleet()
+                if self._knowledge.view.content is not None:
+                    # A fleet that comes back has more rows to write than the store
+                    # takes in a second, and none of them is needed to find a reader.
+                    if not registered:
+                        self.spawn(self._register_later())
+                    return
+                if registered:
+                    return
+                await self._reading.register(self._node)
+                registered = True
+            except PlatformError as error:
+                log_state_change(self._log, "cannot register", error=str(error))
+                await asyncio.sleep(backoff.next_ms() / 1e3)
+
+    async def _register_later(self) -> None:
+        backoff = Backoff(REGISTER_MAX_MS, REGISTER_LATER_MAX_MS, self._draw)
+        while True:
+            try:
+                return await self._reading.register(self._node)
+            except PlatformError as error:
+                log_state_change(self._log, "cannot register", error=str(error))
+                await asyncio.sleep(backoff.next_ms() / 1e3)
+
     def _own_hello(self) -> Hello:
         return Hello(packed_node(self._node))
 
@@ -168,7 +196,7 @@
         if node.host != self._node.host:
             self._met[node.host] = node
             stay = ((node.ip, node.peer_port), str(node.incarnation))
-            self._met_hosts[stay] = node.host
+            self._stays[stay] = node
 
     async def _hello(self, hello: Hello, sender: Address) -> None:
         self._meet(unpacked_node(hello.node))
@@ -210,11 +238,11 @@
         view = self._knowledge.view.content
         if view is None:
             return dict(self._met)
-        named = {host: seat.node for host, seat in view.by_host.items()}
-        known = {**named, **self._met}
-        for seat in view.fenced:
-            known.pop(seat.node.host, None)
-        return known
+        # Only whom the view names may read for others: hosts that start know one
+        # another by halves, and would agree on one reader for each half.
+        return {
+            host: self._met.get(host, seat.node) for host, seat in view.by_host.items()
+        }
 
     async def _ping_reader(self, reader: HostId) -> bool:
         to = self.address(reader)
@@ -273,15 +301,18 @@
     async def _ping(self, ping: Ping, sender: Address) -> State:
         self._reading.want(ASKED_MS, ReadReason.ASKED)
         await self._first_proofs()
-        host = self._met_hosts.get((sender, ping.incarnation))
-        if host is not None:
+        node = self._stays.get((sender, ping.incarnation))
+        if node is not None:
+            host = node.host
+            # A row of the process before may have been read after this one was met.
+            self._met[host] = node
             self._pinged_ms[host] = -math.inf if ping.leaving else now_ms()
             self._ready[host] = ping.ready
             if ping.leaving:
                 self._refresh_open()
         state = self._knowledge.state_for(
             Held(*ping.held),
-            unknown=host is None,
+            unknown=node is None,
             reads=not self._reading.lost,
         )
         return state if self._may_give(state) else state.without_contents()
--- a/src/crocusspindle/gateway/reading.py
+++ b/src/crocusspindle/gateway/reading.py
@@ -203,6 +203,9 @@
         log_state_change(self._log, "reads the platform once", reason=reason.value)
         for table, take in self._takers.items():
             began_ms = now_ms()
+            if table is Table.FLEET and self._knowledge.view.age_ms(began_ms) < OWN_MS:
+                # A host that starts has just read it.
+                continue
             newest = max(self._newest, self._knowledge.targets.version)
             try:
                 changes = await self._platform.read(table)
@@ -336,9 +339,12 @@
                 self._written_crashes[record.content] = record
 
     async def register(self, node: NodeAddress) -> None:
-        """Write this node's own row and learn of those that were here before."""
+        """Write this node's own row."""
         value = json.dumps(packed_node(node)).encode()
         await self._platform.put(HOST_PREFIX + node.host, value, None)
+
+    async def read_fleet(self) -> None:
+        """Learn of the nodes that were here before, and of the view."""
         began_ms = now_ms()
         changes = await self._platform.read(Table.FLEET)
         await self._take_fleet(changes, True, began_ms)
--- a/src/crocusspindle/gateway/view_keeper.py
+++ b/src/crocusspindle/gateway/view_keeper.py
@@ -99,12 +99,12 @@
         }
 
     def _is_writer(self, view: View | None, present: Present) -> bool:
-        # A host that the view has put out is no reader to anyone until the view names
-        # it again. If it came back and ranked first, and the others left the view to
-        # it, nobody would ever write: the view would name processes that are gone,
-        # and their customers would have no keeper.
-        out = set() if view is None else {seat.node.host for seat in view.fenced}
-        eligible = [node for host, node in present.items() if host not in out]
+        # A host that the view does not name is no reader to anyone yet. If one that
+        # starts or comes back ranked first, and the others left the view to it, nobody
+        # would ever write: the view would name processes that are gone, and their
+        # customers would have no keeper.
+        named = present.keys() if view is None else view.by_host.keys()
+        eligible = [node for host, node in present.items() if host in named]
         ranked = by_capacity(READER_DUTY, eligible or present.values())
         return bool(ranked) and ranked[0] == self._node.host
 
--- a/tests/gateway/test_fleet_settles.py
+++ b/tests/gateway/test_fleet_settles.py
@@ -22,6 +22,9 @@
 KNOWS_S = 0.5
 """A process that starts while callers wait knows what to serve within a heartbeat."""
 
+WRITES_PER_S = 200.0
+"""What the store carries in one part of a table."""
+
 READERS = 2
 """One reads, and another one may be on its way to resting."""
 
@@ -188,6 +191,31 @@
     play([LARGE] * large + [SMALL] * small, scene)
 
 
+@pytest.mark.parametrize(("large", "small"), [(8, 125), (18, 275)])
+def test_a_restarted_fleet_knows_what_to_serve_before_its_rows_are_written(
+    play, large, small
+):
+    """Guards against hosts that wait for a busy store to write before they read."""
+
+    async def scene(fleet: VirtualFleet) -> None:
+        fleet.store.writes_per_s = WRITES_PER_S
+        await fleet.start_all()
+        await asyncio.sleep(READY_AFTER_S)
+        for name in list(fleet.nodes):
+            await fleet.kill(name)
+        await asyncio.sleep(1.0)
+        await fleet.start_all()
+        await asyncio.sleep(KNOWS_S)
+        known = [n.knowledge.configuration.content for n in fleet.nodes.values()]
+        assert None not in known
+        await asyncio.sleep(2.0 - KNOWS_S)
+        assert fleet.named() == len(fleet.nodes)
+        await asyncio.sleep(6.0)
+        await assert_rests(fleet, 2.0)
+
+    play([LARGE] * large + [SMALL] * small, scene)
+
+
 @pytest.mark.parametrize("hosts", [3, 5, 8])
 def test_a_reader_whose_first_proofs_were_old_is_asked_again(play, hosts):
     """Guards against a host that reads for itself for good after a slow start."""
