--- a/src/crocusspindle/gateway/assembly.py
+++ b/src/crocusspindle/gateway/assembly.py
@@ -18,6 +18,7 @@
 from crocusspindle.gateway.knowledge import Knowledge
 from crocusspindle.gateway.line_log import LineHandler
 from crocusspindle.gateway.membership import Membership
+from crocusspindle.gateway.placers import Placers
 from crocusspindle.gateway.placing import Placing
 from crocusspindle.gateway.ports import Ports
 from crocusspindle.gateway.quota import Quota
@@ -74,7 +75,8 @@
         node, exchange, knowledge, reading, quota.over, choice, pace, draw
     )
     crashes = CrashSharing(exchange, knowledge, metrics)
-    placing = Placing(node, bounds, exchange, knowledge, draw, policies, crashes)
+    placers = Placers(node, bounds, exchange, knowledge, policies, crashes)
+    placing = Placing(exchange, placers, draw, crashes)
     admission = Admission(bounds, dialect, knowledge)
     sending = Sending(node, dialect, placing, metrics, draw)
     entry = Entry(admission, dialect, knowledge, sending, quota, crashes, metrics)
@@ -89,6 +91,7 @@
         quota,
         membership,
         crashes,
+        placers,
         placing,
         entry,
         ports,
--- a/src/crocusspindle/gateway/messages.py
+++ b/src/crocusspindle/gateway/messages.py
@@ -6,6 +6,7 @@
 
 import msgpack
 
+from crocusspindle.core.target_gauge import Ending
 from crocusspindle.errors import PeerError
 from crocusspindle.gateway.updates import WHOLE
 
@@ -13,6 +14,9 @@
 """A datagram holds 65,507 bytes, and a longer one is lost without a word: its reader
 would be taken for silent by every host that asks."""
 
+ENDINGS: Final = tuple(Ending)
+"""A sending's end travels as its place here."""
+
 _BY_CODE: Final[dict[int, type[Any]]] = {}
 _CODES: Final[dict[type[Any], int]] = {}
 _FIELDS: Final[dict[type[Any], tuple[str, ...]]] = {}
--- /dev/null
+++ b/src/crocusspindle/gateway/placers.py
@@ -0,0 +1,268 @@
+"""Answer asks for places, as the placer of the services that fall to this node."""
+
+import asyncio
+from collections.abc import Callable
+from typing import ClassVar, Final
+
+from crocusspindle.clock import now_ms
+from crocusspindle.core.asks import Ask, Placed, Refused, Waiting
+from crocusspindle.core.listed_target import ListedTarget, TargetIdentity
+from crocusspindle.core.policies import Policies
+from crocusspindle.core.rate_limit import LimitSaid
+from crocusspindle.core.service_placer import ServicePlacer
+from crocusspindle.core.target_gauge import Ending, Standing
+from crocusspindle.core.view import NodeAddress
+from crocusspindle.gateway.crash_sharing import CrashSharing
+from crocusspindle.gateway.exchange import Address, Exchange
+from crocusspindle.gateway.knowledge import Knowledge
+from crocusspindle.gateway.messages import (
+    ENDINGS,
+    Done,
+    EjectedNote,
+    EndedNote,
+    PacedNote,
+    PlaceAnswer,
+    PlaceAsk,
+    RefusedAnswer,
+    RepeatsNote,
+)
+from crocusspindle.gateway.placer_ranks import PlacerRanks
+from crocusspindle.gateway.reload import LiveBounds
+from crocusspindle.gateway.repeat_sharing import RepeatSharing
+from crocusspindle.gateway.told_limits import packed_limits, unpacked_limits
+from crocusspindle.ids import ContentDigest, GrantId, HostId, ServiceId
+from crocusspindle.kernel import Service
+from crocusspindle.log_lines import Logger, log_state_change
+
+SETTLE_S: Final = 0.02
+IDLE_SETTLE_S: Final = 0.1
+"""How soon the first that waits is looked at again if no work ends meanwhile."""
+
+
+class Placers(Service):
+    """Hold a placer for each service that other nodes ask this one for."""
+
+    name: ClassVar[str] = "placers"
+    needs: ClassVar[tuple[str, ...]] = (
+        "exchange",
+        "knowledge",
+        "membership",
+        "crashes",
+    )
+
+    def __init__(
+        self,
+        node: NodeAddress,
+        bounds: LiveBounds,
+        exchange: Exchange,
+        knowledge: Knowledge,
+        policies: Policies,
+        crashes: CrashSharing,
+    ) -> None:
+        self._bounds = bounds
+        self._exchange = exchange
+        self._knowledge = knowledge
+        self._policies = policies
+        self._crashes = crashes
+        self.ranks = PlacerRanks(node, exchange, knowledge)
+        self._repeats = RepeatSharing(node, bounds, self.ranks)
+        self._placers: dict[ServiceId, ServicePlacer] = {}
+        self.targets: dict[TargetIdentity, ListedTarget] = {}
+        self._targets_digest = 0
+        self._settled: dict[int, tuple[Waiting, asyncio.Event]] = {}
+        self.heard_ejected: Callable[[TargetIdentity, float], None] = _ignore
+        self._log = Logger("placing")
+
+    async def start(self) -> None:
+        """Begin to answer."""
+        self._exchange.handle(PlaceAsk, self._place_ask)
+        self._exchange.handle(EndedNote, self._ended_note)
+        self._exchange.handle(EjectedNote, self._ejected_note)
+        self._exchange.handle(RepeatsNote, self._repeats_note)
+        self._exchange.handle(PacedNote, self._paced_note)
+        self._knowledge.listen(self._learn)
+
+    def _learn(self) -> None:
+        known = self._knowledge
+        if known.targets_digest != self._targets_digest:
+            self._targets_digest = known.targets_digest
+            listed = known.targets.content or ()
+            self.targets = {entry.identity: entry for entry in listed}
+            for service, placer in self._placers.items():
+                placer.set_targets(self.targets_of(service), now_ms())
+        if self.ranks.take_view():
+            self._repeats.take_ranks()
+
+    def targets_of(self, service: ServiceId) -> list[ListedTarget]:
+        """Return the listed targets of a service."""
+        return [entry for entry in self.targets.values() if entry.service == service]
+
+    def _placer(self, service: ServiceId) -> ServicePlacer:
+        placer = self._placers.get(service)
+        if placer is None:
+            budget = self._repeats.budget(service)
+            floor_share = self._bounds.now.floor_share
+            placer = ServicePlacer(
+                floor_share,
+                budget,
+                self._policies,
+                now_ms(),
+                self._knowledge.crashes,
+            )
+            placer.set_targets(self.targets_of(service), now_ms())
+            if not self._placers:
+                self.spawn(self._settle_regularly())
+            self._placers[service] = placer
+            log_state_change(self._log, "places for a service", service=service)
+        return placer
+
+    async def _repeats_note(self, note: RepeatsNote, sender: Address) -> None:
+        self._repeats.hear(note)
+
+    async def _place_ask(
+        self, message: PlaceAsk, sender: Address
+    ) -> PlaceAnswer | RefusedAnswer:
+        at_ms = now_ms()
+        content = ContentDigest(message.content)
+        refused = self._crashes.refusal(content)
+        if refused is not None:
+            return RefusedAnswer(refused.reason, refused.retry_after_ms)
+        ask = Ask(
+            sender=HostId(sender[0]),
+            domain=self.ranks.domain_of(sender),
+            route=message.route,
+            idempotent=message.idempotent,
+            priority=message.priority,
+            aim_ms=message.aim_ms,
+            deadline_ms=at_ms + message.left_ms,
+            repeat=message.repeat,
+            hedge=message.hedge,
+            counted=message.counted,
+            body_bytes=message.body_bytes,
+            content=content,
+            trial=self._crashes.is_held(content),
+            excluded=frozenset(TargetIdentity(name) for name in message.excluded),
+        )
+        placer = self._placer(ServiceId(message.service))
+        for said in unpacked_limits(message.limits, at_ms):
+            self._hear_limit(placer, said)
+        answer = placer.ask(ask, at_ms)
+        self._repeats.tell_if_due(ServiceId(message.service))
+        if isinstance(answer, Refused) and answer.reason == "repeats":
+            self._repeats.log_bound(ServiceId(message.service))
+        if isinstance(answer, Waiting):
+            answer = await self._wait(placer, answer)
+        self._tell_changes(ServiceId(message.service), placer)
+        if isinstance(answer, Placed):
+            if ask.trial:
+                self._crashes.begin_trial(
+                    ServiceId(message.service), self.ranks, content
+                )
+            target = answer.target
+            return PlaceAnswer(
+                answer.grant, target.identity, round(answer.hedge_after_ms)
+            )
+        return RefusedAnswer(answer.reason, answer.retry_after_ms)
+
+    def _hear_limit(self, placer: ServicePlacer, said: LimitSaid) -> None:
+        if placer.hear_limit(said, now_ms()):
+            log_state_change(
+                self._log,
+                "target limit changed",
+                target=said.target,
+                limit_per_s=said.limit_per_s,
+            )
+
+    async def _paced_note(self, note: PacedNote, sender: Address) -> None:
+        placer = self._placer(ServiceId(note.service))
+        for said in unpacked_limits(note.limits, now_ms()):
+            placer.hear_paced(said, now_ms())
+
+    async def _wait(self, placer: ServicePlacer, waiting: Waiting) -> Placed | Refused:
+        settled = asyncio.Event()
+        self._settled[id(waiting)] = (waiting, settled)
+        try:
+            await settled.wait()
+            assert waiting.settled is not None
+            return waiting.settled
+        finally:
+            del self._settled[id(waiting)]
+            if waiting.settled is None:
+                placer.abandon(waiting)
+
+    def _wake_settled(self) -> None:
+        for waiting, settled in self._settled.values():
+            if waiting.settled is not None:
+                settled.set()
+
+    async def _settle_regularly(self) -> None:
+        # Lets grants of dead senders end, and ejections and waits with them. One look
+        # for all that wait: one for each would grow with the square of their number.
+        while True:
+            await asyncio.sleep(SETTLE_S if self._settled else IDLE_SETTLE_S)
+            for service, placer in self._placers.items():
+                placer.settle(now_ms())
+                self._tell_changes(service, placer)
+            self._wake_settled()
+
+    async def _ended_note(self, note: EndedNote, sender: Address) -> Done:
+        target = self.targets.get(TargetIdentity(note.target))
+        if target is None:
+            # It left the list, and what was known of it with it.
+            return Done()
+        placer = self._placer(target.service)
+        if note.limit_per_s is not None or ENDINGS[note.ending] is Ending.ANSWERED:
+            asked_ms = now_ms() - note.latency_ms
+            said = LimitSaid(target.identity, note.limit_per_s, asked_ms)
+            self._hear_limit(placer, said)
+        placer.ended(
+            target.identity,
+            GrantId(note.grant),
+            ENDINGS[note.ending],
+            HostId(sender[0]),
+            note.latency_ms,
+            now_ms(),
+            ContentDigest(note.content),
+        )
+        crashed = placer.crash_watch.has_seen
+        self._crashes.take(target.service, self.ranks, placer.crash_watch)
+        if crashed:
+            placer.settle(now_ms())
+        self._wake_settled()
+        self._tell_changes(target.service, placer)
+        return Done()
+
+    def _tell_changes(self, service: ServiceId, placer: ServicePlacer) -> None:
+        paced = packed_limits(placer.paced(), now_ms())
+        if paced:
+            self.ranks.tell_others(service, PacedNote(service, paced))
+        for change in placer.changes():
+            ejected = change.standing is Standing.EJECTED
+            left_ms = round(change.until_ms - now_ms())
+            log_state_change(
+                self._log,
+                "target standing changed",
+                service=service,
+                target=change.target,
+                standing=change.standing.value,
+                ending=change.ending.value if change.ending else None,
+                sender=change.sender,
+                left_ms=left_ms if ejected else None,
+            )
+            if ejected:
+                self._tell_successors(service, change.target, left_ms)
+
+    def _tell_successors(
+        self, service: ServiceId, target: TargetIdentity, left_ms: float
+    ) -> None:
+        self.ranks.tell_others(service, EjectedNote(service, target, left_ms))
+
+    async def _ejected_note(self, note: EjectedNote, sender: Address) -> None:
+        until_ms = now_ms() + note.left_ms
+        target = TargetIdentity(note.target)
+        self._placer(ServiceId(note.service)).adopt(target, until_ms, now_ms())
+        self.heard_ejected(target, until_ms)
+
+
+def _ignore(target: TargetIdentity, until_ms: float) -> None:
+    """Do nothing with an ejection that another placer told."""
