Guard a fleet whose hosts were all replaced at once

Its view names nobody who lives. Virtual time, 60 hosts; accepted, the aim is to serve again after 15 s.

--- a/tests/gateway/test_fleet_settles.py
+++ b/tests/gateway/test_fleet_settles.py
@@ -25,6 +25,12 @@
 WRITES_PER_S = 200.0
 """What the store carries in one part of a table."""
 
+REPLACED_S = 3.0
+"""A fifth of the time in which a fleet has to serve again."""
+
+FORGOTTEN_S = 12.0
+"""Members that nobody hears are put out after ten seconds, and a heartbeat or two."""
+
 READERS = 2
 """One reads, and another one may be on its way to resting."""
 
@@ -259,3 +265,26 @@
         assert len(fleet.readers()) <= READERS
 
     play([LARGE] * 2 + [SMALL] * 34, scene)
+
+
+@pytest.mark.parametrize("hosts", [12, 60])
+def test_a_fleet_whose_hosts_were_all_replaced_finds_itself(play, hosts):
+    """Guards against hosts that ask only readers of a view whose members are gone."""
+
+    async def scene(fleet: VirtualFleet) -> None:
+        names = list(fleet.sizes)
+        for name in names[:hosts]:
+            await fleet.start(name)
+        await asyncio.sleep(READY_AFTER_S)
+        for name in names[:hosts]:
+            await fleet.kill(name)
+        for name in names[hosts:]:
+            await fleet.start(name)
+        await asyncio.sleep(REPLACED_S)
+        known = [n.knowledge.configuration.content for n in fleet.nodes.values()]
+        assert None not in known
+        assert fleet.named() == len(fleet.nodes)
+        await asyncio.sleep(FORGOTTEN_S)
+        await assert_rests(fleet, 2.0)
+
+    play([SMALL] * 2 * hosts, scene)
