Name the new processes of a fleet that comes back before half of it is there

Cause: whoever hears less than half of the members writes no view for ten seconds, so that a host that is cut off takes nobody out. But the view then goes on naming processes that are gone, also where it is known which ones took their place.

Change: a writer that hears few names the new processes of members it hears. It still takes nobody out and names nobody new.

Ruled out by a second test: a cut-off host that puts itself back, over and over. Virtual time, 18 of 293 hosts back: named after 1 s (0 of 18 before, until half were there); first test fails before.

--- a/src/crocusspindle/gateway/view_keeper.py
+++ b/src/crocusspindle/gateway/view_keeper.py
@@ -79,9 +79,12 @@
         if not self._is_writer(view, present):
             return
         if view is not None:
+            silent = {h: s.node for h, s in view.by_host.items() if h not in present}
             if self._hears_few(view, present, age_ms):
-                return
-            present = {**await self._silent_members(view, present, age_ms), **present}
+                present = {h: n for h, n in present.items() if h in view.by_host}
+            else:
+                silent = await self._living(silent, age_ms)
+            present = {**silent, **present}
         if not members_changed(view, present):
             return
         if await self._reading.write_view(next_view(view, present, self._over())):
@@ -113,25 +116,23 @@
         # while the reader whom they ask puts them back: views would change without
         # end, and no customer would keep its keeper. So would they if each of many
         # nodes that read for themselves put itself back. Whoever hears less than half
-        # waits long enough for the others' reader to show itself.
+        # waits long enough for the others' reader to show itself. Until then it names
+        # the new processes of members: of a fleet that comes back, some come first.
         if 2 * len(present) > len(view.seats):
             return False
         quiet_ms = now_ms() - self._seen_ms
         return min(age_ms, quiet_ms) < REMOVE_MOST_AFTER_MS
 
-    async def _silent_members(
-        self, view: View, present: Present, age_ms: float
-    ) -> dict[HostId, NodeAddress]:
+    async def _living(self, silent: Present, age_ms: float) -> Present:
         """Return the members that were not heard and are there all the same."""
-        silent = [seat.node for h, seat in view.by_host.items() if h not in present]
         if age_ms < REMOVE_AFTER_MS:
-            return {node.host: node for node in silent}
+            return silent
         # Members may ask another reader for a while. Put out for that, they would
         # hand their duties over for nothing, and over again when they are back.
-        answers = await asyncio.gather(*(self._probe(node) for node in silent))
+        answers = await asyncio.gather(*(self._probe(n) for n in silent.values()))
         return {
-            node.host: node
-            for node, lives in zip(silent, answers, strict=True)
+            host: node
+            for (host, node), lives in zip(silent.items(), answers, strict=True)
             if lives
         }
 
--- a/tests/gateway/test_fleet_settles.py
+++ b/tests/gateway/test_fleet_settles.py
@@ -25,6 +25,10 @@
 WRITES_PER_S = 200.0
 """What the store carries in one part of a table."""
 
+NAMED_S = 1.0
+"""A caller waits half of its aim for a keeper, which is 0.8 s on the large fleets; the
+rest is the start of the first process."""
+
 REPLACED_S = 3.0
 """A fifth of the time in which a fleet has to serve again."""
 
@@ -267,6 +271,46 @@
     play([LARGE] * 2 + [SMALL] * 34, scene)
 
 
+def test_hosts_that_come_back_first_are_named_at_once(play):
+    """Guards against callers that have no keeper until half of the hosts are back."""
+
+    async def scene(fleet: VirtualFleet) -> None:
+        await fleet.start_all()
+        await asyncio.sleep(READY_AFTER_S)
+        names = list(fleet.nodes)
+        for name in names:
+            await fleet.kill(name)
+        first = list(fleet.sizes)[:18]
+        for name in first:
+            await fleet.start(name)
+        await asyncio.sleep(NAMED_S)
+        assert fleet.named() == len(first)
+        for name in list(fleet.sizes)[18:]:
+            await fleet.start(name)
+        await asyncio.sleep(NAMED_S)
+        assert fleet.named() == len(fleet.nodes)
+        await asyncio.sleep(6.0)
+        await assert_rests(fleet, 2.0)
+
+    play([LARGE] * 18 + [SMALL] * 275, scene)
+
+
+def test_a_host_that_was_put_out_for_its_cut_does_not_change_the_view(play):
+    """Guards against a view that names a cut-off host and puts it out by turns."""
+
+    async def scene(fleet: VirtualFleet) -> None:
+        await fleet.start_all()
+        await asyncio.sleep(READY_AFTER_S)
+        for name in list(fleet.sizes)[:3]:
+            fleet.cut_off(name)
+        await asyncio.sleep(5.0)
+        before = max(fleet.views())
+        await asyncio.sleep(7.0)
+        assert max(fleet.views()) <= before + 1
+
+    play([LARGE] * 4 + [SMALL] * 36, scene)
+
+
 @pytest.mark.parametrize("hosts", [12, 60])
 def test_a_fleet_whose_hosts_were_all_replaced_finds_itself(play, hosts):
     """Guards against hosts that ask only readers of a view whose members are gone."""
