--- a/src/crocusspindle/gateway/view_keeper.py
+++ b/src/crocusspindle/gateway/view_keeper.py
@@ -79,7 +79,9 @@
         if not self._is_writer(view, present):
             return
         if view is not None:
-            silent = {h: s.node for h, s in view.by_host.items() if h not in present}
+            silent: Present = {
+                h: s.node for h, s in view.by_host.items() if h not in present
+            }
             if self._hears_few(view, present, age_ms):
                 present = {h: n for h, n in present.items() if h in view.by_host}
             else:
