Let requests of a new process wait for its first list of targets

There were 600 targets, all well.

Cause: a process that starts waits for its first configuration, then places at once. The list of targets comes some tenths of a second later.

Change: who places, or asks for a place, waits for the first list within the first second of the process, as for the configuration. A host without a list is not ready.

--- a/src/crocusspindle/gateway/knowledge.py
+++ b/src/crocusspindle/gateway/knowledge.py
@@ -75,6 +75,7 @@
         self.store_back_at_ms = -math.inf
         self.born_ms = now_ms()
         self._configured = asyncio.Event()
+        self._listed = asyncio.Event()
         self._forms: dict[str, Forms] = {
             document: Forms()
             for document in ("configuration", "targets", "view", "open", "crashes")
@@ -93,11 +94,18 @@
 
     async def first_configuration(self) -> Configuration | None:
         """Return the configuration; wait a moment for the first one after the start."""
+        await self._wait_for_first(self._configured)
+        return self.configuration.content
+
+    async def first_targets(self) -> None:
+        """Wait a moment for the first list of targets after the start."""
+        await self._wait_for_first(self._listed)
+
+    async def _wait_for_first(self, known: asyncio.Event) -> None:
         left_ms = self.born_ms + FIRST_READ_MS - now_ms()
-        if self.configuration.content is None and left_ms > 0:
+        if left_ms > 0 and not known.is_set():
             with suppress(TimeoutError):
-                await asyncio.wait_for(self._configured.wait(), left_ms / 1e3)
-        return self.configuration.content
+                await asyncio.wait_for(known.wait(), left_ms / 1e3)
 
     def take_configuration(self, value: bytes, proved_at_ms: float) -> None:
         """Take a configuration as the platform holds it."""
@@ -130,6 +138,7 @@
             # Entries that were waited for after an outage go without a new version.
             self.targets.content = ordered
             self.targets_digest = digest
+            self._listed.set()
             self._forms["targets"].take(digest, form)
             log_state_change(
                 self._log,
--- a/src/crocusspindle/gateway/placers.py
+++ b/src/crocusspindle/gateway/placers.py
@@ -116,12 +116,17 @@
             log_state_change(self._log, "places for a service", service=service)
         return placer
 
+    async def until_listed(self) -> None:
+        """Wait a moment for the first list of targets after the start."""
+        await self._knowledge.first_targets()
+
     async def _repeats_note(self, note: RepeatsNote, sender: Address) -> None:
         self._repeats.hear(note)
 
     async def _place_ask(
         self, message: PlaceAsk, sender: Address
     ) -> PlaceAnswer | RefusedAnswer:
+        await self.until_listed()
         at_ms = now_ms()
         content = ContentDigest(message.content)
         refused = self._crashes.refusal(content)
--- a/src/crocusspindle/gateway/placing.py
+++ b/src/crocusspindle/gateway/placing.py
@@ -84,6 +84,7 @@
 
     async def place(self, service: ServiceId, ask: Ask) -> Place | Refused:
         """Return where to send a request, from its placer or by own choice."""
+        await self._placers.until_listed()
         asked = 0
         for host in self._placers.ranks.ranked(service):
             if self._suspect_until_ms.get(host, 0.0) > now_ms():
--- a/src/crocusspindle/gateway/ports.py
+++ b/src/crocusspindle/gateway/ports.py
@@ -95,6 +95,7 @@
         return (
             not self._membership.leaving
             and self._knowledge.configuration.content is not None
+            and self._knowledge.targets.content is not None
             and self._knowledge.view.content is not None
             and age_ms < self._bounds.now.revocation_ms - READY_MARGIN_MS
         )
--- a/tests/gateway/test_just_started.py
+++ b/tests/gateway/test_just_started.py
@@ -3,23 +3,73 @@
 import asyncio
 import json
 import math
+import random
 
 from crocusspindle.clock import now_ms
+from crocusspindle.core.asks import Ask, Refused
 from crocusspindle.core.configuration import CustomerRule
+from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
+from crocusspindle.core.policies import ALL_POLICIES
 from crocusspindle.core.quota_keeper import Admitted, NotKept
 from crocusspindle.core.view import View
-from crocusspindle.gateway.knowledge import FIRST_READ_MS
-from crocusspindle.gateway.messages import NotMineAnswer, SpendAnswer
+from crocusspindle.gateway.crash_sharing import CrashSharing
+from crocusspindle.gateway.exchange import Exchange
+from crocusspindle.gateway.knowledge import FIRST_READ_MS, Knowledge
+from crocusspindle.gateway.messages import NotMineAnswer, PlaceAsk, SpendAnswer
+from crocusspindle.gateway.placers import Placers
+from crocusspindle.gateway.placing import Place, Placing
 from crocusspindle.gateway.quota import SETTLING_MS, Quota
 from crocusspindle.gateway.reload import LiveBounds
 from crocusspindle.gateway.settings import Bounds
-from crocusspindle.ids import CustomerId
+from crocusspindle.ids import CustomerId, DomainId, ServiceId
+from crocusspindle.metrics import Metrics
+from crocusspindle.platform.documents import parse_configuration
 from tests.gateway.test_knowledge import informed, seat
 
 RULE = CustomerRule(CustomerId("club"), rate_per_s=10.0, burst=10.0)
 DOCUMENT = json.dumps({"version": "00000001", "routes": {}}).encode()
 
 
+SERVICE = ServiceId("books")
+TARGET = ListedTarget(
+    TargetIdentity("t0"),
+    SERVICE,
+    "10.9.0.1:80",
+    DomainId("a"),
+    2,
+    Readiness.READY,
+)
+
+
+def placing_alone(knowledge):
+    """Build the placing of a node that is the only member."""
+    node = seat(0).node
+    draw = random.Random(1)
+    metrics = Metrics(node.host, node.domain)
+    exchange = Exchange((node.ip, node.peer_port), draw, metrics)
+    crashes = CrashSharing(exchange, knowledge, metrics)
+    bounds = LiveBounds(Bounds())
+    placers = Placers(node, bounds, exchange, knowledge, ALL_POLICIES, crashes)
+    placing = Placing(exchange, placers, draw, crashes)
+    exchange.handle(PlaceAsk, placers._place_ask)
+    knowledge.listen(placers._learn)
+    knowledge.take_view(View(1, (seat(0),)), now_ms())
+    knowledge.tell()
+    return placing
+
+
+def an_ask():
+    return Ask(
+        sender=seat(0).node.host,
+        domain=DomainId("a"),
+        route="pages",
+        idempotent=True,
+        priority=0,
+        aim_ms=800.0,
+        deadline_ms=now_ms() + 2_000.0,
+    )
+
+
 class Keeper:
     """Answer for a keeper that opens after some asks, in place of the exchange."""
 
@@ -87,3 +137,25 @@
     assert isinstance(answer, NotKept)
     assert now_ms() - began_ms < 200.0
     assert keeper.limit_ms == 0.0
+
+
+async def test_a_request_waits_for_the_first_list_of_targets():
+    """Guards against a service that seems to have no targets right after a start."""
+    knowledge = Knowledge(parse_configuration)
+    placing = placing_alone(knowledge)
+    asked = asyncio.create_task(placing.place(SERVICE, an_ask()))
+    await asyncio.sleep(0.02)
+    assert not asked.done()
+    knowledge.take_targets([TARGET], 1, now_ms())
+    knowledge.tell()
+    place = await asyncio.wait_for(asked, 0.5)
+    assert isinstance(place, Place) and place.target == TARGET
+
+
+async def test_nobody_waits_for_a_list_of_targets_that_does_not_come():
+    knowledge = Knowledge(parse_configuration)
+    knowledge.born_ms = now_ms() - FIRST_READ_MS
+    place = await asyncio.wait_for(
+        placing_alone(knowledge).place(SERVICE, an_ask()), 0.1
+    )
+    assert isinstance(place, Refused) and place.reason == "no-target"
