Count a target's crashes again when it comes back under its identity

Targets may start again under the identity that they had. A record of crashes told them apart by identity alone, so that a request which ended the same targets over and over stayed at one crash for each, and was never held with fewer than two or three targets.

A crash is a target and a time now; reports within a second are one.

--- a/src/crocusspindle/core/crash_record.py
+++ b/src/crocusspindle/core/crash_record.py
@@ -1,18 +1,30 @@
 """Hold which targets ended while they ran a request."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
+from typing import Final
 
 from crocusspindle.core.listed_target import TargetIdentity
 from crocusspindle.ids import ContentDigest
 
+SAME_CRASH_MS: Final = 1_000.0
+"""Reports of one crash come within this; the next one under the same identity takes a
+restart in between."""
+
 
 @dataclass(frozen=True, slots=True)
 class Crash:
-    """Name a target that ended, and tell whether it ran nothing else."""
+    """Tell when a target ended, and whether it ran nothing else."""
 
     target: TargetIdentity
+    at_ms: float
     alone: bool
 
+    def is_same(self, other: "Crash") -> bool:
+        """Return True if both report one crash."""
+        near = abs(self.at_ms - other.at_ms) <= SAME_CRASH_MS
+        return near and self.target == other.target
+
 
 @dataclass(frozen=True, slots=True)
 class CrashRecord:
@@ -33,13 +45,13 @@
         """Return True if every host has to know the record."""
         return self.was_shared or len(self.crashes) > 1
 
-    def with_crash(self, crash: Crash, at_ms: float) -> "CrashRecord":
+    def with_crash(self, crash: Crash) -> "CrashRecord":
         """Return the record with one more crash, itself if it knows it."""
-        crashes = _union(self.crashes, frozenset((crash,)))
+        crashes = _union((*self.crashes, crash))
         if crashes == self.crashes:
             return self
         is_new = len(crashes) > len(self.crashes)
-        last_ms = max(self.last_ms, at_ms) if is_new else self.last_ms
+        last_ms = max(self.last_ms, crash.at_ms) if is_new else self.last_ms
         return replace(self, crashes=crashes, last_ms=last_ms)
 
     def merged(self, other: "CrashRecord") -> "CrashRecord":
@@ -49,16 +61,20 @@
         return CrashRecord(
             self.content,
             self.generation,
-            _union(self.crashes, other.crashes),
+            _union((*self.crashes, *other.crashes)),
             max(self.trials, other.trials),
             max(self.last_ms, other.last_ms),
             self.was_shared or other.was_shared,
         )
 
 
-def _union(first: frozenset[Crash], second: frozenset[Crash]) -> frozenset[Crash]:
-    # Whoever saw more at the target knows that the request was not alone.
-    alone: dict[TargetIdentity, bool] = {}
-    for crash in (*first, *second):
-        alone[crash.target] = alone.get(crash.target, True) and crash.alone
-    return frozenset(Crash(target, value) for target, value in alone.items())
+def _union(crashes: Iterable[Crash]) -> frozenset[Crash]:
+    found: list[Crash] = []
+    for crash in sorted(crashes, key=lambda crash: (crash.target, crash.at_ms)):
+        if found and found[-1].is_same(crash):
+            # Whoever saw more at the target knows that the request was not alone.
+            alone = found[-1].alone and crash.alone
+            found[-1] = replace(found[-1], alone=alone)
+        else:
+            found.append(crash)
+    return frozenset(found)
--- a/src/crocusspindle/core/crash_table.py
+++ b/src/crocusspindle/core/crash_table.py
@@ -2,8 +2,8 @@
 
 The load is one request, repeated by its caller at any host, under which every target
 that runs it ends. Each end also breaks what else runs there, so that many innocent
-requests look alike after one crash. Whoever was there runs alone the next time: an
-answer clears it, a second crash under it alone convicts it.
+requests look alike after one crash. What ran there runs alone the next time: an
+answer clears it, a second crash under it alone holds it back.
 """
 
 from collections.abc import Iterable
@@ -71,16 +71,14 @@
     def see(self, crash: CrashSeen, at_ms: float) -> list[CrashRecord]:
         """Take a crash into account and return the records that changed."""
         alone = len(crash.contents) == 1
-        entry = Crash(crash.target, alone)
-        changed = [self._add(content, entry, at_ms) for content in crash.contents]
+        entry = Crash(crash.target, at_ms, alone)
+        changed = [self._add(content, entry) for content in crash.contents]
         self._drop_old(at_ms)
         return [record for record in changed if record is not None]
 
-    def _add(
-        self, content: ContentDigest, crash: Crash, at_ms: float
-    ) -> CrashRecord | None:
+    def _add(self, content: ContentDigest, crash: Crash) -> CrashRecord | None:
         record = self._records.get(content, CrashRecord(content))
-        added = record.with_crash(crash, at_ms)
+        added = record.with_crash(crash)
         if added == record:
             return None
         self._records[content] = added
@@ -132,7 +130,7 @@
 
     def is_held(self, content: ContentDigest) -> bool:
         """Return True if a request is sent in trials only."""
-        return _convict(self._unexplained(content))
+        return _suffice(self._unexplained(content))
 
     def held_until_ms(self, content: ContentDigest) -> float:
         """Return when a held request may be tried next."""
@@ -152,13 +150,17 @@
         record = self._records.get(content)
         if record is None or not record.crashes:
             return frozenset()
-        explained = {
-            crash.target
+        explained = [
+            crash
             for other in self._records.values()
-            if len(other.crashes) > len(record.crashes) and _convict(other.crashes)
+            if len(other.crashes) > len(record.crashes) and _suffice(other.crashes)
             for crash in other.crashes
-        }
-        return frozenset(c for c in record.crashes if c.target not in explained)
+        ]
+        return frozenset(
+            crash
+            for crash in record.crashes
+            if not any(crash.is_same(other) for other in explained)
+        )
 
     def _drop_old(self, now_ms: float) -> None:
         for record in list(self._records.values()):
@@ -175,6 +177,7 @@
             del self._records[record.content]
 
 
-def _convict(crashes: frozenset[Crash]) -> bool:
+def _suffice(crashes: frozenset[Crash]) -> bool:
+    """Return True if crashes are enough to hold a request back."""
     alone = any(crash.alone for crash in crashes)
     return len(crashes) >= (CRASHES_ALONE if alone else CRASHES_WITH_OTHERS)
--- a/src/crocusspindle/core/crash_watch.py
+++ b/src/crocusspindle/core/crash_watch.py
@@ -1,8 +1,10 @@
 """Find out by the endings of work which targets crashed, and what ran there."""
 
 from collections.abc import Iterable
+from dataclasses import dataclass, field
 from typing import Final
 
+from crocusspindle.core.crash_record import SAME_CRASH_MS
 from crocusspindle.core.crash_table import CrashSeen, CrashTable
 from crocusspindle.core.listed_target import TargetIdentity
 from crocusspindle.core.target_gauge import Ending
@@ -13,13 +15,21 @@
 request meets another instance at its address."""
 
 
+@dataclass(slots=True)
+class _Crashed:
+    """Hold a target's last crash and what ran there."""
+
+    at_ms: float
+    contents: set[ContentDigest] = field(default_factory=set)
+
+
 class CrashWatch:
     """Watch the targets of one service."""
 
     def __init__(self, table: CrashTable) -> None:
         self._table = table
         self._answered: list[ContentDigest] = []
-        self._crashed: dict[TargetIdentity, set[ContentDigest]] = {}
+        self._crashed: dict[TargetIdentity, _Crashed] = {}
         self._broken: dict[TargetIdentity, dict[ContentDigest, float]] = {}
         self._seen: list[CrashSeen] = []
 
@@ -36,22 +46,27 @@
             if content in self._table:
                 self._answered.append(content)
         elif ending is Ending.CRASHED:
-            self._note_crash(target, {content, *running})
+            self._note_crash(target, {content, *running}, now_ms)
         elif ending is Ending.BROKEN:
             self._broken.setdefault(target, {})[content] = now_ms
         elif ending in (Ending.CLOSED, Ending.MISDIRECTED):
             lost = self._broken.pop(target, {})
             since_ms = now_ms - SHOWN_LATER_MS
-            self._note_crash(target, {c for c, at in lost.items() if at > since_ms})
+            recent = {c for c, at in lost.items() if at > since_ms}
+            self._note_crash(target, recent, now_ms)
 
-    def _note_crash(self, target: TargetIdentity, contents: set[ContentDigest]) -> None:
+    def _note_crash(
+        self, target: TargetIdentity, contents: set[ContentDigest], now_ms: float
+    ) -> None:
         # All that ran there ends one by one. Counted one by one, the last would seem
-        # to have been alone.
-        known = self._crashed.setdefault(target, set())
-        new = {content for content in contents if content} - known
+        # to have been alone. A target may come back under its identity.
+        known = self._crashed.get(target)
+        if known is None or now_ms - known.at_ms > SAME_CRASH_MS:
+            known = self._crashed[target] = _Crashed(now_ms)
+        new = {content for content in contents if content} - known.contents
         if new:
-            known |= new
-            self._seen.append(CrashSeen(target, frozenset(known)))
+            known.contents |= new
+            self._seen.append(CrashSeen(target, frozenset(known.contents)))
 
     def keep(self, listed: Iterable[TargetIdentity]) -> None:
         """Forget targets that have left the list."""
--- a/src/crocusspindle/gateway/knowledge.py
+++ b/src/crocusspindle/gateway/knowledge.py
@@ -339,9 +339,9 @@
     return [
         record.content,
         record.generation,
-        sorted([crash.target, crash.alone] for crash in record.crashes),
+        sorted([crash.target, crash.at_ms, crash.alone] for crash in record.crashes),
         record.trials,
-        round(record.last_ms),
+        record.last_ms,
         record.was_shared,
     ]
 
@@ -352,7 +352,10 @@
     return CrashRecord(
         ContentDigest(content),
         generation,
-        frozenset(Crash(TargetIdentity(target), alone) for target, alone in crashes),
+        frozenset(
+            Crash(TargetIdentity(target), at_ms, alone)
+            for target, at_ms, alone in crashes
+        ),
         trials,
         last_ms,
         was_shared,
--- a/tests/core/test_crash_watch.py
+++ b/tests/core/test_crash_watch.py
@@ -24,6 +24,12 @@
     assert seen.contents == {ONE, TWO}
 
 
+def test_a_second_crash_of_a_target_that_came_back_is_seen(watch):
+    watch.ended(TARGET, ONE, [], Ending.CRASHED, 0.0)
+    watch.ended(TARGET, ONE, [], Ending.CRASHED, 5_000.0)
+    assert len(watch.seen()) == 2
+
+
 @pytest.mark.parametrize("ending", [Ending.CLOSED, Ending.MISDIRECTED])
 def test_a_process_that_was_back_at_once_is_found_out_later(watch, ending):
     """Guards against targets whose port takes connections again within a moment."""
