Index the first list of targets before requests that waited for it go on

Cause: the list wakes those that wait for it; the node's index of it is renewed when the listeners are told, after the other tables have been read.

Change: whoever waited renews the index. The test of the change before told the listeners by hand and hid it; it does so no more and fails without this.

--- a/src/crocusspindle/gateway/placers.py
+++ b/src/crocusspindle/gateway/placers.py
@@ -119,6 +119,8 @@
     async def until_listed(self) -> None:
         """Wait a moment for the first list of targets after the start."""
         await self._knowledge.first_targets()
+        # Listeners hear of the list when the other tables have been read as well.
+        self._learn()
 
     async def _repeats_note(self, note: RepeatsNote, sender: Address) -> None:
         self._repeats.hear(note)
--- a/tests/gateway/test_just_started.py
+++ b/tests/gateway/test_just_started.py
@@ -147,7 +147,6 @@
     await asyncio.sleep(0.02)
     assert not asked.done()
     knowledge.take_targets([TARGET], 1, now_ms())
-    knowledge.tell()
     place = await asyncio.wait_for(asked, 0.5)
     assert isinstance(place, Place) and place.target == TARGET
 
