Name reports of crashes and limits by the field's words

LimitSaid, ToldLimits, hear and see told nothing to a newcomer. They are LimitReport, ReportedLimits, take and record_crash now.

--- a/src/crocusspindle/core/crash_table.py
+++ b/src/crocusspindle/core/crash_table.py
@@ -38,7 +38,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CrashSeen:
+class CrashReport:
     """Tell of a target that ended, and of all that ran there."""
 
     target: TargetIdentity
@@ -68,7 +68,7 @@
         shared.sort(key=lambda record: (-record.last_ms, record.content))
         return sorted(shared[:SHARED_MAX], key=lambda record: record.content)
 
-    def see(self, crash: CrashSeen, at_ms: float) -> list[CrashRecord]:
+    def record_crash(self, crash: CrashReport, at_ms: float) -> list[CrashRecord]:
         """Take a crash into account and return the records that changed."""
         alone = len(crash.contents) == 1
         entry = Crash(crash.target, at_ms, alone)
--- a/src/crocusspindle/core/crash_watch.py
+++ b/src/crocusspindle/core/crash_watch.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from crocusspindle.core.crash_record import SAME_CRASH_MS
-from crocusspindle.core.crash_table import CrashSeen, CrashTable
+from crocusspindle.core.crash_table import CrashReport, CrashTable
 from crocusspindle.core.listed_target import TargetIdentity
 from crocusspindle.core.target_gauge import Ending
 from crocusspindle.ids import ContentDigest
@@ -31,7 +31,7 @@
         self._answered: list[ContentDigest] = []
         self._crashed: dict[TargetIdentity, _Crashed] = {}
         self._broken: dict[TargetIdentity, dict[ContentDigest, float]] = {}
-        self._seen: list[CrashSeen] = []
+        self._reports: list[CrashReport] = []
 
     def ended(
         self,
@@ -66,7 +66,7 @@
         new = {content for content in contents if content} - known.contents
         if new:
             known.contents |= new
-            self._seen.append(CrashSeen(target, frozenset(known.contents)))
+            self._reports.append(CrashReport(target, frozenset(known.contents)))
 
     def keep(self, listed: Iterable[TargetIdentity]) -> None:
         """Forget targets that have left the list."""
@@ -76,16 +76,16 @@
                 del found[target]
 
     @property
-    def has_seen(self) -> bool:
+    def has_reports(self) -> bool:
         """Return True if there were crashes since they were last asked for."""
-        return bool(self._seen)
+        return bool(self._reports)
 
     def answered(self) -> list[ContentDigest]:
         """Return the requests with a record that were answered since the last call."""
         answered, self._answered = self._answered, []
         return answered
 
-    def seen(self) -> list[CrashSeen]:
+    def reports(self) -> list[CrashReport]:
         """Return the crashes since the last call."""
-        seen, self._seen = self._seen, []
-        return seen
+        reports, self._reports = self._reports, []
+        return reports
--- a/src/crocusspindle/core/rate_limit.py
+++ b/src/crocusspindle/core/rate_limit.py
@@ -13,13 +13,13 @@
 LEAST_PER_S: Final = 0.1
 """A target that takes nothing is asked this often whether that still holds."""
 
-PLAIN_ANSWERS: Final = 2
+ANSWERS_WITHOUT_LIMIT: Final = 2
 """Answers without a limit that end it."""
 
 
 @dataclass(frozen=True, slots=True)
-class LimitSaid:
-    """Tell what a target's answer said of its limit, None if it named none.
+class LimitReport:
+    """Tell what a target's answer names as its limit, None if it named none.
 
     `asked_ms` is when the request was sent: answers overtake one another.
     """
@@ -59,14 +59,14 @@
         """Return when the request was sent whose answer named the limit."""
         return self._named_asked_ms
 
-    def hear(self, said: LimitSaid, now_ms: float) -> bool:
-        """Take over what an answer said; return True if the limit changed."""
-        if said.limit_per_s is None:
-            return self._hear_none(said)
-        if said.asked_ms < self._named_asked_ms:
+    def take(self, report: LimitReport, now_ms: float) -> bool:
+        """Take over what an answer named; return True if the limit changed."""
+        if report.limit_per_s is None:
+            return self._take_none(report)
+        if report.asked_ms < self._named_asked_ms:
             return False
-        per_ms = max(LEAST_PER_S, said.limit_per_s) / 1e3
-        self._named_asked_ms = said.asked_ms
+        per_ms = max(LEAST_PER_S, report.limit_per_s) / 1e3
+        self._named_asked_ms = report.asked_ms
         self._named_ms = now_ms
         self._plain = 0
         if per_ms == self._per_ms:
@@ -80,11 +80,11 @@
         self._tokens = min(self._tokens, self._burst)
         return True
 
-    def _hear_none(self, said: LimitSaid) -> bool:
-        if not self.holds or said.asked_ms <= self._named_ms:
+    def _take_none(self, report: LimitReport) -> bool:
+        if not self.holds or report.asked_ms <= self._named_ms:
             return False
         self._plain += 1
-        if self._plain < PLAIN_ANSWERS:
+        if self._plain < ANSWERS_WITHOUT_LIMIT:
             return False
         self._per_ms = math.inf
         return True
--- a/src/crocusspindle/core/service_placer.py
+++ b/src/crocusspindle/core/service_placer.py
@@ -27,7 +27,7 @@
     refused_as_full,
 )
 from crocusspindle.core.policies import ALL_POLICIES, Policies, Policy
-from crocusspindle.core.rate_limit import LimitSaid
+from crocusspindle.core.rate_limit import LimitReport
 from crocusspindle.core.repeat_budget import RepeatBudget
 from crocusspindle.core.route_latencies import RouteLatencies
 from crocusspindle.core.target_choice import TargetChoice
@@ -103,23 +103,23 @@
             gauge.ejected_until_ms = max(gauge.ejected_until_ms, until_ms)
             gauge.last_failed_ms = now_ms
 
-    def hear_limit(self, said: LimitSaid, now_ms: float) -> bool:
-        """Take over what a target said of its limit; return True if it changed."""
-        gauge = self._gauges.get(said.target)
-        return gauge is not None and gauge.limit.hear(said, now_ms)
+    def take_limit(self, report: LimitReport, now_ms: float) -> bool:
+        """Take over a limit that a target named; return True if it changed."""
+        gauge = self._gauges.get(report.target)
+        return gauge is not None and gauge.limit.take(report, now_ms)
 
-    def hear_paced(self, said: LimitSaid, now_ms: float) -> None:
+    def count_paced(self, report: LimitReport, now_ms: float) -> None:
         """Count a sending of another placer to a target with a limit."""
-        gauge = self._gauges.get(said.target)
+        gauge = self._gauges.get(report.target)
         if gauge is not None:
-            gauge.limit.hear(said, now_ms)
+            gauge.limit.take(report, now_ms)
             gauge.limit.sent(now_ms)
 
-    def paced(self) -> list[LimitSaid]:
+    def paced(self) -> list[LimitReport]:
         """Return the limits of targets that got work since the last call."""
         paced, self._paced = self._paced, []
         return [
-            LimitSaid(target, limit.limit_per_s, limit.asked_ms)
+            LimitReport(target, limit.limit_per_s, limit.asked_ms)
             for target in paced
             if target in self._gauges
             for limit in (self._gauges[target].limit,)
@@ -303,7 +303,7 @@
             self._note_change(gauge, ending, sender)
         self._refresh_if_due(now_ms)
         # A copy of what has just crashed a target may wait here, and be held by it.
-        if not self.crash_watch.has_seen:
+        if not self.crash_watch.has_reports:
             self._serve_queue(now_ms)
 
     def _work_end(
--- a/src/crocusspindle/gateway/crash_sharing.py
+++ b/src/crocusspindle/gateway/crash_sharing.py
@@ -65,7 +65,7 @@
         """Take over what the placer of a service has seen, and tell who must know."""
         changed: dict[ContentDigest, CrashRecord] = {}
         table = self._knowledge.crashes
-        for seen in watch.seen():
+        for seen in watch.reports():
             self._metrics.add(instruments.CRASHES, service=service)
             log_state_change(
                 self._log,
@@ -74,7 +74,7 @@
                 target=seen.target,
                 contents=sorted(seen.contents),
             )
-            changed |= {r.content: r for r in table.see(seen, wall_ms())}
+            changed |= {r.content: r for r in table.record_crash(seen, wall_ms())}
         for content in watch.answered():
             cleared = table.clear(content, wall_ms())
             if cleared is not None:
--- a/src/crocusspindle/gateway/placers.py
+++ b/src/crocusspindle/gateway/placers.py
@@ -8,7 +8,7 @@
 from crocusspindle.core.asks import Ask, Placed, Refused, Waiting
 from crocusspindle.core.listed_target import ListedTarget, TargetIdentity
 from crocusspindle.core.policies import Policies
-from crocusspindle.core.rate_limit import LimitSaid
+from crocusspindle.core.rate_limit import LimitReport
 from crocusspindle.core.service_placer import ServicePlacer
 from crocusspindle.core.target_gauge import Ending, Standing
 from crocusspindle.core.view import NodeAddress
@@ -29,7 +29,7 @@
 from crocusspindle.gateway.placer_ranks import PlacerRanks
 from crocusspindle.gateway.reload import LiveBounds
 from crocusspindle.gateway.repeat_sharing import RepeatSharing
-from crocusspindle.gateway.told_limits import packed_limits, unpacked_limits
+from crocusspindle.gateway.reported_limits import packed_limits, unpacked_limits
 from crocusspindle.ids import ContentDigest, GrantId, HostId, ServiceId
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
@@ -70,7 +70,7 @@
         self.targets: dict[TargetIdentity, ListedTarget] = {}
         self._targets_digest = 0
         self._settled: dict[int, tuple[Waiting, asyncio.Event]] = {}
-        self.heard_ejected: Callable[[TargetIdentity, float], None] = _ignore
+        self.on_ejected: Callable[[TargetIdentity, float], None] = _ignore
         self._log = Logger("placing")
 
     async def start(self) -> None:
@@ -151,8 +151,8 @@
             excluded=frozenset(TargetIdentity(name) for name in message.excluded),
         )
         placer = self._placer(ServiceId(message.service))
-        for said in unpacked_limits(message.limits, at_ms):
-            self._hear_limit(placer, said)
+        for report in unpacked_limits(message.limits, at_ms):
+            self._take_limit(placer, report)
         answer = placer.ask(ask, at_ms)
         self._repeats.tell_if_due(ServiceId(message.service))
         if isinstance(answer, Refused) and answer.reason == "repeats":
@@ -171,19 +171,19 @@
             )
         return RefusedAnswer(answer.reason, answer.retry_after_ms)
 
-    def _hear_limit(self, placer: ServicePlacer, said: LimitSaid) -> None:
-        if placer.hear_limit(said, now_ms()):
+    def _take_limit(self, placer: ServicePlacer, report: LimitReport) -> None:
+        if placer.take_limit(report, now_ms()):
             log_state_change(
                 self._log,
                 "target limit changed",
-                target=said.target,
-                limit_per_s=said.limit_per_s,
+                target=report.target,
+                limit_per_s=report.limit_per_s,
             )
 
     async def _paced_note(self, note: PacedNote, sender: Address) -> None:
         placer = self._placer(ServiceId(note.service))
-        for said in unpacked_limits(note.limits, now_ms()):
-            placer.hear_paced(said, now_ms())
+        for report in unpacked_limits(note.limits, now_ms()):
+            placer.count_paced(report, now_ms())
 
     async def _wait(self, placer: ServicePlacer, waiting: Waiting) -> Placed | Refused:
         settled = asyncio.Event()
@@ -220,8 +220,8 @@
         placer = self._placer(target.service)
         if note.limit_per_s is not None or ENDINGS[note.ending] is Ending.ANSWERED:
             asked_ms = now_ms() - note.latency_ms
-            said = LimitSaid(target.identity, note.limit_per_s, asked_ms)
-            self._hear_limit(placer, said)
+            report = LimitReport(target.identity, note.limit_per_s, asked_ms)
+            self._take_limit(placer, report)
         placer.ended(
             target.identity,
             GrantId(note.grant),
@@ -231,7 +231,7 @@
             now_ms(),
             ContentDigest(note.content),
         )
-        crashed = placer.crash_watch.has_seen
+        crashed = placer.crash_watch.has_reports
         self._crashes.take(target.service, self.ranks, placer.crash_watch)
         if crashed:
             placer.settle(now_ms())
@@ -268,7 +268,7 @@
         until_ms = now_ms() + note.left_ms
         target = TargetIdentity(note.target)
         self._placer(ServiceId(note.service)).adopt(target, until_ms, now_ms())
-        self.heard_ejected(target, until_ms)
+        self.on_ejected(target, until_ms)
 
 
 def _ignore(target: TargetIdentity, until_ms: float) -> None:
--- a/src/crocusspindle/gateway/placing.py
+++ b/src/crocusspindle/gateway/placing.py
@@ -8,7 +8,7 @@
 from crocusspindle.core.asks import Ask, Refused
 from crocusspindle.core.fallback_choice import FallbackChoice
 from crocusspindle.core.listed_target import ListedTarget, TargetIdentity
-from crocusspindle.core.rate_limit import LimitSaid
+from crocusspindle.core.rate_limit import LimitReport
 from crocusspindle.core.target_gauge import EJECTION_MS, Ending
 from crocusspindle.gateway.crash_sharing import CrashSharing
 from crocusspindle.gateway.exchange import Address, Exchange
@@ -21,7 +21,7 @@
 )
 from crocusspindle.gateway.placer_ranks import PLACERS
 from crocusspindle.gateway.placers import Placers
-from crocusspindle.gateway.told_limits import ToldLimits, packed_limits
+from crocusspindle.gateway.reported_limits import ReportedLimits, packed_limits
 from crocusspindle.ids import ContentDigest, GrantId, HostId, ServiceId
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
@@ -62,13 +62,13 @@
         self._placers = placers
         self._crashes = crashes
         self._fallback = FallbackChoice(draw)
-        self._told = ToldLimits()
+        self._limits = ReportedLimits()
         self._suspect_until_ms: dict[HostId, float] = {}
         self._log = Logger("placing")
 
     async def start(self) -> None:
         """Listen for answers that come late."""
-        self._placers.heard_ejected = self._fallback.avoid
+        self._placers.on_ejected = self._fallback.avoid
         self._exchange.handle_late(PlaceAnswer, self._give_back)
 
     def _give_back(self, answer: PlaceAnswer, placer: Address) -> None:
@@ -117,7 +117,7 @@
             counted,
             ask.content,
             list(ask.excluded),
-            packed_limits(self._told_of(service), now_ms()),
+            packed_limits(self._limits_of(service), now_ms()),
         )
         answer = await self._exchange.ask(to, message, SILENT_S, left_ms / 1e3)
         if isinstance(answer, RefusedAnswer):
@@ -137,11 +137,11 @@
             service, target, answer.hedge_after_ms, GrantId(answer.grant), host, to
         )
 
-    def _told_of(self, service: ServiceId) -> list[LimitSaid]:
+    def _limits_of(self, service: ServiceId) -> list[LimitReport]:
         return [
-            said
-            for said in self._told.recent(now_ms())
-            if (entry := self._placers.targets.get(said.target))
+            report
+            for report in self._limits.recent(now_ms())
+            if (entry := self._placers.targets.get(report.target))
             and entry.service == service
         ]
 
@@ -152,7 +152,7 @@
             # Nobody sees here what else runs at a target, or runs this request.
             return Refused("suspect", EJECTION_MS)
         # How much the others send to a target with a limit is not known here.
-        limited = {said.target for said in self._told_of(service)}
+        limited = {report.target for report in self._limits_of(service)}
         open_to_all = [
             e for e in self._placers.targets_of(service) if e.identity not in limited
         ]
@@ -200,7 +200,7 @@
         """Tell the placer how a sending ended."""
         if limit_per_s is not None or ending is Ending.ANSWERED:
             asked_ms = now_ms() - latency_ms
-            self._told.hear(LimitSaid(place.target.identity, limit_per_s, asked_ms))
+            self._limits.take(LimitReport(place.target.identity, limit_per_s, asked_ms))
         failed = ending not in (Ending.ANSWERED, Ending.ABANDONED, Ending.SHED)
         if failed and ending is not Ending.ERROR:
             self._fallback.avoid(place.target.identity, now_ms() + EJECTION_MS)
--- a/tests/core/test_crash_table.py
+++ b/tests/core/test_crash_table.py
@@ -10,7 +10,7 @@
     RECORDS_MAX,
     SHARED_MAX,
     TRIALS_MOST,
-    CrashSeen,
+    CrashReport,
     CrashTable,
     Isolation,
 )
@@ -22,7 +22,7 @@
 
 
 def seen(target, *contents):
-    return CrashSeen(TargetIdentity(target), frozenset(contents))
+    return CrashReport(TargetIdentity(target), frozenset(contents))
 
 
 @pytest.fixture
@@ -36,7 +36,7 @@
 
 
 def test_all_that_ran_at_a_crash_is_kept_apart_and_none_of_it_held(table):
-    table.see(seen("t0", POISON, *BYSTANDERS), 0.0)
+    table.record_crash(seen("t0", POISON, *BYSTANDERS), 0.0)
     for content in (POISON, *BYSTANDERS):
         assert table.isolation(content) is Isolation.PREFERRED
         assert not table.is_held(content)
@@ -44,8 +44,8 @@
 
 def test_a_second_crash_under_a_request_alone_holds_it_and_frees_the_others(table):
     """Guards against innocent requests that are held with the one that crashes."""
-    table.see(seen("t0", POISON, *BYSTANDERS), 0.0)
-    table.see(seen("t1", POISON), 1_000.0)
+    table.record_crash(seen("t0", POISON, *BYSTANDERS), 0.0)
+    table.record_crash(seen("t1", POISON), 1_000.0)
     assert table.is_held(POISON)
     assert table.held_until_ms(POISON) == 1_000.0 + FIRST_HOLD_MS
     for content in BYSTANDERS:
@@ -53,27 +53,27 @@
 
 
 def test_crashes_among_others_hold_a_request_at_the_third(table):
-    table.see(seen("t0", POISON, BYSTANDERS[0]), 0.0)
-    table.see(seen("t1", POISON, BYSTANDERS[1]), 1.0)
+    table.record_crash(seen("t0", POISON, BYSTANDERS[0]), 0.0)
+    table.record_crash(seen("t1", POISON, BYSTANDERS[1]), 1.0)
     assert not table.is_held(POISON)
     assert table.isolation(POISON) is Isolation.REQUIRED
-    table.see(seen("t2", POISON, BYSTANDERS[2]), 2.0)
+    table.record_crash(seen("t2", POISON, BYSTANDERS[2]), 2.0)
     assert table.is_held(POISON)
 
 
 def test_the_endings_of_one_crash_count_once_however_they_come(table):
     """Guards against a bystander that seems alone since it was told of last."""
-    table.see(seen("t0", POISON), 0.0)
-    table.see(seen("t0", POISON, BYSTANDERS[0]), 1.0)
+    table.record_crash(seen("t0", POISON), 0.0)
+    table.record_crash(seen("t0", POISON, BYSTANDERS[0]), 1.0)
     assert not table.is_held(POISON) and not table.is_held(BYSTANDERS[0])
-    table.see(seen("t1", POISON, BYSTANDERS[1]), 2.0)
+    table.record_crash(seen("t1", POISON, BYSTANDERS[1]), 2.0)
     assert not table.is_held(POISON)
 
 
 def test_an_answer_clears_a_request_on_every_host(table):
     """Guards against an old report that puts a cleared request back on hold."""
-    table.see(seen("t0", POISON), 0.0)
-    table.see(seen("t1", POISON), 1.0)
+    table.record_crash(seen("t0", POISON), 0.0)
+    table.record_crash(seen("t1", POISON), 1.0)
     before = table.record(POISON)
     cleared = table.clear(POISON, 20_000.0)
     assert cleared.is_shared
@@ -87,31 +87,31 @@
 
 def test_trials_come_ever_more_rarely_and_are_counted(table):
     """Guards against holds by time alone, which let a request through for ever."""
-    table.see(seen("t0", POISON), 0.0)
-    table.see(seen("t1", POISON), 0.0)
+    table.record_crash(seen("t0", POISON), 0.0)
+    table.record_crash(seen("t1", POISON), 0.0)
     at_ms = 0.0
     for number in range(TRIALS_MOST):
         due_ms = table.held_until_ms(POISON)
         assert due_ms == at_ms + FIRST_HOLD_MS * HOLD_FACTOR**number
         at_ms = due_ms
         table.begin_trial(POISON, at_ms)
-        table.see(seen(f"trial-{number}", POISON), at_ms)
+        table.record_crash(seen(f"trial-{number}", POISON), at_ms)
     assert table.held_until_ms(POISON) == at_ms + FORGET_MS
 
 
 def test_a_target_that_comes_back_under_its_identity_is_counted_again(table):
     """Guards against a request that ends the same few targets over and over."""
-    table.see(seen("t0", POISON), 0.0)
-    table.see(seen("t0", POISON), 500.0)
+    table.record_crash(seen("t0", POISON), 0.0)
+    table.record_crash(seen("t0", POISON), 500.0)
     assert not table.is_held(POISON)
-    table.see(seen("t0", POISON), 5_000.0)
+    table.record_crash(seen("t0", POISON), 5_000.0)
     assert table.is_held(POISON)
 
 
 def test_hosts_that_saw_different_crashes_come_to_the_same_record(table):
     other = CrashTable()
-    table.see(seen("t0", POISON), 0.0)
-    other.see(seen("t1", POISON), 5.0)
+    table.record_crash(seen("t0", POISON), 0.0)
+    other.record_crash(seen("t1", POISON), 5.0)
     mine, others = table.record(POISON), other.record(POISON)
     table.merge([others], 10.0)
     other.merge([mine], 10.0)
@@ -122,18 +122,20 @@
 
 def test_records_are_bounded_and_held_ones_stay(table):
     """Guards against memory that grows with each crash."""
-    table.see(seen("t0", POISON), 0.0)
-    table.see(seen("t1", POISON), 0.0)
+    table.record_crash(seen("t0", POISON), 0.0)
+    table.record_crash(seen("t1", POISON), 0.0)
     for number in range(RECORDS_MAX + 10):
-        table.see(seen(f"t{number + 2}", ContentDigest(f"other-{number}")), number + 1)
+        table.record_crash(
+            seen(f"t{number + 2}", ContentDigest(f"other-{number}")), number + 1
+        )
     known = [f"other-{n}" in table for n in range(RECORDS_MAX + 10)]
     assert sum(known) == RECORDS_MAX - 1
     assert table.is_held(POISON)
 
 
 def test_a_record_is_forgotten_in_the_end(table):
-    table.see(seen("t0", POISON), 0.0)
-    table.see(seen("t1", BYSTANDERS[0]), FORGET_MS)
+    table.record_crash(seen("t0", POISON), 0.0)
+    table.record_crash(seen("t1", BYSTANDERS[0]), FORGET_MS)
     assert POISON not in table and BYSTANDERS[0] in table
 
 
--- a/tests/core/test_placing_apart.py
+++ b/tests/core/test_placing_apart.py
@@ -3,7 +3,7 @@
 import pytest
 
 from crocusspindle.core.asks import Ask, Placed, Refused, Waiting
-from crocusspindle.core.crash_table import CrashSeen, CrashTable
+from crocusspindle.core.crash_table import CrashReport, CrashTable
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
 from crocusspindle.core.repeat_budget import RepeatBudget
 from crocusspindle.core.service_placer import ServicePlacer
@@ -53,7 +53,7 @@
 def crash(table, *targets):
     for target in targets:
         contents = frozenset((SUSPECT, ContentDigest(f"beside-{target}")))
-        table.see(CrashSeen(TargetIdentity(target), contents), 0.0)
+        table.record_crash(CrashReport(TargetIdentity(target), contents), 0.0)
 
 
 def end(placer, placed, ending=Ending.ANSWERED, at_ms=100.0):
@@ -110,10 +110,10 @@
     running = placer.ask(ask(SUSPECT), 0.0)
     waiting = placer.ask(ask(SUSPECT), 0.0)
     end(placer, running, Ending.CRASHED)
-    (seen,) = placer.crash_watch.seen()
+    (seen,) = placer.crash_watch.reports()
     assert seen.contents == {SUSPECT}
     assert waiting.settled is None
-    table.see(seen, 100.0)
+    table.record_crash(seen, 100.0)
     placer.settle(100.0)
     assert waiting.settled.reason == "held"
 
--- a/tests/core/test_placing_limits.py
+++ b/tests/core/test_placing_limits.py
@@ -7,7 +7,7 @@
 
 from crocusspindle.core.asks import Ask, Placed, Refused, Waiting
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
-from crocusspindle.core.rate_limit import LimitSaid
+from crocusspindle.core.rate_limit import LimitReport
 from crocusspindle.core.repeat_budget import RepeatBudget
 from crocusspindle.core.service_placer import ServicePlacer
 from crocusspindle.core.target_gauge import Ending
@@ -89,7 +89,7 @@
     def _end(self, at_ms, _, placed, priority, asked_ms):
         target = placed.target.identity
         limit = self.limits.get(target)
-        self.placer.hear_limit(LimitSaid(target, limit, at_ms - WORK_MS), at_ms)
+        self.placer.take_limit(LimitReport(target, limit, at_ms - WORK_MS), at_ms)
         self.placer.ended(target, placed.grant, Ending.ANSWERED, SENDER, WORK_MS, at_ms)
         self.outcomes[priority].append((target, at_ms - asked_ms))
 
@@ -147,8 +147,8 @@
     """Guards against two placers at once that each allow the whole limit."""
     placer = Load(1, [], 0.0).placer
     target = TargetIdentity("t0")
-    placer.hear_limit(LimitSaid(target, 1.0, 0.0), 0.0)
+    placer.take_limit(LimitReport(target, 1.0, 0.0), 0.0)
     for at_ms in (1_000.0, 2_000.0, 3_000.0):
-        placer.hear_paced(LimitSaid(target, 1.0, 0.0), at_ms)
+        placer.count_paced(LimitReport(target, 1.0, 0.0), at_ms)
         ask = Ask(SENDER, DomainId("a"), "pages", True, 0, AIM_MS, at_ms + 2_000.0)
         assert not isinstance(placer.ask(ask, at_ms), Placed)
--- a/tests/core/test_rate_limit.py
+++ b/tests/core/test_rate_limit.py
@@ -4,22 +4,22 @@
 
 from crocusspindle.core.listed_target import TargetIdentity
 from crocusspindle.core.rate_limit import (
+    ANSWERS_WITHOUT_LIMIT,
     LEAST_PER_S,
-    PLAIN_ANSWERS,
-    LimitSaid,
+    LimitReport,
     RateLimit,
 )
 
 TARGET = TargetIdentity("t0")
 
 
-def said(limit_per_s, asked_ms):
-    return LimitSaid(TARGET, limit_per_s, asked_ms)
+def report(limit_per_s, asked_ms):
+    return LimitReport(TARGET, limit_per_s, asked_ms)
 
 
 def limited(limit_per_s):
     made = RateLimit()
-    made.hear(said(limit_per_s, 0.0), 0.0)
+    made.take(report(limit_per_s, 0.0), 0.0)
     return made
 
 
@@ -66,25 +66,28 @@
 def test_an_older_answer_does_not_undo_a_newer_limit():
     """Guards against answers that overtake one another."""
     limit = limited(10.0)
-    assert limit.hear(said(1.0, 2_000.0), 2_100.0)
-    assert not limit.hear(said(10.0, 1_000.0), 2_200.0)
-    for _ in range(PLAIN_ANSWERS + 1):
-        assert not limit.hear(said(None, 1_900.0), 2_300.0)
+    assert limit.take(report(1.0, 2_000.0), 2_100.0)
+    assert not limit.take(report(10.0, 1_000.0), 2_200.0)
+    for _ in range(ANSWERS_WITHOUT_LIMIT + 1):
+        assert not limit.take(report(None, 1_900.0), 2_300.0)
     assert limit.limit_per_s == pytest.approx(1.0)
 
 
 def test_answers_without_a_limit_end_it():
     limit = limited(1.0)
-    ended = [limit.hear(said(None, 100.0 + n), 200.0 + n) for n in range(PLAIN_ANSWERS)]
-    assert ended == [False] * (PLAIN_ANSWERS - 1) + [True]
+    ended = [
+        limit.take(report(None, 100.0 + n), 200.0 + n)
+        for n in range(ANSWERS_WITHOUT_LIMIT)
+    ]
+    assert ended == [False] * (ANSWERS_WITHOUT_LIMIT - 1) + [True]
     assert not limit.holds and limit.allows(300.0)
 
 
 def test_an_answer_that_names_it_again_renews_it():
     limit = limited(1.0)
-    limit.hear(said(None, 100.0), 150.0)
-    limit.hear(said(1.0, 200.0), 250.0)
-    limit.hear(said(None, 300.0), 350.0)
+    limit.take(report(None, 100.0), 150.0)
+    limit.take(report(1.0, 200.0), 250.0)
+    limit.take(report(None, 300.0), 350.0)
     assert limit.holds
 
 
