Move a starting process's search for its fleet out of membership

The look for the view and the writing of the own row stand in gateway/registration.py; the restart of a virtual fleet is one function of its tests. Code moved, nothing decided otherwise.

--- a/src/crocusspindle/core/service_placer.py
+++ b/src/crocusspindle/core/service_placer.py
@@ -118,11 +118,15 @@
     def paced(self) -> list[LimitReport]:
         """Return the limits of targets that got work since the last call."""
         paced, self._paced = self._paced, []
-        return [
-            LimitReport(target, limit.limit_per_s, limit.asked_ms)
+        limits = {
+            target: self._gauges[target].limit
             for target in paced
             if target in self._gauges
-            for limit in (self._gauges[target].limit,)
+        }
+        return [
+            LimitReport(target, limits[target].limit_per_s, limits[target].asked_ms)
+            for target in paced
+            if target in limits
         ]
 
     def changes(self) -> list[StandingChange]:
--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -7,7 +7,6 @@
 from typing import ClassVar, Final
 
 from crocusspindle.clock import now_ms
-from crocusspindle.core.backoff import Backoff
 from crocusspindle.core.byte_pace import BytePace
 from crocusspindle.core.reader_choice import ReaderChoice
 from crocusspindle.core.rendezvous import order
@@ -33,6 +32,7 @@
     State,
 )
 from crocusspindle.gateway.reading import ASKED_MS, OWN_MS, Reading, ReadReason
+from crocusspindle.gateway.registration import Registration
 from crocusspindle.gateway.view_keeper import (
     OLD_PROOF_MS,
     PEER_LIMIT_S,
@@ -58,14 +58,6 @@
 """A member that has not pinged for two periods is probed, and is away if it does not
 answer that either."""
 
-REGISTER_AGAIN_MS: Final = 500.0
-REGISTER_MAX_MS: Final = 4_000.0
-"""Longest wait between tries while nobody else can be found."""
-
-REGISTER_LATER_MAX_MS: Final = 30_000.0
-"""Longest wait between tries of a host that has found the others. They name it without
-its row, which serves those that start when nobody reads."""
-
 AGAIN_S: Final = 0.25
 """Who waits for whole lists asks again as soon as there may be room."""
 
@@ -102,6 +94,7 @@
         self._exchange = exchange
         self._knowledge = knowledge
         self._reading = reading
+        self._registration = Registration(node, knowledge, reading, draw, self.spawn)
         self._views = ViewKeeper(node, exchange, knowledge, reading, over)
         self._log = Logger("membership")
         self._met: dict[HostId, NodeAddress] = {node.host: node}
@@ -142,7 +135,7 @@
         return None if node is None else (node.ip, node.peer_port)
 
     async def _introduce(self) -> None:
-        await self._find_fleet()
+        await self._registration.find_fleet()
         for node in self._reading.nodes.values():
             self._meet(node)
         # Whoever may be asked first knows this process by then. Told to all, the start
@@ -158,37 +151,6 @@
             await asyncio.sleep(FIRST_START_S)
         self.spawn(self._keep_fresh())
 
-    async def _find_fleet(self) -> None:
-        """Learn who is there, and have this node's row written."""
-        backoff = Backoff(REGISTER_AGAIN_MS, REGISTER_MAX_MS, self._draw)
-        registered = False
-        while True:
-            try:
-                if self._knowledge.view.content is None:
-                    await self._reading.read_fleet()
-                if self._knowledge.view.content is not None:
-                    # A fleet that comes back has more rows to write than the store
-                    # takes in a second, and none of them is needed to find a reader.
-                    if not registered:
-                        self.spawn(self._register_later())
-                    return
-                if registered:
-                    return
-                await self._reading.register(self._node)
-                registered = True
-            except PlatformError as error:
-                log_state_change(self._log, "cannot register", error=str(error))
-                await asyncio.sleep(backoff.next_ms() / 1e3)
-
-    async def _register_later(self) -> None:
-        backoff = Backoff(REGISTER_MAX_MS, REGISTER_LATER_MAX_MS, self._draw)
-        while True:
-            try:
-                return await self._reading.register(self._node)
-            except PlatformError as error:
-                log_state_change(self._log, "cannot register", error=str(error))
-                await asyncio.sleep(backoff.next_ms() / 1e3)
-
     def _own_hello(self) -> Hello:
         return Hello(packed_node(self._node))
 
--- a/tests/gateway/test_fleet_settles.py
+++ b/tests/gateway/test_fleet_settles.py
@@ -69,6 +69,14 @@
     return play_on
 
 
+async def restart_all(fleet: VirtualFleet) -> None:
+    """Kill all processes at once and start them again a second later."""
+    for name in list(fleet.nodes):
+        await fleet.kill(name)
+    await asyncio.sleep(1.0)
+    await fleet.start_all()
+
+
 async def assert_rests(fleet: VirtualFleet, for_s: float) -> None:
     """Look for a while: one view that names all, few readers, few messages."""
     views, calls, sent = fleet.views(), fleet.store.calls.total(), fleet.sent()
@@ -185,10 +193,7 @@
     async def scene(fleet: VirtualFleet) -> None:
         await fleet.start_all()
         await asyncio.sleep(READY_AFTER_S)
-        for name in list(fleet.nodes):
-            await fleet.kill(name)
-        await asyncio.sleep(1.0)
-        await fleet.start_all()
+        await restart_all(fleet)
         await asyncio.sleep(KNOWS_S)
         known = [n.knowledge.configuration.content for n in fleet.nodes.values()]
         assert None not in known
@@ -211,10 +216,7 @@
         fleet.store.writes_per_s = WRITES_PER_S
         await fleet.start_all()
         await asyncio.sleep(READY_AFTER_S)
-        for name in list(fleet.nodes):
-            await fleet.kill(name)
-        await asyncio.sleep(1.0)
-        await fleet.start_all()
+        await restart_all(fleet)
         await asyncio.sleep(KNOWS_S)
         known = [n.knowledge.configuration.content for n in fleet.nodes.values()]
         assert None not in known
