Log how many connections of callers a leaving node holds

The lines of a drain told how many requests run, not whether a connection is still open when the port has closed or the process ends. "caller port closed" and "drained" now have both, which tells a request that is not counted from a connection that is not closed.

--- a/src/crocusspindle/gateway/ports.py
+++ b/src/crocusspindle/gateway/ports.py
@@ -149,11 +149,20 @@
         self._entry.leaving = True
         await asyncio.sleep(grace_ms * ACCEPTING_FRACTION / 1e3)
         await self._close_caller_port()
+        self._log_connections("caller port closed")
         await asyncio.sleep(LAST_REQUESTS_S)
         give_up_ms = began_ms + grace_ms * GIVE_UP_FRACTION
         while self._entry.running and now_ms() < give_up_ms:
             await asyncio.sleep(0.02)
-        log_state_change(self._log, "drained", running=self._entry.running)
+        self._log_connections("drained")
+
+    def _log_connections(self, message: str) -> None:
+        log_state_change(
+            self._log,
+            message,
+            running=self._entry.running,
+            connections=len(self._caller_server.connections),
+        )
 
     async def _close_caller_port(self) -> None:
         if self._caller_listener is not None:
--- a/tests/gateway/test_ports.py
+++ b/tests/gateway/test_ports.py
@@ -35,7 +35,8 @@
 
     ports = ports_with(entry)
     ports._caller_server = SimpleNamespace(
-        pre_shutdown=lambda: asyncio.get_running_loop().create_task(run_last_request())
+        connections=[],
+        pre_shutdown=lambda: asyncio.get_running_loop().create_task(run_last_request()),
     )
     await ports.drain()
     assert ended.is_set()
