Add failing tests of requests that a leaving process reads and drops

Real processes. A body whose rest arrives after the port has closed is never completed: 408 where 200 is due.

--- /dev/null
+++ b/tests/gateway/test_planned_stop.py
@@ -0,0 +1,105 @@
+"""Tests of a gateway process that is stopped while callers use their connections."""
+
+import asyncio
+import signal
+
+import pytest
+
+from crocusspindle_standins.on_platform.fleet import KEY, Fleet, Gateway
+
+CLOSING_LIMIT_S = 0.2
+"""A connection that is closed without a response must close within this time of its
+last request."""
+
+WORK_S = 1.9
+"""Work that begins while a leaving gateway accepts connections and ends after that."""
+
+BODY = b"x" * 2_000
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    started = Fleet(tmp_path)
+    try:
+        await started.start()
+        yield started
+    finally:
+        await started.stop()
+
+
+def request_head(request_id: str, method: str = "GET", length: int = 0) -> bytes:
+    path = "/pages/1" if method == "GET" else "/orders/1"
+    framing = "" if method == "GET" else f"Content-Length: {length}\r\n"
+    return (
+        f"{method} {path} HTTP/1.1\r\nHost: hall.example\r\n{framing}"
+        f"X-Request-Id: {request_id}\r\nX-Api-Key: {KEY}\r\n"
+        "X-Deadline-Milliseconds: 3000\r\n\r\n"
+    ).encode()
+
+
+async def connect(gateway: Gateway):
+    return await asyncio.open_connection(gateway.ip, gateway.ports[0])
+
+
+async def until_port_closes(gateway: Gateway) -> None:
+    """Wait until new connections are refused."""
+    while True:
+        try:
+            _, writer = await connect(gateway)
+        except ConnectionRefusedError:
+            return
+        writer.close()
+        await asyncio.sleep(0.01)
+
+
+async def outcome_of(reader, writer, data: bytes) -> tuple[str, float]:
+    """Send a request; return how its connection went on, and after which time."""
+    loop = asyncio.get_running_loop()
+    sent_at_s = loop.time()
+    try:
+        writer.write(data)
+        await writer.drain()
+        received = await reader.read(100)
+    except ConnectionError:
+        received = b""
+    outcome = received.split(b"\r\n")[0].decode() or "closed"
+    return outcome, loop.time() - sent_at_s
+
+
+async def test_a_leaving_gateway_closes_idle_connections_with_its_port(fleet):
+    """Guards against a leaving process that reads a request and drops it.
+
+    Callers use open connections until the process is gone.
+    """
+    for target in fleet.targets:
+        target.work_s = WORK_S
+    gateway = fleet.gateways[0]
+    kept, unused = await connect(gateway), await connect(gateway)
+    gateway.process.send_signal(signal.SIGTERM)
+    await asyncio.sleep(0.5)
+    slow_call = asyncio.create_task(fleet.call("/pages/slow"))
+    async with asyncio.timeout(4):
+        await until_port_closes(gateway)
+    await asyncio.sleep(0.05)
+    for number, connection in enumerate((kept, unused)):
+        async with asyncio.timeout(4):
+            outcome, took_s = await outcome_of(
+                *connection, request_head(f"late{number}")
+            )
+        assert outcome == "HTTP/1.1 200 OK" or took_s < CLOSING_LIMIT_S
+    assert (await slow_call)[0] == 200
+
+
+async def test_a_body_that_arrives_as_the_port_closes_is_read(fleet):
+    """Guards against a leaving process that drops the rest of a request's body."""
+    gateway = fleet.gateways[0]
+    reader, writer = await connect(gateway)
+    gateway.process.send_signal(signal.SIGTERM)
+    await asyncio.sleep(0.1)
+    writer.write(request_head("upload", "POST", len(BODY)) + BODY[:100])
+    async with asyncio.timeout(4):
+        await until_port_closes(gateway)
+        await asyncio.sleep(0.05)
+        outcome, _ = await outcome_of(reader, writer, BODY[100:])
+    assert outcome == "HTTP/1.1 200 OK"
+    assert fleet.ran("upload") == 1
