Close the connections of callers that a leaving node no longer reads

Cause: when the caller port closed, the node called the library's close() on every connection. That marks the connection: from then on the library reads what arrives and drops it. An idle connection stays open, since its task is cancelled before it closes the transport; a request in progress never gets the rest of its body. Both end with the process. Ruled out: requests that are not counted while they wait for a token or a placement; every one is counted from the start of its task (entry.py), and the process would have waited. Change: a leaving node closes idle connections itself, leaves those alone on which a request has begun to arrive, and ends once no connection is open or at the end of the same time as before. Responses of a leaving node close their connection, so each one ends. Why it works: no connection is open that nobody reads; what was read has a task whose response closes the connection, and the process waits for that. The wait of 0.1 s for requests that had been read as the port closed goes: the connection that holds one is still open, so the node waits for it without a guess. Its test is replaced: it fed a stub in place of the connections; now a real connection reads a request at the moment the port closes, and the caller must get the response.

--- a/src/crocusspindle/gateway/caller_port.py
+++ b/src/crocusspindle/gateway/caller_port.py
@@ -14,6 +14,7 @@
 from aiohttp.http_parser import RawRequestMessage
 from aiohttp.http_writer import StreamWriter
 
+from crocusspindle.clock import now_ms
 from crocusspindle.core.configuration import CallerLimits
 from crocusspindle.gateway.entry import Entry, ProcessedRequest
 
@@ -34,13 +35,16 @@
 caller from occupying the slots of many others."""
 
 
+CLOSE_POLL_S: Final = 0.02
+
+
 class CallerProtocol(web.RequestHandler):
     """Serve one connection of a caller."""
 
     __slots__ = (
-        "_close_pending",
         "_entry",
         "_first_request_timer",
+        "_head_incomplete",
         "_limits",
         "_started_early",
     )
@@ -62,7 +66,7 @@
         self._entry = entry
         # Keeps the message beside the task: its id() is unique only while it exists.
         self._started_early: dict[int, tuple[Any, asyncio.Task[ProcessedRequest]]] = {}
-        self._close_pending = False
+        self._head_incomplete = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the timer that closes a connection without a first request.
@@ -86,9 +90,14 @@
     def data_received(self, data: bytes) -> None:
         """Start pipelined requests that wait behind others."""
         super().data_received(data)
-        if self._messages and not self._close_pending:
+        self._head_incomplete = self._is_waiting
+        if self._messages:
             self._start_waiting()
 
+    @property
+    def _is_waiting(self) -> bool:
+        return self._waiter is not None and not self._waiter.done()
+
     def _start_waiting(self) -> None:
         # All requests ahead must be plain GETs too: one whose response closes the
         # connection would leave forwarded requests behind it without a response.
@@ -146,20 +155,14 @@
             return
         super()._process_keepalive()
 
-    def close(self) -> None:
-        """Close once all requests that were started early are answered.
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request on it has begun to arrive.
 
-        Callers can't know that these were read, and targets already work on them.
+        The library's `close` keeps an idle connection open and drops all that arrives
+        on it, requests and the rest of a body alike.
         """
-        if self._started_early:
-            self._close_pending = True
-            return
-        super().close()
-
-    def record_response_sent(self) -> None:
-        """Record a sent response; complete a pending close after the last one."""
-        if self._close_pending and not self._started_early:
-            super().close()
+        if self._is_waiting and not self._head_incomplete:
+            self.force_close()
 
     def record_header_received(self) -> None:
         """Record that a complete request header was received."""
@@ -212,5 +215,23 @@
         response = await self._entry.handle(request, protocol.pop_started(request))
         if self._entry.leaving and not protocol.has_started_requests:
             response.force_close()
-        protocol.record_response_sent()
         return response
+
+    async def close_connections(self, give_up_ms: float) -> None:
+        """Close each connection once it holds no request; return by a deadline.
+
+        A connection that was accepted as the port closed is not known before the next
+        turn of the event loop.
+        """
+        while True:
+            for connection in self.connections:
+                assert isinstance(connection, CallerProtocol)
+                connection.close_if_idle()
+            await asyncio.sleep(CLOSE_POLL_S)
+            if not self.connections or now_ms() >= give_up_ms:
+                return
+
+    def abort_connections(self) -> None:
+        """Close all connections at once."""
+        for connection in self.connections:
+            connection.force_close()
--- a/src/crocusspindle/gateway/ports.py
+++ b/src/crocusspindle/gateway/ports.py
@@ -39,10 +39,6 @@
 """Fraction of the grace period after which running requests are given up. The process
 needs the rest to exit by itself on a busy host."""
 
-LAST_REQUESTS_S: Final = 0.1
-"""Time for requests that arrived before the caller port closed to be counted as
-running: a connection may have read one whose task has not started."""
-
 READY_MARGIN_MS: Final = 500.0
 """A node reports itself not ready this long before the revocation time has passed since
 the last confirmation of its configuration, so that callers have moved to other nodes
@@ -142,18 +138,17 @@
         return web.Response(body=self._metrics.render(), content_type="text/plain")
 
     async def drain(self) -> None:
-        """Leave the fleet; give running requests up to `GIVE_UP_FRACTION` to end."""
+        """Leave the fleet; answer callers for up to `GIVE_UP_FRACTION`."""
         began_ms = now_ms()
         grace_ms = self._bounds.current.grace_ms
         self._membership.leave()
         self._entry.leaving = True
         await asyncio.sleep(grace_ms * ACCEPTING_FRACTION / 1e3)
-        await self._close_caller_port()
+        self._close_caller_port()
         self._log_connections("caller port closed")
-        await asyncio.sleep(LAST_REQUESTS_S)
-        give_up_ms = began_ms + grace_ms * GIVE_UP_FRACTION
-        while self._entry.running and now_ms() < give_up_ms:
-            await asyncio.sleep(0.02)
+        await self._caller_server.close_connections(
+            began_ms + grace_ms * GIVE_UP_FRACTION
+        )
         self._log_connections("drained")
 
     def _log_connections(self, message: str) -> None:
@@ -164,15 +159,16 @@
             connections=len(self._caller_server.connections),
         )
 
-    async def _close_caller_port(self) -> None:
+    def _close_caller_port(self) -> None:
         if self._caller_listener is not None:
             self._caller_listener.close()
             self._caller_listener = None
-        self._caller_server.pre_shutdown()
 
     async def stop(self) -> None:
         """Close all ports."""
-        await self._close_caller_port()
+        self._close_caller_port()
+        self._entry.leaving = True
+        self._caller_server.abort_connections()
         for server in self._other_servers:
             server.close()
 
--- a/tests/gateway/test_ports.py
+++ b/tests/gateway/test_ports.py
@@ -1,42 +1,130 @@
 """Drain a node's ports while callers still send requests."""
 
 import asyncio
+import socket
 from types import SimpleNamespace
 
+import pytest
+from aiohttp import web
+
+from crocusspindle.core.configuration import CallerLimits
+from crocusspindle.gateway.caller_port import CallerServer
 from crocusspindle.gateway.dialect import Dialect
-from crocusspindle.gateway.ports import Ports
+from crocusspindle.gateway.ports import GIVE_UP_FRACTION, Ports
 
 GRACE_MS = 1_000.0
 REQUEST_S = 0.2
+REQUEST = b"GET /pages/1 HTTP/1.1\r\nHost: hall.example\r\n\r\n"
+HEAD_PART = 20
+
+
+class SlowEntry:
+    """Respond to each request after some time."""
+
+    def __init__(self) -> None:
+        self.leaving = False
+        self.running = 0
+
+    async def handle(self, request, started):
+        """Respond after `REQUEST_S`."""
+        await asyncio.sleep(REQUEST_S)
+        return web.Response(text="done")
+
+
+class Node:
+    """Hold ports with one listener, and act at the moment the listener closes."""
+
+    def __init__(self) -> None:
+        self.entry = SlowEntry()
+        self.server = CallerServer(self.entry, CallerLimits)
+        bounds = SimpleNamespace(current=SimpleNamespace(grace_ms=GRACE_MS))
+        membership = SimpleNamespace(leave=lambda: None)
+        self.ports = Ports(
+            None,
+            Dialect,
+            None,
+            membership,
+            self.entry,
+            None,
+            bounds,
+            SimpleNamespace(),
+        )
+        self.ports._caller_server = self.server
+        self.port = 0
+        self.at_close = lambda: None
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        listener = await loop.create_server(self.server, "127.0.0.1", 0)
+        self.port = listener.sockets[0].getsockname()[1]
+
+        def close() -> None:
+            listener.close()
+            self.at_close()
 
+        self.ports._caller_listener = SimpleNamespace(close=close)
 
-def ports_with(entry) -> Ports:
-    """Return ports without listeners."""
-    bounds = SimpleNamespace(current=SimpleNamespace(grace_ms=GRACE_MS))
-    membership = SimpleNamespace(leave=lambda: None)
-    return Ports(
-        None, Dialect, None, membership, entry, None, bounds, SimpleNamespace()
-    )
+    async def connect(self):
+        streams = await asyncio.open_connection("127.0.0.1", self.port)
+        await asyncio.sleep(0.05)
+        return streams
 
 
-async def test_request_read_as_the_port_closes_is_answered():
+@pytest.fixture
+async def node():
+    started = Node()
+    await started.start()
+    yield started
+    await started.ports.stop()
+
+
+async def test_request_read_as_the_port_closes_is_answered(node):
     """Guards against a process that ends with a request that it has read.
 
     The connection holds the request, and its task has not begun when the port closes.
     """
-    entry = SimpleNamespace(running=0, leaving=False)
-    ended = asyncio.Event()
+    reader, writer = await node.connect()
+    (connection,) = node.server.connections
+    node.at_close = lambda: connection.data_received(REQUEST)
+    await node.ports.drain()
+    assert not node.server.connections
+    assert (await reader.read()).startswith(b"HTTP/1.1 200 OK")
+    writer.close()
 
-    async def run_last_request() -> None:
-        entry.running += 1
-        await asyncio.sleep(REQUEST_S)
-        entry.running -= 1
-        ended.set()
-
-    ports = ports_with(entry)
-    ports._caller_server = SimpleNamespace(
-        connections=[],
-        pre_shutdown=lambda: asyncio.get_running_loop().create_task(run_last_request()),
-    )
-    await ports.drain()
-    assert ended.is_set()
+
+async def test_request_whose_head_arrives_in_parts_is_answered(node):
+    """Guards against a process that closes a connection in the middle of a head."""
+    reader, writer = await node.connect()
+    (connection,) = node.server.connections
+    node.at_close = lambda: connection.data_received(REQUEST[:HEAD_PART])
+    drain = asyncio.create_task(node.ports.drain())
+    while node.ports._caller_listener is not None:
+        await asyncio.sleep(0.01)
+    writer.write(REQUEST[HEAD_PART:])
+    await drain
+    assert (await reader.read()).startswith(b"HTTP/1.1 200 OK")
+    writer.close()
+
+
+async def test_connection_accepted_as_the_port_closes_is_closed(node):
+    """Guards against a connection that the end of the drain leaves open.
+
+    It is accepted when the idle connections have been closed for the first time.
+    """
+    callers_socket, accepted_socket = socket.socketpair()
+    accepting = []
+
+    def accept() -> None:
+        loop = asyncio.get_running_loop()
+        accepting.append(
+            loop.create_task(loop.connect_accepted_socket(node.server, accepted_socket))
+        )
+
+    node.at_close = accept
+    began_s = asyncio.get_running_loop().time()
+    await node.ports.drain()
+    took_s = asyncio.get_running_loop().time() - began_s
+    assert took_s < GRACE_MS * GIVE_UP_FRACTION / 1e3
+    assert accepting[0].done() and not node.server.connections
+    with callers_socket:
+        assert callers_socket.recv(1) == b""
