Read what a target's response tells of the target into one value, and log it

Only the limit was read, by a function of its own; Retry-After of a refusal and Server-Leaving were forwarded or dropped unseen, so that no line told a target that asks for rest from one that is full. One typed value now holds all signals of a response, decoded at the platform's edge from every response but that of another target. The request lines have rest_ms and leaving; a malformed value and a header of that family that is not known are logged once each.

--- a/src/crocusspindle/gateway/attempt_runner.py
+++ b/src/crocusspindle/gateway/attempt_runner.py
@@ -7,6 +7,7 @@
 from crocusspindle.clock import now_ms
 from crocusspindle.core.configuration import LOWEST_PRIORITY, choose_service
 from crocusspindle.core.placement_request import PlacementRequest
+from crocusspindle.core.target_signals import NO_SIGNALS
 from crocusspindle.core.target_tracker import AttemptOutcome
 from crocusspindle.core.view import NodeAddress
 from crocusspindle.gateway import instruments
@@ -179,10 +180,10 @@
             return result
         finally:
             latency_ms = now_ms() - began_ms
+            signals = result.signals if result else NO_SIGNALS
             if outcome is not AttemptOutcome.CRASHED:
-                limit_per_s = result.limit_per_s if result else None
                 self._placing.report_outcome(
-                    placement, context.content, outcome, latency_ms, limit_per_s
+                    placement, context.content, outcome, latency_ms, signals.limit_per_s
                 )
             context.arrived_attempts += outcome.arrived
             context.may_have_run |= outcome.may_have_run
@@ -195,7 +196,9 @@
                     "after_ms": round(began_ms - context.began_ms),
                     "latency_ms": round(latency_ms),
                     "detail": result.detail if result else "",
-                    "limit_per_s": result.limit_per_s if result else None,
+                    "limit_per_s": signals.limit_per_s,
+                    "rest_ms": signals.rest_ms,
+                    "leaving": signals.is_leaving,
                 }
             )
             self._metrics.add(instruments.ATTEMPTS, ending=outcome.value)
--- a/src/crocusspindle/gateway/dialect.py
+++ b/src/crocusspindle/gateway/dialect.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
+from crocusspindle.core.target_signals import TargetSignals
+
 
 @dataclass(frozen=True)
 class Dialect:
@@ -13,9 +15,8 @@
     the addresses of nodes at `where_path`: `caller_domain` parses the query, and
     `where_response` encodes the addresses and for how many seconds they are valid.
 
-    `target_limit_per_s` reads from a response's headers the requests per second that
-    its target accepts from the whole fleet; it returns None if the header is missing
-    and raises ``InvalidInputError`` if its value is not a rate.
+    `target_signals` reads from a response's status and headers what they tell of its
+    target. Malformed values have no effect; the signals name them.
     """
 
     request_id: str
@@ -27,6 +28,6 @@
     not_run: str
     readiness_path: str
     where_path: str
-    target_limit_per_s: Callable[[Mapping[str, str]], float | None]
+    target_signals: Callable[[int, Mapping[str, str]], TargetSignals]
     caller_domain: Callable[[Mapping[str, str]], str]
     where_response: Callable[[Sequence[str], float], bytes]
--- a/src/crocusspindle/gateway/target_client.py
+++ b/src/crocusspindle/gateway/target_client.py
@@ -10,9 +10,9 @@
 from yarl import URL
 
 from crocusspindle.clock import now_ms, remaining_s
-from crocusspindle.core.listed_target import ListedTarget
+from crocusspindle.core.listed_target import ListedTarget, TargetIdentity
+from crocusspindle.core.target_signals import NO_SIGNALS, TargetSignals
 from crocusspindle.core.target_tracker import AttemptOutcome
-from crocusspindle.errors import InvalidInputError
 from crocusspindle.gateway.dialect import Dialect
 from crocusspindle.gateway.strict_connector import strict_connector
 from crocusspindle.log_lines import Logger, log_state_change
@@ -35,6 +35,7 @@
 """Timeout of the connection that shows whether a target's process has exited. A running
 target accepts a connection within a few milliseconds."""
 
+MAX_LOGGED_SIGNALS: Final = 256
 SERVER_ERROR: Final = 500
 MISDIRECTED: Final = 421
 SUCCESS_STATUSES: Final = range(200, 300)
@@ -69,7 +70,7 @@
     latency_ms: float
     target_response: TargetResponse | None = None
     detail: str = ""
-    limit_per_s: float | None = None
+    signals: TargetSignals = NO_SIGNALS
 
 
 class TargetClient:
@@ -83,6 +84,7 @@
         self._dialect = dialect
         self._log = Logger("sender")
         self._session: aiohttp.ClientSession | None = None
+        self._logged: set[tuple[TargetIdentity, str]] = set()
 
     async def start(self) -> None:
         """Open the session."""
@@ -162,24 +164,36 @@
             allow_redirects=False,
         )
         try:
+            signals = self._read_signals(target, response)
             result = await self._classify_response(response, outgoing)
-            if result.outcome is not AttemptOutcome.MISDIRECTED:
-                result.limit_per_s = self._limit_per_s(target, response)
+            result.signals = signals
             return result
         except BaseException:
             response.close()
             raise
 
-    def _limit_per_s(
+    def _read_signals(
         self, target: ListedTarget, response: aiohttp.ClientResponse
-    ) -> float | None:
-        try:
-            return self._dialect.target_limit_per_s(response.headers)
-        except InvalidInputError as error:
-            log_state_change(
-                self._log, "limit refused", target=target.identity, error=str(error)
-            )
-            return None
+    ) -> TargetSignals:
+        if response.status == MISDIRECTED:
+            # Another target responds, and its signals are not about this one.
+            return NO_SIGNALS
+        signals = self._dialect.target_signals(response.status, response.headers)
+        for finding in signals.refused:
+            self._log_once("target signal refused", target, str(finding))
+        for name in signals.unknown:
+            self._log_once("target signal unknown", target, name)
+        return signals
+
+    def _log_once(self, message: str, target: ListedTarget, text: str) -> None:
+        # A target may repeat a malformed value in every response.
+        key = (target.identity, text)
+        if key in self._logged:
+            return
+        if len(self._logged) >= MAX_LOGGED_SIGNALS:
+            self._logged.clear()
+        self._logged.add(key)
+        log_state_change(self._log, message, target=target.identity, signal=text)
 
     async def _classify_response(
         self, response: aiohttp.ClientResponse, outgoing: OutgoingRequest
--- a/src/crocusspindle/platform/dialect.py
+++ b/src/crocusspindle/platform/dialect.py
@@ -5,12 +5,18 @@
 from collections.abc import Mapping, Sequence
 from typing import Final
 
-from crocusspindle.errors import Finding, InvalidInputError
+from crocusspindle.core.target_signals import TargetSignals
+from crocusspindle.errors import Finding
 from crocusspindle.gateway.dialect import Dialect
 
 READINESS_PATH: Final = "/-/readiness"
 WHERE_PATH: Final = "/-/resolve"
 LIMIT_HEADER: Final = "Server-Limit"
+LEAVING_HEADER: Final = "Server-Leaving"
+REST_HEADER: Final = "Retry-After"
+SIGNAL_PREFIX: Final = "server-"
+KNOWN_SIGNALS: Final = frozenset({LIMIT_HEADER.lower(), LEAVING_HEADER.lower()})
+REST_STATUSES: Final = frozenset({429, 503})
 
 
 def dialect() -> Dialect:
@@ -25,24 +31,56 @@
         not_run="X-Not-Executed",
         readiness_path=READINESS_PATH,
         where_path=WHERE_PATH,
-        target_limit_per_s=_target_limit_per_s,
+        target_signals=_target_signals,
         caller_domain=_caller_domain,
         where_response=_where_response,
     )
 
 
-def _target_limit_per_s(headers: Mapping[str, str]) -> float | None:
-    text = headers.get(LIMIT_HEADER)
+def _target_signals(status: int, headers: Mapping[str, str]) -> TargetSignals:
+    refused: list[Finding] = []
+    rest_s = None
+    if status in REST_STATUSES:
+        rest_s = _amount(headers, REST_HEADER, "a time in seconds", refused)
+    return TargetSignals(
+        limit_per_s=_amount(
+            headers, LIMIT_HEADER, "a rate in requests per second", refused
+        ),
+        rest_ms=None if rest_s is None else rest_s * 1e3,
+        is_leaving=_is_leaving(headers, refused),
+        refused=tuple(refused),
+        unknown=tuple(
+            name
+            for name in headers
+            if name.lower().startswith(SIGNAL_PREFIX)
+            and name.lower() not in KNOWN_SIGNALS
+        ),
+    )
+
+
+def _amount(
+    headers: Mapping[str, str], name: str, meaning: str, refused: list[Finding]
+) -> float | None:
+    """Return the header's value; add a finding if it is no finite amount."""
+    text = headers.get(name)
     if text is None:
         return None
     try:
-        limit_per_s = float(text)
+        amount = float(text)
     except ValueError:
-        limit_per_s = math.nan
-    if math.isfinite(limit_per_s) and limit_per_s >= 0.0:
-        return limit_per_s
-    message = f"{text!r} is not a rate in requests per second"
-    raise InvalidInputError([Finding("answer", LIMIT_HEADER, message)])
+        amount = math.nan
+    if math.isfinite(amount) and amount >= 0.0:
+        return amount
+    refused.append(Finding("response", name, f"{text!r} is not {meaning}"))
+    return None
+
+
+def _is_leaving(headers: Mapping[str, str], refused: list[Finding]) -> bool:
+    text = headers.get(LEAVING_HEADER)
+    if text is not None and text.strip() not in ("0", "1"):
+        message = f"{text!r} is neither 0 nor 1"
+        refused.append(Finding("response", LEAVING_HEADER, message))
+    return text is not None and text.strip() == "1"
 
 
 def _caller_domain(query: Mapping[str, str]) -> str:
