Add failing tests of targets that ask for rest or say that they leave

Real processes, eight callers in a closed loop before four targets, two of which turn all away with Retry-After: 3. A target whose responses say that it leaves while the list says ready gets work until the end of the run. The stand-in target sends both headers and records its arrivals; the fleet records through which gateway a request went.

--- a/src/crocusspindle_standins/on_platform/fleet.py
+++ b/src/crocusspindle_standins/on_platform/fleet.py
@@ -90,7 +90,10 @@
 
 @dataclass
 class Fleet:
-    """Hold the store, the targets and the gateways of one test."""
+    """Hold the store, the targets and the gateways of one test.
+
+    ``sent_through`` has the gateway's name for each request id.
+    """
 
     folder: Path
     store: TableStore = field(default_factory=TableStore)
@@ -101,6 +104,7 @@
     runner: web.AppRunner | None = None
     heartbeat_task: asyncio.Task[None] | None = None
     requests: int = 0
+    sent_through: dict[str, str] = field(default_factory=dict)
     _published: dict[str, str] = field(default_factory=dict)
 
     async def start(self, gateways: int = 3, targets: int = 4) -> None:
@@ -234,6 +238,7 @@
             "X-Deadline-Milliseconds": "2000",
             "X-Api-Key": key,
         }
+        self.sent_through[f"r{self.requests}"] = self.gateways[gateway].name
         url = self.gateways[gateway].caller_url + path
         async with self.client.request(
             method, url, headers=request_headers, **options
--- a/src/crocusspindle_standins/on_platform/target.py
+++ b/src/crocusspindle_standins/on_platform/target.py
@@ -25,6 +25,15 @@
 SHUTDOWN_S: Final = 0.1
 
 
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """Record a request that arrived, and the rest that its refusal asked for."""
+
+    request_id: str
+    at_s: float
+    rest_s: float | None
+
+
 @dataclass(frozen=True, slots=True)
 class Crash:
     """Record a request that crashed the target, and its monotonic start time."""
@@ -54,7 +63,11 @@
 
 @dataclass
 class PlatformTarget:
-    """Run requests in a few slots, and record what ran."""
+    """Run requests in a few slots, and record what ran.
+
+    If it ``is_leaving``, its responses say so and its entry does not. If ``rest_s`` is
+    set, each refusal asks the sender to send nothing for so long.
+    """
 
     identity: str
     service: str
@@ -62,6 +75,9 @@
     slots: int = 2
     work_s: float = 0.02
     limit: str | None = None
+    rest_s: float | None = None
+    is_leaving: bool = False
+    arrivals: list[Arrival] = field(default_factory=list)
     survives_crashing_requests: bool = False
     arrival_times_s: list[float] = field(default_factory=list)
     restart_delay_s: float = 1.0
@@ -141,18 +157,30 @@
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.headers.get("X-Expected-Instance") != self.identity:
             return web.Response(status=421, headers={"X-Instance-Id": self.identity})
-        self.arrival_times_s.append(time.monotonic())
-        if (
+        now_s = time.monotonic()
+        self.arrival_times_s.append(now_s)
+        is_shed = (
             self.fault is TargetFault.SHEDS
             or self._in_flight >= self.slots + MAX_QUEUED
-        ):
-            return web.Response(status=503, headers={"X-Not-Executed": "1"})
+        )
+        rest_s = self.rest_s if is_shed else None
+        self.arrivals.append(Arrival(request.headers["X-Request-Id"], now_s, rest_s))
+        if is_shed:
+            return web.Response(status=503, headers=self._refusal_headers())
         self._in_flight += 1
         try:
             return await self._run(request)
         finally:
             self._in_flight -= 1
 
+    def _refusal_headers(self) -> dict[str, str]:
+        headers = {"X-Not-Executed": "1"}
+        if self.rest_s is not None:
+            headers["Retry-After"] = str(self.rest_s)
+        if self.is_leaving:
+            headers["Server-Leaving"] = "1"
+        return headers
+
     async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
         request_id = request.headers["X-Request-Id"]
         body = await request.content.read()
@@ -176,6 +204,8 @@
         headers = {"X-Request-Id": request_id, "X-Server-Stamp": f"s-{self.identity}"}
         if self.limit is not None:
             headers["Server-Limit"] = self.limit
+        if self.is_leaving:
+            headers["Server-Leaving"] = "1"
         if self.fault in (TargetFault.UNFRAMED, TargetFault.UNFRAMED_RESETS):
             return await self._respond_unframed(request, headers)
         response_body = b"answer to " + request.path_qs.encode() + b" " + body
--- /dev/null
+++ b/tests/gateway/test_resting_targets.py
@@ -0,0 +1,144 @@
+"""Tests of targets that ask a host for rest, or say that they are leaving."""
+
+import asyncio
+import time
+from collections import Counter
+
+import pytest
+
+from crocusspindle_standins.on_platform.fleet import Fleet
+from crocusspindle_standins.on_platform.target import PlatformTarget, TargetFault
+
+GATEWAYS = 4
+CALLERS = 8
+OK = 200
+NOT_RUN = 503
+
+REST_S = 3.0
+REST_BEGINS_S = 0.5
+"""Time after a refusal from which its rest binds the host that got it."""
+
+LEAVING_KNOWN_S = 1.0
+"""Time after the first response that says so in which the fleet learns that a target
+is leaving."""
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    started = Fleet(tmp_path)
+    try:
+        await started.start(GATEWAYS, targets=4)
+        yield started
+    finally:
+        await started.stop()
+
+
+def let_rest(target: PlatformTarget, rest_s: float = REST_S) -> None:
+    """Let a target turn all requests away and ask for rest."""
+    target.fault, target.rest_s = TargetFault.SHEDS, rest_s
+
+
+def running(fleet: Fleet) -> list[int]:
+    """Return the numbers of the gateways whose process runs."""
+    return [
+        number
+        for number, gateway in enumerate(fleet.gateways)
+        if gateway.process is not None and gateway.process.returncode is None
+    ]
+
+
+async def call_steadily(fleet: Fleet, for_s: float) -> Counter[int]:
+    """Let callers send one request after the other; count the response statuses."""
+    statuses: Counter[int] = Counter()
+    until_s = time.monotonic() + for_s
+
+    async def call(caller: int) -> None:
+        number = caller
+        while time.monotonic() < until_s:
+            gateways = running(fleet)
+            gateway = gateways[number % len(gateways)]
+            status, _, _ = await fleet.call(f"/pages/{number}", gateway=gateway)
+            statuses[status] += 1
+            number += CALLERS + 1
+
+    await asyncio.gather(*(call(caller) for caller in range(CALLERS)))
+    return statuses
+
+
+def most_in_a_rest(fleet: Fleet, target: PlatformTarget) -> int:
+    """Return the most requests that one gateway sent within one rest."""
+    most = 0
+    by_gateway: dict[str, list[tuple[float, float | None]]] = {}
+    for arrival in target.arrivals:
+        gateway = fleet.sent_through[arrival.request_id]
+        by_gateway.setdefault(gateway, []).append((arrival.at_s, arrival.rest_s))
+    for arrivals in by_gateway.values():
+        for began_s, rest_s in arrivals:
+            if rest_s is None:
+                continue
+            from_s, to_s = began_s + REST_BEGINS_S, began_s + rest_s
+            most = max(most, sum(from_s < at_s < to_s for at_s, _ in arrivals))
+    return most
+
+
+async def test_a_target_at_rest_gets_nothing_from_the_host_that_it_asked(fleet):
+    """Guards against a request for rest that is ignored or soon forgotten."""
+    for target in fleet.targets[:2]:
+        let_rest(target)
+    statuses = await call_steadily(fleet, 10.0)
+    assert [most_in_a_rest(fleet, target) for target in fleet.targets[:2]] == [0, 0]
+    assert statuses[OK] >= 0.98 * statuses.total()
+
+
+async def test_a_rest_survives_the_loss_of_the_placer(fleet):
+    """Guards against a successor placer that knows of no rest."""
+    for target in fleet.targets[:2]:
+        let_rest(target)
+    await call_steadily(fleet, 4.0)
+    placer = next(
+        gateway
+        for gateway in fleet.gateways
+        if any(line["message"] == "places for a service" for line in gateway.lines())
+    )
+    assert placer.process is not None
+    placer.process.kill()
+    await placer.process.wait()
+    await call_steadily(fleet, 6.0)
+    assert [most_in_a_rest(fleet, target) for target in fleet.targets[:2]] == [0, 0]
+
+
+async def test_a_target_gets_work_again_after_its_rest(fleet):
+    """Guards against a rest that never ends."""
+    let_rest(fleet.targets[0], 1.0)
+    await call_steadily(fleet, 2.0)
+    fleet.targets[0].fault = TargetFault.NONE
+    await call_steadily(fleet, 2.0)
+    before = len(fleet.targets[0].arrivals)
+    await call_steadily(fleet, 3.0)
+    assert len(fleet.targets[0].arrivals) - before >= 10
+
+
+async def test_a_request_that_finds_only_targets_at_rest_is_refused_at_once(fleet):
+    """Guards against requests that wait for targets at rest until their deadline."""
+    for target in fleet.targets:
+        let_rest(target)
+    for number in range(12):
+        await fleet.call(f"/pages/{number}")
+    began_s = time.monotonic()
+    status, _, headers = await fleet.call("/pages/late")
+    assert status == NOT_RUN
+    assert time.monotonic() - began_s < 0.3
+    assert 0.0 < float(headers["Retry-After"]) <= REST_S
+
+
+async def test_a_target_that_says_it_is_leaving_gets_no_new_work(fleet):
+    """Guards against a fleet that goes by the list alone, which says "ready" longer."""
+    leaving = fleet.targets[0]
+    await call_steadily(fleet, 1.0)
+    leaving.is_leaving = True
+    said_from_s = time.monotonic()
+    statuses = await call_steadily(fleet, 5.0)
+    times_s = [at_s for at_s in leaving.arrival_times_s if at_s >= said_from_s]
+    assert times_s
+    assert not [at_s for at_s in times_s if at_s > times_s[0] + LEAVING_KNOWN_S]
+    assert statuses == {OK: statuses[OK]}
