Back off from a target for as long as its Retry-After says

What callers saw: a target that refused all requests for seconds stayed the first choice of most of them; each of some 40 hosts sent it up to 25 requests within the 3 s in which it wanted none (two are allowed). The retries used up the service's budget, and later requests were refused with `repeats`. Cause: nothing read Retry-After of a target's refusal. A refusal paused the target for 80 ms at the placer, whoever it was for. Change: the node that got the refusal stores the end of the backoff, a deadline, for that start of the target. It names the targets it may not use in each request for a placement, so that no placer has to know them and a successor needs nothing. A grant of such a target, given to a request that was queued meanwhile, goes back and the request asks again. A node that places by itself leaves them out. If all ready targets of a service want a backoff, the request is refused at once, with the end of the first as Retry-After. Why it works: all of a node's attempts (first ones, retries, hedges, trials, work owed for the floor) go through this one place. Of several backoffs the last end counts, since each of them binds. A backoff says nothing against the target: no evidence, no ejection.

--- a/src/crocusspindle/gateway/attempt_runner.py
+++ b/src/crocusspindle/gateway/attempt_runner.py
@@ -43,7 +43,7 @@
         self._placing = placing
         self._metrics = metrics
         self._rng = rng
-        self._client = TargetClient(dialect)
+        self._client = TargetClient(dialect, placing.record_signals)
 
     async def start(self) -> None:
         """Open the client for targets."""
@@ -197,7 +197,7 @@
                     "latency_ms": round(latency_ms),
                     "detail": result.detail if result else "",
                     "limit_per_s": signals.limit_per_s,
-                    "rest_ms": signals.rest_ms,
+                    "retry_after_ms": signals.retry_after_ms,
                     "leaving": signals.is_leaving,
                 }
             )
--- a/src/crocusspindle/gateway/placing.py
+++ b/src/crocusspindle/gateway/placing.py
@@ -1,7 +1,7 @@
 """Choose a target for a request: through the service's placer, or locally."""
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import ClassVar, Final
 
 from crocusspindle.clock import now_ms
@@ -9,6 +9,8 @@
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
 from crocusspindle.core.placement_request import PlacementRefused, PlacementRequest
 from crocusspindle.core.rate_limit import LimitReport
+from crocusspindle.core.target_backoffs import TargetBackoffs
+from crocusspindle.core.target_signals import TargetSignals
 from crocusspindle.core.target_tracker import EJECTION_MS, AttemptOutcome
 from crocusspindle.gateway.crash_sharing import CrashSharing
 from crocusspindle.gateway.exchange import Address, Exchange
@@ -66,20 +68,39 @@
         self._crashes = crashes
         self._fallback = FallbackChoice(rng)
         self._limits = ReportedLimits()
+        self._backoffs = TargetBackoffs()
         self._suspect_until_ms: dict[HostId, float] = {}
         self._log = Logger("placing")
 
     async def start(self) -> None:
         """Register the callback for ejections and the handler of late responses."""
         self._placers.on_ejected = self._fallback.avoid
-        self._exchange.handle_late_response(PlaceAnswer, self._release_grant)
+        self._exchange.handle_late_response(
+            PlaceAnswer,
+            lambda response, placer: self._release_grant(
+                TargetIdentity(response.target), GrantId(response.grant), placer
+            ),
+        )
+
+    def record_signals(self, target: ListedTarget, signals: TargetSignals) -> None:
+        """Record what a target's response tells of it."""
+        if signals.retry_after_ms is not None:
+            self._backoffs.record(target, signals.retry_after_ms, now_ms())
+            log_state_change(
+                self._log,
+                "backs off from target",
+                target=target.identity,
+                retry_after_ms=signals.retry_after_ms,
+            )
 
-    def _release_grant(self, response: PlaceAnswer, placer: Address) -> None:
-        # The request was abandoned or went to another placer. Its slot would stay taken
-        # until the request's deadline, and other requests would be refused.
+    def _release_grant(
+        self, target: TargetIdentity, grant: GrantId, placer: Address
+    ) -> None:
+        # The request was abandoned or goes elsewhere. Its slot would stay taken until
+        # the request's deadline, and other requests would be refused.
         note = EndedNote(
-            response.target,
-            response.grant,
+            target,
+            grant,
             ATTEMPT_OUTCOMES.index(AttemptOutcome.ABANDONED),
             0,
         )
@@ -90,6 +111,60 @@
     ) -> Placement | PlacementRefused:
         """Return a target for a request, from a placer or chosen locally."""
         await self._placers.wait_until_listed()
+        while True:
+            backed_off = self._backoffs.active(self._placers.targets, service, now_ms())
+            refused = self._refuse_if_all_backed_off(
+                service, backed_off, placement_request
+            )
+            if refused is not None:
+                return refused
+            placement_request = replace(
+                placement_request, excluded=placement_request.excluded | backed_off
+            )
+            decision = await self._place(service, placement_request)
+            if not isinstance(decision, Placement) or not self._is_backed_off(decision):
+                return decision
+            # The target has asked for a backoff while the request was queued.
+            self._return_placement(decision)
+            placement_request = replace(placement_request, counted=True)
+
+    def _refuse_if_all_backed_off(
+        self,
+        service: ServiceId,
+        backed_off: frozenset[TargetIdentity],
+        placement_request: PlacementRequest,
+    ) -> PlacementRefused | None:
+        if not backed_off:
+            return None
+        ready = [
+            target
+            for target in self._placers.targets_of(service)
+            if target.readiness is Readiness.READY
+            and target.identity not in placement_request.excluded
+        ]
+        ends_ms = [
+            self._backoffs.until_ms(target)
+            for target in ready
+            if target.identity in backed_off
+        ]
+        if not ends_ms or len(ends_ms) < len(ready):
+            return None
+        return PlacementRefused("backoff", max(0.0, min(ends_ms) - now_ms()))
+
+    def _is_backed_off(self, placement: Placement) -> bool:
+        return self._backoffs.until_ms(placement.target) > now_ms()
+
+    def _return_placement(self, placement: Placement) -> None:
+        if placement.grant is None or placement.placer_address is None:
+            self._fallback.ended(placement.target.identity)
+            return
+        self._release_grant(
+            placement.target.identity, placement.grant, placement.placer_address
+        )
+
+    async def _place(
+        self, service: ServiceId, placement_request: PlacementRequest
+    ) -> Placement | PlacementRefused:
         contacted = 0
         for host in self._placers.ranks.ranked(service):
             if self._suspect_until_ms.get(host, 0.0) > now_ms():
@@ -97,8 +172,9 @@
             if contacted >= MAX_PLACERS:
                 break
             contacted += 1
+            counted = placement_request.counted or contacted > 1
             decision = await self._request_from(
-                host, service, placement_request, counted=contacted > 1
+                host, service, placement_request, counted
             )
             if decision is not None:
                 return decision
@@ -142,14 +218,13 @@
             )
             return None
         target = self._placers.targets.get(TargetIdentity(response.target))
+        grant = GrantId(response.grant)
         if target is None or target.readiness is not Readiness.READY:
             # The placer's list of targets is newer or older than this node's, or does
             # not show yet that the target is leaving or evacuated.
-            self._release_grant(response, to)
+            self._release_grant(TargetIdentity(response.target), grant, to)
             return None
-        return Placement(
-            service, target, response.hedge_after_ms, GrantId(response.grant), host, to
-        )
+        return Placement(service, target, response.hedge_after_ms, grant, host, to)
 
     def _limits_of(self, service: ServiceId) -> list[LimitReport]:
         return [
@@ -172,7 +247,9 @@
         unlimited = [
             listed
             for listed in self._placers.targets_of(service)
-            if listed.identity not in limited and not self._placers.may_be_cold(listed)
+            if listed.identity not in limited
+            and listed.identity not in placement_request.excluded
+            and not self._placers.may_be_cold(listed)
         ]
         target = self._fallback.choose(unlimited, now_ms())
         if target is None:
--- a/src/crocusspindle/gateway/target_client.py
+++ b/src/crocusspindle/gateway/target_client.py
@@ -1,7 +1,7 @@
 """Send one request to one target, once, and classify the outcome."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from typing import Final
 
@@ -73,15 +73,24 @@
     signals: TargetSignals = NO_SIGNALS
 
 
+RecordSignals = Callable[[ListedTarget, TargetSignals], None]
+
+
 class TargetClient:
     """Send requests, each on a new connection.
 
     A reused connection can hold a late or duplicate response to the previous request,
     or have been closed by the target: the caller would get a wrong response or none.
+
+    ``record_signals`` is called with the signals of each response as soon as its head
+    has arrived, also if its body breaks off.
     """
 
-    def __init__(self, dialect: Dialect) -> None:
+    def __init__(
+        self, dialect: Dialect, record_signals: RecordSignals | None = None
+    ) -> None:
         self._dialect = dialect
+        self._record_signals = record_signals
         self._log = Logger("sender")
         self._session: aiohttp.ClientSession | None = None
         self._logged: set[tuple[TargetIdentity, str]] = set()
@@ -183,6 +192,8 @@
             self._log_once("target signal refused", target, str(finding))
         for name in signals.unknown:
             self._log_once("target signal unknown", target, name)
+        if self._record_signals is not None:
+            self._record_signals(target, signals)
         return signals
 
     def _log_once(self, message: str, target: ListedTarget, text: str) -> None:
--- a/src/crocusspindle/platform/dialect.py
+++ b/src/crocusspindle/platform/dialect.py
@@ -13,10 +13,10 @@
 WHERE_PATH: Final = "/-/resolve"
 LIMIT_HEADER: Final = "Server-Limit"
 LEAVING_HEADER: Final = "Server-Leaving"
-REST_HEADER: Final = "Retry-After"
+RETRY_AFTER_HEADER: Final = "Retry-After"
 SIGNAL_PREFIX: Final = "server-"
 KNOWN_SIGNALS: Final = frozenset({LIMIT_HEADER.lower(), LEAVING_HEADER.lower()})
-REST_STATUSES: Final = frozenset({429, 503})
+RETRY_AFTER_STATUSES: Final = frozenset({429, 503})
 
 
 def dialect() -> Dialect:
@@ -39,14 +39,16 @@
 
 def _target_signals(status: int, headers: Mapping[str, str]) -> TargetSignals:
     refused: list[Finding] = []
-    rest_s = None
-    if status in REST_STATUSES:
-        rest_s = _amount(headers, REST_HEADER, "a time in seconds", refused)
+    retry_after_s = None
+    if status in RETRY_AFTER_STATUSES:
+        retry_after_s = _amount(
+            headers, RETRY_AFTER_HEADER, "a time in seconds", refused
+        )
     return TargetSignals(
         limit_per_s=_amount(
             headers, LIMIT_HEADER, "a rate in requests per second", refused
         ),
-        rest_ms=None if rest_s is None else rest_s * 1e3,
+        retry_after_ms=None if retry_after_s is None else retry_after_s * 1e3,
         is_leaving=_is_leaving(headers, refused),
         refused=tuple(refused),
         unknown=tuple(
--- a/src/crocusspindle_standins/on_platform/target.py
+++ b/src/crocusspindle_standins/on_platform/target.py
@@ -27,11 +27,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
-    """Record a request that arrived, and the rest that its refusal asked for."""
+    """Record a request that arrived, and the Retry-After of its refusal."""
 
     request_id: str
     at_s: float
-    rest_s: float | None
+    retry_after_s: float | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,8 +65,8 @@
 class PlatformTarget:
     """Run requests in a few slots, and record what ran.
 
-    If it ``is_leaving``, its responses say so and its entry does not. If ``rest_s`` is
-    set, each refusal asks the sender to send nothing for so long.
+    If it ``is_leaving``, its responses say so and its entry does not. If
+    ``retry_after_s`` is set, each refusal asks the sender to send nothing for so long.
     """
 
     identity: str
@@ -75,7 +75,7 @@
     slots: int = 2
     work_s: float = 0.02
     limit: str | None = None
-    rest_s: float | None = None
+    retry_after_s: float | None = None
     is_leaving: bool = False
     arrivals: list[Arrival] = field(default_factory=list)
     survives_crashing_requests: bool = False
@@ -163,8 +163,10 @@
             self.fault is TargetFault.SHEDS
             or self._in_flight >= self.slots + MAX_QUEUED
         )
-        rest_s = self.rest_s if is_shed else None
-        self.arrivals.append(Arrival(request.headers["X-Request-Id"], now_s, rest_s))
+        retry_after_s = self.retry_after_s if is_shed else None
+        self.arrivals.append(
+            Arrival(request.headers["X-Request-Id"], now_s, retry_after_s)
+        )
         if is_shed:
             return web.Response(status=503, headers=self._refusal_headers())
         self._in_flight += 1
@@ -175,8 +177,8 @@
 
     def _refusal_headers(self) -> dict[str, str]:
         headers = {"X-Not-Executed": "1"}
-        if self.rest_s is not None:
-            headers["Retry-After"] = str(self.rest_s)
+        if self.retry_after_s is not None:
+            headers["Retry-After"] = str(self.retry_after_s)
         if self.is_leaving:
             headers["Server-Leaving"] = "1"
         return headers
--- a/tests/gateway/test_resting_targets.py
+++ b/tests/gateway/test_backoff_from_targets.py
@@ -1,4 +1,4 @@
-"""Tests of targets that ask a host for rest, or say that they are leaving."""
+"""Tests of targets that send Retry-After, or say that they are leaving."""
 
 import asyncio
 import time
@@ -14,9 +14,9 @@
 OK = 200
 NOT_RUN = 503
 
-REST_S = 3.0
-REST_BEGINS_S = 0.5
-"""Time after a refusal from which its rest binds the host that got it."""
+RETRY_AFTER_S = 3.0
+BACKOFF_BEGINS_S = 0.5
+"""Time after a refusal from which its Retry-After binds the host that got it."""
 
 LEAVING_KNOWN_S = 1.0
 """Time after the first response that says so in which the fleet learns that a target
@@ -33,9 +33,11 @@
         await started.stop()
 
 
-def let_rest(target: PlatformTarget, rest_s: float = REST_S) -> None:
-    """Let a target turn all requests away and ask for rest."""
-    target.fault, target.rest_s = TargetFault.SHEDS, rest_s
+def refuse_with_retry_after(
+    target: PlatformTarget, retry_after_s: float = RETRY_AFTER_S
+) -> None:
+    """Let a target refuse all requests with Retry-After."""
+    target.fault, target.retry_after_s = TargetFault.SHEDS, retry_after_s
 
 
 def running(fleet: Fleet) -> list[int]:
@@ -65,35 +67,35 @@
     return statuses
 
 
-def most_in_a_rest(fleet: Fleet, target: PlatformTarget) -> int:
-    """Return the most requests that one gateway sent within one rest."""
+def most_in_a_backoff(fleet: Fleet, target: PlatformTarget) -> int:
+    """Return the most requests that one gateway sent within one backoff."""
     most = 0
     by_gateway: dict[str, list[tuple[float, float | None]]] = {}
     for arrival in target.arrivals:
         gateway = fleet.sent_through[arrival.request_id]
-        by_gateway.setdefault(gateway, []).append((arrival.at_s, arrival.rest_s))
+        by_gateway.setdefault(gateway, []).append((arrival.at_s, arrival.retry_after_s))
     for arrivals in by_gateway.values():
-        for began_s, rest_s in arrivals:
-            if rest_s is None:
+        for began_s, retry_after_s in arrivals:
+            if retry_after_s is None:
                 continue
-            from_s, to_s = began_s + REST_BEGINS_S, began_s + rest_s
+            from_s, to_s = began_s + BACKOFF_BEGINS_S, began_s + retry_after_s
             most = max(most, sum(from_s < at_s < to_s for at_s, _ in arrivals))
     return most
 
 
-async def test_a_target_at_rest_gets_nothing_from_the_host_that_it_asked(fleet):
-    """Guards against a request for rest that is ignored or soon forgotten."""
+async def test_a_target_gets_nothing_from_a_host_before_its_retry_after_ends(fleet):
+    """Guards against a Retry-After that is ignored or soon forgotten."""
     for target in fleet.targets[:2]:
-        let_rest(target)
+        refuse_with_retry_after(target)
     statuses = await call_steadily(fleet, 10.0)
-    assert [most_in_a_rest(fleet, target) for target in fleet.targets[:2]] == [0, 0]
+    assert [most_in_a_backoff(fleet, target) for target in fleet.targets[:2]] == [0, 0]
     assert statuses[OK] >= 0.98 * statuses.total()
 
 
-async def test_a_rest_survives_the_loss_of_the_placer(fleet):
-    """Guards against a successor placer that knows of no rest."""
+async def test_a_backoff_survives_the_loss_of_the_placer(fleet):
+    """Guards against a successor placer that knows of no backoff."""
     for target in fleet.targets[:2]:
-        let_rest(target)
+        refuse_with_retry_after(target)
     await call_steadily(fleet, 4.0)
     placer = next(
         gateway
@@ -104,12 +106,12 @@
     placer.process.kill()
     await placer.process.wait()
     await call_steadily(fleet, 6.0)
-    assert [most_in_a_rest(fleet, target) for target in fleet.targets[:2]] == [0, 0]
+    assert [most_in_a_backoff(fleet, target) for target in fleet.targets[:2]] == [0, 0]
 
 
-async def test_a_target_gets_work_again_after_its_rest(fleet):
-    """Guards against a rest that never ends."""
-    let_rest(fleet.targets[0], 1.0)
+async def test_a_target_gets_work_again_after_a_backoff(fleet):
+    """Guards against a backoff that never ends."""
+    refuse_with_retry_after(fleet.targets[0], 1.0)
     await call_steadily(fleet, 2.0)
     fleet.targets[0].fault = TargetFault.NONE
     await call_steadily(fleet, 2.0)
@@ -118,17 +120,17 @@
     assert len(fleet.targets[0].arrivals) - before >= 10
 
 
-async def test_a_request_that_finds_only_targets_at_rest_is_refused_at_once(fleet):
-    """Guards against requests that wait for targets at rest until their deadline."""
+async def test_a_request_is_refused_at_once_while_all_targets_want_a_backoff(fleet):
+    """Guards against requests that wait for targets they may not use."""
     for target in fleet.targets:
-        let_rest(target)
+        refuse_with_retry_after(target)
     for number in range(12):
         await fleet.call(f"/pages/{number}")
     began_s = time.monotonic()
     status, _, headers = await fleet.call("/pages/late")
     assert status == NOT_RUN
     assert time.monotonic() - began_s < 0.3
-    assert 0.0 < float(headers["Retry-After"]) <= REST_S
+    assert 0.0 < float(headers["Retry-After"]) <= RETRY_AFTER_S
 
 
 async def test_a_target_that_says_it_is_leaving_gets_no_new_work(fleet):
--- a/tests/platform/test_target_signals.py
+++ b/tests/platform/test_target_signals.py
@@ -23,17 +23,17 @@
 def test_invalid_amount_is_a_finding_and_has_no_effect(name, text):
     """Guards against a malformed value that keeps all requests from a target."""
     signals = dialect().target_signals(REFUSED, {name: text})
-    assert (signals.limit_per_s, signals.rest_ms) == (None, None)
+    assert (signals.limit_per_s, signals.retry_after_ms) == (None, None)
     assert [finding.path for finding in signals.refused] == [name]
 
 
 @pytest.mark.parametrize(
-    ("status", "text", "rest_ms"),
+    ("status", "text", "retry_after_ms"),
     [(503, "3", 3_000.0), (503, "0.25", 250.0), (429, "1", 1_000.0), (200, "3", None)],
 )
-def test_rest_is_parsed_from_refusals_only(status, text, rest_ms):
+def test_retry_after_is_parsed_from_refusals_only(status, text, retry_after_ms):
     signals = dialect().target_signals(status, {"Retry-After": text})
-    assert signals == TargetSignals(rest_ms=rest_ms)
+    assert signals == TargetSignals(retry_after_ms=retry_after_ms)
 
 
 @pytest.mark.parametrize(("text", "is_leaving"), [("1", True), ("0", False)])
