Send nothing new to a target once one of its responses says that it is leaving

Cause: nothing read Server-Leaving; only the list's state counted. Change: the node that gets such a response treats the target as draining from then on and notifies the placers of its service, which do the same, so that the whole fleet stops. The list does not take it back; a later start of the target under its identity does. A node whose placer still grants such a target returns the grant and notifies the placer again. Why it works: a draining target gets no work in any part of the fleet already, and the mark is applied after each new list. Ruled out: a field in the outcome message, since nodes of the version before would drop the whole message; a new type is dropped alone.

--- /dev/null
+++ b/src/crocusspindle/core/leaving_targets.py
@@ -0,0 +1,55 @@
+"""Store the targets whose responses say that they are about to stop."""
+
+from collections.abc import Iterable
+from dataclasses import replace
+from typing import Final
+
+from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
+
+RETENTION_MS: Final = 600_000.0
+"""How long a target is remembered that is not listed. Its entry may return when the
+platform's service does."""
+
+
+class LeavingTargets:
+    """Hold the targets that said they are leaving, whatever the list says of them.
+
+    A target that has started again under its identity is not leaving.
+    """
+
+    def __init__(self) -> None:
+        self._started_ms: dict[TargetIdentity, int] = {}
+        self._seen_ms: dict[TargetIdentity, float] = {}
+
+    def record(self, target: TargetIdentity, started_ms: int, now_ms: float) -> bool:
+        """Record a leaving target; return False if it was known."""
+        is_new = self._started_ms.get(target, -1) < started_ms
+        if is_new:
+            self._started_ms[target] = started_ms
+        self._seen_ms[target] = now_ms
+        return is_new
+
+    def is_leaving(self, target: ListedTarget) -> bool:
+        """Return True if a target has said that it is leaving."""
+        return self._started_ms.get(target.identity, -1) >= target.started_ms
+
+    def mark(self, listed: Iterable[ListedTarget], now_ms: float) -> list[ListedTarget]:
+        """Return the targets; those that are leaving accept no work."""
+        if not self._started_ms:
+            return list(listed)
+        marked = [self._mark(target, now_ms) for target in listed]
+        self._forget(now_ms)
+        return marked
+
+    def _mark(self, target: ListedTarget, now_ms: float) -> ListedTarget:
+        if not self.is_leaving(target):
+            return target
+        self._seen_ms[target.identity] = now_ms
+        if target.readiness is not Readiness.READY:
+            return target
+        return replace(target, readiness=Readiness.DRAINING)
+
+    def _forget(self, now_ms: float) -> None:
+        for target, seen_ms in list(self._seen_ms.items()):
+            if seen_ms + RETENTION_MS < now_ms:
+                del self._seen_ms[target], self._started_ms[target]
--- a/src/crocusspindle/gateway/messages.py
+++ b/src/crocusspindle/gateway/messages.py
@@ -240,6 +240,18 @@
     limits: Sequence[tuple[str, float | None, int]]
 
 
+@message(20)
+@dataclass(frozen=True, slots=True)
+class LeavingNote:
+    """Report to a service's placers that a target says it is leaving.
+
+    ``started_ms`` tells which start of the target said so.
+    """
+
+    target: str
+    started_ms: int
+
+
 @message(8)
 @dataclass(frozen=True, slots=True)
 class EjectedNote:
--- a/src/crocusspindle/gateway/placers.py
+++ b/src/crocusspindle/gateway/placers.py
@@ -7,6 +7,7 @@
 from crocusspindle.clock import now_ms
 from crocusspindle.core.cold_targets import ColdTargets
 from crocusspindle.core.configuration import ServiceRule
+from crocusspindle.core.leaving_targets import LeavingTargets
 from crocusspindle.core.listed_target import (
     ListedTarget,
     TargetIdentity,
@@ -31,6 +32,7 @@
     Done,
     EjectedNote,
     EndedNote,
+    LeavingNote,
     PacedNote,
     PlaceAnswer,
     PlaceAsk,
@@ -85,6 +87,7 @@
         self._evacuated: frozenset[DomainId] = frozenset()
         self._configuration_version = -1
         self._cold_targets = ColdTargets()
+        self._leaving = LeavingTargets()
         self._waiters: dict[int, tuple[QueuedRequest, asyncio.Event]] = {}
         self.on_ejected: Callable[[TargetIdentity, float], None] = _ignore
         self._log = Logger("placing")
@@ -96,6 +99,7 @@
         self._exchange.handle(EjectedNote, self._ejected_note)
         self._exchange.handle(RepeatsNote, self._repeats_note)
         self._exchange.handle(PacedNote, self._paced_note)
+        self._exchange.handle(LeavingNote, self._leaving_note)
         self._fleet_state.add_listener(self._apply_fleet_state)
 
     def _apply_fleet_state(self) -> None:
@@ -104,11 +108,7 @@
         if (state.targets_digest, evacuated) != (self._targets_digest, self._evacuated):
             self._targets_digest = state.targets_digest
             self._evacuated = evacuated
-            listed = mark_evacuated(state.targets.content or (), evacuated)
-            self.targets = {entry.identity: entry for entry in listed}
-            self._cold_targets.update(self.targets, now_ms())
-            for service, placer in self._placers.items():
-                self._update_targets(service, placer)
+            self._apply_targets()
         elif state.configuration.version != self._configuration_version:
             for service, placer in self._placers.items():
                 self._limit_cold_targets(service, placer)
@@ -116,6 +116,34 @@
         if self.ranks.update_view():
             self._retry_sharing.update_ranks()
 
+    def _apply_targets(self) -> None:
+        listed = self._fleet_state.targets.content or ()
+        marked = self._leaving.mark(mark_evacuated(listed, self._evacuated), now_ms())
+        self.targets = {entry.identity: entry for entry in marked}
+        self._cold_targets.update(self.targets, now_ms())
+        for service, placer in self._placers.items():
+            self._update_targets(service, placer)
+
+    def record_leaving(self, target: ListedTarget) -> None:
+        """Record that a target says it is leaving, and notify its placers."""
+        self._record_leaving(target.identity, target.started_ms)
+        self.ranks.notify_others(
+            target.service, LeavingNote(target.identity, target.started_ms)
+        )
+
+    def notify_if_leaving(self, target: ListedTarget) -> None:
+        """Notify the placers of a target that they still grant though it is leaving."""
+        if self._leaving.is_leaving(target):
+            self.record_leaving(target)
+
+    def _record_leaving(self, target: TargetIdentity, started_ms: int) -> None:
+        if self._leaving.record(target, started_ms, now_ms()):
+            log_state_change(self._log, "target is leaving", target=target)
+            self._apply_targets()
+
+    async def _leaving_note(self, note: LeavingNote, sender: Address) -> None:
+        self._record_leaving(TargetIdentity(note.target), note.started_ms)
+
     def targets_of(self, service: ServiceId) -> list[ListedTarget]:
         """Return the listed targets of a service."""
         return [entry for entry in self.targets.values() if entry.service == service]
--- a/src/crocusspindle/gateway/placing.py
+++ b/src/crocusspindle/gateway/placing.py
@@ -84,6 +84,8 @@
 
     def record_signals(self, target: ListedTarget, signals: TargetSignals) -> None:
         """Record what a target's response tells of it."""
+        if signals.is_leaving:
+            self._placers.record_leaving(target)
         if signals.retry_after_ms is not None:
             self._backoffs.record(target, signals.retry_after_ms, now_ms())
             log_state_change(
@@ -223,6 +225,8 @@
             # The placer's list of targets is newer or older than this node's, or does
             # not show yet that the target is leaving or evacuated.
             self._release_grant(TargetIdentity(response.target), grant, to)
+            if target is not None:
+                self._placers.notify_if_leaving(target)
             return None
         return Placement(service, target, response.hedge_after_ms, grant, host, to)
 
