Answer all pipelined requests that a leaving node has read

What callers saw: of requests sent one behind the other on a connection to a node that was stopping, only the first got a response, up to the whole work of the first later; nothing told of the others. Cause: the response of a leaving node closed its connection unless requests behind it had been started early, and a leaving node starts none early; others that it had read were dropped. Callers may send them again, but only once the connection has closed. Evidence: two tests of a GET and of a POST behind a GET fail before, both with one response. Change: the response closes the connection only if no request behind it has been read. Why it works: what was read is answered in order, and the last response closes the connection; the drain is bounded as before.

--- a/src/crocusspindle/gateway/caller_port.py
+++ b/src/crocusspindle/gateway/caller_port.py
@@ -138,9 +138,9 @@
         return None if started is None else started[1]
 
     @property
-    def has_started_requests(self) -> bool:
-        """Return True if requests behind the current one have been started."""
-        return bool(self._started_early)
+    def has_waiting_requests(self) -> bool:
+        """Return True if requests behind the current one have been read."""
+        return bool(self._messages)
 
     def _process_keepalive(self) -> None:
         # When this timer fires early, the library sets it again for the same time, and
@@ -213,7 +213,7 @@
         assert isinstance(protocol, CallerProtocol)
         protocol.record_header_received()
         response = await self._entry.handle(request, protocol.pop_started(request))
-        if self._entry.leaving and not protocol.has_started_requests:
+        if self._entry.leaving and not protocol.has_waiting_requests:
             response.force_close()
         return response
 
--- a/tests/gateway/test_ports.py
+++ b/tests/gateway/test_ports.py
@@ -15,6 +15,7 @@
 GRACE_MS = 1_000.0
 REQUEST_S = 0.2
 REQUEST = b"GET /pages/1 HTTP/1.1\r\nHost: hall.example\r\n\r\n"
+ORDER = b"POST /orders/1 HTTP/1.1\r\nHost: hall.example\r\nContent-Length: 0\r\n\r\n"
 HEAD_PART = 20
 
 
@@ -25,6 +26,9 @@
         self.leaving = False
         self.running = 0
 
+    def start_early(self, request):
+        """Start no pipelined request early, as a leaving node does."""
+
     async def handle(self, request, started):
         """Respond after `REQUEST_S`."""
         await asyncio.sleep(REQUEST_S)
@@ -92,6 +96,17 @@
     writer.close()
 
 
+@pytest.mark.parametrize("behind", [REQUEST, ORDER])
+async def test_requests_read_behind_another_are_answered(node, behind):
+    """Guards against a leaving node that drops pipelined requests it has read."""
+    reader, writer = await node.connect()
+    (connection,) = node.server.connections
+    node.at_close = lambda: connection.data_received(REQUEST + behind)
+    await node.ports.drain()
+    assert (await reader.read()).count(b"HTTP/1.1 200 OK") == 2
+    writer.close()
+
+
 async def test_request_whose_head_arrives_in_parts_is_answered(node):
     """Guards against a process that closes a connection in the middle of a head."""
     reader, writer = await node.connect()
