Drain within the grace period that the kernel was given at the start

What callers saw: after a reload had raised the grace period, a planned stop cut all requests at the end of the old one, with no line "drained" and at times before the port had closed (the review: grace 3 s raised to 6 s, a request cut at 3.0 s). Cause: the ports plan their drain by the live bound, the kernel ends it by the bound at start. Change: the ports use the smaller of the two; a smaller one after a reload still counts at once. The test fails before: the drain is cut by its time limit.

--- a/src/crocusspindle/gateway/ports.py
+++ b/src/crocusspindle/gateway/ports.py
@@ -140,7 +140,8 @@
     async def drain(self) -> None:
         """Leave the fleet; answer callers for up to `GIVE_UP_FRACTION`."""
         began_ms = now_ms()
-        grace_ms = self._bounds.current.grace_ms
+        # The kernel ends the drain by the bound that was read at the start.
+        grace_ms = min(self._bounds.current.grace_ms, self._settings.bounds.grace_ms)
         self._membership.leave()
         self._entry.leaving = True
         await asyncio.sleep(grace_ms * ACCEPTING_FRACTION / 1e3)
--- a/tests/gateway/test_ports.py
+++ b/tests/gateway/test_ports.py
@@ -41,16 +41,17 @@
     def __init__(self) -> None:
         self.entry = SlowEntry()
         self.server = CallerServer(self.entry, CallerLimits)
-        bounds = SimpleNamespace(current=SimpleNamespace(grace_ms=GRACE_MS))
+        self.bounds = SimpleNamespace(current=SimpleNamespace(grace_ms=GRACE_MS))
+        settings = SimpleNamespace(bounds=SimpleNamespace(grace_ms=GRACE_MS))
         membership = SimpleNamespace(leave=lambda: None)
         self.ports = Ports(
-            None,
+            settings,
             Dialect,
             None,
             membership,
             self.entry,
             None,
-            bounds,
+            self.bounds,
             SimpleNamespace(),
         )
         self.ports._caller_server = self.server
@@ -143,3 +144,13 @@
     assert accepting[0].done() and not node.server.connections
     with callers_socket:
         assert callers_socket.recv(1) == b""
+
+
+async def test_a_longer_grace_period_after_a_reload_does_not_cut_the_drain(node):
+    """Guards against a drain that plans for more time than the kernel gives it."""
+    node.bounds.current.grace_ms = 10.0 * GRACE_MS
+    reader, writer = await node.connect()
+    async with asyncio.timeout(GRACE_MS / 1e3):
+        await node.ports.drain()
+    assert await reader.read() == b""
+    writer.close()
