Wait for the rest of a request's head for half a second when leaving

What callers saw: a host was away for up to 1.5 s longer at each restart (grace_s 6) if one caller had sent the first bytes of a request, or a stray line end, and nothing more. Cause: a connection counted as busy for as long as a head had begun to arrive; a head whose first bytes came together with the connection did not count at all. Change: the age of the head counts, from its first bytes, whenever they came.

--- a/src/crocusspindle/gateway/caller_port.py
+++ b/src/crocusspindle/gateway/caller_port.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -36,6 +37,9 @@
 
 
 CLOSE_POLL_S: Final = 0.02
+HEAD_PART_WAIT_S: Final = 0.5
+"""How long a leaving node waits for the rest of a request's head. A caller whose
+request was not read completely can send it to another node."""
 
 
 class CallerProtocol(web.RequestHandler):
@@ -44,7 +48,7 @@
     __slots__ = (
         "_entry",
         "_first_request_timer",
-        "_head_incomplete",
+        "_head_began_s",
         "_limits",
         "_started_early",
     )
@@ -66,7 +70,7 @@
         self._entry = entry
         # Keeps the message beside the task: its id() is unique only while it exists.
         self._started_early: dict[int, tuple[Any, asyncio.Task[ProcessedRequest]]] = {}
-        self._head_incomplete = False
+        self._head_began_s = math.inf
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the timer that closes a connection without a first request.
@@ -90,14 +94,14 @@
     def data_received(self, data: bytes) -> None:
         """Start pipelined requests that wait behind others."""
         super().data_received(data)
-        self._head_incomplete = self._is_waiting
+        if self._messages or self._current_request is not None:
+            self._head_began_s = math.inf
+        else:
+            now_s = asyncio.get_running_loop().time()
+            self._head_began_s = min(self._head_began_s, now_s)
         if self._messages:
             self._start_waiting()
 
-    @property
-    def _is_waiting(self) -> bool:
-        return self._waiter is not None and not self._waiter.done()
-
     def _start_waiting(self) -> None:
         # All requests ahead must be plain GETs too: one whose response closes the
         # connection would leave forwarded requests behind it without a response.
@@ -156,12 +160,14 @@
         super()._process_keepalive()
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request on it has begun to arrive.
+        """Close the connection unless a request on it has just begun to arrive.
 
         The library's `close` keeps an idle connection open and drops all that arrives
         on it, requests and the rest of a body alike.
         """
-        if self._is_waiting and not self._head_incomplete:
+        is_waiting = self._waiter is not None and not self._waiter.done()
+        head_age_s = asyncio.get_running_loop().time() - self._head_began_s
+        if is_waiting and not 0.0 <= head_age_s < HEAD_PART_WAIT_S:
             self.force_close()
 
     def record_header_received(self) -> None:
--- a/tests/gateway/test_ports.py
+++ b/tests/gateway/test_ports.py
@@ -8,9 +8,9 @@
 from aiohttp import web
 
 from crocusspindle.core.configuration import CallerLimits
-from crocusspindle.gateway.caller_port import CallerServer
+from crocusspindle.gateway.caller_port import HEAD_PART_WAIT_S, CallerServer
 from crocusspindle.gateway.dialect import Dialect
-from crocusspindle.gateway.ports import GIVE_UP_FRACTION, Ports
+from crocusspindle.gateway.ports import ACCEPTING_FRACTION, GIVE_UP_FRACTION, Ports
 
 GRACE_MS = 1_000.0
 REQUEST_S = 0.2
@@ -154,3 +154,17 @@
         await node.ports.drain()
     assert await reader.read() == b""
     writer.close()
+
+
+async def test_a_head_that_never_ends_does_not_hold_the_drain(node):
+    """Guards against one quiet caller that keeps a leaving process until its bound."""
+    node.bounds.current.grace_ms = node.ports._settings.bounds.grace_ms = 4_000.0
+    reader, writer = await node.connect()
+    (connection,) = node.server.connections
+    node.at_close = lambda: connection.data_received(REQUEST[:HEAD_PART])
+    began_s = asyncio.get_running_loop().time()
+    await node.ports.drain()
+    took_s = asyncio.get_running_loop().time() - began_s
+    assert took_s < 4.0 * ACCEPTING_FRACTION + 2.0 * HEAD_PART_WAIT_S
+    assert await reader.read() == b""
+    writer.close()
