Log requests that a stopping node gives up as such

A request that still ran at the end of a node's grace period was logged as "caller left", like one whose caller had closed its connection, so that a lost request could not be told from a caller that had lost patience. It is "given up" now, in the line and in the counter of responses by outcome. The test reads "caller left" before.

--- a/src/crocusspindle/gateway/entry.py
+++ b/src/crocusspindle/gateway/entry.py
@@ -74,6 +74,7 @@
         self._metrics = metrics
         self._log = Logger("entry")
         self.leaving = False
+        self._gave_up = False
         # Requests being processed or responded to; a drain waits until there are none.
         self.running = 0
 
@@ -85,6 +86,14 @@
         """Close the client for targets."""
         await self._attempt_runner.stop()
 
+    def give_up(self) -> None:
+        """Count requests that are cancelled from now on as given up by this node."""
+        self.leaving = self._gave_up = True
+
+    @property
+    def _cancelled_outcome(self) -> str:
+        return "given up" if self._gave_up else "caller left"
+
     def start_early(
         self, request: web.BaseRequest
     ) -> asyncio.Task[ProcessedRequest] | None:
@@ -127,7 +136,7 @@
             processed.refusal = refusal
         except asyncio.CancelledError:
             if processed.context is not None:
-                self._log_end(processed.context, "caller left")
+                self._log_end(processed.context, self._cancelled_outcome)
             raise
         finally:
             self.running -= 1
@@ -148,7 +157,7 @@
                     request, context, processed.result
                 )
             except asyncio.CancelledError:
-                self._log_end(context, "caller left")
+                self._log_end(context, self._cancelled_outcome)
                 raise
             except Refusal as error:
                 refusal = error
--- a/src/crocusspindle/gateway/instruments.py
+++ b/src/crocusspindle/gateway/instruments.py
@@ -9,10 +9,10 @@
     InstrumentKind.COUNTER,
     unit="requests",
     labels=("outcome",),
-    meaning="Requests that got a target's response, by its status, or whose caller "
-    "left.",
+    meaning="Requests that got a target's response, by its status, whose caller left, "
+    "or that a stopping node gave up without a response.",
     when_rising="More 502 and 504 than usual: see `gateway_sendings` for the outcomes "
-    "of their attempts.",
+    "of their attempts. `given up`: requests outlast the grace period.",
 )
 REFUSED: Final = declare(
     "gateway_refused",
--- a/src/crocusspindle/gateway/ports.py
+++ b/src/crocusspindle/gateway/ports.py
@@ -168,7 +168,7 @@
     async def stop(self) -> None:
         """Close all ports."""
         self._close_caller_port()
-        self._entry.leaving = True
+        self._entry.give_up()
         self._caller_server.abort_connections()
         for server in self._other_servers:
             server.close()
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -103,3 +103,19 @@
         outcome, _ = await outcome_of(reader, writer, BODY[100:])
     assert outcome == "HTTP/1.1 200 OK"
     assert fleet.ran("upload") == 1
+
+
+async def test_a_request_that_outlasts_the_grace_period_is_logged_as_given_up(fleet):
+    """Guards against a log that blames the caller for what the node did."""
+    for target in fleet.targets:
+        target.work_s = 10.0
+    gateway = fleet.gateways[0]
+    reader, writer = await connect(gateway)
+    gateway.process.send_signal(signal.SIGTERM)
+    await asyncio.sleep(1.0)
+    async with asyncio.timeout(5):
+        outcome, _ = await outcome_of(reader, writer, request_head("long"))
+        await gateway.process.wait()
+    assert outcome == "closed"
+    (line,) = [line for line in gateway.lines() if line.get("request") == "long"]
+    assert line["outcome"] == "given up"
--- a/tests/gateway/test_ports.py
+++ b/tests/gateway/test_ports.py
@@ -26,6 +26,9 @@
         self.leaving = False
         self.running = 0
 
+    def give_up(self) -> None:
+        """Ignore the end."""
+
     def start_early(self, request):
         """Start no pipelined request early, as a leaving node does."""
 
