Ignore SIGHUP until the handler that reloads the settings is installed

What callers saw: a host whose settings changed while its process was starting was away for another start: the signal ended the process before it had a handler for it. Change: the process ignores the signal from its first line on. The test, real processes with the signal 0.15 to 0.6 s after the start, fails before: the process is gone.

--- a/src/crocusspindle/gateway/__main__.py
+++ b/src/crocusspindle/gateway/__main__.py
@@ -6,6 +6,7 @@
 """
 
 import os
+import signal
 import sys
 
 
@@ -14,6 +15,8 @@
 
     Return the exit status of the process.
     """
+    # By default SIGHUP ends a process that has not installed its handler yet.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Without the first, uvloop opens an io_uring descriptor at import. Without the
     # others, the HTTP library loads all TLS authorities twice at import.
     os.environ.update(
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -119,3 +119,16 @@
     assert outcome == "closed"
     (line,) = [line for line in gateway.lines() if line.get("request") == "long"]
     assert line["outcome"] == "given up"
+
+
+async def test_a_signal_to_reload_during_the_start_does_not_end_the_process(fleet):
+    """Guards against a settings change that kills a node that is just starting."""
+    gateway = fleet.gateways[0]
+    gateway.process.kill()
+    await gateway.process.wait()
+    await fleet.run(gateway)
+    for _ in range(4):
+        await asyncio.sleep(0.15)
+        gateway.process.send_signal(signal.SIGHUP)
+    await fleet.until_ready()
+    assert gateway.process.returncode is None
