Read what callers are sending when a stopping node closes its port

What callers saw: an upload whose rest arrived after the drain of a `node` had reached its bound got no response; its connection closed with the process. A request whose head arrived in two parts around the closing of the port was reset, although its caller had begun to send it while the port was open. Whoever uploads has to find out whether the work ran. Stopping the caller port went through the library's runner, which calls close() on every connection. From then on the library reads what arrives and drops it, the rest of a body included; connections that hold no complete request are closed at once. The requests in progress had up to 10 s more, and uploads could not use them. Evidence: tests/fleet/test_stops.py, real processes: the body's second half is sent 0.3 s after the drain's bound. Change: the closing of connections moves from `serve` to a module that both paths use, and is the same there. The caller port of a node opens its listener itself, closes it and idle connections first, waits for connections on which a request has begun, and ends those left over after 9 s of the 10 s that the kernel gives a service to stop. Why it works: no connection is open that nobody reads, and the drain waits until none is open.

--- a/src/crocusspindle/gateway/caller_port.py
+++ b/src/crocusspindle/gateway/caller_port.py
@@ -14,7 +14,7 @@
 from aiohttp.http_parser import RawRequestMessage
 from aiohttp.http_writer import StreamWriter
 
-from crocusspindle.clock import now_ms
+from crocusspindle.caller_connections import CallerConnection
 from crocusspindle.core.configuration import CallerLimits
 from crocusspindle.gateway.entry import Entry, ProcessedRequest
 
@@ -35,16 +35,12 @@
 caller from occupying the slots of many others."""
 
 
-CLOSE_POLL_S: Final = 0.02
-
-
-class CallerProtocol(web.RequestHandler):
+class CallerProtocol(CallerConnection):
     """Serve one connection of a caller."""
 
     __slots__ = (
         "_entry",
         "_first_request_timer",
-        "_head_incomplete",
         "_limits",
         "_started_early",
     )
@@ -52,9 +48,8 @@
     def __init__(self, manager: web.Server, entry: Entry, limits: CallerLimits) -> None:
         super().__init__(
             manager,
-            loop=asyncio.get_running_loop(),
             keepalive_timeout=limits.idle_timeout_ms / 1e3,
-            access_log=None,  # type: ignore[arg-type]  # None turns it off
+            access_log=None,
             max_line_size=limits.header_bytes,
             max_field_size=limits.header_bytes,
             max_headers=MAX_HEADERS,
@@ -66,7 +61,6 @@
         self._entry = entry
         # Keeps the message beside the task: its id() is unique only while it exists.
         self._started_early: dict[int, tuple[Any, asyncio.Task[ProcessedRequest]]] = {}
-        self._head_incomplete = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the timer that closes a connection without a first request.
@@ -90,14 +84,9 @@
     def data_received(self, data: bytes) -> None:
         """Start pipelined requests that wait behind others."""
         super().data_received(data)
-        self._head_incomplete = self._is_waiting
         if self._messages:
             self._start_waiting()
 
-    @property
-    def _is_waiting(self) -> bool:
-        return self._waiter is not None and not self._waiter.done()
-
     def _start_waiting(self) -> None:
         # All requests ahead must be plain GETs too: one whose response closes the
         # connection would leave forwarded requests behind it without a response.
@@ -155,15 +144,6 @@
             return
         super()._process_keepalive()
 
-    def close_if_idle(self) -> None:
-        """Close the connection unless a request on it has begun to arrive.
-
-        The library's `close` keeps an idle connection open and drops all that arrives
-        on it, requests and the rest of a body alike.
-        """
-        if self._is_waiting and not self._head_incomplete:
-            self.force_close()
-
     def record_header_received(self) -> None:
         """Record that a complete request header was received."""
         if self._first_request_timer is not None:
@@ -216,22 +196,3 @@
         if self._entry.leaving and not protocol.has_started_requests:
             response.force_close()
         return response
-
-    async def close_connections(self, give_up_ms: float) -> None:
-        """Close each connection once it holds no request; return by a deadline.
-
-        A connection that was accepted as the port closed is not known before the next
-        turn of the event loop.
-        """
-        while True:
-            for connection in self.connections:
-                assert isinstance(connection, CallerProtocol)
-                connection.close_if_idle()
-            await asyncio.sleep(CLOSE_POLL_S)
-            if not self.connections or now_ms() >= give_up_ms:
-                return
-
-    def abort_connections(self) -> None:
-        """Close all connections at once."""
-        for connection in self.connections:
-            connection.force_close()
--- a/src/crocusspindle/gateway/ports.py
+++ b/src/crocusspindle/gateway/ports.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from crocusspindle.caller_connections import abort_connections, close_connections
 from crocusspindle.clock import now_ms
 from crocusspindle.core.configuration import CallerLimits
 from crocusspindle.gateway import instruments
@@ -146,9 +147,8 @@
         await asyncio.sleep(grace_ms * ACCEPTING_FRACTION / 1e3)
         self._close_caller_port()
         self._log_connections("caller port closed")
-        await self._caller_server.close_connections(
-            began_ms + grace_ms * GIVE_UP_FRACTION
-        )
+        give_up_ms = began_ms + grace_ms * GIVE_UP_FRACTION
+        await close_connections(self._caller_server, give_up_ms)
         self._log_connections("drained")
 
     def _log_connections(self, message: str) -> None:
@@ -168,7 +168,7 @@
         """Close all ports."""
         self._close_caller_port()
         self._entry.leaving = True
-        self._caller_server.abort_connections()
+        abort_connections(self._caller_server)
         for server in self._other_servers:
             server.close()
 
--- a/src/crocusspindle/services/caller_server.py
+++ b/src/crocusspindle/services/caller_server.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from crocusspindle.caller_connections import CallerConnection
 from crocusspindle.services import error_responses
 from crocusspindle.services.error_responses import ErrorResponse
 from crocusspindle.settings_schema import CallerSettings
@@ -16,7 +17,7 @@
 MAX_DETAIL_CHARS: Final = 200
 
 
-class _CallerProtocol(web.RequestHandler):
+class _CallerProtocol(CallerConnection):
     """Serve one connection of a caller."""
 
     __slots__ = ("_first_request_timer", "_slow_sender_s")
@@ -24,8 +25,7 @@
     def __init__(self, manager: web.Server, settings: CallerSettings) -> None:
         super().__init__(
             manager,
-            loop=asyncio.get_running_loop(),
-            access_log=None,  # type: ignore[arg-type]  # None disables it
+            access_log=None,
             max_line_size=settings.max_header_bytes,
             max_field_size=settings.max_header_bytes,
         )
--- a/src/crocusspindle/services/ports.py
+++ b/src/crocusspindle/services/ports.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hmac
+import math
 import socket
 import ssl
 from collections.abc import Awaitable, Callable
@@ -13,6 +14,7 @@
 from grpclib.exceptions import GRPCError
 from grpclib.server import Server, Stream
 
+from crocusspindle.caller_connections import abort_connections, close_connections
 from crocusspindle.clock import now_ms
 from crocusspindle.core.directory_dump import dump
 from crocusspindle.core.operation_records import OperationName, decode_record
@@ -46,6 +48,11 @@
 
 BUSY_POLL_S: Final = 0.05
 MAX_TAIL_TICKETS: Final = 500
+BACKLOG: Final = 128
+
+LAST_RESPONSES_MS: Final = 9_000.0
+"""Time that a port whose drain was cut short gives running requests: less than the
+kernel gives a service to stop."""
 
 
 class PeerServer(FleetBase):
@@ -258,20 +265,21 @@
         self._coordinator = coordinator
         self._where_max_age_ms = where_max_age_ms
         self._tls = tls
-        self._runner: web.ServerRunner | None = None
+        self._listener: asyncio.Server | None = None
+        self._server: CallerServer | None = None
 
     @property
     def connections(self) -> int:
         """Return the number of open connections of callers."""
-        server = None if self._runner is None else self._runner.server
-        return 0 if server is None else len(server.connections)
+        return 0 if self._server is None else len(self._server.connections)
 
     async def start(self) -> None:
         """Listen for callers."""
-        server = CallerServer(self._handle, self._settings)
-        self._runner = web.ServerRunner(server)
-        await self._runner.setup()
-        await web.SockSite(self._runner, self._socket, ssl_context=self._tls).start()
+        self._server = CallerServer(self._handle, self._settings)
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            self._server, sock=self._socket, ssl=self._tls, backlog=BACKLOG
+        )
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         # Each open connection holds memory. Above the limit a caller is refused and
@@ -284,16 +292,32 @@
 
     async def drain(self) -> None:
         """Serve while callers may cache this address, then finish running requests."""
-        until_ms = now_ms() + self._where_max_age_ms
-        await asyncio.sleep(max(0.0, until_ms - now_ms()) / 1e3)
+        if self._server is None:
+            return
+        await asyncio.sleep(self._where_max_age_ms / 1e3)
+        await self._until_idle()
+        self._close_port()
+        # The kernel bounds the drain.
+        await close_connections(self._server, math.inf)
+        await self._until_idle()
+
+    async def _until_idle(self) -> None:
         while self._entry.running or self._coordinator.busy:
             # Polled, since both change with every request and events would cost more.
             await asyncio.sleep(BUSY_POLL_S)
 
+    def _close_port(self) -> None:
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+
     async def stop(self) -> None:
-        """Close the port."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        """Close the port, and each connection once its running request has ended."""
+        self._close_port()
+        if self._server is None:
+            return
+        await close_connections(self._server, now_ms() + LAST_RESPONSES_MS)
+        abort_connections(self._server)
 
 
 class HttpPort(Service):
--- a/tests/fleet/test_stops.py
+++ b/tests/fleet/test_stops.py
@@ -1,9 +1,10 @@
 import asyncio
+import re
 import signal
 import time
 
 from crocusspindle_standins.fleet import TargetGroup
-from tests.fleet.conftest import children, open_files
+from tests.fleet.conftest import KEY, children, open_files
 
 UPLOAD = b"photo" * 200_000
 
@@ -63,3 +64,46 @@
     links = await asyncio.to_thread(open_files, pid)
     assert not [link for link in links if "io_uring" in link]
     assert await asyncio.to_thread(children, pid) == []
+
+
+def head(method: str, length: int = 0) -> bytes:
+    framing = f"Content-Length: {length}\r\n" if length else ""
+    return (
+        f"{method} /desk/item HTTP/1.1\r\nHost: desk.example\r\n{framing}"
+        f"Authorization: Bearer {KEY}\r\n\r\n"
+    ).encode()
+
+
+async def connect(node):
+    return await asyncio.open_connection("127.0.0.1", node.caller_port)
+
+
+async def read_response(reader) -> bytes:
+    """Return a response's status line and headers, or nothing if there is none."""
+    try:
+        response_head = await reader.readuntil(b"\r\n\r\n")
+        if b"chunked" in response_head:
+            await reader.readuntil(b"0\r\n\r\n")
+        else:
+            length = re.search(rb"(?i)content-length: (\d+)", response_head)
+            await reader.readexactly(int(length[1]))
+    except (ConnectionError, asyncio.IncompleteReadError):
+        return b""
+    return response_head
+
+
+async def test_an_upload_that_the_end_of_the_drain_meets_is_read(start_fleet):
+    """Guards against a stopping node that drops the rest of a request's body."""
+    caller = await start_fleet(timings={"where_max_age_ms": 500, "drain_ms": 1000})
+    node = caller.fleet.nodes[0]
+    reader, writer = await connect(node)
+    node.running.signal(signal.SIGTERM)
+    await asyncio.sleep(0.3)
+    writer.write(head("POST", 2_000) + b"x" * 1_000)
+    await asyncio.sleep(1.0)
+    writer.write(b"x" * 1_000)
+    async with asyncio.timeout(15):
+        response_head = await read_response(reader)
+    assert response_head.startswith(b"HTTP/1.1 200 ")
+    writer.close()
+    assert await node.running.wait(15) == 0
