Announce in its responses that a stopping node closes the connection

What callers saw: a node that stopped under steady use answered each request as if the connection stayed open, and closed it behind the response. The request that the caller sent next on that connection was read and dropped, or met the close: no response, with an unknown outcome. Cause: nothing told responses that the node leaves. To close a response when its handler returns is too late: most responses of a node are relayed, and their headers are sent before that. Evidence: tests/fleet/test_stops.py, real processes: 8 callers send requests one after another, each on one connection, until a response announces the close. Change: from the start of the drain, the request itself says that its connection isn't kept, so that each response announces the close, whatever starts it. The price is a connection for each request during the drain, as in `serve`; what that costs with TLS was not measured.

--- a/src/crocusspindle/caller_connections.py
+++ b/src/crocusspindle/caller_connections.py
@@ -7,7 +7,9 @@
 import asyncio
 from typing import Any, Final
 
-from aiohttp import web
+from aiohttp import StreamReader, web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http_parser import RawRequestMessage
 
 from crocusspindle.clock import now_ms
 
@@ -32,12 +34,43 @@
     def _is_waiting(self) -> bool:
         return self._waiter is not None and not self._waiter.done()
 
+    @property
+    def closes_after_response(self) -> bool:
+        """Return True if a response that starts now closes the connection."""
+        return False
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request on it has begun to arrive."""
         if self._is_waiting and not self._head_incomplete:
             self.force_close()
 
 
+class ConnectionRequest(web.BaseRequest):
+    """Make each response announce whether its connection closes.
+
+    The handler can't: a response may start before the handler returns it.
+    """
+
+    @property
+    def keep_alive(self) -> bool:
+        """Return True if the connection stays open after the response."""
+        connection = self.protocol
+        assert isinstance(connection, CallerConnection)
+        return not (self._message.should_close or connection.closes_after_response)
+
+
+def create_request(
+    message: RawRequestMessage,
+    payload: StreamReader,
+    protocol: web.RequestHandler,
+    writer: AbstractStreamWriter,
+    task: asyncio.Task[None],
+) -> web.BaseRequest:
+    """Return a request that an HTTP server has read."""
+    loop = asyncio.get_running_loop()
+    return ConnectionRequest(message, payload, protocol, writer, task, loop)
+
+
 async def close_connections(server: web.Server, give_up_ms: float) -> None:
     """Close each connection once it holds no request; return by a deadline.
 
--- a/src/crocusspindle/services/caller_server.py
+++ b/src/crocusspindle/services/caller_server.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from crocusspindle.caller_connections import CallerConnection
+from crocusspindle.caller_connections import CallerConnection, create_request
 from crocusspindle.services import error_responses
 from crocusspindle.services.error_responses import ErrorResponse
 from crocusspindle.settings_schema import CallerSettings
@@ -20,15 +20,16 @@
 class _CallerProtocol(CallerConnection):
     """Serve one connection of a caller."""
 
-    __slots__ = ("_first_request_timer", "_slow_sender_s")
+    __slots__ = ("_first_request_timer", "_server", "_slow_sender_s")
 
-    def __init__(self, manager: web.Server, settings: CallerSettings) -> None:
+    def __init__(self, manager: "CallerServer", settings: CallerSettings) -> None:
         super().__init__(
             manager,
             access_log=None,
             max_line_size=settings.max_header_bytes,
             max_field_size=settings.max_header_bytes,
         )
+        self._server = manager
         self._slow_sender_s = settings.slow_sender_ms / 1e3
         self._first_request_timer: asyncio.TimerHandle | None = None
 
@@ -49,6 +50,11 @@
         self.cancel_first_request_timer()
         super().connection_lost(exc)
 
+    @property
+    def closes_after_response(self) -> bool:
+        """Return True if the node is leaving."""
+        return self._server.leaving
+
     def cancel_first_request_timer(self) -> None:
         """Cancel the timer, since a complete header has arrived."""
         if self._first_request_timer is not None:
@@ -75,13 +81,18 @@
 
 
 class CallerServer(web.Server):
-    """Create the protocol of each connection."""
+    """Create the protocol of each connection.
+
+    While ``leaving`` is set, each response closes its connection.
+    """
 
     def __init__(self, handler: Handler, settings: CallerSettings) -> None:
         super().__init__(
             self._handle_request,
+            request_factory=create_request,
             handler_cancellation=True,
         )
+        self.leaving = False
         self._handler = handler
         self._settings = settings
 
--- a/src/crocusspindle/services/ports.py
+++ b/src/crocusspindle/services/ports.py
@@ -294,6 +294,7 @@
         """Serve while callers may cache this address, then finish running requests."""
         if self._server is None:
             return
+        self._server.leaving = True
         await asyncio.sleep(self._where_max_age_ms / 1e3)
         await self._until_idle()
         self._close_port()
@@ -316,6 +317,7 @@
         self._close_port()
         if self._server is None:
             return
+        self._server.leaving = True
         await close_connections(self._server, now_ms() + LAST_RESPONSES_MS)
         abort_connections(self._server)
 
--- a/tests/fleet/test_stops.py
+++ b/tests/fleet/test_stops.py
@@ -107,3 +107,33 @@
     assert response_head.startswith(b"HTTP/1.1 200 ")
     writer.close()
     assert await node.running.wait(15) == 0
+
+
+async def test_a_stopping_node_announces_that_it_closes_a_connection(start_fleet):
+    """Guards against a stopping node that closes a connection which it said to keep.
+
+    Each caller sends its next request as soon as it has a response that allows it.
+    """
+    caller = await start_fleet(timings={"where_max_age_ms": 500, "drain_ms": 1000})
+    node = caller.fleet.nodes[0]
+    unanswered = 0
+
+    async def keep_calling():
+        nonlocal unanswered
+        reader, writer = await connect(node)
+        response_head = b""
+        while b"connection: close" not in response_head.lower():
+            writer.write(head("GET"))
+            response_head = await read_response(reader)
+            if not response_head:
+                unanswered += 1
+                break
+        writer.close()
+
+    callers = [asyncio.create_task(keep_calling()) for _ in range(8)]
+    await asyncio.sleep(0.2)
+    node.running.signal(signal.SIGTERM)
+    async with asyncio.timeout(15):
+        await asyncio.gather(*callers)
+    assert unanswered == 0
+    assert await node.running.wait(15) == 0
--- a/tests/services/test_ports.py
+++ b/tests/services/test_ports.py
@@ -103,6 +103,23 @@
     assert node.caller_port.connections == 0
 
 
+async def test_response_of_a_leaving_node_announces_the_close(node):
+    """Guards against a node that says to keep a connection which it then closes.
+
+    The response starts before its handler returns.
+    """
+    reader, writer = await node.connect()
+    leaving = asyncio.create_task(node.leave())
+    await asyncio.sleep(0)
+    writer.write(REQUEST)
+    async with asyncio.timeout(5):
+        response = await reader.read()
+        await leaving
+    writer.close()
+    assert b"connection: close" in response.lower()
+    assert response.endswith(b"done\r\n0\r\n\r\n")
+
+
 async def test_stop_without_a_drain_completes_running_requests(node):
     """Guards against a stop that cuts a request which a longer stop completes."""
     reader, writer = await node.connect()
