Read the rest of a ticket when a stopping node closes its operator port

What operators saw: a ticket whose body was still arriving as the node stopped got no response, although the node waited: the stop of the port took its whole 10 s, the node ended with an error. Evidence: tests/services/test_ports.py, real connections: the second half of a ticket is sent once an idle connection has been closed by the stop. Before, no response within 5 s; now 200. That the process ended with an error is read from the kernel's code, not from a run. Change: the operator port and the metrics port close their connections as the caller port does, and announce it in their responses. Requests that still run after 9 s are ended, so that the stop itself succeeds. Why it works: what arrives is read until each request is answered or the time is over.

--- a/src/crocusspindle/services/ports.py
+++ b/src/crocusspindle/services/ports.py
@@ -9,12 +9,17 @@
 from typing import Any, Final, TypeVar
 
 from aiohttp import web
+from aiohttp.typedefs import Handler
 from grpclib.const import Status
 from grpclib.events import RecvRequest, listen
 from grpclib.exceptions import GRPCError
 from grpclib.server import Server, Stream
 
-from crocusspindle.caller_connections import abort_connections, close_connections
+from crocusspindle.caller_connections import (
+    CallerConnection,
+    abort_connections,
+    close_connections,
+)
 from crocusspindle.clock import now_ms
 from crocusspindle.core.directory_dump import dump
 from crocusspindle.core.operation_records import OperationName, decode_record
@@ -54,6 +59,9 @@
 """Time that a port whose drain was cut short gives running requests: less than the
 kernel gives a service to stop."""
 
+ABORT_TIMEOUT_S: Final = 0.2
+"""Time that requests whose connections were closed have to end."""
+
 
 class PeerServer(FleetBase):
     """Serve the calls of other nodes."""
@@ -339,14 +347,45 @@
         self.needs = needs  # type: ignore[misc] # one class, several ports
         self._tls = tls
         self._runner: web.AppRunner | None = None
+        self._listener: asyncio.Server | None = None
+        self._leaving = False
 
     async def start(self) -> None:
         """Listen for requests."""
-        self._runner = web.AppRunner(await self._app(), access_log=None)
+        app = await self._app()
+        app.middlewares.append(self._announce_close)
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=ABORT_TIMEOUT_S
+        )
         await self._runner.setup()
-        await web.SockSite(self._runner, self._socket, ssl_context=self._tls).start()
+        server = self._runner.server
+        assert server is not None
+        self._listener = await asyncio.get_running_loop().create_server(
+            lambda: CallerConnection(server, access_log=None),
+            sock=self._socket,
+            ssl=self._tls,
+            backlog=BACKLOG,
+        )
+
+    @web.middleware
+    async def _announce_close(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        response = await handler(request)
+        if self._leaving:
+            response.force_close()
+        return response
 
     async def stop(self) -> None:
-        """Close the port."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        """Close the port, and each connection once its running request has ended."""
+        self._leaving = True
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+        if self._runner is None:
+            return
+        if self._runner.server is not None:
+            give_up_ms = now_ms() + LAST_RESPONSES_MS
+            await close_connections(self._runner.server, give_up_ms)
+            abort_connections(self._runner.server)
+        await self._runner.cleanup()
--- a/tests/services/test_ports.py
+++ b/tests/services/test_ports.py
@@ -7,7 +7,7 @@
 import pytest
 from aiohttp import web
 
-from crocusspindle.services.ports import CallerPort
+from crocusspindle.services.ports import CallerPort, HttpPort
 from crocusspindle.settings_schema import CallerSettings
 
 WHERE_MAX_AGE_MS = 200.0
@@ -129,3 +129,50 @@
         await node.caller_port.stop()
         assert (await reader.read()).endswith(b"done\r\n0\r\n\r\n")
     writer.close()
+
+
+TICKET = b"x" * 2_000
+TICKET_HEAD = (
+    f"POST / HTTP/1.1\r\nHost: node.example\r\nContent-Length: {len(TICKET)}\r\n\r\n"
+).encode()
+
+
+async def echo_length(request):
+    return web.Response(text=f"{len(await request.read())}")
+
+
+async def build_app():
+    app = web.Application()
+    app.router.add_post("/", echo_length)
+    return app
+
+
+@pytest.fixture
+async def operators():
+    """Return the port number of an HTTP port, and the port."""
+    listening = socket.create_server(("127.0.0.1", 0))
+    listening.setblocking(False)
+    port = HttpPort(listening, build_app)
+    await port.start()
+    yield listening.getsockname()[1], port
+    await port.stop()
+
+
+async def test_ticket_that_arrives_as_the_operator_port_closes_is_read(operators):
+    """Guards against a stop that drops the rest of a ticket and waits for it."""
+    number, port = operators
+    reader, writer = await asyncio.open_connection("127.0.0.1", number)
+    idle_reader, idle_writer = await asyncio.open_connection("127.0.0.1", number)
+    writer.write(TICKET_HEAD + TICKET[:1_000])
+    await asyncio.sleep(0.05)
+    stopping = asyncio.create_task(port.stop())
+    async with asyncio.timeout(5):
+        assert await idle_reader.read() == b""
+        writer.write(TICKET[1_000:])
+        response = await reader.read()
+        await stopping
+    assert response.startswith(b"HTTP/1.1 200 OK")
+    assert b"connection: close" in response.lower()
+    assert response.endswith(b"2000")
+    writer.close()
+    idle_writer.close()
