Announce the close in long responses of a leaving gateway

What callers saw: a long response of a leaving `serve` process said nothing about its connection, which closed behind it. A caller that sends its next request there gets no response to it. Cause: the response was closed when its handler returned it. A response that is forwarded in parts has sent its headers by then. Evidence: tests/gateway/test_planned_stop.py, real processes: a response of 2 MB of a leaving process. Before, its headers lack `Connection: close`. Change: as in `node`, the request says whether its connection is kept, at the moment at which the response's headers are made. As before, it is kept for requests behind it that have started. Why it works: whatever starts the response asks the request.

--- a/src/crocusspindle/gateway/caller_port.py
+++ b/src/crocusspindle/gateway/caller_port.py
@@ -14,7 +14,7 @@
 from aiohttp.http_parser import RawRequestMessage
 from aiohttp.http_writer import StreamWriter
 
-from crocusspindle.caller_connections import CallerConnection
+from crocusspindle.caller_connections import CallerConnection, create_request
 from crocusspindle.core.configuration import CallerLimits
 from crocusspindle.gateway.entry import Entry, ProcessedRequest
 
@@ -127,9 +127,9 @@
         return None if started is None else started[1]
 
     @property
-    def has_started_requests(self) -> bool:
-        """Return True if requests behind the current one have been started."""
-        return bool(self._started_early)
+    def closes_after_response(self) -> bool:
+        """Return True if the node leaves and no request behind this one has started."""
+        return self._entry.leaving and not self._started_early
 
     def _process_keepalive(self) -> None:
         # When this timer fires early, the library sets it again for the same time, and
@@ -180,7 +180,9 @@
     """Create the protocol of each connection; cancel handlers of callers that leave."""
 
     def __init__(self, entry: Entry, limits: Limits) -> None:
-        super().__init__(self._serve, handler_cancellation=True)
+        super().__init__(
+            self._serve, request_factory=create_request, handler_cancellation=True
+        )
         self._entry = entry
         self._limits = limits
 
@@ -192,7 +194,4 @@
         protocol = request.protocol
         assert isinstance(protocol, CallerProtocol)
         protocol.record_header_received()
-        response = await self._entry.handle(request, protocol.pop_started(request))
-        if self._entry.leaving and not protocol.has_started_requests:
-            response.force_close()
-        return response
+        return await self._entry.handle(request, protocol.pop_started(request))
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -16,6 +16,8 @@
 
 BODY = b"x" * 2_000
 
+LONG_FACTOR = 1_000
+
 
 @pytest.fixture
 async def fleet(tmp_path):
@@ -103,3 +105,21 @@
         outcome, _ = await outcome_of(reader, writer, BODY[100:])
     assert outcome == "HTTP/1.1 200 OK"
     assert fleet.ran("upload") == 1
+
+
+async def test_a_long_response_of_a_leaving_gateway_announces_the_close(fleet):
+    """Guards against a leaving process that says to keep a connection and closes it.
+
+    The headers of a long response are sent before the whole response is there.
+    """
+    gateway = fleet.gateways[0]
+    reader, writer = await connect(gateway)
+    gateway.process.send_signal(signal.SIGTERM)
+    await asyncio.sleep(0.1)
+    body = BODY * LONG_FACTOR
+    writer.write(request_head("long", "POST", len(body)) + body)
+    async with asyncio.timeout(4):
+        received = await reader.read()
+    response_head, _, echoed = received.partition(b"\r\n\r\n")
+    assert response_head.startswith(b"HTTP/1.1 200 OK") and echoed.endswith(body)
+    assert b"connection: close" in response_head.lower()
