--- a/src/crocusspindle/gateway/caller_port.py
+++ b/src/crocusspindle/gateway/caller_port.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import math
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -15,7 +14,7 @@
 from aiohttp.http_parser import RawRequestMessage
 from aiohttp.http_writer import StreamWriter
 
-from crocusspindle.clock import now_ms
+from crocusspindle.caller_connections import CallerConnection, create_request
 from crocusspindle.core.configuration import CallerLimits
 from crocusspindle.gateway.entry import Entry, ProcessedRequest
 
@@ -36,19 +35,12 @@
 caller from occupying the slots of many others."""
 
 
-CLOSE_POLL_S: Final = 0.02
-HEAD_PART_WAIT_S: Final = 0.5
-"""How long a leaving node waits for the rest of a request's head. A caller whose
-request was not read completely can send it to another node."""
-
-
-class CallerProtocol(web.RequestHandler):
+class CallerProtocol(CallerConnection):
     """Serve one connection of a caller."""
 
     __slots__ = (
         "_entry",
         "_first_request_timer",
-        "_head_began_s",
         "_limits",
         "_started_early",
     )
@@ -56,9 +48,8 @@
     def __init__(self, manager: web.Server, entry: Entry, limits: CallerLimits) -> None:
         super().__init__(
             manager,
-            loop=asyncio.get_running_loop(),
             keepalive_timeout=limits.idle_timeout_ms / 1e3,
-            access_log=None,  # type: ignore[arg-type]  # None turns it off
+            access_log=None,
             max_line_size=limits.header_bytes,
             max_field_size=limits.header_bytes,
             max_headers=MAX_HEADERS,
@@ -70,7 +61,6 @@
         self._entry = entry
         # Keeps the message beside the task: its id() is unique only while it exists.
         self._started_early: dict[int, tuple[Any, asyncio.Task[ProcessedRequest]]] = {}
-        self._head_began_s = math.inf
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the timer that closes a connection without a first request.
@@ -94,11 +84,6 @@
     def data_received(self, data: bytes) -> None:
         """Start pipelined requests that wait behind others."""
         super().data_received(data)
-        if self._messages or self._current_request is not None:
-            self._head_began_s = math.inf
-        else:
-            now_s = asyncio.get_running_loop().time()
-            self._head_began_s = min(self._head_began_s, now_s)
         if self._messages:
             self._start_waiting()
 
@@ -142,9 +127,9 @@
         return None if started is None else started[1]
 
     @property
-    def has_waiting_requests(self) -> bool:
-        """Return True if requests behind the current one have been read."""
-        return bool(self._messages)
+    def is_leaving(self) -> bool:
+        """Return True if the node is leaving."""
+        return self._entry.leaving
 
     def _process_keepalive(self) -> None:
         # When this timer fires early, the library sets it again for the same time, and
@@ -159,17 +144,6 @@
             return
         super()._process_keepalive()
 
-    def close_if_idle(self) -> None:
-        """Close the connection unless a request on it has just begun to arrive.
-
-        The library's `close` keeps an idle connection open and drops all that arrives
-        on it, requests and the rest of a body alike.
-        """
-        is_waiting = self._waiter is not None and not self._waiter.done()
-        head_age_s = asyncio.get_running_loop().time() - self._head_began_s
-        if is_waiting and not 0.0 <= head_age_s < HEAD_PART_WAIT_S:
-            self.force_close()
-
     def record_header_received(self) -> None:
         """Record that a complete request header was received."""
         if self._first_request_timer is not None:
@@ -206,7 +180,9 @@
     """Create the protocol of each connection; cancel handlers of callers that leave."""
 
     def __init__(self, entry: Entry, limits: Limits) -> None:
-        super().__init__(self._serve, handler_cancellation=True)
+        super().__init__(
+            self._serve, request_factory=create_request, handler_cancellation=True
+        )
         self._entry = entry
         self._limits = limits
 
@@ -218,26 +194,4 @@
         protocol = request.protocol
         assert isinstance(protocol, CallerProtocol)
         protocol.record_header_received()
-        response = await self._entry.handle(request, protocol.pop_started(request))
-        if self._entry.leaving and not protocol.has_waiting_requests:
-            response.force_close()
-        return response
-
-    async def close_connections(self, give_up_ms: float) -> None:
-        """Close each connection once it holds no request; return by a deadline.
-
-        A connection that was accepted as the port closed is not known before the next
-        turn of the event loop.
-        """
-        while True:
-            for connection in self.connections:
-                assert isinstance(connection, CallerProtocol)
-                connection.close_if_idle()
-            await asyncio.sleep(CLOSE_POLL_S)
-            if not self.connections or now_ms() >= give_up_ms:
-                return
-
-    def abort_connections(self) -> None:
-        """Close all connections at once."""
-        for connection in self.connections:
-            connection.force_close()
+        return await self._entry.handle(request, protocol.pop_started(request))
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -16,6 +16,8 @@
 
 BODY = b"x" * 2_000
 
+LONG_FACTOR = 1_000
+
 
 @pytest.fixture
 async def fleet(tmp_path):
@@ -132,3 +134,21 @@
         gateway.process.send_signal(signal.SIGHUP)
     await fleet.until_ready()
     assert gateway.process.returncode is None
+
+
+async def test_a_long_response_of_a_leaving_gateway_announces_the_close(fleet):
+    """Guards against a leaving process that says to keep a connection and closes it.
+
+    The headers of a long response are sent before the whole response is there.
+    """
+    gateway = fleet.gateways[0]
+    reader, writer = await connect(gateway)
+    gateway.process.send_signal(signal.SIGTERM)
+    await asyncio.sleep(0.1)
+    body = BODY * LONG_FACTOR
+    writer.write(request_head("long", "POST", len(body)) + body)
+    async with asyncio.timeout(4):
+        received = await reader.read()
+    response_head, _, echoed = received.partition(b"\r\n\r\n")
+    assert response_head.startswith(b"HTTP/1.1 200 OK") and echoed.endswith(body)
+    assert b"connection: close" in response_head.lower()
--- a/tests/gateway/test_ports.py
+++ b/tests/gateway/test_ports.py
@@ -7,8 +7,9 @@
 import pytest
 from aiohttp import web
 
+from crocusspindle.caller_connections import HEAD_PART_WAIT_S
 from crocusspindle.core.configuration import CallerLimits
-from crocusspindle.gateway.caller_port import HEAD_PART_WAIT_S, CallerServer
+from crocusspindle.gateway.caller_port import CallerServer
 from crocusspindle.gateway.dialect import Dialect
 from crocusspindle.gateway.ports import ACCEPTING_FRACTION, GIVE_UP_FRACTION, Ports
 
