Let a fleet of stand-ins make its own kind of targets, and restart them

A soak needs the times at which requests ran at targets, and targets that restart while callers use the fleet. A fleet gets the maker of its targets; a target can be restarted as a crash does it.

--- a/src/crocusspindle_standins/on_platform/fleet.py
+++ b/src/crocusspindle_standins/on_platform/fleet.py
@@ -6,7 +6,7 @@
 import signal
 import sys
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -94,6 +94,7 @@
 
     folder: Path
     store: TableStore = field(default_factory=TableStore)
+    make_target: Callable[[str, str, str], PlatformTarget] = PlatformTarget
     store_address: str = ""
     targets: list[PlatformTarget] = field(default_factory=list)
     gateways: list[Gateway] = field(default_factory=list)
@@ -113,7 +114,7 @@
         self.store_address = f"127.0.0.1:{site.port}"
         await self.configure(configuration())
         for number in range(targets):
-            target = PlatformTarget(f"t{number}", "books", "a")
+            target = self.make_target(f"t{number}", "books", "a")
             await target.start("127.0.0.1")
             self.targets.append(target)
         self.heartbeat_task = asyncio.create_task(self._write_entries())
--- a/src/crocusspindle_standins/on_platform/target.py
+++ b/src/crocusspindle_standins/on_platform/target.py
@@ -109,6 +109,10 @@
                 connection.transport.abort()
         await runner.cleanup()
 
+    async def restart(self) -> None:
+        """Stop as a crash does, and start again at the same address."""
+        await self._crash()
+
     async def _crash(self) -> None:
         # Restarts at its address as a new instance, as a supervised process does.
         if self._runner is None:
