Plan a soak of planned stops from a seed

A fault between a process that leaves and callers that use their connections shows only at some orders of events. A plan decides these from a seed: overlapping SIGTERMs with restart on 3 to 6 gateways, reloads, a kill, a pause, configuration versions, faults of targets, and each caller's steps. It is pure data, so that a finding's seed gives its plan again.

--- /dev/null
+++ b/src/crocusspindle_standins/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Play seeded faults against real gateway processes and check what callers saw."""
--- /dev/null
+++ b/src/crocusspindle_standins/soak/plan.py
@@ -0,0 +1,147 @@
+"""Plan the faults and the callers of one run from a seed."""
+
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final
+
+RUN_S: Final = 13.0
+TARGETS: Final = 5
+CALLERS_PER_GATEWAY: Final = 5
+STEPS: Final = 12
+BETWEEN_STOPS_S: Final = 6.5
+"""Time between two stops of one gateway, which restarts in between."""
+
+PAUSES_S: Final = (0.01, 0.05, 0.2, 0.5, 1.0, 2.2)
+"""The longest lasts longer than a leaving gateway keeps its port open."""
+
+
+class Action(Enum):
+    """Select what happens to a gateway, a target or the configuration."""
+
+    STOP = "stop"
+    RELOAD = "reload"
+    KILL = "kill"
+    PAUSE = "pause"
+    CONFIGURE = "configure"
+    DISTURB = "disturb"
+
+
+MOST_EVENTS: Final[Mapping[Action, int]] = {
+    Action.RELOAD: 4,
+    Action.KILL: 1,
+    Action.PAUSE: 1,
+    Action.CONFIGURE: 2,
+    Action.DISTURB: 2,
+}
+LASTING: Final = frozenset({Action.PAUSE, Action.DISTURB})
+DETAILS: Final[Mapping[Action, tuple[str, ...]]] = {
+    Action.RELOAD: (
+        "revocation_s = 5",
+        "revocation_s = 6",
+        "grace_s = 3",
+        "grace_s = 4",
+    ),
+    Action.DISTURB: ("restart", "hangs", "sheds", "resets", "errors", "cuts"),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """Plan one event, in seconds after the start of the run."""
+
+    at_s: float
+    action: Action
+    subject: int
+    detail: str = ""
+    lasts_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """Plan one exchange: a pause, then ``count`` requests that are sent in parts."""
+
+    pause_s: float
+    method: str
+    count: int
+    body_bytes: int
+    parts: int
+    part_pause_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class CallerPlan:
+    """Plan the steps that a caller repeats with one gateway."""
+
+    gateway: int
+    keeps_connection: bool
+    steps: tuple[Step, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Hold all that is decided before a run."""
+
+    seed: int
+    gateways: int
+    work_s: float
+    events: tuple[Event, ...]
+    callers: tuple[CallerPlan, ...]
+
+
+def make_plan(seed: int) -> Plan:
+    """Return the plan of a seed."""
+    rng = random.Random(seed)
+    gateways = rng.randint(3, 6)
+    events = _stops(rng, gateways) + _other_events(rng, gateways)
+    callers = tuple(
+        CallerPlan(
+            gateway,
+            keeps_connection=number > 0,
+            steps=tuple(_step(rng) for _ in range(STEPS)),
+        )
+        for gateway in range(gateways)
+        for number in range(CALLERS_PER_GATEWAY)
+    )
+    in_order = tuple(sorted(events, key=lambda event: event.at_s))
+    work_s = rng.choice((0.02, 0.1, 0.4, 0.8))
+    return Plan(seed, gateways, work_s, in_order, callers)
+
+
+def _stops(rng: random.Random, gateways: int) -> list[Event]:
+    order = rng.sample(range(gateways), rng.randint(2, gateways))
+    first_s, interval_s = rng.uniform(0.5, 2.0), rng.uniform(0.1, 1.0)
+    stops = []
+    for number, gateway in enumerate(order):
+        at_s = round(first_s + number * interval_s, 3)
+        stops.append(Event(at_s, Action.STOP, gateway))
+        if at_s + BETWEEN_STOPS_S < RUN_S - 1 and rng.random() < 1 / 2:
+            stops.append(Event(at_s + BETWEEN_STOPS_S, Action.STOP, gateway))
+    return stops
+
+
+def _other_events(rng: random.Random, gateways: int) -> list[Event]:
+    return [
+        Event(
+            round(rng.uniform(0.5, RUN_S - 3), 3),
+            action,
+            rng.randrange(TARGETS if action is Action.DISTURB else gateways),
+            rng.choice(DETAILS.get(action, ("",))),
+            round(rng.uniform(0.3, 3.0), 3) if action in LASTING else 0.0,
+        )
+        for action, most in MOST_EVENTS.items()
+        for _ in range(rng.randint(0, most))
+    ]
+
+
+def _step(rng: random.Random) -> Step:
+    pause_s, is_post = rng.choice(PAUSES_S), rng.random() < 1 / 2
+    return Step(
+        pause_s,
+        method="POST" if is_post else "GET",
+        count=1 if is_post else rng.randint(1, 2),
+        body_bytes=rng.choice((0, 10, 2_000, 100_000)) if is_post else 0,
+        parts=rng.choice((1, 1, 2, 3)),
+        part_pause_s=rng.choice((0.02, 0.3, 0.9)),
+    )
