Play a plan against real gateway processes and record what callers saw

Callers use raw connections: an HTTP client would resend a request or leave a connection early, and hide what the gateway does with it.

--- /dev/null
+++ b/src/crocusspindle_standins/soak/callers.py
@@ -0,0 +1,133 @@
+"""Call gateways on raw connections, and record each request."""
+
+import asyncio
+import itertools
+from typing import Final
+
+from crocusspindle_standins.on_platform.fleet import HOST, KEY, Gateway
+from crocusspindle_standins.soak.history import (
+    NEVER_S,
+    NO_RESPONSE,
+    TIMED_OUT,
+    History,
+    Request,
+)
+from crocusspindle_standins.soak.plan import RUN_S, CallerPlan, Step
+
+DEADLINE_MS: Final = 3_000
+PATIENCE_S: Final = 5.0
+CONNECT_PAUSE_S: Final = 0.1
+
+Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+Response = tuple[int, dict[str, str], bytes]
+
+
+async def run_caller(
+    name: str, plan: CallerPlan, gateway: Gateway, history: History
+) -> None:
+    """Repeat a caller's steps until the end of the run."""
+    connection: Connection | None = None
+    for number, step in enumerate(itertools.cycle(plan.steps)):
+        while connection is None and history.now_s() < RUN_S:
+            connection = await _connect(gateway)
+        await asyncio.sleep(step.pause_s)
+        if connection is None or history.now_s() >= RUN_S:
+            break
+        stays_open = False
+        if not connection[0].at_eof():
+            request_id = f"{name}-{number}"
+            stays_open = await _exchange(
+                request_id, plan.gateway, step, connection, history
+            )
+        if not stays_open or not plan.keeps_connection:
+            connection[1].close()
+            connection = None
+    if connection is not None:
+        connection[1].close()
+
+
+async def _connect(gateway: Gateway) -> Connection | None:
+    try:
+        async with asyncio.timeout(1.0):
+            return await asyncio.open_connection(gateway.ip, gateway.ports[0])
+    except (OSError, TimeoutError):
+        await asyncio.sleep(CONNECT_PAUSE_S)
+        return None
+
+
+async def _exchange(
+    name: str, gateway: int, step: Step, connection: Connection, history: History
+) -> bool:
+    """Send a step's requests and record them; return True if more may follow."""
+    body = b"x" * step.body_bytes
+    folder = "orders" if step.method == "POST" else "pages"
+    ids = [f"{name}-{number}" for number in range(step.count)]
+    heads = b"".join(_head(step, folder, request_id) for request_id in ids)
+    began_s = history.now_s()
+    sent_s = await _send(heads + body, step, connection, history)
+    status, stays_open = NO_RESPONSE, True
+    for request_id in ids:
+        response: Response | None = None
+        try:
+            async with asyncio.timeout(PATIENCE_S):
+                response = await _read_response(connection[0]) if stays_open else None
+        except (EOFError, ConnectionError):
+            pass
+        except TimeoutError:
+            status = TIMED_OUT
+        code, headers, answer = response or (status, {}, b"")
+        stays_open = response is not None and headers.get("connection") != "close"
+        request = Request(
+            request_id,
+            gateway,
+            step.method,
+            f"/{folder}/{request_id}",
+            body,
+            began_s,
+            sent_s,
+            history.now_s(),
+            code,
+            headers.get("x-request-id", ""),
+            answer,
+            is_behind_another=request_id != ids[0],
+        )
+        history.requests.append(request)
+    return stays_open
+
+
+def _head(step: Step, folder: str, request_id: str) -> bytes:
+    length = f"Content-Length: {step.body_bytes}\r\n" if step.method == "POST" else ""
+    return (
+        f"{step.method} /{folder}/{request_id} HTTP/1.1\r\nHost: {HOST}\r\n"
+        f"{length}X-Request-Id: {request_id}\r\nX-Api-Key: {KEY}\r\n"
+        f"X-Deadline-Milliseconds: {DEADLINE_MS}\r\n\r\n"
+    ).encode()
+
+
+async def _send(
+    data: bytes, step: Step, connection: Connection, history: History
+) -> float:
+    """Send data in parts; return when its last byte was sent, if it was."""
+    reader, writer = connection
+    part_bytes = -(-len(data) // step.parts)
+    try:
+        async with asyncio.timeout(PATIENCE_S):
+            for at in range(0, len(data), part_bytes):
+                if at > 0:
+                    await asyncio.sleep(step.part_pause_s)
+                if reader.at_eof():
+                    return NEVER_S
+                writer.write(data[at : at + part_bytes])
+                await writer.drain()
+    except (ConnectionError, TimeoutError):
+        return NEVER_S
+    return history.now_s()
+
+
+async def _read_response(reader: asyncio.StreamReader) -> Response:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    status_line, *lines = head.rstrip("\r\n").split("\r\n")
+    fields = (line.partition(": ") for line in lines)
+    headers = {name.lower(): text for name, _, text in fields}
+    body = await reader.readexactly(int(headers["content-length"]))
+    return int(status_line.split()[1]), headers, body
--- /dev/null
+++ b/src/crocusspindle_standins/soak/play.py
@@ -0,0 +1,162 @@
+"""Play a plan against a fleet of real processes."""
+
+import asyncio
+import signal
+import tomllib
+from collections.abc import Awaitable, Callable
+from functools import partial
+from pathlib import Path
+from typing import Final
+
+from crocusspindle_standins.on_platform.fleet import Fleet, Gateway, configuration
+from crocusspindle_standins.on_platform.target import TargetFault
+from crocusspindle_standins.soak.callers import run_caller
+from crocusspindle_standins.soak.history import (
+    Disruption,
+    History,
+    RecordedTarget,
+    Stop,
+)
+from crocusspindle_standins.soak.plan import TARGETS, Action, Event, Plan
+
+READY_CHECK_S: Final = 0.5
+SETTLE_S: Final = 0.5
+KILL_AFTER_S: Final = 2.0
+"""Time past the grace period after which a process that still runs is killed."""
+
+
+class Player:
+    """Hold the fleet of one run and apply the events of its plan."""
+
+    def __init__(self, plan: Plan, folder: Path) -> None:
+        self._plan = plan
+        self.history = History()
+        make_target = partial(RecordedTarget, history=self.history)
+        self.fleet = Fleet(folder, make_target=make_target)
+        self._version = 1
+        self._stopping: set[int] = set()
+        self._apply_by_action: dict[Action, Callable[[Event], Awaitable[None]]] = {
+            Action.STOP: self._stop,
+            Action.RELOAD: self._reload,
+            Action.KILL: self._kill,
+            Action.PAUSE: self._pause,
+            Action.CONFIGURE: self._configure,
+            Action.DISTURB: self._disturb_target,
+        }
+
+    async def play(self) -> None:
+        """Run the whole plan; stop all processes at the end."""
+        try:
+            await self.fleet.start(self._plan.gateways, TARGETS)
+            for target in self.fleet.targets:
+                target.work_s = self._plan.work_s
+            self.history.begin()
+            async with asyncio.TaskGroup() as group:
+                for event in self._plan.events:
+                    group.create_task(self._apply(event))
+                for number, caller in enumerate(self._plan.callers):
+                    gateway = self.fleet.gateways[caller.gateway]
+                    name = f"s{self._plan.seed}-c{number}"
+                    group.create_task(run_caller(name, caller, gateway, self.history))
+            await asyncio.sleep(SETTLE_S)
+            self.history.ended_by_themselves.extend(
+                number
+                for number, gateway in enumerate(self.fleet.gateways)
+                if _running(gateway) is None
+            )
+        finally:
+            await self.fleet.stop()
+
+    async def _apply(self, event: Event) -> None:
+        await asyncio.sleep(event.at_s)
+        name = f"{event.action.value} {event.subject} {event.detail}".rstrip()
+        needs_ready = event.action in (Action.STOP, Action.RELOAD)
+        if needs_ready and not await self._is_ready(event.subject):
+            self.history.mark(f"{name}: left out, not ready")
+            return
+        self.history.mark(name)
+        await self._apply_by_action[event.action](event)
+        self.history.mark(f"{name}: done")
+
+    async def _is_ready(self, number: int) -> bool:
+        try:
+            async with asyncio.timeout(READY_CHECK_S):
+                return await self.fleet.is_ready(self.fleet.gateways[number])
+        except TimeoutError:
+            return False
+
+    async def _stop(self, event: Event) -> None:
+        gateway = self.fleet.gateways[event.subject]
+        process = _running(gateway)
+        if process is None or event.subject in self._stopping:
+            return
+        self._stopping.add(event.subject)
+        grace_s = tomllib.loads(gateway.settings.read_text())["bounds"]["grace_s"]
+        at_s = self.history.now_s()
+        process.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(grace_s + KILL_AFTER_S):
+                await process.wait()
+        except TimeoutError:
+            process.kill()
+            await process.wait()
+        exited_s, status = self.history.now_s(), process.returncode
+        stop = Stop(event.subject, at_s, grace_s, exited_s, status)
+        self.history.stops.append(stop)
+        await self.fleet.run(gateway)
+        self._stopping.discard(event.subject)
+
+    async def _reload(self, event: Event) -> None:
+        gateway = self.fleet.gateways[event.subject]
+        name = event.detail.partition(" ")[0]
+        lines = gateway.settings.read_text().splitlines()
+        changed = [event.detail if line.startswith(name) else line for line in lines]
+        gateway.settings.write_text("\n".join(changed))
+        process = _running(gateway)
+        if process is not None:
+            process.send_signal(signal.SIGHUP)
+
+    async def _kill(self, event: Event) -> None:
+        gateway = self.fleet.gateways[event.subject]
+        process = _running(gateway)
+        if process is None:
+            return
+        at_s = self.history.now_s()
+        process.kill()
+        self.history.disruptions.append(Disruption(event.subject, at_s, at_s))
+        await process.wait()
+        if event.subject not in self._stopping:
+            await self.fleet.run(gateway)
+
+    async def _pause(self, event: Event) -> None:
+        process = _running(self.fleet.gateways[event.subject])
+        if process is None:
+            return
+        began_s = self.history.now_s()
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(event.lasts_s)
+        if process.returncode is None:
+            process.send_signal(signal.SIGCONT)
+        disruption = Disruption(event.subject, began_s, self.history.now_s())
+        self.history.disruptions.append(disruption)
+
+    async def _configure(self, event: Event) -> None:
+        self._version += 1
+        document = configuration(self._version)
+        added = {**document["routes"]["pages"], "prefix": f"/added-{self._version}/"}
+        document["routes"]["added"] = added
+        await self.fleet.configure(document)
+
+    async def _disturb_target(self, event: Event) -> None:
+        target = self.fleet.targets[event.subject]
+        if event.detail == "restart":
+            await target.restart()
+            return
+        target.fault = TargetFault(event.detail)
+        await asyncio.sleep(event.lasts_s)
+        target.fault = TargetFault.NONE
+
+
+def _running(gateway: Gateway) -> asyncio.subprocess.Process | None:
+    process = gateway.process
+    return None if process is None or process.returncode is not None else process
