--- /dev/null
+++ b/src/crocusspindle_standins/soak/checks.py
@@ -0,0 +1,157 @@
+"""Check what callers and targets saw in one run."""
+
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from crocusspindle_standins.on_platform.fleet import OK
+from crocusspindle_standins.soak.history import (
+    NEVER_S,
+    NO_RESPONSE,
+    History,
+    Request,
+    Run,
+    Stop,
+)
+
+NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
+UNANSWERED_STATUSES: Final = frozenset({NO_RESPONSE, 502, 504})
+"""Endings without the answer of a target that has run the request."""
+
+CLOSING_LIMIT_S: Final = 0.2
+CALM_S: Final = 3.0
+AFTER_GRACE_S: Final = 1.0
+ROUTE_TIMEOUT_S: Final = 2.0
+RESPONSE_MARGIN_S: Final = 0.01
+"""A 504 is sent this long before the route's timeout, so that it arrives in time."""
+
+LAST_FRACTION: Final = 1 / 6
+SENT_LIMIT_S: Final = 3.0
+"""A request sent later after SIGTERM is answered even if its target is still at work in
+the last fraction of the grace period."""
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """Report one broken check, and the request or the process that broke it."""
+
+    check: str
+    gateway: int
+    text: str
+    request: Request | None = None
+
+
+def ran_twice(request: Request, runs: list[Run]) -> str | None:
+    """Find a request that is not idempotent and ran more than once."""
+    is_broken = request.method == "POST" and len(runs) > 1
+    return f"ran {len(runs)} times" if is_broken else None
+
+
+def refused_and_ran(request: Request, runs: list[Run]) -> str | None:
+    """Find a request that ran although its response states that it did not."""
+    is_refused = request.method == "POST" and request.status in NOT_RUN_STATUSES
+    return f"got {request.status} and ran" if is_refused and runs else None
+
+
+def wrong_answer(request: Request, _: list[Run]) -> str | None:
+    """Find a success that is not the target's own whole answer to the request."""
+    whole = f"answer to {request.path} ".encode() + request.body
+    is_own = request.answer == whole and request.echoed_id == request.request_id
+    if request.status != OK or is_own:
+        return None
+    return f"got the answer {request.answer[:80]!r} of {request.echoed_id!r}"
+
+
+REQUEST_CHECKS: Final[Mapping[str, Callable[[Request, list[Run]], str | None]]] = {
+    "at most once": ran_twice,
+    "true refusals": refused_and_ran,
+    "own answer": wrong_answer,
+}
+
+
+def check(history: History) -> list[Finding]:
+    """Return the findings of all checks."""
+    findings = [
+        Finding(name, request.gateway, text, request)
+        for name, find in REQUEST_CHECKS.items()
+        for request in history.requests
+        if (text := find(request, history.runs_of(request))) is not None
+    ]
+    return [*findings, *lost_requests(history), *bad_exits(history)]
+
+
+def lost_requests(history: History) -> Iterator[Finding]:
+    """Find requests that a stopping process read and did not answer."""
+    for stop in history.stops:
+        for request in history.requests:
+            from_s, to_s = request.began_s - CALM_S, request.ended_s
+            if not _ended_around(stop, request):
+                continue
+            if _is_disrupted(history, stop.gateway, from_s, to_s):
+                continue
+            text = _loss(stop, request, history.runs_of(request))
+            if text is not None:
+                yield Finding("planned stop", request.gateway, text, request)
+
+
+def _ended_around(stop: Stop, request: Request) -> bool:
+    after_stop_s = request.ended_s - stop.at_s
+    return (
+        request.gateway == stop.gateway
+        and request.status in UNANSWERED_STATUSES
+        and request.sent_s < NEVER_S
+        and 0.0 <= after_stop_s <= stop.grace_s + AFTER_GRACE_S
+    )
+
+
+def _loss(stop: Stop, request: Request, runs: list[Run]) -> str | None:
+    """Return how a request was lost, or None if the rules allow it."""
+    margin_s = 0.0 if request.status == NO_RESPONSE else RESPONSE_MARGIN_S
+    if request.ended_s - request.began_s >= ROUTE_TIMEOUT_S - margin_s:
+        return None
+    runs = [run for run in runs if run.began_s <= request.ended_s]
+    late_s = request.ended_s - request.sent_s
+    if runs:
+        if _is_excused(stop, request, runs):
+            return None
+        targets = ", ".join(run.target for run in runs)
+        return f"ended with status {request.status}; it ran at {targets}"
+    was_dropped = request.status == NO_RESPONSE and not request.is_behind_another
+    if was_dropped and late_s > CLOSING_LIMIT_S:
+        return f"closed {late_s:.3f} s after its last byte, without a response"
+    return None
+
+
+def _is_excused(stop: Stop, request: Request, runs: list[Run]) -> bool:
+    if all(run.broke_off_s <= request.ended_s for run in runs):
+        return True
+    last_s = stop.at_s + stop.grace_s * (1 - LAST_FRACTION)
+    is_at_work = any(run.ended_s >= last_s for run in runs)
+    was_sent_early = request.sent_s <= stop.at_s + SENT_LIMIT_S
+    return is_at_work and was_sent_early and request.ended_s >= last_s
+
+
+def bad_exits(history: History) -> Iterator[Finding]:
+    """Find processes that did not end by themselves in time with status 0."""
+    for stop in history.stops:
+        took_s = stop.exited_s - stop.at_s
+        from_s, is_good = (
+            stop.at_s - CALM_S,
+            stop.status == 0 and took_s <= stop.grace_s,
+        )
+        if not is_good and not _is_disrupted(
+            history, stop.gateway, from_s, stop.exited_s
+        ):
+            text = f"ended with status {stop.status} {took_s:.3f} s after SIGTERM"
+            yield Finding("exit", stop.gateway, text)
+    for gateway in history.ended_by_themselves:
+        yield Finding("exit", gateway, "ended without a signal")
+
+
+def _is_disrupted(history: History, gateway: int, from_s: float, to_s: float) -> bool:
+    return any(
+        disruption.gateway == gateway
+        and disruption.began_s <= to_s
+        and disruption.ended_s >= from_s
+        for disruption in history.disruptions
+    )
