--- /dev/null
+++ b/tests/gateway/test_stop_soak.py
@@ -0,0 +1,154 @@
+"""Tests of the soak of planned stops: its planner, its checks, and one short run."""
+
+from dataclasses import replace
+
+import pytest
+
+from crocusspindle_standins.soak.checks import check
+from crocusspindle_standins.soak.history import (
+    NEVER_S,
+    NO_RESPONSE,
+    TIMED_OUT,
+    Disruption,
+    History,
+    Request,
+    Run,
+    Stop,
+)
+from crocusspindle_standins.soak.plan import RUN_S, Action, make_plan
+from crocusspindle_standins.soak.play import Player
+
+SEEDS = range(40)
+SEED_OF_RUN = 12
+
+STOP = Stop(gateway=0, at_s=10.0, grace_s=3.0, exited_s=12.7, status=0)
+ANSWERED = Request(
+    request_id="r1",
+    gateway=0,
+    method="POST",
+    path="/orders/r1",
+    body=b"pay",
+    began_s=11.0,
+    sent_s=11.1,
+    ended_s=11.2,
+    status=200,
+    echoed_id="r1",
+    answer=b"answer to /orders/r1 pay",
+)
+CLOSED = replace(ANSWERED, status=NO_RESPONSE, echoed_id="", answer=b"")
+LATE = replace(CLOSED, ended_s=11.35)
+GIVEN_UP = replace(CLOSED, ended_s=12.6)
+RUN = Run("r1", "t0", began_s=11.1, ended_s=11.2)
+LONG_RUN = Run("r1", "t0", began_s=11.1, ended_s=13.0)
+
+
+def checks_broken(*records, ended_by_themselves=()):
+    """Return the names of the checks that a made-up history breaks."""
+    history = History(ended_by_themselves=list(ended_by_themselves))
+    lists = {
+        Request: history.requests,
+        Run: history.runs,
+        Stop: history.stops,
+        Disruption: history.disruptions,
+    }
+    for record in records:
+        lists[type(record)].append(record)
+    return [finding.check for finding in check(history)]
+
+
+def test_a_seed_always_gives_the_same_plan():
+    assert [make_plan(seed) for seed in SEEDS] == [make_plan(seed) for seed in SEEDS]
+    assert len({make_plan(seed) for seed in SEEDS}) == len(SEEDS)
+
+
+def test_plans_contain_all_kinds_of_events_within_the_run():
+    plans = [make_plan(seed) for seed in SEEDS]
+    events = [event for plan in plans for event in plan.events]
+    assert {event.action for event in events} == set(Action)
+    assert all(0 < event.at_s < RUN_S for event in events)
+    assert {plan.gateways for plan in plans} == {3, 4, 5, 6}
+
+
+def test_each_plan_stops_gateways_at_overlapping_times():
+    for plan in map(make_plan, SEEDS):
+        stops = [event for event in plan.events if event.action is Action.STOP]
+        assert stops[1].at_s - stops[0].at_s < 3.0
+        assert stops[0].subject != stops[1].subject
+
+
+def test_callers_send_all_kinds_of_requests():
+    steps = [step for caller in make_plan(1).callers for step in caller.steps]
+    assert {step.method for step in steps} == {"GET", "POST"}
+    assert any(step.count == 2 for step in steps)
+    assert all(step.count == 1 for step in steps if step.method == "POST")
+    assert any(step.parts > 1 and step.body_bytes for step in steps)
+
+
+@pytest.mark.parametrize(
+    ("broken", "records"),
+    [
+        ("at most once", [ANSWERED, RUN, replace(RUN, target="t1")]),
+        ("own answer", [replace(ANSWERED, answer=b"answer to /orders/r1 pa"), RUN]),
+        ("own answer", [replace(ANSWERED, echoed_id="r2"), RUN]),
+        ("planned stop", [STOP, LATE]),
+        ("planned stop", [STOP, CLOSED, RUN]),
+        ("planned stop", [STOP, replace(CLOSED, is_behind_another=True), RUN]),
+        ("planned stop", [STOP, replace(CLOSED, status=502), RUN]),
+        ("planned stop", [STOP, replace(GIVEN_UP, ended_s=12.4), LONG_RUN]),
+        ("planned stop", [STOP, CLOSED, replace(RUN, broke_off_s=11.25)]),
+        ("planned stop", [STOP, LATE, Disruption(1, 11.0, 11.1)]),
+        ("planned stop", [STOP, LATE, Disruption(0, 6.0, 7.9)]),
+        ("exit", [replace(STOP, status=1)]),
+        ("exit", [replace(STOP, status=-9, exited_s=15.0)]),
+        ("exit", [replace(STOP, exited_s=13.1)]),
+    ],
+)
+def test_a_check_finds_a_history_that_breaks_it(broken, records):
+    assert checks_broken(*records) == [broken]
+
+
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_a_refused_request_that_ran_is_found(status):
+    refused = replace(ANSWERED, status=status)
+    later = replace(RUN, began_s=12.0, ended_s=12.1)
+    assert checks_broken(refused, later) == ["true refusals"]
+    assert not checks_broken(refused)
+
+
+def test_a_process_that_ended_by_itself_is_found():
+    assert checks_broken(ended_by_themselves=[2]) == ["exit"]
+
+
+@pytest.mark.parametrize(
+    "records",
+    [
+        [STOP, ANSWERED, RUN],
+        [STOP, CLOSED],
+        [STOP, replace(LATE, sent_s=NEVER_S)],
+        [STOP, replace(LATE, is_behind_another=True)],
+        [STOP, replace(LATE, gateway=1)],
+        [STOP, replace(LATE, began_s=9.3)],
+        [STOP, replace(LATE, status=TIMED_OUT)],
+        [STOP, replace(LATE, status=502)],
+        [STOP, LATE, Disruption(0, 6.0, 8.1)],
+        [STOP, LATE, Disruption(0, 11.2, 11.9)],
+        [STOP, CLOSED, replace(RUN, broke_off_s=11.15)],
+        [STOP, GIVEN_UP, LONG_RUN],
+        [replace(STOP, status=-9), Disruption(0, 11.0, 11.0)],
+    ],
+)
+def test_what_the_rules_allow_is_not_found(records):
+    assert not checks_broken(*records)
+
+
+async def test_planned_stops_lose_no_request(tmp_path):
+    """Guards against a leaving process that reads a request and drops it.
+
+    Six gateways stop at overlapping times while callers use their connections.
+    """
+    player = Player(make_plan(SEED_OF_RUN), tmp_path)
+    await player.play()
+    assert not check(player.history)
+    assert len(player.history.stops) >= 2
+    answered = [r for r in player.history.requests if r.status == 200]
+    assert len(answered) > len(player.history.requests) / 2
