--- a/src/crocusspindle_standins/soak/plan.py
+++ b/src/crocusspindle_standins/soak/plan.py
@@ -116,8 +116,9 @@
     for number, gateway in enumerate(order):
         at_s = round(first_s + number * interval_s, 3)
         stops.append(Event(at_s, Action.STOP, gateway))
-        if at_s + BETWEEN_STOPS_S < RUN_S - 1 and rng.random() < 1 / 2:
-            stops.append(Event(at_s + BETWEEN_STOPS_S, Action.STOP, gateway))
+        again_s = round(at_s + BETWEEN_STOPS_S, 3)
+        if again_s < RUN_S - 1 and rng.random() < 1 / 2:
+            stops.append(Event(again_s, Action.STOP, gateway))
     return stops
 
 
