Refuse amounts of targets that are no plain finite number

Retry-After: 1e308 became infinite in milliseconds: the target got no work from this process any more, callers got "Retry-After: inf" and the log lines were no JSON. Underscores and digits of other scripts were taken too. Amounts are ASCII numbers up to a billion now; others are findings and have no effect. Only a 503 asks for a backoff, as the users' page says: a 429 may concern one customer. Found by the review.

--- a/src/crocusspindle/platform/dialect.py
+++ b/src/crocusspindle/platform/dialect.py
@@ -16,7 +16,8 @@
 RETRY_AFTER_HEADER: Final = "Retry-After"
 SIGNAL_PREFIX: Final = "server-"
 KNOWN_SIGNALS: Final = frozenset({LIMIT_HEADER.lower(), LEAVING_HEADER.lower()})
-RETRY_AFTER_STATUSES: Final = frozenset({429, 503})
+RETRY_AFTER_STATUS: Final = 503
+MAX_AMOUNT: Final = 1e9
 
 
 def dialect() -> Dialect:
@@ -40,7 +41,7 @@
 def _target_signals(status: int, headers: Mapping[str, str]) -> TargetSignals:
     refused: list[Finding] = []
     retry_after_s = None
-    if status in RETRY_AFTER_STATUSES:
+    if status == RETRY_AFTER_STATUS:
         retry_after_s = _amount(
             headers, RETRY_AFTER_HEADER, "a time in seconds", refused
         )
@@ -63,15 +64,15 @@
 def _amount(
     headers: Mapping[str, str], name: str, meaning: str, refused: list[Finding]
 ) -> float | None:
-    """Return the header's value; add a finding if it is no finite amount."""
+    """Return the header's value; add a finding if it is no amount."""
     text = headers.get(name)
     if text is None:
         return None
     try:
-        amount = float(text)
+        amount = float(text) if text.isascii() and "_" not in text else math.nan
     except ValueError:
         amount = math.nan
-    if math.isfinite(amount) and amount >= 0.0:
+    if 0.0 <= amount <= MAX_AMOUNT:
         return amount
     refused.append(Finding("response", name, f"{text!r} is not {meaning}"))
     return None
