Do not take a target with a negative start time for a leaving one

With a start before 1970 in its entry a target that never said so counted as leaving as soon as any other did. Shown by a script of the review; no test of the tree drives it.

--- a/src/crocusspindle/core/leaving_targets.py
+++ b/src/crocusspindle/core/leaving_targets.py
@@ -23,7 +23,8 @@
 
     def record(self, target: TargetIdentity, started_ms: int, now_ms: float) -> bool:
         """Record a leaving target; return False if it was known."""
-        is_new = self._started_ms.get(target, -1) < started_ms
+        known_ms = self._started_ms.get(target)
+        is_new = known_ms is None or known_ms < started_ms
         if is_new:
             self._started_ms[target] = started_ms
         self._seen_ms[target] = now_ms
@@ -31,7 +32,8 @@
 
     def is_leaving(self, target: ListedTarget) -> bool:
         """Return True if a target has said that it is leaving."""
-        return self._started_ms.get(target.identity, -1) >= target.started_ms
+        started_ms = self._started_ms.get(target.identity)
+        return started_ms is not None and started_ms >= target.started_ms
 
     def mark(self, listed: Iterable[ListedTarget], now_ms: float) -> list[ListedTarget]:
         """Return the targets; those that are leaving accept no work."""
