Ask a placer again with the exclusions that hold then

Also, a backoff is kept by the target's identity alone: with a list that lags behind a restart it was stored for the old process and dropped as the list changed. Change: each pass builds the exclusions afresh from the request's own, the backoffs that hold and what a returned grant has shown the placer not to know.

--- a/src/crocusspindle/gateway/placing.py
+++ b/src/crocusspindle/gateway/placing.py
@@ -1,5 +1,6 @@
 """Choose a target for a request: through the service's placer, or locally."""
 
+import math
 import random
 from dataclasses import dataclass, replace
 from typing import ClassVar, Final
@@ -87,7 +88,7 @@
         if signals.is_leaving:
             self._placers.record_leaving(target)
         if signals.retry_after_ms is not None:
-            self._backoffs.record(target, signals.retry_after_ms, now_ms())
+            self._backoffs.record(target.identity, signals.retry_after_ms, now_ms())
             log_state_change(
                 self._log,
                 "backs off from target",
@@ -113,48 +114,64 @@
     ) -> Placement | PlacementRefused:
         """Return a target for a request, from a placer or chosen locally."""
         await self._placers.wait_until_listed()
+        returned: frozenset[TargetIdentity] = frozenset()
         while True:
             backed_off = self._backoffs.active(self._placers.targets, service, now_ms())
-            refused = self._refuse_if_all_backed_off(
-                service, backed_off, placement_request
+            tried = placement_request.excluded
+            first_end_ms = self._first_backoff_end_ms(backed_off - tried)
+            if self._all_unusable(service, tried, backed_off):
+                return PlacementRefused("backoff", max(0.0, first_end_ms - now_ms()))
+            request = replace(
+                placement_request,
+                excluded=tried | backed_off | returned,
+                counted=placement_request.counted or bool(returned),
             )
-            if refused is not None:
-                return refused
-            placement_request = replace(
-                placement_request, excluded=placement_request.excluded | backed_off
-            )
-            decision = await self._place(service, placement_request)
-            if not isinstance(decision, Placement) or not self._is_backed_off(decision):
+            decision = await self._place(service, request)
+            if isinstance(decision, PlacementRefused):
+                return _refused_until(decision, first_end_ms - now_ms())
+            if self._is_usable(decision):
                 return decision
-            # The target has asked for a backoff while the request was queued.
             self._return_placement(decision)
-            placement_request = replace(placement_request, counted=True)
+            returned |= self._unusable_targets(service, decision)
+
+    def _first_backoff_end_ms(self, backed_off: frozenset[TargetIdentity]) -> float:
+        return min(map(self._backoffs.until_ms, backed_off), default=math.inf)
 
-    def _refuse_if_all_backed_off(
+    def _all_unusable(
         self,
         service: ServiceId,
+        tried: frozenset[TargetIdentity],
         backed_off: frozenset[TargetIdentity],
-        placement_request: PlacementRequest,
-    ) -> PlacementRefused | None:
+    ) -> bool:
+        """Return True if this node backs off from all ready targets left to try."""
         if not backed_off:
-            return None
-        ready = [
-            target
+            return False
+        left = {
+            target.identity
             for target in self._placers.targets_of(service)
             if target.readiness is Readiness.READY
-            and target.identity not in placement_request.excluded
-        ]
-        ends_ms = [
-            self._backoffs.until_ms(target)
-            for target in ready
-            if target.identity in backed_off
-        ]
-        if not ends_ms or len(ends_ms) < len(ready):
-            return None
-        return PlacementRefused("backoff", max(0.0, min(ends_ms) - now_ms()))
+        } - tried
+        return bool(left) and left <= backed_off
 
-    def _is_backed_off(self, placement: Placement) -> bool:
-        return self._backoffs.until_ms(placement.target) > now_ms()
+    def _is_usable(self, placement: Placement) -> bool:
+        # The placer's list may be older than this node's, or the target asked for a
+        # backoff while the request was queued.
+        target = placement.target
+        return (
+            target.readiness is Readiness.READY
+            and self._backoffs.until_ms(target.identity) <= now_ms()
+        )
+
+    def _unusable_targets(
+        self, service: ServiceId, placement: Placement
+    ) -> frozenset[TargetIdentity]:
+        """Return what the placer of a returned grant does not know to be unusable."""
+        self._placers.notify_if_leaving(placement.target)
+        return frozenset(
+            target.identity
+            for target in self._placers.targets_of(service)
+            if target.readiness is not Readiness.READY
+        ) | {placement.target.identity}
 
     def _return_placement(self, placement: Placement) -> None:
         if placement.grant is None or placement.placer_address is None:
@@ -221,12 +238,9 @@
             return None
         target = self._placers.targets.get(TargetIdentity(response.target))
         grant = GrantId(response.grant)
-        if target is None or target.readiness is not Readiness.READY:
-            # The placer's list of targets is newer or older than this node's, or does
-            # not show yet that the target is leaving or evacuated.
+        if target is None:
+            # The placer's list of targets is newer or older than this node's.
             self._release_grant(TargetIdentity(response.target), grant, to)
-            if target is not None:
-                self._placers.notify_if_leaving(target)
             return None
         return Placement(service, target, response.hedge_after_ms, grant, host, to)
 
@@ -329,3 +343,10 @@
         # while, and targets would seem to hang if the ends of attempts were missing.
         to = placement.placer_address
         self.spawn(self._exchange.request(to, note, PEER_SILENT_S, PEER_SILENT_S))
+
+
+def _refused_until(refused: PlacementRefused, usable_in_ms: float) -> PlacementRefused:
+    # A target may be usable again before one that the placer waits for.
+    if refused.reason != "no-target" or refused.retry_after_ms <= usable_in_ms:
+        return refused
+    return replace(refused, retry_after_ms=max(0.0, usable_in_ms))
--- a/tests/gateway/test_placing_backoffs.py
+++ b/tests/gateway/test_placing_backoffs.py
@@ -14,7 +14,14 @@
 from crocusspindle.core.view import View
 from crocusspindle.gateway.crash_sharing import CrashSharing
 from crocusspindle.gateway.fleet_state import FleetState
-from crocusspindle.gateway.messages import Done, EndedNote, PlaceAnswer, PlaceAsk
+from crocusspindle.gateway.messages import (
+    Done,
+    EndedNote,
+    LeavingNote,
+    PlaceAnswer,
+    PlaceAsk,
+    RefusedAnswer,
+)
 from crocusspindle.gateway.placers import Placers
 from crocusspindle.gateway.placing import Placement, Placing
 from crocusspindle.gateway.reload import LiveBounds
@@ -54,7 +61,10 @@
     def __init__(self) -> None:
         self.asks: list[PlaceAsk] = []
         self.outcomes: list[EndedNote] = []
+        self.notes: list[LeavingNote] = []
         self.at_ask = lambda: None
+        self.wait_s = 0.0
+        self.refusal: RefusedAnswer | None = None
 
     def handle_late_response(self, message_type, handler) -> None:
         """Ignore the handler."""
@@ -62,14 +72,21 @@
     def handle(self, message_type, handler) -> None:
         """Ignore the handler."""
 
+    def notify(self, to, note) -> None:
+        """Record a note to another placer."""
+        self.notes.append(note)
+
     async def request(self, to, content, silent_s, limit_s):
         """Respond as a placer does."""
         if isinstance(content, EndedNote):
             self.outcomes.append(content)
             return Done()
         self.asks.append(content)
+        if self.refusal is not None:
+            return self.refusal
         granted = next(t for t in TARGETS if t.identity not in content.excluded)
         self.at_ask()
+        await asyncio.sleep(self.wait_s)
         return PlaceAnswer(len(self.asks), granted.identity, 100)
 
 
@@ -137,3 +154,35 @@
     for _ in range(2):
         placement = await place(placing)
         assert isinstance(placement, Placement) and placement.target == TARGETS[1]
+
+
+async def test_a_backoff_that_ends_while_a_request_is_queued_does_not_count(
+    exchange, placing
+):
+    """Guards against exclusions that outlast their backoffs."""
+    placing.record_signals(TARGETS[0], TargetSignals(retry_after_ms=50.0))
+    exchange.wait_s = 0.1
+    exchange.at_ask = lambda: placing.record_signals(
+        TARGETS[1], TargetSignals(retry_after_ms=RETRY_AFTER_MS)
+    )
+    placement = await place(placing)
+    assert isinstance(placement, Placement) and placement.target == TARGETS[0]
+    assert [ask.excluded for ask in exchange.asks] == [["t0"], ["t1"]]
+
+
+async def test_a_placer_that_grants_a_leaving_target_is_asked_again(exchange, placing):
+    """Guards against requests that lose their placer while its list is old."""
+    placing.record_signals(TARGETS[0], TargetSignals(is_leaving=True))
+    placement = await place(placing)
+    assert isinstance(placement, Placement) and placement.target == TARGETS[1]
+    assert placement.placer is not None
+    assert [ask.excluded for ask in exchange.asks] == [[], ["t0"]]
+
+
+async def test_a_refused_request_may_return_when_a_backoff_ends(exchange, placing):
+    """Guards against callers that are sent away for the length of an ejection."""
+    placing.record_signals(TARGETS[0], TargetSignals(retry_after_ms=300.0))
+    exchange.refusal = RefusedAnswer("no-target", 10_000.0)
+    refused = await place(placing)
+    assert isinstance(refused, PlacementRefused) and refused.reason == "no-target"
+    assert 0.0 < refused.retry_after_ms <= 300.0
