Refuse what no target has got before a leaving node gives up

The caller could not know that it had not run. Change: 0.1 s before the node gives up, requests that were sent to no target get 503 and may return at once, to another node; what arrives after that is refused too.

--- a/src/crocusspindle/gateway/entry.py
+++ b/src/crocusspindle/gateway/entry.py
@@ -37,6 +37,8 @@
 """Fraction of the latency objective that a request may wait for a quota keeper that is
 about to start. Typical requests still complete within the other half."""
 
+LEAVING_RETRY_MS: Final = 100.0
+
 
 @dataclass(slots=True)
 class ProcessedRequest:
@@ -75,6 +77,8 @@
         self._log = Logger("entry")
         self.leaving = False
         self._gave_up = False
+        self._refuses_unsent = False
+        self._processing: dict[int, tuple[ProcessedRequest, asyncio.Timeout]] = {}
         # Requests being processed or responded to; a drain waits until there are none.
         self.running = 0
 
@@ -90,6 +94,13 @@
         """Count requests that are cancelled from now on as given up by this node."""
         self.leaving = self._gave_up = True
 
+    def refuse_unsent(self) -> None:
+        """Refuse the requests that were sent to no target, and all from now on."""
+        self._refuses_unsent = True
+        for processed, limit in self._processing.values():
+            if processed.context is None or not processed.context.tried_targets:
+                limit.reschedule(asyncio.get_running_loop().time())
+
     @property
     def _cancelled_outcome(self) -> str:
         return "given up" if self._gave_up else "caller left"
@@ -124,24 +135,38 @@
         request_id = request.headers.get(self._dialect.request_id, "")
         processed = ProcessedRequest(request_id, now_ms())
         self.running += 1
+        limit = asyncio.timeout(0.0 if self._refuses_unsent else None)
         try:
-            processed.context = await self._admission.admit(
-                request, request_id, processed.began_ms
-            )
-            self._check_not_held(processed.context)
-            if processed.context.customer is not None:
-                await self._spend(processed.context, processed.context.customer)
-            processed.result = await self._attempt_runner.send(processed.context)
+            async with limit:
+                self._processing[id(processed)] = (processed, limit)
+                await self._send(request, processed)
         except Refusal as refusal:
             processed.refusal = refusal
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            processed.refusal = Refusal(503, "leaving", LEAVING_RETRY_MS)
         except asyncio.CancelledError:
             if processed.context is not None:
                 self._log_end(processed.context, self._cancelled_outcome)
             raise
         finally:
             self.running -= 1
+            self._processing.pop(id(processed), None)
         return processed
 
+    async def _send(
+        self, request: web.BaseRequest, processed: ProcessedRequest
+    ) -> None:
+        context = await self._admission.admit(
+            request, processed.request_id, processed.began_ms
+        )
+        processed.context = context
+        self._check_not_held(context)
+        if context.customer is not None:
+            await self._spend(context, context.customer)
+        processed.result = await self._attempt_runner.send(context)
+
     def _check_not_held(self, context: RequestContext) -> None:
         refused = self._crashes.refusal(context.content)
         if refused is not None:
--- a/src/crocusspindle/gateway/ports.py
+++ b/src/crocusspindle/gateway/ports.py
@@ -40,6 +40,9 @@
 """Fraction of the grace period after which running requests are given up. The process
 needs the rest to exit by itself on a busy host."""
 
+REFUSALS_MS: Final = 100.0
+"""Part of that time in which callers whose requests no target got are told so."""
+
 READY_MARGIN_MS: Final = 500.0
 """A node reports itself not ready this long before the revocation time has passed since
 the last confirmation of its configuration, so that callers have moved to other nodes
@@ -149,6 +152,8 @@
         self._close_caller_port()
         self._log_connections("caller port closed")
         give_up_ms = began_ms + grace_ms * GIVE_UP_FRACTION
+        await close_connections(self._caller_server, give_up_ms - REFUSALS_MS)
+        self._entry.refuse_unsent()
         await close_connections(self._caller_server, give_up_ms)
         self._log_connections("drained")
 
--- a/tests/gateway/test_ports.py
+++ b/tests/gateway/test_ports.py
@@ -30,6 +30,9 @@
     def give_up(self) -> None:
         """Ignore the end."""
 
+    def refuse_unsent(self) -> None:
+        """Ignore the request to refuse."""
+
     def start_early(self, request):
         """Start no pipelined request early, as a leaving node does."""
 
