--- /dev/null
+++ b/src/crocusspindle/caller_connections.py
@@ -0,0 +1,103 @@
+"""Close callers' connections at a planned stop without dropping a request.
+
+The HTTP library's own `close` keeps an idle connection open and drops all that arrives
+on it, requests and the rest of a body alike.
+"""
+
+import asyncio
+import math
+from typing import Any, Final
+
+from aiohttp import StreamReader, web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http_parser import RawRequestMessage
+
+from crocusspindle.clock import now_ms
+
+CLOSE_POLL_S: Final = 0.02
+HEAD_PART_WAIT_S: Final = 0.5
+"""How long a leaving node waits for the rest of a request's head. A caller whose
+request was not read completely can send it to another node."""
+
+
+class CallerConnection(web.RequestHandler):
+    """Serve one connection, and know whether a request has begun to arrive on it."""
+
+    __slots__ = ("_head_began_s",)
+
+    def __init__(self, manager: web.Server, **options: Any) -> None:
+        super().__init__(manager, loop=asyncio.get_running_loop(), **options)
+        self._head_began_s = math.inf
+
+    def data_received(self, data: bytes) -> None:
+        """Record when the first bytes of a request's head arrived."""
+        super().data_received(data)
+        if self._messages or self._current_request is not None:
+            self._head_began_s = math.inf
+        else:
+            now_s = asyncio.get_running_loop().time()
+            self._head_began_s = min(self._head_began_s, now_s)
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return True if the node is leaving."""
+        return False
+
+    @property
+    def closes_after_response(self) -> bool:
+        """Return True if a response that starts now closes the connection."""
+        return self.is_leaving and not self._messages
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request on it has just begun to arrive."""
+        is_waiting = self._waiter is not None and not self._waiter.done()
+        head_age_s = asyncio.get_running_loop().time() - self._head_began_s
+        if is_waiting and not 0.0 <= head_age_s < HEAD_PART_WAIT_S:
+            self.force_close()
+
+
+class ConnectionRequest(web.BaseRequest):
+    """Make each response announce whether its connection closes.
+
+    The handler can't: a response may start before the handler returns it.
+    """
+
+    @property
+    def keep_alive(self) -> bool:
+        """Return True if the connection stays open after the response."""
+        connection = self.protocol
+        assert isinstance(connection, CallerConnection)
+        return not (self._message.should_close or connection.closes_after_response)
+
+
+def create_request(
+    message: RawRequestMessage,
+    payload: StreamReader,
+    protocol: web.RequestHandler,
+    writer: AbstractStreamWriter,
+    task: asyncio.Task[None],
+) -> web.BaseRequest:
+    """Return a request that an HTTP server has read."""
+    loop = asyncio.get_running_loop()
+    return ConnectionRequest(message, payload, protocol, writer, task, loop)
+
+
+async def close_connections(server: web.Server, give_up_ms: float) -> None:
+    """Close each connection once it holds no request; return by a deadline.
+
+    A connection that was accepted as the port closed is not known before the next turn
+    of the event loop.
+    """
+    while True:
+        for connection in server.connections:
+            assert isinstance(connection, CallerConnection)
+            connection.close_if_idle()
+        await asyncio.sleep(CLOSE_POLL_S)
+        if not server.connections or now_ms() >= give_up_ms:
+            return
+
+
+def abort_connections(server: web.Server) -> None:
+    """Close all connections at once."""
+    for connection in server.connections:
+        connection.force_close()
--- a/src/crocusspindle/gateway/ports.py
+++ b/src/crocusspindle/gateway/ports.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from crocusspindle.caller_connections import abort_connections, close_connections
 from crocusspindle.clock import now_ms
 from crocusspindle.core.configuration import CallerLimits
 from crocusspindle.gateway import instruments
@@ -39,6 +40,9 @@
 """Fraction of the grace period after which running requests are given up. The process
 needs the rest to exit by itself on a busy host."""
 
+REFUSALS_MS: Final = 100.0
+"""Part of that time in which callers whose requests no target got are told so."""
+
 READY_MARGIN_MS: Final = 500.0
 """A node reports itself not ready this long before the revocation time has passed since
 the last confirmation of its configuration, so that callers have moved to other nodes
@@ -140,15 +144,17 @@
     async def drain(self) -> None:
         """Leave the fleet; answer callers for up to `GIVE_UP_FRACTION`."""
         began_ms = now_ms()
-        grace_ms = self._bounds.current.grace_ms
+        # The kernel ends the drain by the bound that was read at the start.
+        grace_ms = min(self._bounds.current.grace_ms, self._settings.bounds.grace_ms)
         self._membership.leave()
         self._entry.leaving = True
         await asyncio.sleep(grace_ms * ACCEPTING_FRACTION / 1e3)
         self._close_caller_port()
         self._log_connections("caller port closed")
-        await self._caller_server.close_connections(
-            began_ms + grace_ms * GIVE_UP_FRACTION
-        )
+        give_up_ms = began_ms + grace_ms * GIVE_UP_FRACTION
+        await close_connections(self._caller_server, give_up_ms - REFUSALS_MS)
+        self._entry.refuse_unsent()
+        await close_connections(self._caller_server, give_up_ms)
         self._log_connections("drained")
 
     def _log_connections(self, message: str) -> None:
@@ -167,8 +173,8 @@
     async def stop(self) -> None:
         """Close all ports."""
         self._close_caller_port()
-        self._entry.leaving = True
-        self._caller_server.abort_connections()
+        self._entry.give_up()
+        abort_connections(self._caller_server)
         for server in self._other_servers:
             server.close()
 
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -16,6 +16,8 @@
 
 BODY = b"x" * 2_000
 
+LONG_FACTOR = 1_000
+
 
 @pytest.fixture
 async def fleet(tmp_path):
@@ -103,3 +105,50 @@
         outcome, _ = await outcome_of(reader, writer, BODY[100:])
     assert outcome == "HTTP/1.1 200 OK"
     assert fleet.ran("upload") == 1
+
+
+async def test_a_request_that_outlasts_the_grace_period_is_logged_as_given_up(fleet):
+    """Guards against a log that blames the caller for what the node did."""
+    for target in fleet.targets:
+        target.work_s = 10.0
+    gateway = fleet.gateways[0]
+    reader, writer = await connect(gateway)
+    gateway.process.send_signal(signal.SIGTERM)
+    await asyncio.sleep(1.0)
+    async with asyncio.timeout(5):
+        outcome, _ = await outcome_of(reader, writer, request_head("long"))
+        await gateway.process.wait()
+    assert outcome == "closed"
+    (line,) = [line for line in gateway.lines() if line.get("request") == "long"]
+    assert line["outcome"] == "given up"
+
+
+async def test_a_signal_to_reload_during_the_start_does_not_end_the_process(fleet):
+    """Guards against a settings change that kills a node that is just starting."""
+    gateway = fleet.gateways[0]
+    gateway.process.kill()
+    await gateway.process.wait()
+    await fleet.run(gateway)
+    for _ in range(4):
+        await asyncio.sleep(0.15)
+        gateway.process.send_signal(signal.SIGHUP)
+    await fleet.until_ready()
+    assert gateway.process.returncode is None
+
+
+async def test_a_long_response_of_a_leaving_gateway_announces_the_close(fleet):
+    """Guards against a leaving process that says to keep a connection and closes it.
+
+    The headers of a long response are sent before the whole response is there.
+    """
+    gateway = fleet.gateways[0]
+    reader, writer = await connect(gateway)
+    gateway.process.send_signal(signal.SIGTERM)
+    await asyncio.sleep(0.1)
+    body = BODY * LONG_FACTOR
+    writer.write(request_head("long", "POST", len(body)) + body)
+    async with asyncio.timeout(4):
+        received = await reader.read()
+    response_head, _, echoed = received.partition(b"\r\n\r\n")
+    assert response_head.startswith(b"HTTP/1.1 200 OK") and echoed.endswith(body)
+    assert b"connection: close" in response_head.lower()
--- a/tests/gateway/test_ports.py
+++ b/tests/gateway/test_ports.py
@@ -7,14 +7,16 @@
 import pytest
 from aiohttp import web
 
+from crocusspindle.caller_connections import HEAD_PART_WAIT_S
 from crocusspindle.core.configuration import CallerLimits
 from crocusspindle.gateway.caller_port import CallerServer
 from crocusspindle.gateway.dialect import Dialect
-from crocusspindle.gateway.ports import GIVE_UP_FRACTION, Ports
+from crocusspindle.gateway.ports import ACCEPTING_FRACTION, GIVE_UP_FRACTION, Ports
 
 GRACE_MS = 1_000.0
 REQUEST_S = 0.2
 REQUEST = b"GET /pages/1 HTTP/1.1\r\nHost: hall.example\r\n\r\n"
+ORDER = b"POST /orders/1 HTTP/1.1\r\nHost: hall.example\r\nContent-Length: 0\r\n\r\n"
 HEAD_PART = 20
 
 
@@ -25,6 +27,15 @@
         self.leaving = False
         self.running = 0
 
+    def give_up(self) -> None:
+        """Ignore the end."""
+
+    def refuse_unsent(self) -> None:
+        """Ignore the request to refuse."""
+
+    def start_early(self, request):
+        """Start no pipelined request early, as a leaving node does."""
+
     async def handle(self, request, started):
         """Respond after `REQUEST_S`."""
         await asyncio.sleep(REQUEST_S)
@@ -37,16 +48,17 @@
     def __init__(self) -> None:
         self.entry = SlowEntry()
         self.server = CallerServer(self.entry, CallerLimits)
-        bounds = SimpleNamespace(current=SimpleNamespace(grace_ms=GRACE_MS))
+        self.bounds = SimpleNamespace(current=SimpleNamespace(grace_ms=GRACE_MS))
+        settings = SimpleNamespace(bounds=SimpleNamespace(grace_ms=GRACE_MS))
         membership = SimpleNamespace(leave=lambda: None)
         self.ports = Ports(
-            None,
+            settings,
             Dialect,
             None,
             membership,
             self.entry,
             None,
-            bounds,
+            self.bounds,
             SimpleNamespace(),
         )
         self.ports._caller_server = self.server
@@ -92,6 +104,17 @@
     writer.close()
 
 
+@pytest.mark.parametrize("behind", [REQUEST, ORDER])
+async def test_requests_read_behind_another_are_answered(node, behind):
+    """Guards against a leaving node that drops pipelined requests it has read."""
+    reader, writer = await node.connect()
+    (connection,) = node.server.connections
+    node.at_close = lambda: connection.data_received(REQUEST + behind)
+    await node.ports.drain()
+    assert (await reader.read()).count(b"HTTP/1.1 200 OK") == 2
+    writer.close()
+
+
 async def test_request_whose_head_arrives_in_parts_is_answered(node):
     """Guards against a process that closes a connection in the middle of a head."""
     reader, writer = await node.connect()
@@ -128,3 +151,27 @@
     assert accepting[0].done() and not node.server.connections
     with callers_socket:
         assert callers_socket.recv(1) == b""
+
+
+async def test_a_longer_grace_period_after_a_reload_does_not_cut_the_drain(node):
+    """Guards against a drain that plans for more time than the kernel gives it."""
+    node.bounds.current.grace_ms = 10.0 * GRACE_MS
+    reader, writer = await node.connect()
+    async with asyncio.timeout(GRACE_MS / 1e3):
+        await node.ports.drain()
+    assert await reader.read() == b""
+    writer.close()
+
+
+async def test_a_head_that_never_ends_does_not_hold_the_drain(node):
+    """Guards against one quiet caller that keeps a leaving process until its bound."""
+    node.bounds.current.grace_ms = node.ports._settings.bounds.grace_ms = 4_000.0
+    reader, writer = await node.connect()
+    (connection,) = node.server.connections
+    node.at_close = lambda: connection.data_received(REQUEST[:HEAD_PART])
+    began_s = asyncio.get_running_loop().time()
+    await node.ports.drain()
+    took_s = asyncio.get_running_loop().time() - began_s
+    assert took_s < 4.0 * ACCEPTING_FRACTION + 2.0 * HEAD_PART_WAIT_S
+    assert await reader.read() == b""
+    writer.close()
