Refuse waiting requests whose attempts were all refused when a node ends

Cause: before it gives up, a leaving node refused only requests that had been sent to no target. Change: it refuses those of which no attempt runs and none may have run.

--- a/src/crocusspindle/gateway/attempt_runner.py
+++ b/src/crocusspindle/gateway/attempt_runner.py
@@ -167,6 +167,7 @@
     ) -> AttemptResult:
         began_ms = now_ms()
         context.tried_targets.add(placement.target.identity)
+        context.running_attempts += 1
         outcome, result = AttemptOutcome.ABANDONED, None
         try:
             result = await self._client.send(
@@ -185,6 +186,7 @@
                 self._placing.report_outcome(
                     placement, context.content, outcome, latency_ms, signals.limit_per_s
                 )
+            context.running_attempts -= 1
             context.arrived_attempts += outcome.arrived
             context.may_have_run |= outcome.may_have_run
             context.attempt_records.append(
--- a/src/crocusspindle/gateway/entry.py
+++ b/src/crocusspindle/gateway/entry.py
@@ -78,7 +78,7 @@
         self._log = Logger("entry")
         self.leaving = False
         self._gave_up = False
-        self._refuses_unsent = False
+        self._refuses_waiting = False
         self._processing: dict[int, tuple[ProcessedRequest, asyncio.Timeout]] = {}
         # Requests being processed or responded to, for the log lines of a drain.
         self.running = 0
@@ -95,11 +95,11 @@
         """Count requests that are cancelled from now on as given up by this node."""
         self.leaving = self._gave_up = True
 
-    def refuse_unsent(self) -> None:
-        """Refuse the requests that were sent to no target, and all from now on."""
-        self._refuses_unsent = True
+    def refuse_waiting(self) -> None:
+        """Refuse the requests that certainly have not run, and all from now on."""
+        self._refuses_waiting = True
         for processed, limit in self._processing.values():
-            if processed.context is None or not processed.context.tried_targets:
+            if processed.context is None or processed.context.certainly_not_run:
                 limit.reschedule(asyncio.get_running_loop().time())
 
     @property
@@ -136,7 +136,7 @@
         request_id = request.headers.get(self._dialect.request_id, "")
         processed = ProcessedRequest(request_id, now_ms())
         self.running += 1
-        limit = asyncio.timeout(0.0 if self._refuses_unsent else None)
+        limit = asyncio.timeout(0.0 if self._refuses_waiting else None)
         try:
             async with limit:
                 self._processing[id(processed)] = (processed, limit)
--- a/src/crocusspindle/gateway/ports.py
+++ b/src/crocusspindle/gateway/ports.py
@@ -41,8 +41,8 @@
 needs the rest to exit by itself on a busy host."""
 
 REFUSALS_MS: Final = 100.0
-"""How long before running requests are given up a leaving node refuses those that no
-target has got."""
+"""How long before running requests are given up a leaving node refuses those that
+certainly have not run."""
 
 READY_MARGIN_MS: Final = 500.0
 """A node reports itself not ready this long before the revocation time has passed since
@@ -154,7 +154,7 @@
         self._log_connections("caller port closed")
         give_up_ms = began_ms + grace_ms * GIVE_UP_FRACTION
         await close_connections(self._caller_server, give_up_ms - REFUSALS_MS)
-        self._entry.refuse_unsent()
+        self._entry.refuse_waiting()
         await close_connections(self._caller_server, give_up_ms)
         self._log_connections("drained")
 
--- a/src/crocusspindle/gateway/request_context.py
+++ b/src/crocusspindle/gateway/request_context.py
@@ -26,10 +26,16 @@
     deadline_ms: float
     attempt_records: list[dict[str, object]] = field(default_factory=list)
     tried_targets: set[TargetIdentity] = field(default_factory=set)
+    running_attempts: int = 0
     arrived_attempts: int = 0
     may_have_run: bool = False
     quota_wait_ms: float = 0.0
 
+    @property
+    def certainly_not_run(self) -> bool:
+        """Return True if no target runs the request or may have run it."""
+        return self.running_attempts == 0 and not self.may_have_run
+
     @property
     def body_bytes(self) -> int:
         """Return the length of the body, or `BODY_BUFFER_BYTES` if it is streamed."""
--- a/tests/gateway/test_entry.py
+++ b/tests/gateway/test_entry.py
@@ -6,6 +6,7 @@
 import pytest
 
 from crocusspindle.gateway.entry import Entry, ProcessedRequest
+from crocusspindle.gateway.request_context import RequestContext
 from crocusspindle.platform.dialect import dialect
 
 NOT_RUN = 503
@@ -16,7 +17,7 @@
 
     def __init__(self) -> None:
         self.context = SimpleNamespace(
-            content="c", customer=None, tried_targets=set(), refused=None
+            content="c", customer=None, certainly_not_run=True
         )
 
     async def admit(self, request, request_id, began_ms):
@@ -49,10 +50,10 @@
     return task
 
 
-async def test_a_request_that_no_target_got_is_refused_at_the_end(entry):
+async def test_a_request_that_waits_for_a_target_is_refused_at_the_end(entry):
     """Guards against a process that ends without a word to callers that wait."""
     task = await start(entry)
-    entry.refuse_unsent()
+    entry.refuse_waiting()
     async with asyncio.timeout(1):
         processed = await task
     assert processed.refusal is not None and processed.refusal.status == NOT_RUN
@@ -60,18 +61,32 @@
     assert entry.running == 0 and not entry._processing
 
 
-async def test_a_request_that_arrives_while_unsent_ones_are_refused_is_too(entry):
+async def test_a_request_that_arrives_while_waiting_ones_are_refused_is_too(entry):
     """Guards against a late request that waits until the process ends."""
-    entry.refuse_unsent()
+    entry.refuse_waiting()
     task = await start(entry)
     assert task.done() and task.result().refusal.status == NOT_RUN
 
 
-async def test_a_request_that_a_target_got_is_not_refused(entry, waiting):
+async def test_a_request_that_may_run_is_not_refused(entry, waiting):
     """Guards against a refusal that says "not run" of a request that runs."""
-    waiting.context.tried_targets.add("t0")
+    waiting.context.certainly_not_run = False
     task = await start(entry)
-    entry.refuse_unsent()
+    entry.refuse_waiting()
     await asyncio.sleep(0.05)
     assert not task.done()
     task.cancel()
+
+
+@pytest.mark.parametrize(
+    ("running", "may_have_run", "certainly_not_run"),
+    [(0, False, True), (1, False, False), (0, True, False)],
+)
+def test_a_request_that_was_only_shed_has_certainly_not_run(
+    running, may_have_run, certainly_not_run
+):
+    """Guards against a refused attempt that counts as one that may have run."""
+    context = RequestContext("r", None, None, None, "c", 0.0, 0.0)
+    context.tried_targets.add("t0")
+    context.running_attempts, context.may_have_run = running, may_have_run
+    assert context.certainly_not_run is certainly_not_run
--- a/tests/gateway/test_ports.py
+++ b/tests/gateway/test_ports.py
@@ -30,7 +30,7 @@
     def give_up(self) -> None:
         """Ignore the end."""
 
-    def refuse_unsent(self) -> None:
+    def refuse_waiting(self) -> None:
         """Ignore the request to refuse."""
 
     def start_early(self, request):
