Answer 502 if an attempt began while its request was being refused

A leaving node refuses waiting requests with 503, which says that they have not run. An attempt that begins between that decision and its effect, two turns of the event loop later, is ended before it can write, but nothing checked so. The state after the end of all attempts decides now.

--- a/src/crocusspindle/gateway/entry.py
+++ b/src/crocusspindle/gateway/entry.py
@@ -146,7 +146,7 @@
         except TimeoutError:
             if not limit.expired():
                 raise
-            processed.refusal = Refusal(503, "leaving", LEAVING_RETRY_MS)
+            processed.refusal = _refusal_of_leaving_node(processed.context)
         except asyncio.CancelledError:
             if processed.context is not None:
                 self._log_end(processed.context, self._cancelled_outcome)
@@ -269,6 +269,12 @@
         )
 
 
+def _refusal_of_leaving_node(context: RequestContext | None) -> Refusal:
+    # An attempt may have begun between the decision to refuse and its effect.
+    may_have_run = context is not None and not context.certainly_not_run
+    return Refusal(502 if may_have_run else 503, "leaving", LEAVING_RETRY_MS)
+
+
 def _refusal_after(context: RequestContext, result: AttemptResult) -> Refusal:
     if not context.may_have_run:
         return Refusal(503, f"target-{result.outcome.value}", 200.0)
--- a/tests/gateway/test_entry.py
+++ b/tests/gateway/test_entry.py
@@ -90,3 +90,15 @@
     context.tried_targets.add("t0")
     context.running_attempts, context.may_have_run = running, may_have_run
     assert context.certainly_not_run is certainly_not_run
+
+
+async def test_an_attempt_that_begins_as_its_request_is_refused_is_not_denied(
+    entry, waiting
+):
+    """Guards against a 503 for a request that was sent before it took effect."""
+    task = await start(entry)
+    entry.refuse_waiting()
+    waiting.context.certainly_not_run = False
+    async with asyncio.timeout(1):
+        processed = await task
+    assert processed.refusal is not None and processed.refusal.status != NOT_RUN
