Use a grace period that a reload has raised in full

Cause: made the ports plan by the smaller of the live bound and the kernel's, which was read at the start. That ended the cuts in the middle of a drain, not the drain that is too short. Change: a reload changes the kernel's bound as well, and the ports use the live one.

--- a/src/crocusspindle/gateway/assembly.py
+++ b/src/crocusspindle/gateway/assembly.py
@@ -104,7 +104,7 @@
         placing,
         entry,
         ports,
-        Reload(path, settings, bounds, read),
+        Reload(path, settings, bounds, read, kernel),
     ):
         kernel.add(service.name, service)
     return kernel
--- a/src/crocusspindle/gateway/ports.py
+++ b/src/crocusspindle/gateway/ports.py
@@ -145,8 +145,7 @@
     async def drain(self) -> None:
         """Leave the fleet; answer callers until it is time to give up."""
         began_ms = now_ms()
-        # The kernel ends the drain by the bound that was read at the start.
-        grace_ms = min(self._bounds.current.grace_ms, self._settings.bounds.grace_ms)
+        grace_ms = self._bounds.current.grace_ms
         self._membership.leave()
         self._entry.leaving = True
         await asyncio.sleep(grace_ms * ACCEPTING_FRACTION / 1e3)
--- a/src/crocusspindle/gateway/reload.py
+++ b/src/crocusspindle/gateway/reload.py
@@ -8,7 +8,7 @@
 
 from crocusspindle.errors import SettingsError
 from crocusspindle.gateway.settings import Bounds, GatewaySettings
-from crocusspindle.kernel import Service
+from crocusspindle.kernel import Kernel, Service
 from crocusspindle.log_lines import Logger, log_state_change
 
 FILE_CHECK_INTERVAL_S: Final = 2.0
@@ -25,9 +25,9 @@
 class Reload(Service):
     """Read the settings again on SIGHUP and when their file has changed.
 
-    Most bounds apply at once. The view fence, the quota window and the drain timeout of
-    the kernel apply at the next start, as do the node's addresses and names. The retry
-    budget and the floor share of a service are read when this node first uses them.
+    Most bounds apply at once. The view fence and the quota window apply at the next
+    start, as do the node's addresses and names. The retry budget and the floor share of
+    a service are read when this node first uses them.
     Invalid settings are ignored: a node that stopped over a half-written file would
     drop its callers.
     """
@@ -40,11 +40,13 @@
         settings: GatewaySettings,
         bounds: LiveBounds,
         read: Callable[[Path], GatewaySettings],
+        kernel: Kernel,
     ) -> None:
         self._path = path
         self._settings = settings
         self._bounds = bounds
         self._read = read
+        self._kernel = kernel
         self._changed_ns = self._file_time_ns()
         self._log = Logger("reload")
 
@@ -84,4 +86,5 @@
         ]
         self._settings = settings
         self._bounds.current = settings.bounds
+        self._kernel.drain_ms = settings.bounds.grace_ms
         log_state_change(self._log, "settings read again", changed=changed)
--- a/src/crocusspindle/kernel.py
+++ b/src/crocusspindle/kernel.py
@@ -69,11 +69,12 @@
 class Kernel:
     """Start, drain and stop the services of one node.
 
-    ``drain_ms`` bounds the drain of a planned stop.
+    ``drain_ms`` bounds the drain of a planned stop; what it is when the drain begins
+    counts.
     """
 
     def __init__(self, drain_ms: float = 20_000.0) -> None:
-        self._drain_s = drain_ms / 1000
+        self.drain_ms = drain_ms
         self._services: dict[str, Service] = {}
         self._started: list[Service] = []
         self._stop_requested = asyncio.Event()
@@ -140,12 +141,12 @@
         draining = [asyncio.create_task(service.drain()) for service in self._started]
         if not draining:
             return
-        log_state_change(self._log, "draining", drain_ms=self._drain_s * 1000)
+        log_state_change(self._log, "draining", drain_ms=self.drain_ms)
         stop_now = asyncio.create_task(self._stop_now.wait())
         all_drained = asyncio.gather(*draining, return_exceptions=True)
         await asyncio.wait(
             (all_drained, stop_now),
-            timeout=self._drain_s,
+            timeout=self.drain_ms / 1e3,
             return_when=asyncio.FIRST_COMPLETED,
         )
         for task in (*draining, stop_now):
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -124,6 +124,25 @@
     assert line["outcome"] == "given up"
 
 
+async def test_a_grace_period_that_a_reload_raised_is_used_in_full(fleet):
+    """Guards against a drain that the grace period at the start cuts short."""
+    gateway = fleet.gateways[0]
+    settings = gateway.settings.read_text()
+    gateway.settings.write_text(settings.replace("grace_s = 3", "grace_s = 6"))
+    gateway.process.send_signal(signal.SIGHUP)
+    await asyncio.sleep(0.4)
+    for target in fleet.targets:
+        target.work_s = 1.5
+    reader, writer = await connect(gateway)
+    gateway.process.send_signal(signal.SIGTERM)
+    async with asyncio.timeout(7):
+        await asyncio.sleep(2.5)
+        outcome, _ = await outcome_of(reader, writer, request_head("late"))
+        assert outcome == "HTTP/1.1 200 OK"
+        assert await gateway.process.wait() == 0
+    writer.close()
+
+
 def ignores_reload_signal(gateway: Gateway) -> bool:
     """Return True if the process ignores or handles SIGHUP, which has the first bit."""
     assert gateway.process is not None
