Log that a host reaches no target of a service, and when it does again

Callers of hosts without paths to targets were refused, and no line said that a host had lost its paths: `closed` in the attempts of one request looks like a target that has ended. Each host now counts, for each service, the targets that failed in a row without any response from the service in between. From the second on it logs the loss with the targets, and the return with its length; gateway_lost_paths is the number of services.

Nothing acts on it yet. The lines tell two hypotheses of the incident apart: targets that all hosts fail to reach, and hosts that fail to reach all targets.

--- a/src/crocusspindle/core/target_tracker.py
+++ b/src/crocusspindle/core/target_tracker.py
@@ -26,6 +26,8 @@
     - ``MISDIRECTED``: another target runs at this address.
     - ``ABANDONED``: the sender ended the attempt before its outcome was known.
     - ``CRASHED``: the connection broke, and the port refused the next one.
+    - ``DISCONNECTED``: the connection broke, and neither this target nor another one
+      that responded before accepts a connection from this sender.
     """
 
     ANSWERED = "answered"
@@ -38,6 +40,17 @@
     MISDIRECTED = "misdirected"
     ABANDONED = "abandoned"
     CRASHED = "crashed"
+    DISCONNECTED = "disconnected"
+
+    @property
+    def shows_path(self) -> bool:
+        """Return True if the sender got a response, so that its path works."""
+        return self in SHOWING_PATH
+
+    @property
+    def fails_path(self) -> bool:
+        """Return True if the sender's path may have failed instead of the target."""
+        return self in FAILING_PATH
 
     @property
     def arrived(self) -> bool:
@@ -53,6 +66,24 @@
         )
 
 
+SHOWING_PATH: Final = frozenset(
+    {
+        AttemptOutcome.ANSWERED,
+        AttemptOutcome.ERROR,
+        AttemptOutcome.SHED,
+        AttemptOutcome.MISDIRECTED,
+    }
+)
+FAILING_PATH: Final = frozenset(
+    {
+        AttemptOutcome.BROKEN,
+        AttemptOutcome.CLOSED,
+        AttemptOutcome.CRASHED,
+        AttemptOutcome.DISCONNECTED,
+        AttemptOutcome.UNREACHED,
+    }
+)
+
 EJECTING_OUTCOMES: Final = frozenset(
     {
         AttemptOutcome.BROKEN,
--- a/src/crocusspindle/gateway/assembly.py
+++ b/src/crocusspindle/gateway/assembly.py
@@ -19,6 +19,7 @@
 from crocusspindle.gateway.fleet_state import FleetState
 from crocusspindle.gateway.line_log import LineHandler
 from crocusspindle.gateway.membership import Membership
+from crocusspindle.gateway.paths import Paths
 from crocusspindle.gateway.placers import Placers
 from crocusspindle.gateway.placing import Placing
 from crocusspindle.gateway.platform_reader import PlatformReader
@@ -85,7 +86,8 @@
     placers = Placers(node, bounds, exchange, fleet_state, policies, crashes)
     placing = Placing(exchange, placers, rng, crashes)
     admission = Admission(bounds, dialect, fleet_state)
-    attempt_runner = AttemptRunner(node, dialect, placing, metrics, rng)
+    paths = Paths(placers, metrics)
+    attempt_runner = AttemptRunner(node, dialect, placing, paths, metrics, rng)
     entry = Entry(
         admission, dialect, fleet_state, attempt_runner, quota, crashes, metrics
     )
@@ -102,6 +104,7 @@
         crashes,
         placers,
         placing,
+        paths,
         entry,
         ports,
         Reload(path, settings, bounds, read, kernel),
--- a/src/crocusspindle/gateway/attempt_runner.py
+++ b/src/crocusspindle/gateway/attempt_runner.py
@@ -12,6 +12,7 @@
 from crocusspindle.core.view import NodeAddress
 from crocusspindle.gateway import instruments
 from crocusspindle.gateway.dialect import Dialect
+from crocusspindle.gateway.paths import Paths
 from crocusspindle.gateway.placing import Placement, Placing
 from crocusspindle.gateway.request_context import RequestContext
 from crocusspindle.gateway.responses import Refusal
@@ -36,11 +37,13 @@
         node: NodeAddress,
         dialect: Dialect,
         placing: Placing,
+        paths: Paths,
         metrics: Metrics,
         rng: random.Random,
     ) -> None:
         self._node = node
         self._placing = placing
+        self._paths = paths
         self._metrics = metrics
         self._rng = rng
         self._client = TargetClient(dialect, placing.record_signals)
@@ -186,6 +189,7 @@
                 self._placing.report_outcome(
                     placement, context.content, outcome, latency_ms, signals.limit_per_s
                 )
+            self._paths.record(placement.target, outcome)
             context.running_attempts -= 1
             context.arrived_attempts += outcome.arrived
             context.may_have_run |= outcome.may_have_run
--- a/src/crocusspindle/gateway/entry.py
+++ b/src/crocusspindle/gateway/entry.py
@@ -56,7 +56,13 @@
     """Serve callers' requests."""
 
     name: ClassVar[str] = "entry"
-    needs: ClassVar[tuple[str, ...]] = ("knowledge", "placing", "quota", "crashes")
+    needs: ClassVar[tuple[str, ...]] = (
+        "knowledge",
+        "placing",
+        "paths",
+        "quota",
+        "crashes",
+    )
 
     def __init__(
         self,
--- a/src/crocusspindle/gateway/instruments.py
+++ b/src/crocusspindle/gateway/instruments.py
@@ -76,6 +76,14 @@
     when_rising="An operator evacuates a domain. A host whose value differs from the "
     "others' has not learned of it yet; see docs/OPERATIONS.md.",
 )
+LOST_PATHS: Final = declare(
+    "gateway_lost_paths",
+    InstrumentKind.GAUGE,
+    unit="services",
+    meaning="Services of whose targets this node reaches none, while other nodes may.",
+    when_rising="On a few hosts: their network to the targets. On all hosts: the "
+    "targets of the service. See `paths to targets lost` in the log.",
+)
 LOG_DROPPED: Final = declare(
     "log_dropped",
     InstrumentKind.GAUGE,
--- /dev/null
+++ b/src/crocusspindle/gateway/paths.py
@@ -0,0 +1,72 @@
+"""Watch whether this node reaches the targets of each service."""
+
+from typing import ClassVar
+
+from crocusspindle.clock import now_ms
+from crocusspindle.core.listed_target import ListedTarget, Readiness
+from crocusspindle.core.path_watch import PathWatch
+from crocusspindle.core.target_tracker import AttemptOutcome
+from crocusspindle.gateway import instruments
+from crocusspindle.gateway.placers import Placers
+from crocusspindle.ids import ServiceId
+from crocusspindle.kernel import Service
+from crocusspindle.log_lines import Logger, log_state_change
+from crocusspindle.metrics import Metrics
+
+
+class Paths(Service):
+    """Record what this node's attempts show of its paths to targets."""
+
+    name: ClassVar[str] = "paths"
+    needs: ClassVar[tuple[str, ...]] = ("placers",)
+
+    def __init__(self, placers: Placers, metrics: Metrics) -> None:
+        self._placers = placers
+        self._metrics = metrics
+        self._watch = PathWatch()
+        self._log = Logger("paths")
+
+    def is_lost(self, service: ServiceId) -> bool:
+        """Return True if this node reaches no target of a service."""
+        return self._watch.is_lost(service)
+
+    def record(self, target: ListedTarget, outcome: AttemptOutcome) -> None:
+        """Record the outcome of this node's attempt on a target."""
+        if outcome.shows_path:
+            self._record_reached(target.service, "response")
+            return
+        ready_targets = len(self._ready_targets(target.service))
+        if self._watch.record(
+            target.service, target.identity, outcome, ready_targets, now_ms()
+        ):
+            log_state_change(
+                self._log,
+                "paths to targets lost",
+                service=target.service,
+                targets=self._watch.failing(target.service),
+                ready=ready_targets,
+                ending=outcome.value,
+            )
+            self._count_lost()
+
+    def _record_reached(self, service: ServiceId, shown_by: str) -> None:
+        lost_ms = self._watch.record_reached(service)
+        if lost_ms is not None:
+            log_state_change(
+                self._log,
+                "paths to targets regained",
+                service=service,
+                shown_by=shown_by,
+                lost_for_ms=round(now_ms() - lost_ms),
+            )
+            self._count_lost()
+
+    def _count_lost(self) -> None:
+        self._metrics.set(instruments.LOST_PATHS, len(self._watch.lost_services()))
+
+    def _ready_targets(self, service: ServiceId) -> list[ListedTarget]:
+        return [
+            target
+            for target in self._placers.targets_of(service)
+            if target.readiness is Readiness.READY
+        ]
