--- a/benchmarks/placing_simulation.py
+++ b/benchmarks/placing_simulation.py
@@ -350,10 +350,7 @@
             outcome = AttemptOutcome.SILENT
         self._at(ends_ms, lambda at: self._ended(request, placed, outcome, now_ms, at))
         first = request.attempts_reached == 0
-        request.attempts_reached += outcome not in (
-            AttemptOutcome.SHED,
-            AttemptOutcome.UNREACHED,
-        )
+        request.attempts_reached += outcome.may_have_run
         if first and request.route_load.idempotent and request.route_load.attempts > 1:
             hedge_ms = now_ms + placed.hedge_after_ms
             if hedge_ms < request.ends_ms:
@@ -431,10 +428,7 @@
 
     def _count_unanswered(self, request: _Request, outcome: AttemptOutcome) -> None:
         tally = self.tallies[request.route_load.name]
-        if (
-            outcome in (AttemptOutcome.SHED, AttemptOutcome.UNREACHED)
-            and not request.attempts_reached
-        ):
+        if not outcome.may_have_run and not request.attempts_reached:
             tally.refused += 1
         else:
             tally.lost += 1
@@ -454,7 +448,7 @@
     ) -> bool:
         if now_ms >= request.ends_ms or request.running:
             return False
-        if outcome in (AttemptOutcome.SHED, AttemptOutcome.UNREACHED):
+        if not outcome.may_have_run:
             return len(request.tried) < MAX_TARGETS_TRIED
         return (
             request.route_load.idempotent
--- a/src/crocusspindle_standins/on_platform/fleet.py
+++ b/src/crocusspindle_standins/on_platform/fleet.py
@@ -92,12 +92,14 @@
 class Fleet:
     """Hold the store, the targets and the gateways of one test.
 
-    ``sent_through`` has the gateway's name for each request id.
+    ``program`` is the module that each gateway's process runs. ``sent_through`` has the
+    gateway's name for each request id.
     """
 
     folder: Path
     store: TableStore = field(default_factory=TableStore)
     make_target: Callable[[str, str, str], PlatformTarget] = PlatformTarget
+    program: str = "crocusspindle.gateway"
     store_address: str = ""
     targets: list[PlatformTarget] = field(default_factory=list)
     gateways: list[Gateway] = field(default_factory=list)
@@ -191,7 +193,7 @@
             gateway.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "crocusspindle.gateway",
+                self.program,
                 gateway.settings,
                 stdout=log,
                 stderr=log,
