Let no cancelled request close a descriptor twice

Callers of hosts without any fault got 500, broken connections and refused retries when other requests were cancelled while their connection to a target opened: a hedge that lost, a caller that left, a deadline. Seen once, in the test of gateways without paths on a busy machine: an accepted caller's connection and two to sound targets failed with EBADF.

Cause: uvloop, cancelled while it takes over a socket that aiohttp has connected, closes the descriptor, and the socket object closes the same number again when it is collected. By then another connection has it.

A cancelled request now leaves its connection to finish opening and closes it then. All clients of the product use it: targets, store, platform and operators' commands had the same cause.

--- a/src/crocusspindle/gateway/strict_connector.py
+++ b/src/crocusspindle/gateway/strict_connector.py
@@ -8,6 +8,9 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from crocusspindle.services.targets import CONNECT_TIMEOUT_S
+from crocusspindle.shielded_connector import ShieldedConnector
+
 
 class StrictResponseHandler(ResponseHandler):
     """Fail a response whose connection was reset before its end.
@@ -44,9 +47,27 @@
             )
 
 
-def strict_connector() -> aiohttp.TCPConnector:
-    """Return a connector that opens a new connection for each request."""
-    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+def single_use_session(own_ip: str | None = None) -> aiohttp.ClientSession:
+    """Return a session that sends each request once, on a new connection.
+
+    Connections come from ``own_ip`` if it is given.
+    """
+    session = aiohttp.ClientSession(
+        connector=_strict_connector(own_ip),
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
+        timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S),
+    )
+    # By default the library resends a GET when a connection breaks. Every attempt must
+    # count against the fleet's retry budget, so this is turned off.
+    session._retry_connection = False
+    return session
+
+
+def _strict_connector(own_ip: str | None) -> aiohttp.TCPConnector:
+    local = None if own_ip is None else (own_ip, 0)
+    connector = ShieldedConnector(limit=0, force_close=True, local_addr=local)
     loop = asyncio.get_running_loop()
     # The library has no public way to set the class of its connections, and its types
     # allow only the default class.
--- a/src/crocusspindle/gateway/target_client.py
+++ b/src/crocusspindle/gateway/target_client.py
@@ -15,9 +15,9 @@
 from crocusspindle.core.target_tracker import AttemptOutcome
 from crocusspindle.gateway.dialect import Dialect
 from crocusspindle.gateway.port_probe import PortAnswer, probe
-from crocusspindle.gateway.strict_connector import strict_connector
+from crocusspindle.gateway.strict_connector import single_use_session
 from crocusspindle.log_lines import Logger, log_state_change
-from crocusspindle.services.targets import CONNECT_TIMEOUT_S, forwarded
+from crocusspindle.services.targets import forwarded
 
 MAX_BUFFERED_BYTES: Final = 1 << 20
 """Responses up to this size are read completely before they are forwarded, so that a
@@ -100,21 +100,7 @@
 
     async def start(self) -> None:
         """Open the session."""
-        self._session = aiohttp.ClientSession(
-            connector=strict_connector(),
-            auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            skip_auto_headers=(
-                "User-Agent",
-                "Accept",
-                "Accept-Encoding",
-                "Content-Type",
-            ),
-            timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S),
-        )
-        # By default the library resends a GET when a connection breaks. Every attempt
-        # must count against the fleet's retry budget, so this is turned off.
-        self._session._retry_connection = False
+        self._session = single_use_session()
 
     async def stop(self) -> None:
         """Close the session."""
@@ -243,7 +229,7 @@
         if refused is not None:
             response.close()
             return refused
-        body, complete = await _read_prefix(response)
+        body, complete = await read_prefix(response)
         if response.status in SUCCESS_STATUSES and not self._is_valid_success(response):
             response.close()
             return AttemptResult(
@@ -289,7 +275,8 @@
         )
 
 
-async def _read_prefix(response: aiohttp.ClientResponse) -> tuple[bytes, bool]:
+async def read_prefix(response: aiohttp.ClientResponse) -> tuple[bytes, bool]:
+    """Return the first `MAX_BUFFERED_BYTES` of a body, and True if that is all."""
     prefix = bytearray()
     while len(prefix) < MAX_BUFFERED_BYTES:
         chunk = await response.content.read(READ_BYTES)
--- a/src/crocusspindle/operator_client.py
+++ b/src/crocusspindle/operator_client.py
@@ -13,6 +13,7 @@
 
 from crocusspindle.errors import CrocusspindleError, Finding
 from crocusspindle.exit_codes import ExitCode
+from crocusspindle.shielded_connector import ShieldedConnector
 
 WHERE_PATH: Final = "/.well-known/crocusspindle/where"
 CALL_TIMEOUT_S: Final = 20.0
@@ -80,7 +81,7 @@
     headers = {"Authorization": f"Bearer {endpoint.key}"}
     try:
         tls = ssl.create_default_context(cafile=endpoint.ca_file)
-        connector = aiohttp.TCPConnector(ssl=tls)
+        connector = ShieldedConnector(ssl=tls)
         async with (
             aiohttp.ClientSession(timeout=timeout, connector=connector) as session,
             session.request(
--- a/src/crocusspindle/platform/http.py
+++ b/src/crocusspindle/platform/http.py
@@ -18,6 +18,7 @@
 )
 from crocusspindle.ids import DomainId, ServiceId, TargetId
 from crocusspindle.platform.adapter import PutResult, Row, register
+from crocusspindle.shielded_connector import ShieldedConnector
 
 HTTP_OK: Final = 200
 HTTP_NOT_FOUND: Final = 404
@@ -54,7 +55,7 @@
         if self._session is None:
             # Connections to an unreachable platform break silently; a short
             # keep-alive bounds how long a broken one may be reused.
-            connector = aiohttp.TCPConnector(limit=16, keepalive_timeout=5)
+            connector = ShieldedConnector(limit=16, keepalive_timeout=5)
             self._session = aiohttp.ClientSession(
                 connector=connector, auto_decompress=False
             )
--- a/src/crocusspindle/platform/table_store.py
+++ b/src/crocusspindle/platform/table_store.py
@@ -21,6 +21,7 @@
     Table,
     register_form,
 )
+from crocusspindle.shielded_connector import ShieldedConnector
 
 HTTP_OK: Final = 200
 HTTP_GONE: Final = 410
@@ -58,7 +59,7 @@
     def _client(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(force_close=True),
+                connector=ShieldedConnector(force_close=True),
                 cookie_jar=aiohttp.DummyCookieJar(),
             )
             # By default aiohttp repeats a failed read, and each call has a cost.
--- a/src/crocusspindle/services/targets.py
+++ b/src/crocusspindle/services/targets.py
@@ -11,6 +11,7 @@
 from crocusspindle.clock import now_ms, remaining_s
 from crocusspindle.core.decisions import AttemptEnd
 from crocusspindle.ids import CustomerId, TargetId
+from crocusspindle.shielded_connector import ShieldedConnector
 
 REQUEST_ID: Final = "Crocusspindle-Request-Id"
 CUSTOMER: Final = "Crocusspindle-Customer"
@@ -101,7 +102,7 @@
     async def start(self) -> None:
         """Open the client."""
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            connector=ShieldedConnector(limit=0, force_close=True),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
