Hand requests over to a host that reaches targets

Cause: a host sends over its own paths or refuses; nothing handed a request on.

A host whose attempts failed at two targets of a service in a row now hands the requests for that service to another host, over HTTP at the port number of the datagrams. The service's placer names hosts that got responses lately, those of the same failure domain first, each sender with an order of its own; without its word, members take turns. At most three are asked. One hop: a host that took a request and has no path says so at once, and has not run it. The entry spends the customer's token; the host that sends to the target checks key and route against its own configuration, which may not be older. An order whose taker was lost is not sent again and not refused as not run. Bodies and responses stream; a caller that leaves ends the work there; at most 64 requests of others run on a host; a leaving host takes none and finishes what it has. Each goes over a connection of its own: a kept one can be closed or fall silent while an order is on it. Lost paths are probed by a connection every half second, less often if they are lost again.

--- a/src/crocusspindle/core/policies.py
+++ b/src/crocusspindle/core/policies.py
@@ -29,6 +29,8 @@
     LATE_QUEUEING = "late-queueing"
     REFUSAL_SHARE = "refusal-share"
     ROUTE_LATENCIES = "route-latencies"
+    HAND_OVER = "hand-over"
+    NAMED_HAND_OVER = "named-hand-over"
 
 
 @dataclass(frozen=True)
--- a/src/crocusspindle/gateway/admission.py
+++ b/src/crocusspindle/gateway/admission.py
@@ -12,6 +12,7 @@
 from crocusspindle.core.request_content import content_digest
 from crocusspindle.gateway.dialect import Dialect
 from crocusspindle.gateway.fleet_state import FleetState
+from crocusspindle.gateway.hand_over_headers import REQUEST_HEADERS, HandedOver
 from crocusspindle.gateway.reload import LiveBounds
 from crocusspindle.gateway.request_context import BODY_BUFFER_BYTES, RequestContext
 from crocusspindle.gateway.responses import Refusal
@@ -40,12 +41,22 @@
         self._fleet_state = fleet_state
 
     async def admit(
-        self, request: web.BaseRequest, request_id: str, began_ms: float
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        began_ms: float,
+        handed_over: HandedOver | None = None,
     ) -> RequestContext:
         """Return the context of a request; raise ``Refusal`` if it may not run."""
         configuration = await self._fleet_state.first_configuration()
         if configuration is None:
             raise Refusal(503, "no-configuration", 500.0)
+        if (
+            handed_over
+            and handed_over.version > self._fleet_state.configuration.version
+        ):
+            # The node that admitted it may know a route or key that is new.
+            raise Refusal(503, "old-configuration", 500.0)
         route = self._route(configuration, request)
         customer = self._customer(configuration, route, request)
         self._check_length(configuration, request)
@@ -75,7 +86,15 @@
             length,
         )
         return RequestContext(
-            request_id, route, customer, outgoing, content, began_ms, deadline_ms
+            request_id,
+            route,
+            customer,
+            outgoing,
+            content,
+            began_ms,
+            deadline_ms,
+            caller_key=request.headers.get(self._dialect.key),
+            handed_over=handed_over,
         )
 
     def is_idempotent(self, request: web.BaseRequest) -> bool:
@@ -177,7 +196,8 @@
         body: bytes | AsyncIterator[bytes] | None,
     ) -> CIMultiDict[str]:
         headers = CIMultiDict(forwarded(request.headers))
-        for name in (self._dialect.key, self._dialect.customer, "Expect"):
+        own_names = (self._dialect.key, self._dialect.customer, "Expect")
+        for name in (*own_names, *REQUEST_HEADERS):
             headers.popall(name, None)
         if isinstance(body, bytes) or body is None:
             headers.popall("Content-Length", None)
--- a/src/crocusspindle/gateway/assembly.py
+++ b/src/crocusspindle/gateway/assembly.py
@@ -17,6 +17,7 @@
 from crocusspindle.gateway.entry import Entry
 from crocusspindle.gateway.exchange import Exchange
 from crocusspindle.gateway.fleet_state import FleetState
+from crocusspindle.gateway.hand_over import HandOver
 from crocusspindle.gateway.line_log import LineHandler
 from crocusspindle.gateway.membership import Membership
 from crocusspindle.gateway.paths import Paths
@@ -86,10 +87,22 @@
     placers = Placers(node, bounds, exchange, fleet_state, policies, crashes)
     placing = Placing(exchange, placers, rng, crashes)
     admission = Admission(bounds, dialect, fleet_state)
-    paths = Paths(placers, metrics)
-    attempt_runner = AttemptRunner(node, dialect, placing, paths, metrics, rng)
+    paths = Paths(placers, metrics, rng)
+    hand_over = HandOver(
+        node, dialect, exchange, fleet_state, placers, policies, metrics, rng
+    )
+    attempt_runner = AttemptRunner(
+        node, dialect, placing, paths, hand_over, policies, metrics, rng
+    )
     entry = Entry(
-        admission, dialect, fleet_state, attempt_runner, quota, crashes, metrics
+        admission,
+        dialect,
+        fleet_state,
+        attempt_runner,
+        hand_over,
+        quota,
+        crashes,
+        metrics,
     )
     ports = Ports(
         settings, dialect, fleet_state, membership, entry, metrics, bounds, lines
@@ -105,6 +118,7 @@
         placers,
         placing,
         paths,
+        hand_over,
         entry,
         ports,
         Reload(path, settings, bounds, read, kernel),
--- a/src/crocusspindle/gateway/attempt_runner.py
+++ b/src/crocusspindle/gateway/attempt_runner.py
@@ -7,11 +7,13 @@
 from crocusspindle.clock import now_ms
 from crocusspindle.core.configuration import LOWEST_PRIORITY, choose_service
 from crocusspindle.core.placement_request import PlacementRequest
+from crocusspindle.core.policies import Policies, Policy
 from crocusspindle.core.target_signals import NO_SIGNALS
 from crocusspindle.core.target_tracker import AttemptOutcome
 from crocusspindle.core.view import NodeAddress
 from crocusspindle.gateway import instruments
 from crocusspindle.gateway.dialect import Dialect
+from crocusspindle.gateway.hand_over import NO_PATH_RETRY_MS, HandOver
 from crocusspindle.gateway.paths import Paths
 from crocusspindle.gateway.placing import Placement, Placing
 from crocusspindle.gateway.request_context import RequestContext
@@ -38,12 +40,16 @@
         dialect: Dialect,
         placing: Placing,
         paths: Paths,
+        hand_over: HandOver,
+        policies: Policies,
         metrics: Metrics,
         rng: random.Random,
     ) -> None:
         self._node = node
         self._placing = placing
         self._paths = paths
+        self._hand_over = hand_over
+        self._hands_over = policies.has(Policy.HAND_OVER)
         self._metrics = metrics
         self._rng = rng
         self._client = TargetClient(dialect, placing.record_signals)
@@ -63,9 +69,12 @@
         one, did not run the request.
         """
         service = choose_service(context.route.weighted_services, self._rng.random())
-        retry = False
+        handed_over = context.handed_over
+        retry = handed_over is not None and handed_over.has_arrived
         last_result: AttemptResult | None = None
         while True:
+            if self._hands_over and self._paths.is_lost(service):
+                return await self._send_elsewhere(context, service, last_result)
             placement = await self._request_placement(
                 context, service, retry, last_result
             )
@@ -76,6 +85,18 @@
                 return last_result
             retry = context.arrived_attempts > 0
 
+    async def _send_elsewhere(
+        self,
+        context: RequestContext,
+        service: ServiceId,
+        last_result: AttemptResult | None,
+    ) -> AttemptResult:
+        if context.handed_over is None:
+            return await self._hand_over.send(context, service)
+        if last_result is not None and last_result.outcome.may_have_run:
+            return last_result
+        raise Refusal(503, "no-path", NO_PATH_RETRY_MS)
+
     async def _request_placement(
         self,
         context: RequestContext,
@@ -94,6 +115,7 @@
             deadline_ms=context.deadline_ms,
             retry=retry,
             hedge=hedge,
+            counted=context.handed_over is not None and context.handed_over.was_placed,
             body_bytes=context.body_bytes,
             content=context.content,
             excluded=frozenset(context.tried_targets),
@@ -155,6 +177,10 @@
     async def _start_hedge(
         self, context: RequestContext, service: ServiceId
     ) -> asyncio.Task[AttemptResult] | None:
+        if self._hands_over and self._paths.is_lost(service):
+            if context.handed_over is not None:
+                return None
+            return asyncio.create_task(self._hedge_elsewhere(context, service))
         try:
             placement = await self._request_placement(
                 context, service, True, None, hedge=True
@@ -165,6 +191,15 @@
             return None
         return asyncio.create_task(self._attempt(context, placement))
 
+    async def _hedge_elsewhere(
+        self, context: RequestContext, service: ServiceId
+    ) -> AttemptResult:
+        try:
+            return await self._hand_over.send(context, service)
+        except Refusal as refusal:
+            # The first attempt may still get a response.
+            return AttemptResult(AttemptOutcome.SHED, 0.0, detail=refusal.reason)
+
     async def _attempt(
         self, context: RequestContext, placement: Placement
     ) -> AttemptResult:
--- a/src/crocusspindle/gateway/entry.py
+++ b/src/crocusspindle/gateway/entry.py
@@ -17,6 +17,8 @@
 from crocusspindle.gateway.crash_sharing import CrashSharing
 from crocusspindle.gateway.dialect import Dialect
 from crocusspindle.gateway.fleet_state import UNCONFIRMED_AGE_MS, FleetState
+from crocusspindle.gateway.hand_over import HandOver
+from crocusspindle.gateway.hand_over_headers import REFUSED, HandedOver
 from crocusspindle.gateway.quota import NO_KEEPER_RETRY_MS, Quota
 from crocusspindle.gateway.request_context import RequestContext
 from crocusspindle.gateway.responses import (
@@ -50,6 +52,7 @@
     context: RequestContext | None = None
     result: AttemptResult | None = None
     refusal: Refusal | None = None
+    handed_over: HandedOver | None = None
 
 
 class Entry(Service):
@@ -60,6 +63,7 @@
         "knowledge",
         "placing",
         "paths",
+        "hand_over",
         "quota",
         "crashes",
     )
@@ -70,6 +74,7 @@
         dialect: Dialect,
         fleet_state: FleetState,
         attempt_runner: AttemptRunner,
+        hand_over: HandOver,
         quota: Quota,
         crashes: CrashSharing,
         metrics: Metrics,
@@ -79,6 +84,7 @@
         self._dialect = dialect
         self._fleet_state = fleet_state
         self._attempt_runner = attempt_runner
+        self._hand_over = hand_over
         self._quota = quota
         self._metrics = metrics
         self._log = Logger("entry")
@@ -165,12 +171,26 @@
     async def _send(
         self, request: web.BaseRequest, processed: ProcessedRequest
     ) -> None:
+        handed_over = processed.handed_over = self._hand_over.read_mark(request)
+        if handed_over is None:
+            await self._run(request, processed)
+            return
+        processed.began_ms -= handed_over.age_ms
+        self._hand_over.begin_taken()
+        try:
+            await self._run(request, processed)
+        finally:
+            self._hand_over.end_taken()
+
+    async def _run(self, request: web.BaseRequest, processed: ProcessedRequest) -> None:
+        handed_over = processed.handed_over
         context = await self._admission.admit(
-            request, processed.request_id, processed.began_ms
+            request, processed.request_id, processed.began_ms, handed_over
         )
         processed.context = context
         self._check_not_held(context)
-        if context.customer is not None:
+        # The node that handed it over has spent the customer's token.
+        if context.customer is not None and handed_over is None:
             await self._spend(context, context.customer)
         processed.result = await self._attempt_runner.send(context)
 
@@ -198,7 +218,10 @@
             refusal.context_fields = self._log_fields(context)
         self._metrics.add(instruments.REFUSED, reason=refusal.reason)
         self._log_refusal(processed, refusal)
-        return refusal_response(refusal, processed.request_id, self._dialect)
+        response = refusal_response(refusal, processed.request_id, self._dialect)
+        if self._hand_over.is_taken(request):
+            response.headers[REFUSED] = refusal.reason
+        return response
 
     async def _spend(self, context: RequestContext, customer: CustomerRule) -> None:
         wait_limit_ms = context.route.aim_ms * MAX_TOKEN_WAIT_FRACTION
@@ -239,6 +262,7 @@
             else None,
             "view": self._fleet_state.view.version,
             "sends": context.attempt_records,
+            "handed_over_by": context.handed_over and context.handed_over.sender,
             "body_bytes": context.body_bytes,
             "content": context.content,
             "quota_wait_ms": round(context.quota_wait_ms),
--- /dev/null
+++ b/src/crocusspindle/gateway/hand_over_headers.py
@@ -0,0 +1,55 @@
+"""Mark requests that one node hands over to another, and their refusals."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from crocusspindle.gateway.responses import Refusal
+
+AGE: Final = "Crocusspindle-Age-Milliseconds"
+VERSION: Final = "Crocusspindle-Configuration-Version"
+PLACED: Final = "Crocusspindle-Placed"
+ARRIVED: Final = "Crocusspindle-Arrived"
+REQUEST_HEADERS: Final = (AGE, VERSION, PLACED, ARRIVED)
+
+REFUSED: Final = "Crocusspindle-Refused"
+"""Reason of a refusal by the node that took a request, in place of its response."""
+
+
+@dataclass(frozen=True, slots=True)
+class HandedOver:
+    """Describe a request that another node handed over.
+
+    ``age_ms`` is the time since its caller's request arrived there. ``version`` is that
+    of the configuration by which it was admitted. ``was_placed`` is True if a placer
+    has counted it, ``has_arrived`` if it may have reached a target.
+    """
+
+    sender: str
+    age_ms: float
+    version: int
+    was_placed: bool
+    has_arrived: bool
+
+    def headers(self) -> dict[str, str]:
+        """Return the request headers that say so."""
+        return {
+            AGE: str(round(self.age_ms)),
+            VERSION: str(self.version),
+            PLACED: str(int(self.was_placed)),
+            ARRIVED: str(int(self.has_arrived)),
+        }
+
+    @classmethod
+    def from_headers(cls, sender: str, headers: Mapping[str, str]) -> "HandedOver":
+        """Read the request headers; raise ``Refusal`` if they are malformed."""
+        try:
+            return cls(
+                sender,
+                float(int(headers[AGE])),
+                int(headers[VERSION]),
+                headers[PLACED] == "1",
+                headers[ARRIVED] == "1",
+            )
+        except (KeyError, ValueError) as error:
+            raise Refusal(503, "malformed-hand-over") from error
--- a/src/crocusspindle/gateway/instruments.py
+++ b/src/crocusspindle/gateway/instruments.py
@@ -84,6 +84,24 @@
     when_rising="On a few hosts: their network to the targets. On all hosts: the "
     "targets of the service. See `paths to targets lost` in the log.",
 )
+HANDED_OVER: Final = declare(
+    "gateway_handed_over",
+    InstrumentKind.COUNTER,
+    unit="requests",
+    labels=("ending",),
+    meaning="Requests handed over to another node since this one reaches no target of "
+    "their service, by outcome; once for each node that was asked.",
+    when_rising="This host has lost its network to targets: see `paths to targets "
+    "lost` in the log. `shed`, `closed`: the other nodes have no path either.",
+)
+TAKEN: Final = declare(
+    "gateway_taken",
+    InstrumentKind.COUNTER,
+    unit="requests",
+    meaning="Requests taken from other nodes that reach no target of their service.",
+    when_rising="Other hosts have lost their network to targets: see `handed_over_by` "
+    "in the request lines.",
+)
 LOG_DROPPED: Final = declare(
     "log_dropped",
     InstrumentKind.GAUGE,
--- a/src/crocusspindle/gateway/messages.py
+++ b/src/crocusspindle/gateway/messages.py
@@ -333,6 +333,22 @@
     held: Sequence[int]
 
 
+@message(21)
+@dataclass(frozen=True, slots=True)
+class ReachingAsk:
+    """Request the nodes that reach targets of a service from its placer."""
+
+    service: str
+
+
+@message(22)
+@dataclass(frozen=True, slots=True)
+class ReachingAnswer:
+    """Name nodes that reach targets, the best for the asking node first."""
+
+    hosts: Sequence[str]
+
+
 @message(14)
 @dataclass(frozen=True, slots=True)
 class Done:
--- a/src/crocusspindle/gateway/paths.py
+++ b/src/crocusspindle/gateway/paths.py
@@ -1,6 +1,8 @@
 """Watch whether this node reaches the targets of each service."""
 
-from typing import ClassVar
+import asyncio
+import random
+from typing import ClassVar, Final
 
 from crocusspindle.clock import now_ms
 from crocusspindle.core.listed_target import ListedTarget, Readiness
@@ -8,11 +10,16 @@
 from crocusspindle.core.target_tracker import AttemptOutcome
 from crocusspindle.gateway import instruments
 from crocusspindle.gateway.placers import Placers
+from crocusspindle.gateway.port_probe import PortAnswer, probe
 from crocusspindle.ids import ServiceId
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
 from crocusspindle.metrics import Metrics
 
+PROBE_CHECK_S: Final = 0.1
+PROBE_HOLD_S: Final = 0.05
+"""How long a probed connection must live: a path may accept one and break it."""
+
 
 class Paths(Service):
     """Record what this node's attempts show of its paths to targets."""
@@ -20,10 +27,12 @@
     name: ClassVar[str] = "paths"
     needs: ClassVar[tuple[str, ...]] = ("placers",)
 
-    def __init__(self, placers: Placers, metrics: Metrics) -> None:
+    def __init__(self, placers: Placers, metrics: Metrics, rng: random.Random) -> None:
         self._placers = placers
         self._metrics = metrics
-        self._watch = PathWatch()
+        self._rng = rng
+        self._watch = PathWatch(rng)
+        self._probing: asyncio.Task[None] | None = None
         self._log = Logger("paths")
 
     def is_lost(self, service: ServiceId) -> bool:
@@ -50,11 +59,30 @@
                 ending=outcome.value,
             )
             self._count_lost()
+            if self._probing is None or self._probing.done():
+                self._probing = self.spawn(self._probe_lost())
+
+    async def _probe_lost(self) -> None:
+        """Probe lost paths until there are none."""
+        while self._watch.lost_services():
+            await asyncio.sleep(PROBE_CHECK_S)
+            for service in self._watch.due_probes(now_ms()):
+                await self._probe(service)
+
+    async def _probe(self, service: ServiceId) -> None:
+        ready = self._ready_targets(service)
+        if not ready:
+            self._watch.forget(service)
+            self._count_lost()
+            return
+        began_ms = now_ms()
+        if await probe(self._rng.choice(ready), PROBE_HOLD_S) is PortAnswer.ACCEPTS:
+            self._record_reached(service, began_ms, "probe")
 
     def _record_reached(
         self, service: ServiceId, began_ms: float, shown_by: str
     ) -> None:
-        lost_ms = self._watch.record_reached(service, began_ms)
+        lost_ms = self._watch.record_reached(service, began_ms, now_ms())
         if lost_ms is not None:
             log_state_change(
                 self._log,
--- a/src/crocusspindle/gateway/placer_ranks.py
+++ b/src/crocusspindle/gateway/placer_ranks.py
@@ -29,7 +29,7 @@
         self._ranked: dict[ServiceId, list[HostId]] = {}
         self._view_version = -1
         self._views: deque[tuple[float, View | None]] = deque(maxlen=VIEWS_KEPT)
-        self._domains: dict[str, DomainId] = {}
+        self._members: dict[str, NodeAddress] = {}
 
     def update_view(self) -> bool:
         """Update to the view in force; return True if it has changed."""
@@ -40,7 +40,7 @@
         self._ranked.clear()
         self._views.append((now_ms(), state.content))
         entries = () if state.content is None else state.content.entries
-        self._domains = {entry.node.ip: entry.node.domain for entry in entries}
+        self._members = {entry.node.ip: entry.node for entry in entries}
         return True
 
     def ranked(self, service: ServiceId) -> list[HostId]:
@@ -81,7 +81,16 @@
 
     def domain_of(self, address: Address) -> DomainId:
         """Return the failure domain of the member at an address."""
-        return self._domains.get(address[0], DomainId(""))
+        node = self._members.get(address[0])
+        return DomainId("") if node is None else node.domain
+
+    def member_at(self, ip: str) -> NodeAddress | None:
+        """Return the member with an IP address."""
+        return self._members.get(ip)
+
+    def is_member(self, ip: str) -> bool:
+        """Return True if a member of the view in force has an IP address."""
+        return ip in self._members
 
 
 def _ranked(view: View | None, service: ServiceId) -> list[HostId]:
--- a/src/crocusspindle/gateway/placers.py
+++ b/src/crocusspindle/gateway/placers.py
@@ -7,6 +7,7 @@
 from crocusspindle.clock import now_ms
 from crocusspindle.core.cold_targets import ColdTargets
 from crocusspindle.core.configuration import ServiceRule
+from crocusspindle.core.hand_over_choice import nodes_named
 from crocusspindle.core.leaving_targets import LeavingTargets
 from crocusspindle.core.listed_target import (
     ListedTarget,
@@ -36,6 +37,8 @@
     PacedNote,
     PlaceAnswer,
     PlaceAsk,
+    ReachingAnswer,
+    ReachingAsk,
     RefusedAnswer,
     RepeatsNote,
 )
@@ -100,6 +103,7 @@
         self._exchange.handle(RepeatsNote, self._repeats_note)
         self._exchange.handle(PacedNote, self._paced_note)
         self._exchange.handle(LeavingNote, self._leaving_note)
+        self._exchange.handle(ReachingAsk, self._reaching_ask)
         self._fleet_state.add_listener(self._apply_fleet_state)
 
     def _apply_fleet_state(self) -> None:
@@ -252,6 +256,20 @@
             )
         return RefusedAnswer(decision.reason, decision.retry_after_ms)
 
+    async def _reaching_ask(self, ask: ReachingAsk, sender: Address) -> ReachingAnswer:
+        placer = self._placers.get(ServiceId(ask.service))
+        reaching = [] if placer is None else placer.senders_with_path(now_ms())
+        # A placer knows senders by their IP addresses.
+        nodes = [
+            (node.host, node.domain)
+            for ip in reaching
+            if (node := self.ranks.member_at(ip)) is not None
+        ]
+        asking = self.ranks.member_at(sender[0])
+        if asking is None:
+            return ReachingAnswer([])
+        return ReachingAnswer(nodes_named(asking.host, asking.domain, nodes))
+
     def _apply_limit(self, placer: ServicePlacer, report: LimitReport) -> None:
         if placer.limits.update_reported(report, now_ms()):
             log_state_change(
--- a/src/crocusspindle/gateway/ports.py
+++ b/src/crocusspindle/gateway/ports.py
@@ -77,6 +77,7 @@
         self._metrics = metrics
         self._log = Logger("ports")
         self._caller_listener: asyncio.Server | None = None
+        self._hand_over_listener: asyncio.Server | None = None
         self._other_servers: list[asyncio.Server] = []
         self._caller_server = CallerServer(entry, self._limits)
 
@@ -86,6 +87,10 @@
         self._caller_listener = await _listen(
             settings.caller_address, self._caller_server
         )
+        # The datagrams between nodes use the same port number.
+        self._hand_over_listener = await _listen(
+            f"{settings.ip}:{settings.peer_port}", self._caller_server
+        )
         for address, handler in (
             (settings.ready_address, self._ready),
             (settings.where_address, self._where),
@@ -148,6 +153,7 @@
         grace_ms = self._bounds.current.grace_ms
         self._membership.leave()
         self._entry.leaving = True
+        self._close_hand_over_port()
         await asyncio.sleep(grace_ms * ACCEPTING_FRACTION / 1e3)
         self._close_caller_port()
         self._log_connections("caller port closed")
@@ -165,6 +171,11 @@
             connections=len(self._caller_server.connections),
         )
 
+    def _close_hand_over_port(self) -> None:
+        if self._hand_over_listener is not None:
+            self._hand_over_listener.close()
+            self._hand_over_listener = None
+
     def _close_caller_port(self) -> None:
         if self._caller_listener is not None:
             self._caller_listener.close()
@@ -173,6 +184,7 @@
     async def stop(self) -> None:
         """Close all ports."""
         self._close_caller_port()
+        self._close_hand_over_port()
         self._entry.give_up()
         abort_connections(self._caller_server)
         for server in self._other_servers:
--- a/src/crocusspindle/gateway/request_context.py
+++ b/src/crocusspindle/gateway/request_context.py
@@ -5,6 +5,7 @@
 
 from crocusspindle.core.configuration import CustomerRule, RouteRule
 from crocusspindle.core.listed_target import TargetIdentity
+from crocusspindle.gateway.hand_over_headers import HandedOver
 from crocusspindle.gateway.target_client import OutgoingRequest
 from crocusspindle.ids import ContentDigest
 
@@ -15,7 +16,10 @@
 
 @dataclass
 class RequestContext:
-    """Hold one request, its attempts and the fields of its log line."""
+    """Hold one request, its attempts and the fields of its log line.
+
+    ``handed_over`` is set if another node handed the request over to this one.
+    """
 
     request_id: str
     route: RouteRule
@@ -30,6 +34,8 @@
     arrived_attempts: int = 0
     may_have_run: bool = False
     quota_wait_ms: float = 0.0
+    caller_key: str | None = None
+    handed_over: HandedOver | None = None
 
     @property
     def certainly_not_run(self) -> bool:
--- a/tests/core/test_path_evidence.py
+++ b/tests/core/test_path_evidence.py
@@ -83,7 +83,7 @@
 
     def _request_placement(self, request, retry, now_ms, hedge=False):
         # An entry without paths sends nothing but a probe a second.
-        watch = self._watches.setdefault(request.entry, PathWatch())
+        watch = self._watches.setdefault(request.entry, PathWatch(random.Random(1)))
         if watch.is_lost(SERVICE):
             if now_ms < self._probes_ms.get(request.entry, 0.0):
                 return
@@ -93,7 +93,7 @@
     def _ended(self, request, placed, outcome, began_ms, now_ms):
         watch, target = self._watches[request.entry], placed.target.identity
         if outcome.shows_path:
-            watch.record_reached(SERVICE, began_ms)
+            watch.record_reached(SERVICE, began_ms, now_ms)
         else:
             watch.record(SERVICE, target, outcome, TARGETS, now_ms)
         super()._ended(request, placed, outcome, began_ms, now_ms)
--- a/tests/gateway/test_entry.py
+++ b/tests/gateway/test_entry.py
@@ -20,7 +20,7 @@
             content="c", customer=None, certainly_not_run=True
         )
 
-    async def admit(self, request, request_id, began_ms):
+    async def admit(self, request, request_id, began_ms, handed_over):
         """Return the context."""
         return self.context
 
@@ -37,7 +37,8 @@
 @pytest.fixture
 def entry(waiting):
     crashes = SimpleNamespace(refusal=lambda content: None)
-    made = Entry(waiting, dialect(), None, waiting, None, crashes, None)
+    hand_over = SimpleNamespace(read_mark=lambda request: None)
+    made = Entry(waiting, dialect(), None, waiting, hand_over, None, crashes, None)
     made._log_end = lambda context, outcome: None
     return made
 
