Cut gateways off from all targets in the soak, beside stops and restarts

The soak stopped, killed, paused and reloaded gateways and disturbed targets, but no path of a gateway failed, so that none of its checks could see a host without paths.

--- a/src/crocusspindle_standins/soak/plan.py
+++ b/src/crocusspindle_standins/soak/plan.py
@@ -6,6 +6,8 @@
 from enum import Enum
 from typing import Final
 
+from crocusspindle_standins.on_platform.partitioned import CutMode
+
 RUN_S: Final = 13.0
 TARGETS: Final = 5
 CALLERS_PER_GATEWAY: Final = 5
@@ -27,6 +29,7 @@
     PAUSE = "pause"
     CONFIGURE = "configure"
     DISTURB = "disturb"
+    CUT = "cut"
 
 
 MAX_EVENTS: Final[Mapping[Action, int]] = {
@@ -96,6 +99,7 @@
     rng = random.Random(seed)
     gateways = rng.randint(3, 6)
     events = _stops(rng, gateways) + _other_events(rng, gateways)
+    events += _cuts(random.Random(f"{seed} cuts"), gateways)
     callers = tuple(
         CallerPlan(
             gateway,
@@ -137,6 +141,22 @@
     ]
 
 
+def _cuts(rng: random.Random, gateways: int) -> list[Event]:
+    """Cut some gateways off from all targets, or all of them, once or twice."""
+    return [
+        Event(
+            at_s,
+            Action.CUT,
+            gateway,
+            rng.choice(list(CutMode)).value,
+            round(rng.uniform(0.5, 4.0), 3),
+        )
+        for _ in range(rng.randint(0, 2))
+        if (at_s := round(rng.uniform(0.5, RUN_S - 4), 3))
+        for gateway in rng.sample(range(gateways), rng.randint(1, gateways))
+    ]
+
+
 def _step(rng: random.Random) -> Step:
     pause_s, is_post = rng.choice(PAUSES_S), rng.random() < 1 / 2
     return Step(
--- a/src/crocusspindle_standins/soak/play.py
+++ b/src/crocusspindle_standins/soak/play.py
@@ -9,6 +9,11 @@
 from typing import Final
 
 from crocusspindle_standins.on_platform.fleet import Fleet, Gateway, configuration
+from crocusspindle_standins.on_platform.partitioned import (
+    CutMode,
+    end_cut,
+    write_cut,
+)
 from crocusspindle_standins.on_platform.target import TargetFault
 from crocusspindle_standins.soak.callers import run_caller
 from crocusspindle_standins.soak.history import (
@@ -32,7 +37,11 @@
         self._plan = plan
         self.history = History()
         make_target = partial(RecordedTarget, history=self.history)
-        self.fleet = Fleet(folder, make_target=make_target)
+        self.fleet = Fleet(
+            folder,
+            make_target=make_target,
+            program="crocusspindle_standins.on_platform.partitioned",
+        )
         self._version = 1
         self._stopping: set[int] = set()
         self._apply_by_action: dict[Action, Callable[[Event], Awaitable[None]]] = {
@@ -42,6 +51,7 @@
             Action.PAUSE: self._pause,
             Action.CONFIGURE: self._configure,
             Action.DISTURB: self._disturb_target,
+            Action.CUT: self._cut,
         }
 
     async def play(self) -> None:
@@ -147,6 +157,16 @@
         document["routes"]["added"] = added
         await self.fleet.configure(document)
 
+    async def _cut(self, event: Event) -> None:
+        settings = self.fleet.gateways[event.subject].settings
+        began_s = self.history.now_s()
+        addresses = [target.address for target in self.fleet.targets]
+        write_cut(settings, CutMode(event.detail), addresses)
+        await asyncio.sleep(event.lasts_s)
+        end_cut(settings)
+        disruption = Disruption(event.subject, began_s, self.history.now_s())
+        self.history.disruptions.append(disruption)
+
     async def _disturb_target(self, event: Event) -> None:
         target = self.fleet.targets[event.subject]
         if event.detail == "restart":
