Send no order again that its taker calls possibly run

A node that leaves answers 502 with the reason `leaving` for what may have run. The node that had handed the order over went by the reason alone and would have sent it to the next one: an order could run twice. Found in reading, with no case seen; the new test of a taker that leaves at work fails without the change. A refusal by status 502 or 504 now counts as an attempt that may have run, whoever gives it.

--- a/src/crocusspindle/core/hand_over_choice.py
+++ b/src/crocusspindle/core/hand_over_choice.py
@@ -11,9 +11,9 @@
 from crocusspindle.core.rendezvous import order
 from crocusspindle.ids import DomainId, HostId, ServiceId
 
-MAX_NODES_TRIED: Final = 3
-"""Nodes tried for one request. If half of the members without a word of the placer
-have no path, one request in eight meets none that has."""
+MAX_NODES_TRIED: Final = 4
+"""Nodes tried for one request. If half of the members have no path and the placer names
+none, one request in sixteen meets none that has."""
 
 MAX_NODES_NAMED: Final = 6
 REFUSED_MS: Final = 1_000.0
--- a/src/crocusspindle/gateway/hand_over.py
+++ b/src/crocusspindle/gateway/hand_over.py
@@ -28,6 +28,7 @@
 from crocusspindle.gateway.strict_connector import single_use_session
 from crocusspindle.gateway.target_client import (
     CONNECTION_LOST,
+    NOT_RUN_STATUSES,
     SERVER_ERROR,
     AttemptResult,
     TargetResponse,
@@ -166,15 +167,19 @@
         try:
             result = await self._try_exchange(f"{address[0]}:{address[1]}", context)
             if isinstance(result, Refusal):
-                outcome, detail = AttemptOutcome.SHED, result.reason
+                says_not_run = result.status in NOT_RUN_STATUSES
+                outcome = AttemptOutcome.SHED if says_not_run else AttemptOutcome.ERROR
+                detail = result.reason
             else:
                 outcome, detail = result.outcome, result.detail
         finally:
-            if outcome is AttemptOutcome.SHED or outcome.fails_path:
+            if outcome.fails_path or detail in TRY_ELSEWHERE:
                 self._choice.record_refusal(service, host, now_ms())
+                self._named.pop(service, None)
             self._record(context, host, outcome, detail, began_ms)
         if isinstance(result, Refusal):
-            if result.reason in TRY_ELSEWHERE:
+            # A taker that leaves says 502 of what may have run.
+            if outcome is AttemptOutcome.SHED and result.reason in TRY_ELSEWHERE:
                 return None
             raise result
         return result if outcome.arrived else None
--- /dev/null
+++ b/tests/gateway/test_hand_over_client.py
@@ -0,0 +1,131 @@
+"""Tests of what a node makes of the responses of those it hands requests over to."""
+
+import random
+from types import SimpleNamespace
+
+import pytest
+from aiohttp import web
+from multidict import CIMultiDict
+
+from crocusspindle.clock import now_ms
+from crocusspindle.core.policies import Policies
+from crocusspindle.gateway.hand_over import HandOver
+from crocusspindle.gateway.hand_over_headers import REFUSED
+from crocusspindle.gateway.request_context import RequestContext
+from crocusspindle.gateway.responses import Refusal
+from crocusspindle.gateway.target_client import OutgoingRequest
+from crocusspindle.ids import ContentDigest, HostId, ServiceId
+from crocusspindle.platform.dialect import dialect
+
+BOOKS = ServiceId("books")
+TAKERS = [HostId("n1"), HostId("n2"), HostId("n3")]
+ANSWERS = {
+    "answers": lambda: web.Response(text="whole"),
+    "fails": lambda: web.Response(status=500, text="the target's"),
+    "has no path": lambda: refusal(503, "no-path"),
+    "leaves": lambda: refusal(503, "leaving"),
+    "leaves at work": lambda: refusal(502, "leaving"),
+    "is over rate": lambda: refusal(429, "rate"),
+    "lost its target": lambda: refusal(502, "target-broken"),
+}
+
+
+def refusal(status, reason):
+    headers = {REFUSED: reason, "Retry-After": "0.250"}
+    return web.Response(status=status, headers=headers)
+
+
+class Takers:
+    """Respond as told, one node after the other, and count what arrives."""
+
+    def __init__(self, behaviours):
+        self.behaviours = list(behaviours)
+        self.arrived = 0
+
+    async def respond(self, request):
+        await request.read()
+        behaviour = self.behaviours[self.arrived]
+        self.arrived += 1
+        if behaviour == "breaks":
+            request.transport.abort()
+            raise ConnectionResetError
+        return ANSWERS[behaviour]()
+
+
+async def send(behaviours, idempotent=False):
+    """Hand one request over; return its end, the arrivals and the context."""
+    takers = Takers(behaviours)
+    runner = web.ServerRunner(web.Server(takers.respond))
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    ranks = SimpleNamespace(
+        ranked=lambda service: TAKERS, address=lambda host: ("127.0.0.1", site.port)
+    )
+    node = SimpleNamespace(host=HostId("own"), ip="127.0.0.1", peer_port=1)
+    hand_over = HandOver(
+        node,
+        dialect(),
+        None,
+        SimpleNamespace(configuration=SimpleNamespace(version=3)),
+        SimpleNamespace(ranks=ranks),
+        Policies.without(["named-hand-over"]),
+        SimpleNamespace(add=lambda *_, **__: None),
+        random.Random(1),
+    )
+    kind = SimpleNamespace(idempotent=idempotent)
+    route = SimpleNamespace(kind=kind, attempts=2)
+    outgoing = OutgoingRequest("r", "POST", "/orders/1", CIMultiDict(), b"pay")
+    content, began_ms = ContentDigest("c"), now_ms()
+    context = RequestContext(
+        "r", route, None, outgoing, content, began_ms, began_ms + 2_000.0
+    )
+    await hand_over.start()
+    try:
+        end = await hand_over.send(context, BOOKS)
+    except Refusal as error:
+        end = error
+    finally:
+        await hand_over.stop()
+        await runner.cleanup()
+    return end, takers.arrived, context
+
+
+@pytest.mark.parametrize("first", ["has no path", "leaves"])
+async def test_a_request_that_a_node_did_not_take_goes_to_the_next(first):
+    result, arrived, _ = await send([first, "answers"])
+    assert arrived == 2 and result.target_response.body == b"whole"
+
+
+@pytest.mark.parametrize("first", ["leaves at work", "lost its target", "breaks"])
+async def test_an_order_that_may_run_elsewhere_is_not_sent_again(first):
+    """Guards against an order that runs twice, or is refused as not run."""
+    end, arrived, context = await send([first, "answers"])
+    assert arrived == 1 and context.may_have_run
+    if isinstance(end, Refusal):
+        assert end.status == 502
+    else:
+        assert end.target_response is None and end.outcome.may_have_run
+
+
+async def test_an_idempotent_request_whose_taker_is_lost_goes_to_another():
+    result, arrived, context = await send(["breaks", "answers"], idempotent=True)
+    assert arrived == 2 and result.target_response.body == b"whole"
+    assert context.running_attempts == 0
+
+
+async def test_a_refusal_of_the_request_itself_is_final():
+    end, arrived, context = await send(["is over rate", "answers"])
+    assert arrived == 1 and (end.status, end.reason) == (429, "rate")
+    assert end.retry_after_ms == 250.0 and context.certainly_not_run
+
+
+async def test_the_failure_of_a_target_is_forwarded_as_it_is():
+    result, arrived, _ = await send(["fails", "answers"], idempotent=True)
+    assert arrived == 1 and result.target_response.status == 500
+
+
+async def test_a_request_that_nobody_takes_is_refused_as_not_run():
+    end, arrived, context = await send(["has no path"] * len(TAKERS))
+    assert arrived == len(TAKERS) and (end.status, end.reason) == (503, "no-path")
+    assert end.retry_after_ms > 0.0 and context.certainly_not_run
