Count the time left of a handed-over request from its hand-over

Callers of a host that learned of a lost path only after 853 ms of connecting had 283 ms left at the target instead of some 1,100: the node that took the request subtracted its age from the time that was left, which had been subtracted before.

A placer also ignores outcomes that it doesn't know, so that a newer host doesn't end its process, and forgets senders that were silent for a minute.

--- a/src/crocusspindle/core/path_evidence.py
+++ b/src/crocusspindle/core/path_evidence.py
@@ -36,6 +36,7 @@
 CONTRADICTION_MS: Final = 1_500.0
 """Age up to which a failure to connect is contradicted by a response to another."""
 
+SENDER_KEPT_MS: Final = 60_000.0
 REACHED_MS: Final = 2_000.0
 """How long after its last response a sender counts as one that reaches the service."""
 
@@ -63,6 +64,7 @@
     reached_ms: float = -math.inf
     contradicted_until_ms: float = -math.inf
     has_lost_path: bool = False
+    last_ms: float = -math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,7 +112,7 @@
             for other, at_ms in state.failed_ms.items()
             if at_ms > now_ms - FAILURE_KEPT_MS
         }
-        state.failed_ms[target] = now_ms
+        state.failed_ms[target] = state.last_ms = now_ms
         if (
             outcome is AttemptOutcome.DISCONNECTED
             or len(state.failed_ms) >= SUSPICIOUS_FAILURES
@@ -161,6 +163,7 @@
         old connection lives on.
         """
         state = self._senders.setdefault(sender, _Sender())
+        state.last_ms = now_ms
         last_failed_ms = max(state.failed_ms.values(), default=-math.inf)
         if began_ms <= last_failed_ms:
             return []
@@ -214,8 +217,13 @@
             if not state.has_lost_path and state.reached_ms > now_ms - REACHED_MS
         ]
 
-    def keep(self, targets: set[TargetIdentity]) -> None:
-        """Forget the targets that are no longer listed."""
+    def keep(self, targets: set[TargetIdentity], now_ms: float) -> None:
+        """Forget targets that are no longer listed, and senders that send no more."""
+        self._senders = {
+            sender: state
+            for sender, state in self._senders.items()
+            if now_ms - state.last_ms < SENDER_KEPT_MS
+        }
         for by_target in (self._reached_ms, self._witnesses):
             for target in by_target.keys() - targets:
                 del by_target[target]
--- a/src/crocusspindle/core/service_placer.py
+++ b/src/crocusspindle/core/service_placer.py
@@ -97,7 +97,7 @@
         self._floor.invalidate_due()
         entries = {entry.identity: entry for entry in listed}
         self.crash_watch.keep(entries)
-        self._paths.keep(set(entries))
+        self._paths.keep(set(entries), now_ms)
         for identity in self._trackers.keys() - entries.keys():
             del self._trackers[identity]
         for identity, entry in entries.items():
--- a/src/crocusspindle/gateway/admission.py
+++ b/src/crocusspindle/gateway/admission.py
@@ -61,8 +61,11 @@
         customer = self._customer(configuration, route, request)
         self._check_length(configuration, request)
         time_left_ms = self._time_left_ms(request)
-        deadline_ms = began_ms + min(
-            time_left_ms, route.timeout_ms - RESPONSE_MARGIN_MS
+        # The time left of a request that was handed over counts from its hand-over.
+        left_from_ms = began_ms + (handed_over.age_ms if handed_over else 0.0)
+        deadline_ms = min(
+            left_from_ms + time_left_ms,
+            began_ms + route.timeout_ms - RESPONSE_MARGIN_MS,
         )
         prefix = await self._read_prefix(configuration, request, deadline_ms)
         body: bytes | AsyncIterator[bytes] | None = prefix
--- a/src/crocusspindle/gateway/placers.py
+++ b/src/crocusspindle/gateway/placers.py
@@ -317,8 +317,9 @@
 
     async def _ended_note(self, note: EndedNote, sender: Address) -> Done:
         target = self.targets.get(TargetIdentity(note.target))
-        if target is None:
-            # The target was removed from the list, and its state with it.
+        if target is None or not 0 <= note.ending < len(ATTEMPT_OUTCOMES):
+            # The target was removed from the list, and its state with it; or the
+            # sender is newer and knows an outcome that this node doesn't.
             return Done()
         placer = self._placer(target.service)
         if (
--- a/tests/gateway/test_hand_over.py
+++ b/tests/gateway/test_hand_over.py
@@ -80,6 +80,21 @@
     assert own["handed_over_by"] is None
 
 
+async def test_a_handed_over_request_keeps_all_the_time_that_is_left(fleet):
+    """Guards against the time before the hand-over counted twice."""
+    await cut_off(fleet, [0], CutMode.HANGS)
+    request = f"r{fleet.requests}"
+    (line,) = lines_of(fleet, 0, request)
+    age_ms = line["sends"][-1]["after_ms"]
+    left_ms = [
+        float(headers["X-Deadline-Milliseconds"])
+        for target in fleet.targets
+        for headers in map(CIMultiDict, target.seen)
+        if headers["X-Request-Id"] == request
+    ]
+    assert age_ms >= 300 and max(left_ms) >= 2_000 - age_ms - 200
+
+
 async def test_a_long_body_is_handed_over_once(fleet):
     """Guards against a streamed body that is sent again, or cut."""
     await cut_off(fleet, [0])
