Split the attribution of failures from the placer, and tighten it

No case was seen; found in reading the change. A target that one sender called refused was limited as cold at once, and the limit outlived the ejection when that was withdrawn; it is limited at its first response to a new attempt. A sender without a path avoids all targets at which it has failed, not only the last.

Outcomes of attempts and the attribution are modules of their own.

--- a/benchmarks/gray_targets.py
+++ b/benchmarks/gray_targets.py
@@ -21,11 +21,12 @@
 
 from benchmarks.result_table import write_table
 from crocusspindle.core import target_tracker
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
 from crocusspindle.core.placement_request import PlacementGranted, PlacementRequest
 from crocusspindle.core.retry_budget import RetryBudget
 from crocusspindle.core.service_placer import ServicePlacer
-from crocusspindle.core.target_tracker import AttemptOutcome, EjectionState
+from crocusspindle.core.target_tracker import EjectionState
 from crocusspindle.ids import DomainId, GrantId, HostId, ServiceId
 
 ROOT: Final = Path(__file__).parents[1]
--- a/benchmarks/placing.py
+++ b/benchmarks/placing.py
@@ -25,8 +25,8 @@
     ServiceScenario,
 )
 from benchmarks.result_table import write_table
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.policies import Policies, Policy
-from crocusspindle.core.target_tracker import AttemptOutcome
 
 ROOT: Final = Path(__file__).parents[1]
 BOUNDS_PATH: Final = ROOT / "benchmarks" / "bounds" / "placing.json"
--- a/benchmarks/placing_simulation.py
+++ b/benchmarks/placing_simulation.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
 from crocusspindle.core.placement_request import (
     PlacementGranted,
@@ -21,7 +22,6 @@
 from crocusspindle.core.policies import ALL_POLICIES, Policies
 from crocusspindle.core.retry_budget import RetryBudget
 from crocusspindle.core.service_placer import ServicePlacer
-from crocusspindle.core.target_tracker import AttemptOutcome
 from crocusspindle.ids import DomainId, HostId, ServiceId
 
 BROKEN_AFTER_MS: Final = 1.0
--- a/src/crocusspindle/core/crash_watch.py
+++ b/src/crocusspindle/core/crash_watch.py
@@ -4,10 +4,10 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.crash_record import SAME_CRASH_MS
 from crocusspindle.core.crash_table import CrashReport, CrashTable
 from crocusspindle.core.listed_target import TargetIdentity
-from crocusspindle.core.target_tracker import AttemptOutcome
 from crocusspindle.ids import ContentDigest
 
 MAX_DETECTION_DELAY_MS: Final = 6_000.0
--- a/src/crocusspindle/core/floor_watch.py
+++ b/src/crocusspindle/core/floor_watch.py
@@ -11,11 +11,11 @@
 from collections.abc import Collection
 from typing import Final
 
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.listed_target import Readiness
 from crocusspindle.core.target_tracker import (
     HEALTHY_AFTER_MS,
     SUSPICIOUS_AGE_NATS,
-    AttemptOutcome,
     EjectionState,
     TargetTracker,
 )
--- a/src/crocusspindle/core/path_evidence.py
+++ b/src/crocusspindle/core/path_evidence.py
@@ -15,8 +15,8 @@
 from enum import Enum
 from typing import Final
 
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.listed_target import TargetIdentity
-from crocusspindle.core.target_tracker import AttemptOutcome
 from crocusspindle.ids import HostId
 
 SUSPICIOUS_FAILURES: Final = 2
@@ -46,6 +46,10 @@
 """Outcomes that a response to another sender contradicts: the target's process runs."""
 
 
+REFUSALS: Final = frozenset({AttemptOutcome.CLOSED, AttemptOutcome.CRASHED})
+"""Outcomes that another sender can confirm at the cost of some milliseconds."""
+
+
 class Fault(Enum):
     """Name what a failed attempt speaks of."""
 
@@ -126,10 +130,10 @@
         return Fault.TARGET
 
     def is_sole_witness(self, target: TargetIdentity, sender: HostId) -> bool:
-        """Return True if an ejection rests on one sender that could not connect."""
+        """Return True if an ejection rests on one sender that the port refused."""
         witnesses = self._witnesses.get(target, {})
         word = witnesses.get(sender)
-        return len(witnesses) == 1 and word is not None and word.denies_connection
+        return len(witnesses) == 1 and word is not None and word.outcome in REFUSALS
 
     def has_lost_path(self, sender: HostId) -> bool:
         """Return True if a sender reaches no target of the service."""
@@ -144,6 +148,11 @@
         last_failed_ms = max(state.failed_ms.values(), default=-math.inf)
         return state.has_lost_path or last_failed_ms > now_ms - PENDING_MS
 
+    def failing(self, sender: HostId) -> list[TargetIdentity]:
+        """Return the targets at which a sender failed since its last response."""
+        state = self._senders.get(sender)
+        return [] if state is None else list(state.failed_ms)
+
     def withdraw(self, sender: HostId) -> list[TargetIdentity]:
         """Withdraw what a sender said; return the targets with no other witness."""
         withdrawn = []
--- a/src/crocusspindle/core/path_watch.py
+++ b/src/crocusspindle/core/path_watch.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.listed_target import TargetIdentity
-from crocusspindle.core.target_tracker import AttemptOutcome
 from crocusspindle.ids import ServiceId
 
 FAILING_TARGETS: Final = 2
--- a/src/crocusspindle/core/placement_request.py
+++ b/src/crocusspindle/core/placement_request.py
@@ -2,8 +2,9 @@
 
 from dataclasses import dataclass
 
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.listed_target import ListedTarget, TargetIdentity
-from crocusspindle.core.target_tracker import AttemptOutcome, EjectionState
+from crocusspindle.core.target_tracker import EjectionState
 from crocusspindle.ids import NO_CONTENT, ContentDigest, DomainId, GrantId, HostId
 
 
--- a/src/crocusspindle/core/service_placer.py
+++ b/src/crocusspindle/core/service_placer.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Final
 
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.crash_table import CrashTable, Isolation
 from crocusspindle.core.crash_watch import CrashWatch
 from crocusspindle.core.floor_watch import FloorWatch
@@ -22,7 +23,8 @@
     Readiness,
     TargetIdentity,
 )
-from crocusspindle.core.path_evidence import Fault, PathEvidence, SenderPathChange
+from crocusspindle.core.path_attribution import PathAttribution, state_change
+from crocusspindle.core.path_evidence import PathEvidence, SenderPathChange
 from crocusspindle.core.placement_queue import (
     RETRY_MIN_MS,
     PlacementQueue,
@@ -43,7 +45,6 @@
 from crocusspindle.core.target_tracker import (
     COLD_SLOWNESS,
     HUNG_NATS,
-    AttemptOutcome,
     EjectionState,
     Grant,
     TargetTracker,
@@ -78,7 +79,15 @@
         self._latencies = RouteLatencies(policies.has(Policy.ROUTE_LATENCIES))
         self._onset_rate = GrayOnsetRate(now_ms)
         self._unreached = UnreachedShare()
+        self._changes: list[EjectionStateChange] = []
         self._paths = PathEvidence()
+        self._attribution = PathAttribution(
+            self._trackers,
+            self._paths,
+            self.limits,
+            self._changes,
+            policies.has(Policy.PATH_ATTRIBUTION),
+        )
         self._floor = FloorWatch(floor_share)
         self._choice = TargetChoice(
             self._trackers,
@@ -90,7 +99,6 @@
         )
         self._queue = PlacementQueue(policies, now_ms)
         self._last_grant = 0
-        self._changes: list[EjectionStateChange] = []
 
     def set_targets(self, listed: Iterable[ListedTarget], now_ms: float) -> None:
         """Replace the list of the service's targets."""
@@ -132,7 +140,8 @@
 
     def changes(self) -> list[EjectionStateChange]:
         """Return the changes of ejection state since the last call."""
-        changes, self._changes = self._changes, []
+        changes = list(self._changes)
+        self._changes.clear()
         return changes
 
     def path_changes(self) -> list[SenderPathChange]:
@@ -337,11 +346,12 @@
         ended_grant = tracker.grants.pop(grant, None)
         if outcome.shows_path:
             began_ms = ended_grant.began_ms if ended_grant else now_ms - latency_ms
-            self._record_response(tracker, outcome, sender, began_ms, now_ms)
-        if self._speaks_of_path(tracker, ended_grant, outcome, sender, now_ms):
-            tracker.avoid_path(sender, now_ms)
-            self.limits.record_unseen(tracker, outcome, now_ms)
-        else:
+            self._attribution.record_response(
+                tracker, outcome, sender, began_ms, now_ms
+            )
+        if not self._attribution.speaks_of_path(
+            tracker, ended_grant, outcome, sender, now_ms
+        ):
             self._record_outcome(
                 tracker, ended_grant, outcome, sender, latency_ms, now_ms, content
             )
@@ -351,67 +361,6 @@
         if not self.crash_watch.has_reports:
             self._serve_queue(now_ms)
 
-    def _record_response(
-        self,
-        tracker: TargetTracker,
-        outcome: AttemptOutcome,
-        sender: HostId,
-        began_ms: float,
-        now_ms: float,
-    ) -> None:
-        target = tracker.listed.identity
-        self.limits.record_response(tracker, began_ms, now_ms)
-        if outcome is not AttemptOutcome.MISDIRECTED and self._paths.record_alive(
-            target, sender, now_ms
-        ):
-            self._withdraw_ejection(tracker, outcome, sender)
-        for failed in self._paths.record_response(target, sender, began_ms, now_ms):
-            other = self._trackers.get(failed)
-            if other and other.ejection_state is not EjectionState.EJECTED:
-                other.last_failed_ms = now_ms
-                other.eject(now_ms)
-                self._record_state_change(other, AttemptOutcome.CLOSED, sender)
-
-    def _speaks_of_path(
-        self,
-        tracker: TargetTracker,
-        grant: Grant | None,
-        outcome: AttemptOutcome,
-        sender: HostId,
-        now_ms: float,
-    ) -> bool:
-        """Return True if a failure speaks of its sender's path, not of the target."""
-        if not self._policies.has(Policy.PATH_ATTRIBUTION):
-            return False
-        if not outcome.fails_path:
-            return (
-                outcome is not AttemptOutcome.ANSWERED
-                and grant is not None
-                and grant.sender_lost_path
-            )
-        target = tracker.listed.identity
-        fault = self._paths.record_failure(target, sender, outcome, now_ms)
-        if fault is Fault.TARGET:
-            return False
-        if self._paths.has_lost_path(sender):
-            self._withdraw_words(sender, outcome)
-        return True
-
-    def _withdraw_words(self, sender: HostId, outcome: AttemptOutcome) -> None:
-        """Take back what a sender that has lost its path said of targets."""
-        for target in self._paths.withdraw(sender):
-            self._withdraw_ejection(self._trackers[target], outcome, sender)
-        for tracker in self._trackers.values():
-            tracker.unreached_at_ms.pop(sender, None)
-            for grant in tracker.grants.values():
-                grant.sender_lost_path |= grant.sender == sender
-
-    def _withdraw_ejection(
-        self, tracker: TargetTracker, outcome: AttemptOutcome, sender: HostId
-    ) -> None:
-        if tracker.withdraw_ejection():
-            self._record_state_change(tracker, outcome, sender, withdrawn=True)
-
     def _record_outcome(
         self,
         tracker: TargetTracker,
@@ -438,7 +387,9 @@
         if tracker.ejection_state is not previous_state:
             if self._paths.is_sole_witness(target, sender):
                 tracker.confirm_soon(previous_state, now_ms)
-            self.limits.record_ejection(tracker, outcome, now_ms)
+                self.limits.record_unseen(tracker, outcome, now_ms)
+            else:
+                self.limits.record_ejection(tracker, outcome, now_ms)
             self._onset_rate.record_onset(previous_state is EjectionState.HEALTHY)
             self._record_state_change(tracker, outcome, sender)
 
@@ -474,22 +425,9 @@
         )
 
     def _record_state_change(
-        self,
-        tracker: TargetTracker,
-        outcome: AttemptOutcome,
-        sender: HostId | None,
-        withdrawn: bool = False,
+        self, tracker: TargetTracker, outcome: AttemptOutcome, sender: HostId | None
     ) -> None:
-        self._changes.append(
-            EjectionStateChange(
-                tracker.listed.identity,
-                tracker.ejection_state,
-                outcome,
-                sender,
-                tracker.ejected_until_ms,
-                withdrawn,
-            )
-        )
+        self._changes.append(state_change(tracker, outcome, sender))
 
     def process_due(self, now_ms: float) -> None:
         """Apply what became due by time, then serve the queue."""
--- a/src/crocusspindle/core/target_limits.py
+++ b/src/crocusspindle/core/target_limits.py
@@ -3,15 +3,12 @@
 from collections.abc import Mapping
 from typing import Final
 
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.cold_targets import ColdTargets
 from crocusspindle.core.configuration import ServiceRule
 from crocusspindle.core.listed_target import TargetIdentity
 from crocusspindle.core.rate_limit import LimitReport
-from crocusspindle.core.target_tracker import (
-    AttemptOutcome,
-    EjectionState,
-    TargetTracker,
-)
+from crocusspindle.core.target_tracker import EjectionState, TargetTracker
 
 RESTART_OUTCOMES: Final = frozenset(
     {AttemptOutcome.CLOSED, AttemptOutcome.CRASHED, AttemptOutcome.UNREACHED}
@@ -65,7 +62,7 @@
     def record_unseen(
         self, tracker: TargetTracker, outcome: AttemptOutcome, now_ms: float
     ) -> None:
-        """Record a failure that may hide a restart behind its sender's lost path."""
+        """Record a failure that may be a restart of the target or a lost path."""
         if outcome in RESTART_OUTCOMES:
             tracker.may_have_restarted_ms = now_ms
 
--- a/src/crocusspindle/gateway/attempt_runner.py
+++ b/src/crocusspindle/gateway/attempt_runner.py
@@ -5,11 +5,11 @@
 from typing import Final
 
 from crocusspindle.clock import now_ms
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.configuration import LOWEST_PRIORITY, choose_service
 from crocusspindle.core.placement_request import PlacementRequest
 from crocusspindle.core.policies import Policies, Policy
 from crocusspindle.core.target_signals import NO_SIGNALS
-from crocusspindle.core.target_tracker import AttemptOutcome
 from crocusspindle.core.view import NodeAddress
 from crocusspindle.gateway import instruments
 from crocusspindle.gateway.dialect import Dialect
--- a/src/crocusspindle/gateway/entry.py
+++ b/src/crocusspindle/gateway/entry.py
@@ -7,9 +7,9 @@
 from aiohttp import web
 
 from crocusspindle.clock import now_ms
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.configuration import Configuration, CustomerRule
 from crocusspindle.core.quota_keeper import Admitted, OverRate
-from crocusspindle.core.target_tracker import AttemptOutcome
 from crocusspindle.core.versioned_state import VersionedState
 from crocusspindle.gateway import instruments
 from crocusspindle.gateway.admission import Admission
--- a/src/crocusspindle/gateway/hand_over.py
+++ b/src/crocusspindle/gateway/hand_over.py
@@ -11,9 +11,9 @@
 from yarl import URL
 
 from crocusspindle.clock import now_ms, remaining_s
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.hand_over_choice import HandOverChoice
 from crocusspindle.core.policies import Policies, Policy
-from crocusspindle.core.target_tracker import AttemptOutcome
 from crocusspindle.core.view import NodeAddress
 from crocusspindle.gateway import instruments
 from crocusspindle.gateway.dialect import Dialect
--- a/src/crocusspindle/gateway/messages.py
+++ b/src/crocusspindle/gateway/messages.py
@@ -6,7 +6,7 @@
 
 import msgpack
 
-from crocusspindle.core.target_tracker import AttemptOutcome
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.errors import PeerError
 from crocusspindle.gateway.document_deltas import NO_BASE
 
--- a/src/crocusspindle/gateway/paths.py
+++ b/src/crocusspindle/gateway/paths.py
@@ -5,9 +5,9 @@
 from typing import ClassVar, Final
 
 from crocusspindle.clock import now_ms
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.listed_target import ListedTarget, Readiness
 from crocusspindle.core.path_watch import PathWatch
-from crocusspindle.core.target_tracker import AttemptOutcome
 from crocusspindle.gateway import instruments
 from crocusspindle.gateway.placers import Placers
 from crocusspindle.gateway.port_probe import PortAnswer, probe
--- a/src/crocusspindle/gateway/placers.py
+++ b/src/crocusspindle/gateway/placers.py
@@ -5,6 +5,7 @@
 from typing import ClassVar, Final
 
 from crocusspindle.clock import now_ms
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.cold_targets import ColdTargets
 from crocusspindle.core.configuration import ServiceRule
 from crocusspindle.core.hand_over_choice import nodes_named
@@ -23,7 +24,7 @@
 from crocusspindle.core.policies import Policies
 from crocusspindle.core.rate_limit import LimitReport
 from crocusspindle.core.service_placer import ServicePlacer
-from crocusspindle.core.target_tracker import AttemptOutcome, EjectionState
+from crocusspindle.core.target_tracker import EjectionState
 from crocusspindle.core.view import NodeAddress
 from crocusspindle.gateway.crash_sharing import CrashSharing
 from crocusspindle.gateway.exchange import Address, Exchange
--- a/src/crocusspindle/gateway/placing.py
+++ b/src/crocusspindle/gateway/placing.py
@@ -6,13 +6,14 @@
 from typing import ClassVar, Final
 
 from crocusspindle.clock import now_ms
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.fallback_choice import FallbackChoice
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
 from crocusspindle.core.placement_request import PlacementRefused, PlacementRequest
 from crocusspindle.core.rate_limit import LimitReport
 from crocusspindle.core.target_backoffs import TargetBackoffs
 from crocusspindle.core.target_signals import TargetSignals
-from crocusspindle.core.target_tracker import EJECTION_MS, AttemptOutcome
+from crocusspindle.core.target_tracker import EJECTION_MS
 from crocusspindle.gateway.crash_sharing import CrashSharing
 from crocusspindle.gateway.exchange import Address, Exchange
 from crocusspindle.gateway.messages import (
--- a/src/crocusspindle/gateway/target_client.py
+++ b/src/crocusspindle/gateway/target_client.py
@@ -10,9 +10,9 @@
 from yarl import URL
 
 from crocusspindle.clock import now_ms, remaining_s
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.listed_target import ListedTarget, TargetIdentity
 from crocusspindle.core.target_signals import NO_SIGNALS, TargetSignals
-from crocusspindle.core.target_tracker import AttemptOutcome
 from crocusspindle.gateway.dialect import Dialect
 from crocusspindle.gateway.port_probe import PortAnswer, probe
 from crocusspindle.gateway.strict_connector import single_use_session
--- a/tests/core/test_any_service.py
+++ b/tests/core/test_any_service.py
@@ -16,7 +16,7 @@
     RouteLoad,
     ServiceScenario,
 )
-from crocusspindle.core.target_tracker import AttemptOutcome
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 
 SERVICES = 24
 REQUESTS = 3_000
--- a/tests/core/test_cold_targets.py
+++ b/tests/core/test_cold_targets.py
@@ -5,13 +5,13 @@
 
 import pytest
 
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.cold_targets import ColdTargets
 from crocusspindle.core.configuration import ServiceRule
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
 from crocusspindle.core.placement_request import PlacementGranted, PlacementRequest
 from crocusspindle.core.retry_budget import RetryBudget
 from crocusspindle.core.service_placer import ServicePlacer
-from crocusspindle.core.target_tracker import AttemptOutcome
 from crocusspindle.ids import DomainId, HostId, ServiceId
 
 RULE = ServiceRule(warm_up_ms=3_000.0, cold_per_s=7.5)
--- a/tests/core/test_crash_watch.py
+++ b/tests/core/test_crash_watch.py
@@ -2,10 +2,10 @@
 
 import pytest
 
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.crash_table import CrashTable
 from crocusspindle.core.crash_watch import MAX_DETECTION_DELAY_MS, CrashWatch
 from crocusspindle.core.listed_target import TargetIdentity
-from crocusspindle.core.target_tracker import AttemptOutcome
 from crocusspindle.ids import ContentDigest
 
 TARGET = TargetIdentity("t0")
--- a/tests/core/test_failing_targets.py
+++ b/tests/core/test_failing_targets.py
@@ -16,11 +16,11 @@
     RouteLoad,
     ServiceScenario,
 )
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
 from crocusspindle.core.placement_request import PlacementGranted, PlacementRequest
 from crocusspindle.core.retry_budget import RetryBudget
 from crocusspindle.core.service_placer import ServicePlacer
-from crocusspindle.core.target_tracker import AttemptOutcome
 from crocusspindle.ids import DomainId, HostId, ServiceId
 
 SCORES = RouteLoad("scores", True, 120.0, 150.0, 0.3, 880.0, 3_300.0)
--- a/tests/core/test_floor_under_faults.py
+++ b/tests/core/test_floor_under_faults.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
 from crocusspindle.core.placement_request import (
     PlacementGranted,
@@ -15,7 +16,6 @@
 )
 from crocusspindle.core.retry_budget import RetryBudget
 from crocusspindle.core.service_placer import ServicePlacer
-from crocusspindle.core.target_tracker import AttemptOutcome
 from crocusspindle.ids import DomainId, HostId, ServiceId
 
 FLOOR_SHARE = 0.7
--- a/tests/core/test_path_evidence.py
+++ b/tests/core/test_path_evidence.py
@@ -15,9 +15,10 @@
     RouteLoad,
     ServiceScenario,
 )
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.path_watch import PathWatch
 from crocusspindle.core.placement_request import PlacementRefused
-from crocusspindle.core.target_tracker import AttemptOutcome, EjectionState
+from crocusspindle.core.target_tracker import EjectionState
 from crocusspindle.ids import ServiceId
 
 LOOKUP = RouteLoad("lookup", True, 30.0, 300.0, 0.5, 1_000.0, 4_000.0, priority=2)
--- a/tests/core/test_path_watch.py
+++ b/tests/core/test_path_watch.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.listed_target import TargetIdentity
 from crocusspindle.core.path_watch import (
     FAILING_MS,
@@ -12,7 +13,6 @@
     RELAPSE_MS,
     PathWatch,
 )
-from crocusspindle.core.target_tracker import AttemptOutcome
 from crocusspindle.ids import ServiceId
 
 BOOKS = ServiceId("books")
--- a/tests/core/test_placing_cost.py
+++ b/tests/core/test_placing_cost.py
@@ -17,7 +17,7 @@
     RouteLoad,
     ServiceScenario,
 )
-from crocusspindle.core.target_tracker import AttemptOutcome
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 
 LOOKUP = RouteLoad("lookup", True, 100.0, 160.0, 0.5, 900.0, 5_500.0, priority=2)
 CONFIRM = RouteLoad("confirm", False, 230.0, 210.0, 0.3, 900.0, 6_600.0)
--- a/tests/core/test_placing_limits.py
+++ b/tests/core/test_placing_limits.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
 from crocusspindle.core.placement_request import (
     PlacementGranted,
@@ -15,7 +16,6 @@
 from crocusspindle.core.rate_limit import LimitReport
 from crocusspindle.core.retry_budget import RetryBudget
 from crocusspindle.core.service_placer import ServicePlacer
-from crocusspindle.core.target_tracker import AttemptOutcome
 from crocusspindle.ids import DomainId, HostId, ServiceId
 
 SENDER = HostId("n0")
--- a/tests/core/test_placing_load.py
+++ b/tests/core/test_placing_load.py
@@ -18,8 +18,9 @@
     ServiceScenario,
     Tally,
 )
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.policies import ALL_POLICIES, Policies
-from crocusspindle.core.target_tracker import AttemptOutcome, EjectionState
+from crocusspindle.core.target_tracker import EjectionState
 
 LOOKUP = RouteLoad("lookup", True, 22.6, 160.0, 0.5, 600.0, 1_500.0, priority=2)
 CONFIRM = RouteLoad("confirm", False, 50.8, 210.0, 0.3, 600.0, 2_000.0)
--- a/tests/core/test_request_isolation.py
+++ b/tests/core/test_request_isolation.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.crash_table import CrashReport, CrashTable
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
 from crocusspindle.core.placement_request import (
@@ -12,7 +13,6 @@
 )
 from crocusspindle.core.retry_budget import RetryBudget
 from crocusspindle.core.service_placer import ServicePlacer
-from crocusspindle.core.target_tracker import AttemptOutcome
 from crocusspindle.ids import ContentDigest, DomainId, HostId, ServiceId
 
 SUSPECT, OTHER = ContentDigest("suspect"), ContentDigest("other")
--- a/tests/core/test_target_limits.py
+++ b/tests/core/test_target_limits.py
@@ -2,12 +2,13 @@
 
 import pytest
 
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.cold_targets import ColdTargets
 from crocusspindle.core.configuration import ServiceRule
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
 from crocusspindle.core.rate_limit import LimitReport
 from crocusspindle.core.target_limits import TargetLimits
-from crocusspindle.core.target_tracker import AttemptOutcome, TargetTracker
+from crocusspindle.core.target_tracker import TargetTracker
 from crocusspindle.ids import DomainId, ServiceId
 
 TARGET = TargetIdentity("t0")
--- a/tests/gateway/test_crash_sharing.py
+++ b/tests/gateway/test_crash_sharing.py
@@ -5,9 +5,9 @@
 import logbook
 import pytest
 
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.crash_watch import CrashWatch
 from crocusspindle.core.listed_target import TargetIdentity
-from crocusspindle.core.target_tracker import AttemptOutcome
 from crocusspindle.ids import ContentDigest, ServiceId
 from crocusspindle_standins.virtual.fleet import HostSize, VirtualFleet
 from crocusspindle_standins.virtual.loop import VirtualLoop, VirtualTime, run
--- a/tests/gateway/test_target_client.py
+++ b/tests/gateway/test_target_client.py
@@ -4,8 +4,8 @@
 from multidict import CIMultiDict
 
 from crocusspindle.clock import now_ms
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
-from crocusspindle.core.target_tracker import AttemptOutcome
 from crocusspindle.gateway.target_client import OutgoingRequest, TargetClient
 from crocusspindle.ids import DomainId, ServiceId
 from crocusspindle.platform.dialect import dialect
