--- a/src/crocusspindle/gateway/attempt_runner.py
+++ b/src/crocusspindle/gateway/attempt_runner.py
@@ -206,6 +206,7 @@
         began_ms = now_ms()
         context.tried_targets.add(placement.target.identity)
         context.running_attempts += 1
+        list_fields = self._placing.list_fields()
         outcome, result = AttemptOutcome.ABANDONED, None
         try:
             result = await self._client.send(
@@ -240,6 +241,7 @@
                     "limit_per_s": signals.limit_per_s,
                     "retry_after_ms": signals.retry_after_ms,
                     "leaving": signals.is_leaving,
+                    **list_fields,
                 }
             )
             self._metrics.add(instruments.ATTEMPTS, ending=outcome.value)
--- a/src/crocusspindle/gateway/placers.py
+++ b/src/crocusspindle/gateway/placers.py
@@ -151,6 +151,16 @@
     async def _leaving_note(self, note: LeavingNote, sender: Address) -> None:
         self._record_leaving(TargetIdentity(note.target), note.started_ms)
 
+    @property
+    def list_version(self) -> int:
+        """Return the store's version of the list of targets in force."""
+        return self._fleet_state.targets.version
+
+    @property
+    def list_age_ms(self) -> float:
+        """Return the age of the read that confirmed the list of targets."""
+        return self._fleet_state.targets.age_ms(now_ms())
+
     def targets_of(self, service: ServiceId) -> list[ListedTarget]:
         """Return the listed targets of a service."""
         return [entry for entry in self.targets.values() if entry.service == service]
--- a/src/crocusspindle/gateway/placing.py
+++ b/src/crocusspindle/gateway/placing.py
@@ -16,6 +16,7 @@
 from crocusspindle.core.target_tracker import EJECTION_MS
 from crocusspindle.gateway.crash_sharing import CrashSharing
 from crocusspindle.gateway.exchange import Address, Exchange
+from crocusspindle.gateway.fleet_state import UNCONFIRMED_AGE_MS
 from crocusspindle.gateway.messages import (
     ATTEMPT_OUTCOMES,
     EndedNote,
@@ -84,6 +85,14 @@
             ),
         )
 
+    def list_fields(self) -> dict[str, object]:
+        """Return version and age of the list of targets, for a log line."""
+        age_ms = min(self._placers.list_age_ms, UNCONFIRMED_AGE_MS)
+        return {
+            "list_version": self._placers.list_version,
+            "list_age_ms": round(age_ms),
+        }
+
     def record_signals(self, target: ListedTarget, signals: TargetSignals) -> None:
         """Record what a target's response tells of it."""
         if signals.is_leaving:
--- a/src/crocusspindle/gateway/platform_reader.py
+++ b/src/crocusspindle/gateway/platform_reader.py
@@ -106,6 +106,7 @@
         self._evacuated: set[DomainId] = set()
         self._positions: dict[Table, int] = {}
         self._newest_version = 0
+        self._era: int | None = None
         self._calls = 0
         self._failing_since_ms: dict[Table, float] = {}
         self._probe = StoreProbe(rng)
@@ -175,9 +176,13 @@
     async def _follow(self, table: Table, handle_rows: RowHandler) -> None:
         while True:
             await self._wait_until_requested()
+            position = self._positions.get(table)
             try:
                 began_ms, changes, complete = await self._call_or_probe(table)
             except HistoryLostError:
+                log_state_change(
+                    self._log, "history lost", table=table.value, after=position
+                )
                 self._positions.pop(table, None)
                 continue
             except PlatformError as error:
@@ -186,7 +191,15 @@
             self._probe.record_success()
             was_lost = self.is_store_lost
             if self._failing_since_ms.pop(table, None) is not None:
-                log_state_change(self._log, "store regained", table=table.value)
+                log_state_change(
+                    self._log,
+                    "store regained",
+                    table=table.value,
+                    era=self._platform.era,
+                    version=changes.version,
+                    after=None if complete else position,
+                    rows=len(changes.rows),
+                )
             if not await self._may_apply(table, changes):
                 continue
             await handle_rows(changes, complete, began_ms)
@@ -250,10 +263,26 @@
     ) -> tuple[float, Changes, bool]:
         began_ms = now_ms()
         newest_version = max(self._newest_version, self._fleet_state.targets.version)
-        changes, complete = await self._call(table, wait_ms)
+        try:
+            changes, complete = await self._call(table, wait_ms)
+        finally:
+            self._log_era()
         _check_not_stale(changes, newest_version)
         return began_ms, changes, complete
 
+    def _log_era(self) -> None:
+        era = self._platform.era
+        if era != self._era:
+            log_state_change(
+                self._log,
+                "store era changed",
+                previous=self._era,
+                era=era,
+                seen_version=self._newest_version,
+                after={t.value: v for t, v in self._positions.items()},
+            )
+            self._era = era
+
     def probe_now(self) -> None:
         """Stop waiting for the next probe: another node reaches the store again."""
         if self._failing_since_ms:
--- a/src/crocusspindle/platform/fleet_platform.py
+++ b/src/crocusspindle/platform/fleet_platform.py
@@ -14,6 +14,9 @@
 from crocusspindle.errors import PlatformUnavailableError
 from crocusspindle.ids import DomainId
 
+FIRST_ERA: Final = 0
+"""Era of a store that names none."""
+
 
 class HistoryLostError(PlatformUnavailableError):
     """Report that a feed can't resume from its version; read the whole table again."""
@@ -49,8 +52,14 @@
 
     Calls raise ``PlatformUnavailableError`` when they certainly had no effect and
     ``PlatformUnknownError`` when a write may have taken effect.
+
+    ``era`` is the newest era that the store has named, `FIRST_ERA` if it names none. It
+    rises when the store is restored from a copy, and versions of earlier ones are given
+    out again.
     """
 
+    era: int
+
     @classmethod
     def from_config(cls, options: Mapping[str, Any]) -> Self:
         """Build the adapter from the platform section of the settings."""
--- a/src/crocusspindle/platform/table_store.py
+++ b/src/crocusspindle/platform/table_store.py
@@ -15,6 +15,7 @@
 from crocusspindle.ids import DomainId
 from crocusspindle.platform import documents
 from crocusspindle.platform.fleet_platform import (
+    FIRST_ERA,
     Changes,
     HistoryLostError,
     StoredRow,
@@ -31,6 +32,7 @@
     Table.TARGETS: "servers",
     Table.FLEET: "fleet",
 }
+ERA_HEADER: Final = "Store-Era"
 CONFIGURATION_KEY: Final = "config"
 EVACUATION_PREFIX: Final = "evacuate/"
 PAGE_ROWS: Final = 500
@@ -49,6 +51,7 @@
 
     def __init__(self, address: str) -> None:
         self._url = f"http://{address}"
+        self.era = FIRST_ERA
         self._session: aiohttp.ClientSession | None = None
 
     @classmethod
@@ -84,6 +87,7 @@
                 ) as response:
                     text = await response.read()
                     status = response.status
+                    self._record_era(response.headers.get(ERA_HEADER))
         except aiohttp.ClientConnectorError as error:
             raise PlatformUnavailableError(f"{method} {path}: {error}") from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
@@ -97,6 +101,10 @@
         except ValueError as error:
             raise error_type(f"{method} {path}: response is not JSON") from error
 
+    def _record_era(self, text: str | None) -> None:
+        if text is not None and text.isascii() and text.isdigit():
+            self.era = max(self.era, int(text))
+
     async def read(self, table: Table) -> Changes:
         """Return all rows of a table, page by page."""
         rows: list[StoredRow] = []
--- a/src/crocusspindle_standins/virtual/store.py
+++ b/src/crocusspindle_standins/virtual/store.py
@@ -12,7 +12,12 @@
 from crocusspindle.errors import PlatformUnavailableError
 from crocusspindle.ids import DomainId, ServiceId
 from crocusspindle.platform.documents import parse_configuration
-from crocusspindle.platform.fleet_platform import Changes, StoredRow, Table
+from crocusspindle.platform.fleet_platform import (
+    FIRST_ERA,
+    Changes,
+    StoredRow,
+    Table,
+)
 
 CALL_S: Final = 0.01
 MAX_WRITE_BACKLOG_S: Final = 1.0
@@ -67,6 +72,7 @@
     def __init__(self, store: Store, host: str) -> None:
         self._store = store
         self._host = host
+        self.era = FIRST_ERA
 
     @classmethod
     def from_config(cls, options: Mapping[str, Any]) -> Self:
--- a/tests/gateway/test_platform_reader.py
+++ b/tests/gateway/test_platform_reader.py
@@ -14,6 +14,7 @@
 from crocusspindle.gateway.platform_reader import PlatformReader, ReadReason
 from crocusspindle.platform.documents import parse_configuration, parse_target
 from crocusspindle.platform.fleet_platform import (
+    FIRST_ERA,
     Changes,
     HistoryLostError,
     StoredRow,
@@ -38,6 +39,7 @@
         self.rows = {"t1": entry(), "t2": entry()}
         self.removed: list[str] = []
         self.version = 1
+        self.era = FIRST_ERA
         self.unreachable = False
         self.drops_history: frozenset[Table] = frozenset()
         self.frozen = False
