Reproduce a leaving target that goes unseen after a restore of the store, in tests that fail

The stand-ins of the store can now be restored from a copy: versions go back, a feed from one that the store doesn't have gets 410, and Store-Era rises.

- Virtual time, whole fleets: a reader whose feed goes on from a version of before the restore never reads what was written under versions that it takes for known.

--- a/src/crocusspindle_standins/on_platform/store.py
+++ b/src/crocusspindle_standins/on_platform/store.py
@@ -1,12 +1,14 @@
 """Stand in for the platform's table store, including its outages.
 
 Rows, feeds and conditional writes follow the platform's specification. ``mode`` selects
-a fault: refuse with 503, never respond, or apply writes and lose the responses.
+a fault: refuse with 503, reset, never respond, or apply writes and lose the responses.
+The store can be restored from a copy, as in a drill.
 """
 
 import asyncio
 import base64
 import time
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any, Final
@@ -18,6 +20,7 @@
 HANG_S: Final = 3600.0
 
 Key = tuple[str, str, str]
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
 class StoreMode(Enum):
@@ -25,6 +28,7 @@
 
     HEALTHY = "well"
     BUSY = "busy"
+    RESETS = "resets"
     SILENT = "silent"
     LOSES_ANSWERS = "loses answers"
 
@@ -40,11 +44,23 @@
     removed: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Hold a store's rows and version as of one moment."""
+
+    version: int
+    rows: dict[Key, TableRow]
+
+
 @dataclass
 class TableStore:
-    """Hold all tables and count the calls."""
+    """Hold all tables and count the calls.
+
+    ``era`` is named in each response, unless it is None. It rises with each restore.
+    """
 
     mode: StoreMode = StoreMode.HEALTHY
+    era: int | None = 1
     version: int = 0
     rows: dict[Key, TableRow] = field(default_factory=dict)
     calls: int = 0
@@ -53,7 +69,7 @@
 
     def app(self) -> web.Application:
         """Build the application of the store."""
-        app = web.Application()
+        app = web.Application(middlewares=[self._name_era])
         app.router.add_post("/-/rows-tx", self._transact)
         app.router.add_get("/-/rows-get", self._get)
         app.router.add_get("/-/rows-feed", self._feed)
@@ -72,6 +88,18 @@
         """Drop the history: a feed from an earlier version gets 410."""
         self.oldest_feed_version = self.version
 
+    def copy(self) -> StoreCopy:
+        """Return a copy to restore the store from."""
+        return StoreCopy(self.version, dict(self.rows))
+
+    async def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy: later writes are lost, their versions are reused."""
+        async with self._changed:
+            if self.era is not None:
+                self.era += 1
+            self.version, self.rows = copy.version, dict(copy.rows)
+            self._changed.notify_all()
+
     async def _apply(self, puts: list[tuple[Key, str]], removes: list[Key]) -> int:
         async with self._changed:
             self.version += 1
@@ -89,6 +117,24 @@
             await asyncio.sleep(HANG_S)
         if self.mode is StoreMode.BUSY:
             raise web.HTTPServiceUnavailable
+        if self.mode is StoreMode.RESETS:
+            raise ConnectionResetError
+
+    @web.middleware
+    async def _name_era(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        try:
+            response = await handler(request)
+        except web.HTTPException as refusal:
+            response = refusal
+        except ConnectionResetError:
+            if request.transport is not None:
+                request.transport.abort()
+            return web.Response()
+        if self.era is not None:
+            response.headers["Store-Era"] = str(self.era)
+        return response
 
     async def _transact(self, request: web.Request) -> web.Response:
         await self._admit()
@@ -124,13 +170,18 @@
         await self._admit()
         table, after = request.query["table"], int(request.query["after"])
         wait_s = min(30.0, int(request.query.get("wait_ms", 0)) / 1e3)
-        if after < self.oldest_feed_version:
+        if not self.oldest_feed_version <= after <= self.version:
             raise web.HTTPGone
+        era = self.era
         try:
             async with asyncio.timeout(wait_s), self._changed:
-                await self._changed.wait_for(lambda: self._rows_since(table, after))
+                await self._changed.wait_for(
+                    lambda: self.era != era or self._rows_since(table, after)
+                )
         except TimeoutError:
             pass
+        if self.era != era or self.mode is StoreMode.RESETS:
+            raise ConnectionResetError
         return self._respond(self._rows_since(table, after))
 
     def _rows_since(self, table: str, after: int) -> list[TableRow]:
--- a/src/crocusspindle_standins/on_platform/target.py
+++ b/src/crocusspindle_standins/on_platform/target.py
@@ -87,6 +87,8 @@
     address: str = ""
     starts: int = 0
     crashes: list[Crash] = field(default_factory=list)
+    started_ms: int = 0
+    entry_state: str = "ready"
     _in_flight: int = 0
     _sequence: int = 0
     _server: web.Server | None = None
@@ -101,6 +103,7 @@
     async def start(self, host: str, port: int = 0) -> None:
         """Listen on a port of a host; 0 picks a free one."""
         self.starts += 1
+        self.started_ms = int(time.time() * 1e3)
         self._server = web.Server(self._serve)
         self._runner = web.ServerRunner(self._server, shutdown_timeout=SHUTDOWN_S)
         await self._runner.setup()
@@ -139,11 +142,16 @@
         self.identity = f"{self.identity.partition('.')[0]}.{self.starts}"
         await self.start(host, int(port))
 
-    async def write_entry(self, store: TableStore, state: str = "ready") -> None:
-        """Write the target's own entry to the store, as its heartbeat."""
+    async def write_entry(self, store: TableStore, state: str | None = None) -> None:
+        """Write the target's own entry to the store, as its heartbeat.
+
+        A target that has written another state than ready goes on with it.
+        """
         self._sequence += 1
+        self.entry_state = state or self.entry_state
         entry = {
             "address": self.address,
+            "born": self.started_ms,
             "information": {
                 "service": self.service,
                 "version": "v1",
@@ -151,7 +159,7 @@
                 "slots": self.slots,
             },
             "status": {
-                "state": state,
+                "state": self.entry_state,
                 "sequence": self._sequence,
                 "cold_remaining_s": 0,
             },
--- a/src/crocusspindle_standins/virtual/fleet.py
+++ b/src/crocusspindle_standins/virtual/fleet.py
@@ -5,7 +5,7 @@
 import random
 from collections import Counter
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from crocusspindle.core.byte_rate_limiter import ByteRateLimiter
@@ -37,6 +37,7 @@
 
 PEER_PORT: Final = 7_340
 START_SPREAD_S: Final = 0.3
+START_UNIX_MS: Final = 1_000_000
 DOMAINS: Final = ("a", "b", "c", "d")
 ROUTES: Final = 60
 
@@ -120,6 +121,7 @@
         self.nodes: dict[str, Node] = {}
         self._versions = 1
         self._targets: list[TargetIdentity] = []
+        self.listed: dict[TargetIdentity, ListedTarget] = {}
         for number in range(targets):
             self._list_target(number)
         self.configure(ROUTES)
@@ -132,10 +134,36 @@
             DomainId(DOMAINS[number % len(DOMAINS)]),
             2,
             Readiness.READY,
+            started_ms=START_UNIX_MS,
         )
         self._targets.append(target.identity)
+        self.write_target(target)
+
+    def write_target(self, target: ListedTarget) -> None:
+        """Write the row of a target, as the target does itself."""
+        self.listed[target.identity] = target
         self.store.put(Table.TARGETS, target.identity, target_row(target))
 
+    def leave(self, target: TargetIdentity) -> None:
+        """Let a target say that it leaves."""
+        leaving = replace(self.listed[target], readiness=Readiness.DRAINING)
+        self.write_target(leaving)
+
+    def remove_target(self, target: TargetIdentity) -> None:
+        """Remove the row of a target that has left."""
+        del self.listed[target]
+        self._targets.remove(target)
+        self.store.put(Table.TARGETS, target, None)
+
+    def write_all_again(self) -> None:
+        """Write what the operator and the targets last wrote, after a restore."""
+        self.store.put(Table.CONFIGURATION, CONFIGURATION_KEY, self._configuration)
+        for key, row in list(self.store.tables[Table.TARGETS].items()):
+            if row.value is not None and key not in self.listed:
+                self.store.put(Table.TARGETS, key, None)
+        for target in list(self.listed.values()):
+            self.write_target(target)
+
     def configure(self, routes: int) -> None:
         """Write a configuration as long as that of so many routes, at 12 words each."""
         words = (f"{self._rng.getrandbits(40):010x}" for _ in range(routes * 12))
@@ -147,14 +175,14 @@
             "tenants": {},
             "note": " ".join(words),
         }
-        value = json.dumps(document).encode()
-        self.store.put(Table.CONFIGURATION, CONFIGURATION_KEY, value)
+        self._configuration = json.dumps(document).encode()
+        self.store.put(Table.CONFIGURATION, CONFIGURATION_KEY, self._configuration)
 
     def replace_targets(self, count: int) -> None:
         """Replace random targets of the list with new ones."""
         for _ in range(count):
             number = self._rng.randrange(len(self._targets))
-            self.store.put(Table.TARGETS, self._targets.pop(number), None)
+            self.remove_target(self._targets[number])
             self._list_target(number)
 
     async def start_all(self) -> None:
--- a/src/crocusspindle_standins/virtual/store.py
+++ b/src/crocusspindle_standins/virtual/store.py
@@ -5,6 +5,7 @@
 import math
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
 from typing import Any, Final, Self
 
 from crocusspindle.core.configuration import Configuration
@@ -13,8 +14,8 @@
 from crocusspindle.ids import DomainId, ServiceId
 from crocusspindle.platform.documents import parse_configuration
 from crocusspindle.platform.fleet_platform import (
-    FIRST_ERA,
     Changes,
+    HistoryLostError,
     StoredRow,
     Table,
 )
@@ -27,11 +28,20 @@
 CONFIGURATION_KEY: Final = "config"
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Hold a store's rows and version as of one moment."""
+
+    version: int
+    tables: Mapping[Table, Mapping[str, StoredRow]]
+
+
 class Store:
     """Hold rows and count the calls of each host."""
 
     def __init__(self) -> None:
         self.version = 0
+        self.era = 1
         self.tables: dict[Table, dict[str, StoredRow]] = {t: {} for t in Table}
         self.calls: Counter[str] = Counter()
         self.call_s = CALL_S
@@ -49,6 +59,18 @@
         self._row_written = asyncio.Event()
         return self.version
 
+    def copy(self) -> StoreCopy:
+        """Return a copy to restore the store from."""
+        return StoreCopy(self.version, {t: dict(r) for t, r in self.tables.items()})
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy: later writes are lost, their versions are reused."""
+        self.era += 1
+        self.version = copy.version
+        self.tables = {table: dict(rows) for table, rows in copy.tables.items()}
+        self._row_written.set()
+        self._row_written = asyncio.Event()
+
     async def admit_write(self) -> None:
         """Wait for earlier writes; refuse this one if over 1 s of them is queued."""
         now_s = asyncio.get_running_loop().time()
@@ -72,7 +94,7 @@
     def __init__(self, store: Store, host: str) -> None:
         self._store = store
         self._host = host
-        self.era = FIRST_ERA
+        self.era = store.era
 
     @classmethod
     def from_config(cls, options: Mapping[str, Any]) -> Self:
@@ -87,6 +109,7 @@
     def _check_served(self) -> None:
         if self._store.refuses(self._host):
             raise PlatformUnavailableError("the store refuses calls")
+        self.era = self._store.era
 
     async def read(self, table: Table) -> Changes:
         """Return all rows of a table."""
@@ -97,9 +120,14 @@
     async def follow(self, table: Table, after: int, wait_ms: float) -> Changes:
         """Return rows changed after a version; wait for a change if there is none."""
         await self._call()
+        era = self._store.era
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + wait_ms / 1e3
         while True:
+            if self._store.era != era:
+                raise PlatformUnavailableError("the store was restored")
+            if after > self._store.version:
+                raise HistoryLostError(f"version {after} is not known")
             rows = [r for r in self._store.tables[table].values() if r.version > after]
             remaining_s = deadline_s - loop.time()
             self._check_served()
@@ -136,7 +164,7 @@
 
     def parse_target(self, key: str, value: bytes) -> ListedTarget | None:
         """Parse a target's row as ``target_row`` writes it."""
-        service, address, domain, slots, readiness = json.loads(value)
+        service, address, domain, slots, readiness, started_ms = json.loads(value)
         return ListedTarget(
             TargetIdentity(key),
             ServiceId(service),
@@ -144,6 +172,7 @@
             DomainId(domain),
             slots,
             Readiness(readiness),
+            started_ms=started_ms,
         )
 
     async def close(self) -> None:
@@ -161,4 +190,4 @@
 def target_row(target: ListedTarget) -> bytes:
     """Encode the row of a target."""
     fields = (target.service, target.address, target.domain, target.slots)
-    return json.dumps([*fields, target.readiness.value]).encode()
+    return json.dumps([*fields, target.readiness.value, target.started_ms]).encode()
--- /dev/null
+++ b/tests/gateway/test_restored_store.py
@@ -0,0 +1,112 @@
+"""Restore the store from a copy while fleets run in virtual time."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+import logbook
+import pytest
+
+from crocusspindle.core.listed_target import Readiness
+from crocusspindle_standins.virtual.fleet import HostSize, VirtualFleet
+from crocusspindle_standins.virtual.loop import VirtualLoop, VirtualTime, run
+
+HOST_SIZE = HostSize(100.0, 1.0)
+HOSTS = 12
+TARGETS = 30
+STARTED_S = 6.0
+DRAIN_S = 2.0
+"""A leaving target gets no new work later than this after its acknowledgement."""
+
+
+@pytest.fixture
+def run_scenario(monkeypatch):
+    """Return a function that runs a scenario on a virtual fleet that has started."""
+
+    def run_on_fleet(
+        scenario: Callable[[VirtualFleet], Awaitable[None]], seed: int
+    ) -> None:
+        loop = VirtualLoop()
+        monkeypatch.setattr("crocusspindle.clock.time", VirtualTime(loop))
+
+        async def run_all() -> None:
+            fleet = VirtualFleet(loop, [HOST_SIZE] * HOSTS, TARGETS, seed)
+            await fleet.start_all()
+            await asyncio.sleep(STARTED_S)
+            await scenario(fleet)
+
+        with logbook.NullHandler().applicationbound():
+            run(loop, run_all())
+
+    return run_on_fleet
+
+
+async def be_away(fleet: VirtualFleet, for_s: float) -> None:
+    """Refuse all calls for a time."""
+    fleet.store.refuses = lambda host: True
+    await asyncio.sleep(for_s)
+    fleet.store.refuses = lambda host: False
+
+
+def hosts_that_list(fleet: VirtualFleet, target, readiness: Readiness) -> list[str]:
+    """Return the hosts whose list in force has a target in a state."""
+    return [
+        name
+        for name, node in fleet.nodes.items()
+        for listed in node.fleet_state.targets.content or ()
+        if listed.identity == target and listed.readiness is readiness
+    ]
+
+
+@pytest.mark.parametrize("written_after", [0, 1, 30])
+def test_host_does_not_go_on_from_a_version_of_before_a_restore(
+    run_scenario, written_after
+):
+    """Guards against a leaving target whose entry has a version taken for known."""
+
+    async def scenario(fleet: VirtualFleet) -> None:
+        copy = fleet.store.copy()
+        for _ in range(3):
+            fleet.configure(routes=10)
+        await asyncio.sleep(1.0)
+        fleet.store.refuses = lambda host: True
+        await asyncio.sleep(0.5)
+        target = min(fleet.listed)
+        fleet.store.restore(copy)
+        fleet.leave(target)
+        for _ in range(2 + written_after):
+            fleet.configure(routes=10)
+        fleet.store.refuses = lambda host: False
+        await asyncio.sleep(DRAIN_S)
+        assert not hosts_that_list(fleet, target, Readiness.READY)
+
+    run_scenario(scenario, seed=1)
+
+
+@pytest.mark.parametrize("written_after", [0, 1, 30])
+@pytest.mark.parametrize("seed", range(6))
+def test_leaving_target_is_seen_when_the_store_gives_out_versions_again(
+    run_scenario, seed, written_after
+):
+    """Guards against readers that go on from a version of before a restore.
+
+    The target's leaving is written under a version that they take for known.
+    """
+
+    async def scenario(fleet: VirtualFleet) -> None:
+        rng = random.Random(seed)
+        copy = fleet.store.copy()
+        for _ in range(3):
+            fleet.configure(routes=10)
+        await asyncio.sleep(1.0)
+        await be_away(fleet, rng.uniform(0.5, 2.5))
+        fleet.store.restore(copy)
+        await asyncio.sleep(rng.uniform(0.0, 4.0))
+        target = rng.choice(sorted(fleet.listed))
+        fleet.leave(target)
+        for _ in range(2 + written_after):
+            fleet.configure(routes=10)
+        await asyncio.sleep(DRAIN_S)
+        assert not hosts_that_list(fleet, target, Readiness.READY)
+
+    run_scenario(scenario, seed)
