Write a view only in place of the one that it was decided on

What callers saw: nothing yet. Customers' quota hangs on views, so that two hosts may keep one customer.

Cause: the writer takes the view in force, then waits up to a second for members that sent no ping, and then names the version that the store's row has by then. If another node has written the next view meanwhile, the condition holds, and the row is replaced by a second view of that number.

Change: the version of the row is taken together with the view. A write in between makes the condition fail, and the writer decides anew.

Class: a condition that is read after the decision which it is to guard. Looked for elsewhere: rows of hosts and crash records are written without a condition.

--- a/src/crocusspindle/gateway/platform_reader.py
+++ b/src/crocusspindle/gateway/platform_reader.py
@@ -408,11 +408,11 @@
         state = self._fleet_state.view
         state.confirm(state.version, began_ms)
 
-    async def write_view(self, view: View) -> bool:
-        """Replace the view in the store; return False if another writer was first."""
+    async def write_view(self, view: View, row_version: int) -> bool:
+        """Replace the view of a row version; return False if another was first."""
         value = json.dumps(packed_view(view)).encode()
         began_ms = now_ms()
-        version = await self._platform.put(VIEW_KEY, value, self.view_row_version)
+        version = await self._platform.put(VIEW_KEY, value, row_version)
         if version is None:
             return False
         self.view_row_version = version
--- a/src/crocusspindle/gateway/view_keeper.py
+++ b/src/crocusspindle/gateway/view_keeper.py
@@ -79,7 +79,9 @@
         if active_ms < SETTLE_MS or view_state.age_ms(now_ms()) > STALE_STATE_MS:
             return
         present = {**self._newly_registered_nodes(), **pinging}
-        view = view_state.content
+        # A view that another node writes from here on must make the write fail: the
+        # next one would get its number.
+        view, row_version = view_state.content, self._platform_reader.view_row_version
         if not self._is_writer(view, present):
             return
         if view is not None:
@@ -98,7 +100,7 @@
         if not members_changed(view, present):
             return
         if await self._platform_reader.write_view(
-            next_view(view, present, self._expired_entry_keys())
+            next_view(view, present, self._expired_entry_keys()), row_version
         ):
             self._fleet_state.notify()
 
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -12,7 +12,7 @@
 from crocusspindle.core.view import View
 from crocusspindle.gateway.fleet_state import HeldKeys
 from crocusspindle.gateway.membership import Membership
-from crocusspindle.gateway.view_keeper import SETTLE_MS
+from crocusspindle.gateway.view_keeper import REMOVE_AFTER_MS, SETTLE_MS
 from tests.gateway.test_fleet_state import (
     decoded_copy,
     make_fleet_state,
@@ -107,7 +107,7 @@
     rest = [numbers[host] for host in ranked if numbers[host] != returning]
     written = []
 
-    async def write_view(view):
+    async def write_view(view, row_version):
         written.append(view)
         return True
 
@@ -133,3 +133,42 @@
     await membership._view_keeper.renew(membership._pinging_nodes())
     (newest,) = written
     assert {entry.node.host for entry in newest.entries} == set(ranked)
+
+
+async def test_view_written_while_silent_members_are_probed_is_not_replaced():
+    """Guards against two views of one number, of which the store holds the second.
+
+    The writer decides by the view in force, and another node writes the next one while
+    the writer waits for the responses of silent members.
+    """
+    written = []
+
+    async def write_view(view, row_version):
+        written.append((view, row_version))
+        return False
+
+    fleet_state = make_fleet_state()
+    fleet_state.update_view(View(9, tuple(view_entry(n) for n in range(3))), now_ms())
+    platform_reader = SimpleNamespace(
+        active=True,
+        is_store_lost=False,
+        active_since_ms=now_ms() - 2 * REMOVE_AFTER_MS,
+        nodes={},
+        row_versions={},
+        view_row_version=40,
+        write_view=write_view,
+    )
+
+    class ProbedExchange(FakeExchange):
+        async def request(self, to, content, silent_s, limit_s):
+            platform_reader.view_row_version = 41
+
+    numbers = {view_entry(n).node.host: n for n in range(3)}
+    first, second, _ = order(READER_ROLE, list(numbers))
+    membership = membership_of(
+        view_entry(numbers[first]).node, ProbedExchange(), fleet_state, platform_reader
+    )
+    membership._add_known_node(view_entry(numbers[second]).node)
+    membership._open_nodes.record_ping(second, True, False, now_ms())
+    await membership._view_keeper.renew(membership._pinging_nodes())
+    assert [row_version for _, row_version in written] == [40]
