--- a/src/crocusspindle/core/leaving_targets.py
+++ b/src/crocusspindle/core/leaving_targets.py
@@ -1,4 +1,4 @@
-"""Store the targets whose responses say that they are about to stop."""
+"""Store the targets that said that they are about to stop."""
 
 from collections.abc import Iterable
 from dataclasses import replace
@@ -12,7 +12,7 @@
 
 
 class LeavingTargets:
-    """Hold the targets that said they are leaving, whatever the list says of them.
+    """Hold the targets that said they are leaving, whatever the list says of them now.
 
     A target that has started again under its identity is not leaving.
     """
@@ -30,6 +30,17 @@
         self._seen_ms[target] = now_ms
         return is_new
 
+    def record_listed(self, listed: Iterable[ListedTarget], now_ms: float) -> None:
+        """Record the targets whose entries say that they are leaving.
+
+        Another list may name them as ready: that of a reader that has not read these
+        entries, or of a store that was restored from a copy. Of targets that tell no
+        start, only the newest list counts.
+        """
+        for target in listed:
+            if target.readiness is Readiness.DRAINING and target.started_ms > 0:
+                self.record(target.identity, target.started_ms, now_ms)
+
     def is_leaving(self, target: ListedTarget) -> bool:
         """Return True if a target has said that it is leaving."""
         started_ms = self._started_ms.get(target.identity)
--- a/src/crocusspindle/core/quota_keeper.py
+++ b/src/crocusspindle/core/quota_keeper.py
@@ -223,7 +223,7 @@
             account.bucket.open(account.tokens, rule, now_ms)
             return
         # Before the fleet's first view no node can have spent any tokens.
-        unspent = tenure.views[0].view.number == 1
+        unspent = tenure.views[0].view.is_first
         tokens = rule.burst if unspent else account.tokens
         since_ms = min(now_ms, self._exclusive_since_ms(tenure, customer, account))
         account.bucket.open(tokens, rule, since_ms)
--- a/src/crocusspindle/core/versioned_state.py
+++ b/src/crocusspindle/core/versioned_state.py
@@ -4,22 +4,27 @@
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
+from crocusspindle.core.store_version import StoreVersion
+
 Content = TypeVar("Content")
+Version = TypeVar("Version", int, StoreVersion)
 
 
 @dataclass(slots=True)
-class VersionedState(Generic[Content]):
+class VersionedState(Generic[Content, Version]):
     """Hold the newest known content and when it was last confirmed as the newest.
 
     ``confirmed_at_ms`` is when the read began whose response showed that no newer
     version existed. It never decreases: a late response to an older read confirms less.
     """
 
+    version: Version
     content: Content | None = None
-    version: int = -1
     confirmed_at_ms: float = -math.inf
 
-    def update(self, content: Content, version: int, confirmed_at_ms: float) -> bool:
+    def update(
+        self, content: Content, version: Version, confirmed_at_ms: float
+    ) -> bool:
         """Apply newer content; return True if it replaced the older one.
 
         A slow response may hold an older version than the one in force. Applying it
@@ -34,7 +39,7 @@
         self.confirmed_at_ms = max(self.confirmed_at_ms, confirmed_at_ms)
         return replaced
 
-    def confirm(self, version: int, confirmed_at_ms: float) -> None:
+    def confirm(self, version: Version, confirmed_at_ms: float) -> None:
         """Record that a version was the newest at a time."""
         if version == self.version:
             self.confirmed_at_ms = max(self.confirmed_at_ms, confirmed_at_ms)
--- a/src/crocusspindle/core/view.py
+++ b/src/crocusspindle/core/view.py
@@ -2,10 +2,18 @@
 
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
+from typing import Final
 
 from crocusspindle.core.rendezvous import order_by_weight
+from crocusspindle.core.store_version import FIRST_ERA
 from crocusspindle.ids import DomainId, HostId, Incarnation
 
+COUNT_BITS: Final = 32
+ERA_BITS: Final = 31
+"""Bits of a view's number for the era of the store, and below them for the count within
+an era. A view that was written after a restore has a higher number than all before it,
+also those that the copy lacks; without the era, two views could have one number."""
+
 
 @dataclass(frozen=True, slots=True)
 class NodeAddress:
@@ -69,6 +77,11 @@
         index = {entry.node.host: entry for entry in self.entries}
         object.__setattr__(self, "by_host", index)
 
+    @property
+    def is_first(self) -> bool:
+        """Return True if this is the fleet's first view."""
+        return self.number % (1 << COUNT_BITS) == 1
+
     def ranked(self, role: str) -> list[HostId]:
         """Return the members by rank for a role."""
         return rank_by_capacity(role.encode(), (entry.node for entry in self.entries))
@@ -94,13 +107,35 @@
     return order_by_weight(role, {node.host: node.role_weight for node in nodes})
 
 
+def _first_number(era: int) -> int:
+    """Return the number of a fleet's first view."""
+    return _era_field(era) + 1
+
+
+def _era_field(era: int) -> int:
+    return era % (1 << ERA_BITS) << COUNT_BITS
+
+
+def _next_number(view: View, era: int) -> int:
+    # Above the number of a first view, also in a new era.
+    return max(view.number, _first_number(era)) + 1
+
+
+def precedes_era(view: View, era: int) -> bool:
+    """Return True if a view was written before an era of the store began."""
+    return view.number < _era_field(era)
+
+
 def next_view(
     view: View | None,
     present: Mapping[HostId, NodeAddress],
     expired_entry_keys: Collection[ViewEntryKey] = (),
+    era: int = FIRST_ERA,
 ) -> View:
     """Return the view in which exactly the present nodes are members.
 
+    ``era`` is that of the store in which the view is going to be written.
+
     An absent member is fenced until its key is in ``expired_entry_keys``: from then on
     it certainly no longer acts as a member. A host that is present under a new
     incarnation needs no fence for the previous one, whose process has ended.
@@ -112,7 +147,7 @@
         for entry in previous_members
         if present.get(entry.node.host) == entry.node
     }
-    number = 1 if view is None else view.number + 1
+    number = _first_number(era) if view is None else _next_number(view, era)
     fenced = tuple(
         entry
         for entry in previous_entries
--- a/src/crocusspindle/gateway/entry.py
+++ b/src/crocusspindle/gateway/entry.py
@@ -313,5 +313,5 @@
     return Refusal(502, f"target-{result.outcome.value}")
 
 
-def _age_ms(state: VersionedState[Configuration]) -> int:
+def _age_ms(state: VersionedState[Configuration, int]) -> int:
     return round(min(state.age_ms(now_ms()), UNCONFIRMED_AGE_MS))
--- a/src/crocusspindle/gateway/fleet_state.py
+++ b/src/crocusspindle/gateway/fleet_state.py
@@ -14,11 +14,13 @@
 from crocusspindle.core.configuration import Configuration
 from crocusspindle.core.crash_record import Crash, CrashRecord
 from crocusspindle.core.crash_table import CrashTable
+from crocusspindle.core.departed_targets import DepartedTargets
 from crocusspindle.core.listed_target import (
     ListedTarget,
     Readiness,
     TargetIdentity,
 )
+from crocusspindle.core.store_version import NO_VERSION, UNKNOWN_ERA, StoreVersion
 from crocusspindle.core.versioned_state import VersionedState
 from crocusspindle.core.view import NodeAddress, View, ViewEntry
 from crocusspindle.errors import InvalidInputError
@@ -64,6 +66,10 @@
     All but the open nodes and the crash records carry the time of their last
     confirmation. The version of the evacuated failure domains is the store's newest
     one when they were read.
+    ``store_era`` is the newest era of the store that this node has heard of, and
+    ``era_began_ms`` when it learned of it, if it knew another one before.
+    ``stale_responses`` counts those of the store that were dropped.
+    ``ended_evacuations`` has the era in which the evacuation of a domain ended.
     Registered in the kernel as ``knowledge``.
     """
 
@@ -72,11 +78,20 @@
     def __init__(self, parse: Callable[[bytes], Configuration]) -> None:
         self._parse = parse
         self._log = Logger("knowledge")
-        self.configuration: VersionedState[Configuration] = VersionedState()
-        self.targets: VersionedState[tuple[ListedTarget, ...]] = VersionedState()
+        self.store_era = UNKNOWN_ERA
+        self.era_began_ms = -math.inf
+        self.stale_responses = 0
+        self.configuration: VersionedState[Configuration, int] = VersionedState(-1)
+        self.targets: VersionedState[tuple[ListedTarget, ...], StoreVersion] = (
+            VersionedState(NO_VERSION)
+        )
+        self.departed_targets = DepartedTargets()
         self.targets_digest = NO_DIGEST
-        self.view: VersionedState[View] = VersionedState()
-        self.evacuated: VersionedState[frozenset[DomainId]] = VersionedState()
+        self.view: VersionedState[View, int] = VersionedState(-1)
+        self.evacuated: VersionedState[frozenset[DomainId], StoreVersion] = (
+            VersionedState(NO_VERSION)
+        )
+        self.ended_evacuations: dict[DomainId, int] = {}
         self.open_nodes: list[tuple[str, str]] = []
         self.open_digest = NO_DIGEST
         self.crashes = CrashTable()
@@ -91,6 +106,31 @@
         }
         self._needs_full_documents = False
         self._listeners: list[Callable[[], None]] = []
+        self.on_restored: Callable[[], None] = _ignore
+
+    def advance_era(self, era: int) -> None:
+        """Apply the store's era; a newer one than known shows that it was restored.
+
+        All that this node knows stays in force until it is read again.
+        """
+        if era <= self.store_era:
+            return
+        previous, self.store_era = self.store_era, era
+        if previous == UNKNOWN_ERA:
+            return
+        self.era_began_ms = now_ms()
+        # Entries that the copy lacks are written again, as after an outage.
+        self.store_regained_at_ms = self.era_began_ms
+        log_state_change(
+            self._log,
+            "store restored",
+            previous=previous,
+            era=era,
+            targets_version=self.targets.version,
+            configuration_version=self.configuration.version,
+            view=self.view.version,
+        )
+        self.on_restored()
 
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Register a function for `notify` to call."""
@@ -116,13 +156,16 @@
             with suppress(TimeoutError):
                 await asyncio.wait_for(available.wait(), left_ms / 1e3)
 
-    def update_configuration(self, value: bytes, confirmed_at_ms: float) -> None:
-        """Apply a configuration document of the platform, unless it is invalid."""
+    def update_configuration(self, value: bytes, confirmed_at_ms: float) -> bool:
+        """Apply a configuration document of the platform, unless it is invalid.
+
+        Return True if it was valid, whether or not it is newer than the one in force.
+        """
         try:
             content = self._parse(value)
         except InvalidInputError as error:
             log_state_change(self._log, "configuration refused", findings=str(error))
-            return
+            return False
         if self.configuration.update(content, content.version, confirmed_at_ms):
             self._configured.set()
             self._encodings["configuration"].update(content.version, value)
@@ -132,9 +175,13 @@
                 version=content.version,
                 proof_age_ms=_age_field_ms(now_ms() - confirmed_at_ms),
             )
+        return True
 
     def update_targets(
-        self, listed: Sequence[ListedTarget], version: int, confirmed_at_ms: float
+        self,
+        listed: Sequence[ListedTarget],
+        version: StoreVersion,
+        confirmed_at_ms: float,
     ) -> None:
         """Apply the list of targets as of a version of the store."""
         ordered = tuple(sorted(listed, key=lambda entry: entry.identity))
@@ -142,8 +189,10 @@
         digest = encoding_digest(encoding)
         if version < self.targets.version:
             return
+        previous = self.targets.content or ()
         self.targets.update(ordered, version, confirmed_at_ms)
         if digest != self.targets_digest:
+            self.departed_targets.update(previous, ordered, version.era, now_ms())
             # Entries kept after an outage expire without a new version of the store.
             self.targets.content = ordered
             self.targets_digest = digest
@@ -170,13 +219,26 @@
             )
 
     def update_evacuated(
-        self, domains: Iterable[DomainId], version: int, confirmed_at_ms: float
+        self,
+        domains: Iterable[DomainId],
+        version: StoreVersion,
+        confirmed_at_ms: float,
     ) -> None:
         """Apply the failure domains whose targets must get no new work."""
         previous = self.evacuated.content or frozenset()
         evacuated = frozenset(domains)
-        replaced = self.evacuated.update(evacuated, version, confirmed_at_ms)
-        if replaced and evacuated != previous:
+        if version < self.evacuated.version:
+            return
+        self.evacuated.update(evacuated, version, confirmed_at_ms)
+        # Domains kept after a restore are dropped without a new version of the store.
+        self.evacuated.content = evacuated
+        ended = dict.fromkeys(previous - evacuated, version.era)
+        self.ended_evacuations = {
+            domain: era
+            for domain, era in (self.ended_evacuations | ended).items()
+            if domain not in evacuated
+        }
+        if evacuated != previous:
             log_state_change(
                 self._log,
                 "evacuation changed",
@@ -212,11 +274,12 @@
         Return False if a delta could not be applied because its base is not held, or
         differs here. With a ``sent_ms`` of minus infinity the state confirms nothing.
         """
+        self.advance_era(state.store_era)
         # Before the configuration, with which a node that has just started begins to
         # serve.
         self.update_evacuated(
             map(DomainId, state.evacuated),
-            state.evacuated_version,
+            StoreVersion(*state.evacuated_version),
             sent_ms - state.configuration_age_ms,
         )
         configuration = self._apply_delta("configuration", state.configuration)
@@ -278,13 +341,14 @@
 
     def _apply_targets(self, state: State, sent_ms: float) -> bytes | None:
         confirmed_at_ms = sent_ms - state.targets_age_ms
+        version = StoreVersion(*state.targets_version)
         encoding = self._apply_delta("targets", state.targets)
         if encoding is not None:
             listed = unpacked_targets(msgpack.unpackb(encoding))
-            self.update_targets(listed, state.targets_version, confirmed_at_ms)
+            self.update_targets(listed, version, confirmed_at_ms)
         elif state.targets_digest == self.targets_digest:
             content = self.targets.content or ()
-            self.targets.update(content, state.targets_version, confirmed_at_ms)
+            self.targets.update(content, version, confirmed_at_ms)
         return encoding
 
     def state_for(
@@ -336,12 +400,17 @@
             reaches_store=reaches_store,
             evacuated_version=self.evacuated.version,
             evacuated=sorted(self.evacuated.content or ()),
+            store_era=self.store_era,
         )
 
     def _delta_for(self, document: str, key: int) -> Delta:
         return self._encodings[document].delta_for(key)
 
 
+def _ignore() -> None:
+    """Ignore a restore of the store; the default."""
+
+
 def _age_field_ms(age_ms: float) -> int:
     return int(min(age_ms + 1, UNCONFIRMED_AGE_MS))
 
--- a/src/crocusspindle/gateway/instruments.py
+++ b/src/crocusspindle/gateway/instruments.py
@@ -76,6 +76,24 @@
     when_rising="An operator evacuates a domain. A host whose value differs from the "
     "others' has not learned of it yet; see docs/OPERATIONS.md.",
 )
+STORE_ERA: Final = declare(
+    "gateway_store_era",
+    InstrumentKind.GAUGE,
+    unit="eras",
+    meaning="Newest era of the platform's store that this node has heard of; -1 if "
+    "none.",
+    when_rising="The store was restored from a copy. A host whose value is below the "
+    "others' has not learned of it yet; see `store restored` in the log.",
+)
+STALE_RESPONSES: Final = declare(
+    "gateway_stale_responses",
+    InstrumentKind.GAUGE,
+    unit="responses",
+    meaning="Responses of the store since the start that this node dropped, as older "
+    "than what it had read before.",
+    when_rising="The store answers with old state, or was restored without naming a "
+    "newer era: see `store lost` in the log.",
+)
 LOST_PATHS: Final = declare(
     "gateway_lost_paths",
     InstrumentKind.GAUGE,
--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -147,6 +147,7 @@
         self._platform_reader.query_peers = self._query_peers
         self._platform_reader.on_store_regained = self._announce_store
         self._fleet_state.add_listener(self._push)
+        self._fleet_state.on_restored = self._registration.register_again
         self.spawn(self._join_fleet())
         self.spawn(self._view_loop())
 
--- a/src/crocusspindle/gateway/messages.py
+++ b/src/crocusspindle/gateway/messages.py
@@ -7,6 +7,7 @@
 import msgpack
 
 from crocusspindle.core.attempt_outcome import AttemptOutcome
+from crocusspindle.core.store_version import NO_VERSION
 from crocusspindle.errors import PeerError
 from crocusspindle.gateway.document_deltas import NO_BASE
 
@@ -91,7 +92,7 @@
     leaving: bool
 
 
-@message(3)
+@message(23)
 @dataclass(frozen=True, slots=True)
 class State:
     """Report the newest state, with documents only where the receiver's differ.
@@ -101,7 +102,9 @@
 
     Ages count from the start of the read that confirmed the state. ``sender_unknown``
     requests a `Hello` from the pinging node. ``evacuated`` are the evacuated failure
-    domains, which share the configuration's age. ``reaches_store`` is True if the
+    domains, which share the configuration's age. ``targets_version`` and
+    ``evacuated_version`` are pairs as in `StoreVersion`, and ``store_era`` is the
+    newest era that the responding node has heard of. ``reaches_store`` is True if the
     responding node reaches the store, and ``store_regained_age_ms`` is the time since
     the end of an outage of the store for the whole fleet. ``documents_deferred`` is
     True if the responder held back full documents of the store for lack of bandwidth,
@@ -111,7 +114,7 @@
     configuration_version: int
     configuration_age_ms: float
     configuration: Sequence[Any] | None
-    targets_version: int
+    targets_version: Sequence[int]
     targets_digest: int
     targets_age_ms: float
     targets: Sequence[Any] | None
@@ -126,8 +129,9 @@
     sender_unknown: bool = False
     reaches_store: bool = False
     documents_deferred: bool = False
-    evacuated_version: int = -1
+    evacuated_version: Sequence[int] = NO_VERSION
     evacuated: Sequence[str] = ()
+    store_era: int = -1
 
     @property
     def document_bytes(self) -> int:
--- a/src/crocusspindle/gateway/placers.py
+++ b/src/crocusspindle/gateway/placers.py
@@ -24,6 +24,7 @@
 from crocusspindle.core.policies import Policies
 from crocusspindle.core.rate_limit import LimitReport
 from crocusspindle.core.service_placer import ServicePlacer
+from crocusspindle.core.store_version import StoreVersion
 from crocusspindle.core.target_tracker import EjectionState
 from crocusspindle.core.view import NodeAddress
 from crocusspindle.gateway.crash_sharing import CrashSharing
@@ -123,6 +124,7 @@
 
     def _apply_targets(self) -> None:
         listed = self._fleet_state.targets.content or ()
+        self._leaving_targets.record_listed(listed, now_ms())
         marked = self._leaving_targets.mark(
             mark_evacuated(listed, self._evacuated), now_ms()
         )
@@ -152,7 +154,7 @@
         self._record_leaving(TargetIdentity(note.target), note.started_ms)
 
     @property
-    def list_version(self) -> int:
+    def list_version(self) -> StoreVersion:
         """Return the store's version of the list of targets in force."""
         return self._fleet_state.targets.version
 
--- a/src/crocusspindle/gateway/platform_reader.py
+++ b/src/crocusspindle/gateway/platform_reader.py
@@ -10,7 +10,16 @@
 
 from crocusspindle.clock import now_ms
 from crocusspindle.core.crash_record import CrashRecord
-from crocusspindle.core.listed_target import ListedTarget
+from crocusspindle.core.evacuated_domains import EvacuatedDomains
+from crocusspindle.core.listed_target import TargetIdentity
+from crocusspindle.core.store_version import (
+    FIRST_ERA,
+    NO_VERSION,
+    UNKNOWN_ERA,
+    StoreVersion,
+    absent_row,
+)
+from crocusspindle.core.target_list import Entry, KnownBefore, NoEntry, TargetList
 from crocusspindle.core.view import NodeAddress, View
 from crocusspindle.errors import PlatformError, PlatformUnavailableError
 from crocusspindle.gateway.fleet_state import (
@@ -23,7 +32,7 @@
     unpacked_view,
 )
 from crocusspindle.gateway.store_probe import StoreProbe
-from crocusspindle.ids import ContentDigest, DomainId, HostId
+from crocusspindle.ids import ContentDigest, HostId
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
 from crocusspindle.platform.fleet_platform import (
@@ -62,9 +71,6 @@
 are younger than 1.6 s while the store is reachable, and an entry expires only after
 three missed writes."""
 
-RENEWAL_GRACE_MS: Final = 2_000.0
-"""Entries that expired during a store outage are renewed within this after its end."""
-
 
 RowHandler = Callable[[Changes, bool, float], Awaitable[None]]
 """Applies changes of a table. Arguments: the changes, True if they hold all rows, and
@@ -97,16 +103,15 @@
         self._requested_until_ms = -math.inf
         self._requested = asyncio.Event()
         self.active_since_ms = math.inf
-        self.view_row_version = 0
+        self.view_row_version = absent_row(FIRST_ERA)
         self.nodes: dict[HostId, NodeAddress] = {}
-        self.row_versions: dict[HostId, int] = {}
+        self.row_versions: dict[HostId, StoreVersion] = {}
         self._written_crashes: dict[ContentDigest, CrashRecord] = {}
-        self._targets: dict[str, ListedTarget] = {}
-        self._missing: set[str] = set()
-        self._evacuated: set[DomainId] = set()
-        self._positions: dict[Table, int] = {}
-        self._newest_version = 0
-        self._era: int | None = None
+        self._target_list = TargetList()
+        self._evacuated = EvacuatedDomains()
+        self._positions: dict[Table, StoreVersion] = {}
+        self._newest_version = NO_VERSION
+        self._era = UNKNOWN_ERA
         self._calls = 0
         self._failing_since_ms: dict[Table, float] = {}
         self._probe = StoreProbe(rng)
@@ -138,17 +143,10 @@
         self._requested.set()
 
     def _reset(self) -> None:
-        # Rows from this node's last period as a reader are stale. Start from the list
-        # in force, so that only targets removed since then count as missing.
-        self._adopt_targets_in_force()
-        self._missing.clear()
-        self._evacuated = set(self._fleet_state.evacuated.content or ())
+        self._target_list.reset(self._fleet_state.targets.content or ())
+        self._evacuated = EvacuatedDomains(self._fleet_state.evacuated.content or ())
         self._failing_since_ms.clear()
 
-    def _adopt_targets_in_force(self) -> None:
-        in_force = self._fleet_state.targets.content or ()
-        self._targets = {str(target.identity): target for target in in_force}
-
     @property
     def is_store_lost(self) -> bool:
         """Return True if reads of a table have failed for `STORE_LOST_AFTER_MS`."""
@@ -176,6 +174,7 @@
     async def _follow(self, table: Table, handle_rows: RowHandler) -> None:
         while True:
             await self._wait_until_requested()
+            self._adopt_era()
             position = self._positions.get(table)
             try:
                 began_ms, changes, complete = await self._call_or_probe(table)
@@ -184,6 +183,8 @@
                     self._log, "history lost", table=table.value, after=position
                 )
                 self._positions.pop(table, None)
+                # The store responded.
+                self._probe.record_success()
                 continue
             except PlatformError as error:
                 self._record_failure(table, error)
@@ -238,7 +239,8 @@
             )
             try:
                 changes = await self._platform.read(table)
-                _check_not_stale(changes, newest_version)
+                self._adopt_era()
+                self._check_not_stale(changes, newest_version)
             except PlatformError as error:
                 log_state_change(
                     self._log, "not read", table=table.value, error=str(error)
@@ -261,27 +263,45 @@
     async def _call_checked(
         self, table: Table, wait_ms: float
     ) -> tuple[float, Changes, bool]:
-        began_ms = now_ms()
+        began_ms, era = now_ms(), self._era
         newest_version = max(self._newest_version, self._fleet_state.targets.version)
         try:
             changes, complete = await self._call(table, wait_ms)
         finally:
-            self._log_era()
-        _check_not_stale(changes, newest_version)
+            self._adopt_era()
+        if changes.version.era != self._era != era:
+            raise HistoryLostError("the store was restored during the call")
+        self._check_not_stale(changes, newest_version)
         return began_ms, changes, complete
 
-    def _log_era(self) -> None:
-        era = self._platform.era
-        if era != self._era:
-            log_state_change(
-                self._log,
-                "store era changed",
-                previous=self._era,
-                era=era,
-                seen_version=self._newest_version,
-                after={t.value: v for t, v in self._positions.items()},
+    @property
+    def era(self) -> int:
+        """Return the era of the store in which this node reads."""
+        return self._era
+
+    def _adopt_era(self) -> None:
+        """Begin again with whole tables if the store or a peer names a newer era."""
+        newest = max(self._platform.era, self._fleet_state.store_era)
+        if newest == self._era:
+            return
+        self._era = newest
+        self._positions.clear()
+        # Rows of before the restore may be gone, and their versions given out again.
+        self.nodes.clear()
+        self.row_versions.clear()
+        self.view_row_version = absent_row(newest)
+        self._written_crashes.clear()
+        self._fleet_state.advance_era(newest)
+
+    def _check_not_stale(self, changes: Changes, newest_version: StoreVersion) -> None:
+        # A store that lost its history may return a version older than one known before
+        # the call: a leaving target would be ready again, and a withdrawn key accepted.
+        if changes.version < newest_version or changes.version.era < self._era:
+            self._fleet_state.stale_responses += 1
+            raise PlatformUnavailableError(
+                f"response of {changes.version}, {newest_version} was seen before, "
+                f"and era {self._era}"
             )
-            self._era = era
 
     def probe_now(self) -> None:
         """Stop waiting for the next probe: another node reaches the store again."""
@@ -318,8 +338,7 @@
             self._fleet_state.store_regained_at_ms = now_ms()
             log_state_change(self._log, "the store was away from the whole fleet")
             return
-        self._adopt_targets_in_force()
-        self._missing &= self._targets.keys()
+        self._target_list.adopt(self._fleet_state.targets.content or ())
 
     async def _apply_configuration_rows(
         self, changes: Changes, complete: bool, began_ms: float
@@ -329,62 +348,59 @@
         self._apply_evacuation_rows(changes, complete, began_ms)
         value = self._platform.configuration(changes.rows)
         state = self._fleet_state.configuration
-        if value is not None:
-            self._fleet_state.update_configuration(value, began_ms)
-        elif state.content is not None and not complete:
+        is_valid = value is None or self._fleet_state.update_configuration(
+            value, began_ms
+        )
+        # A restored store may hold an older one, or none. It shows that no newer one
+        # than that in force was acknowledged since.
+        if state.content is not None and is_valid:
             state.confirm(state.version, began_ms)
 
     def _apply_evacuation_rows(
         self, changes: Changes, complete: bool, began_ms: float
     ) -> None:
+        rows = {
+            domain: row.value is not None
+            for row in changes.rows
+            if (domain := self._platform.evacuated_domain(row.key)) is not None
+        }
+        state = self._fleet_state
         if complete:
-            self._evacuated.clear()
-        for row in changes.rows:
-            domain = self._platform.evacuated_domain(row.key)
-            if domain is None:
-                continue
-            if row.value is None:
-                self._evacuated.discard(domain)
-            else:
-                self._evacuated.add(domain)
-        self._fleet_state.update_evacuated(self._evacuated, changes.version, began_ms)
+            evacuated = [
+                domain for domain, is_evacuated in rows.items() if is_evacuated
+            ]
+            ended = [
+                domain
+                for domain, era in state.ended_evacuations.items()
+                if era < self._era
+            ]
+            self._evacuated.replace(evacuated, ended, state.era_began_ms)
+        else:
+            self._evacuated.update(rows)
+        in_force = self._evacuated.in_force(now_ms())
+        state.update_evacuated(in_force, changes.version, began_ms)
 
     async def _apply_target_rows(
         self, changes: Changes, complete: bool, began_ms: float
     ) -> None:
-        row_keys: set[str] = set()
-        for row in changes.rows:
-            row_keys.add(row.key)
-            self._apply_target_row(row)
-        if complete:
-            self._missing |= self._targets.keys() - row_keys
-        self._drop_missing()
-        self._fleet_state.update_targets(
-            list(self._targets.values()), changes.version, began_ms
+        state = self._fleet_state
+        entries = {TargetIdentity(row.key): self._entry(row) for row in changes.rows}
+        known = KnownBefore(
+            state.targets.content or (),
+            state.departed_targets,
+            state.store_regained_at_ms,
+            state.era_began_ms,
         )
+        if complete:
+            self._target_list.replace_all(entries, self._era, known, now_ms())
+        else:
+            self._target_list.update(entries, known, now_ms())
+        state.update_targets(self._target_list.targets, changes.version, began_ms)
 
-    def _apply_target_row(self, row: StoredRow) -> None:
+    def _entry(self, row: StoredRow) -> Entry:
         if row.value is None:
-            if row.key in self._targets:
-                self._missing.add(row.key)
-            return
-        self._missing.discard(row.key)
-        entry = self._platform.parse_target(row.key, row.value)
-        if entry is None:
-            # Treat an entry that can't be parsed as absent.
-            self._targets.pop(row.key, None)
-            return
-        self._targets[row.key] = entry
-
-    def _drop_missing(self) -> None:
-        # Entries of running targets expire during a store outage. Dropping them at its
-        # end would leave a service without targets for two seconds.
-        kept_until_ms = self._fleet_state.store_regained_at_ms + RENEWAL_GRACE_MS
-        if now_ms() < kept_until_ms:
-            return
-        for key in self._missing:
-            self._targets.pop(key, None)
-        self._missing.clear()
+            return NoEntry.REMOVED
+        return self._platform.parse_target(row.key, row.value) or NoEntry.UNUSABLE
 
     async def _apply_fleet_rows(
         self, changes: Changes, complete: bool, began_ms: float
@@ -408,7 +424,7 @@
         state = self._fleet_state.view
         state.confirm(state.version, began_ms)
 
-    async def write_view(self, view: View, row_version: int) -> bool:
+    async def write_view(self, view: View, row_version: StoreVersion) -> bool:
         """Replace the view of a row version; return False if another was first."""
         value = json.dumps(packed_view(view)).encode()
         began_ms = now_ms()
@@ -436,6 +452,7 @@
         """Read the registered nodes, the view and the crash records."""
         began_ms = now_ms()
         changes = await self._platform.read(Table.FLEET)
+        self._adopt_era()
         await self._apply_fleet_rows(changes, True, began_ms)
 
 
@@ -445,13 +462,3 @@
 
 async def _query_no_peers() -> None:
     """Query no peers; the default until membership sets the callback."""
-
-
-def _check_not_stale(changes: Changes, newest_version: int) -> None:
-    # A store that lost its history may return a version older than one known before
-    # the call: a leaving target would be ready again, and a withdrawn key accepted.
-    if changes.version < newest_version:
-        message = (
-            f"response of version {changes.version}, {newest_version} was seen before"
-        )
-        raise PlatformUnavailableError(message)
--- a/src/crocusspindle/gateway/ports.py
+++ b/src/crocusspindle/gateway/ports.py
@@ -145,6 +145,9 @@
         self._metrics.set(instruments.LOG_DROPPED, self._lines.dropped)
         evacuated = self._fleet_state.evacuated.content or frozenset()
         self._metrics.set(instruments.EVACUATED, len(evacuated))
+        self._metrics.set(instruments.STORE_ERA, self._fleet_state.store_era)
+        stale_responses = self._fleet_state.stale_responses
+        self._metrics.set(instruments.STALE_RESPONSES, stale_responses)
         return web.Response(body=self._metrics.render(), content_type="text/plain")
 
     async def drain(self) -> None:
--- a/src/crocusspindle/gateway/registration.py
+++ b/src/crocusspindle/gateway/registration.py
@@ -61,6 +61,16 @@
                 log_state_change(self._log, "cannot register", error=str(error))
                 await asyncio.sleep(backoff.next_ms() / 1e3)
 
+    def register_again(self) -> None:
+        """Write this node's row again, since a restored store may lack it."""
+        self._spawn(self._register_again())
+
+    async def _register_again(self) -> None:
+        # All nodes of the fleet do so, and the store accepts few rows in a second.
+        await asyncio.sleep(self._rng.uniform(0.0, REGISTER_MAX_MS) / 1e3)
+        await self._register_later()
+        log_state_change(self._log, "row written again")
+
     async def _register_later(self) -> None:
         backoff = Backoff(REGISTER_MAX_MS, REGISTER_LATER_MAX_MS, self._rng)
         while True:
--- a/src/crocusspindle/gateway/view_keeper.py
+++ b/src/crocusspindle/gateway/view_keeper.py
@@ -12,6 +12,7 @@
     ViewEntryKey,
     members_changed,
     next_view,
+    precedes_era,
     rank_by_capacity,
 )
 from crocusspindle.gateway.exchange import Exchange
@@ -97,10 +98,13 @@
             else:
                 silent = await self._probe_silent(silent, active_ms)
             present = {**silent, **present}
-        if not members_changed(view, present):
+        era = self._platform_reader.era
+        # A restored store may lack the view in force, and its number.
+        is_lost = view is not None and precedes_era(view, era)
+        if not is_lost and not members_changed(view, present):
             return
         if await self._platform_reader.write_view(
-            next_view(view, present, self._expired_entry_keys()), row_version
+            next_view(view, present, self._expired_entry_keys(), era), row_version
         ):
             self._fleet_state.notify()
 
--- a/src/crocusspindle/losses.py
+++ b/src/crocusspindle/losses.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import math
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -15,6 +16,7 @@
 
 ENDED: Final = "request ended"
 REFUSED: Final = "request refused"
+RESTORED: Final = "store restored"
 SUCCESS_PREFIX: Final = "2"
 LATE: Final = "late"
 CLIENT_ERRORS: Final = frozenset({"400", "401", "403", "404", "413", "431"})
@@ -38,11 +40,13 @@
 class LossReport:
     """Count requests by route, and losses by kind and second.
 
-    Seconds count from the first request in the log lines.
+    Seconds count from the first request in the log lines. ``restores`` has for each new
+    era of the store the seconds at which nodes learned of it.
     """
 
     requests_by_route: Counter[str] = field(default_factory=Counter)
     lost: dict[Loss, Counter[int]] = field(default_factory=dict)
+    restores: dict[int, list[int]] = field(default_factory=dict)
     unread_lines: int = 0
 
     @property
@@ -56,6 +60,10 @@
         return {
             "requests": self.requests_by_route.total(),
             "lines_unread": self.unread_lines,
+            "store_restored": [
+                {"era": era, "at_s": min(seconds), "nodes": len(seconds)}
+                for era, seconds in sorted(self.restores.items())
+            ],
             "lost": [
                 {
                     "number": number,
@@ -83,16 +91,20 @@
             continue
         try:
             entry = json.loads(line[json_start:])
-            if entry["message"] in (ENDED, REFUSED):
+            if entry["message"] in (ENDED, REFUSED, RESTORED):
                 timed_entries.append((_unix_s(entry), entry))
         except (ValueError, KeyError, TypeError):
             report.unread_lines += 1
-    if not timed_entries:
+    if all(entry["message"] == RESTORED for _, entry in timed_entries):
         message = "holds no line of a request that ended or was refused"
         raise InvalidInputError([Finding("logs", ".", message)])
-    first_s = min(at_s for at_s, _ in timed_entries)
+    first_s = min(at_s for at_s, e in timed_entries if e["message"] != RESTORED)
     for at_s, entry in timed_entries:
-        _count(report, entry, int(at_s - first_s))
+        second = math.floor(at_s - first_s)
+        if entry["message"] == RESTORED:
+            report.restores.setdefault(int(entry["era"]), []).append(second)
+        else:
+            _count(report, entry, second)
     return report
 
 
--- a/src/crocusspindle/platform/fleet_platform.py
+++ b/src/crocusspindle/platform/fleet_platform.py
@@ -11,12 +11,10 @@
 
 from crocusspindle.core.configuration import Configuration
 from crocusspindle.core.listed_target import ListedTarget
+from crocusspindle.core.store_version import StoreVersion
 from crocusspindle.errors import PlatformUnavailableError
 from crocusspindle.ids import DomainId
 
-FIRST_ERA: Final = 0
-"""Era of a store that names none."""
-
 
 class HistoryLostError(PlatformUnavailableError):
     """Report that a feed can't resume from its version; read the whole table again."""
@@ -35,7 +33,7 @@
     """Hold one row as returned by a feed or read; ``value`` is None once deleted."""
 
     key: str
-    version: int
+    version: StoreVersion
     value: bytes | None
 
 
@@ -44,7 +42,7 @@
     """Hold rows as of ``version``, the store's newest version when it responded."""
 
     rows: Sequence[StoredRow]
-    version: int
+    version: StoreVersion
 
 
 class FleetPlatform(Protocol):
@@ -53,9 +51,8 @@
     Calls raise ``PlatformUnavailableError`` when they certainly had no effect and
     ``PlatformUnknownError`` when a write may have taken effect.
 
-    ``era`` is the newest era that the store has named, `FIRST_ERA` if it names none. It
-    rises when the store is restored from a copy, and versions of earlier ones are given
-    out again.
+    ``era`` is the newest era that the store has named in any response, `FIRST_ERA` if
+    it names none, `UNKNOWN_ERA` before the first response.
     """
 
     era: int
@@ -67,16 +64,22 @@
     async def read(self, table: Table) -> Changes:
         """Return all rows of a table."""
 
-    async def follow(self, table: Table, after: int, wait_ms: float) -> Changes:
-        """Return the changes after a version; wait at most ``wait_ms`` for one."""
+    async def follow(
+        self, table: Table, after: StoreVersion, wait_ms: float
+    ) -> Changes:
+        """Return the changes after a version; wait at most ``wait_ms`` for one.
+
+        Raise ``HistoryLostError`` if the store has begun another era since.
+        """
 
     async def put(
-        self, key: str, value: bytes, expected_version: int | None
-    ) -> int | None:
+        self, key: str, value: bytes, expected_version: StoreVersion | None
+    ) -> StoreVersion | None:
         """Write a row of the fleet's table; return its version, None on conflict.
 
-        ``expected_version`` is the version that the row must have, 0 if it must not
-        exist; None writes the row unconditionally.
+        ``expected_version`` is the version that the row must have, that of `absent_row`
+        if it must not exist; None writes the row unconditionally. A version of another
+        era than the store's is a conflict.
         """
 
     def configuration(self, rows: Sequence[StoredRow]) -> bytes | None:
--- a/src/crocusspindle/platform/table_store.py
+++ b/src/crocusspindle/platform/table_store.py
@@ -5,17 +5,18 @@
 import binascii
 import json
 from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
 from typing import Any, Final, Self
 
 import aiohttp
 
 from crocusspindle.core.configuration import Configuration
 from crocusspindle.core.listed_target import ListedTarget
+from crocusspindle.core.store_version import FIRST_ERA, UNKNOWN_ERA, StoreVersion
 from crocusspindle.errors import PlatformUnavailableError, PlatformUnknownError
 from crocusspindle.ids import DomainId
 from crocusspindle.platform import documents
 from crocusspindle.platform.fleet_platform import (
-    FIRST_ERA,
     Changes,
     HistoryLostError,
     StoredRow,
@@ -33,6 +34,7 @@
     Table.FLEET: "fleet",
 }
 ERA_HEADER: Final = "Store-Era"
+MAX_ERA_DIGITS: Final = 18
 CONFIGURATION_KEY: Final = "config"
 EVACUATION_PREFIX: Final = "evacuate/"
 PAGE_ROWS: Final = 500
@@ -41,6 +43,31 @@
 of two seconds for changes, with time left for another reader."""
 
 
+@dataclass(frozen=True, slots=True)
+class StoreResponse:
+    """Hold a response of the store and the era in which it was given."""
+
+    status: int
+    document: Mapping[str, Any]
+    era: int
+
+    @property
+    def version(self) -> StoreVersion:
+        """Return the newest version at the time of the response."""
+        return StoreVersion(self.era, int(self.document["schema_version"]))
+
+    def rows(self) -> list[StoredRow]:
+        """Return the rows of the response."""
+        return [
+            StoredRow(
+                str(row["key"]),
+                StoreVersion(self.era, int(row.get("schema_version", 0))),
+                None if row.get("deleted") else _value(row.get("value")),
+            )
+            for row in self.document.get("rows", ())
+        ]
+
+
 @register_form("table")
 class TableStore:
     """Read, follow and write rows, each call on a new connection.
@@ -51,7 +78,7 @@
 
     def __init__(self, address: str) -> None:
         self._url = f"http://{address}"
-        self.era = FIRST_ERA
+        self.era = UNKNOWN_ERA
         self._session: aiohttp.ClientSession | None = None
 
     @classmethod
@@ -76,7 +103,7 @@
         timeout_s: float,
         params: Mapping[str, str] | None = None,
         body: Mapping[str, Any] | None = None,
-    ) -> tuple[int, Mapping[str, Any]]:
+    ) -> StoreResponse:
         error_type = (
             PlatformUnavailableError if method == "GET" else PlatformUnknownError
         )
@@ -87,56 +114,69 @@
                 ) as response:
                     text = await response.read()
                     status = response.status
-                    self._record_era(response.headers.get(ERA_HEADER))
+                    era = self._era_of(response)
         except aiohttp.ClientConnectorError as error:
             raise PlatformUnavailableError(f"{method} {path}: {error}") from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise error_type(f"{method} {path}: {error!r}") from error
+        if era < self.era:
+            # What it says or acknowledges, a restore of the store has undone.
+            raise error_type(f"{method} {path}: response of era {era}")
         if status == HTTP_GONE:
             raise HistoryLostError(f"{method} {path}: history is gone")
         if status not in (HTTP_OK, HTTP_CONFLICT):
             raise PlatformUnavailableError(f"{method} {path}: status {status}")
         try:
-            return status, json.loads(text)
+            return StoreResponse(status, json.loads(text), era)
         except ValueError as error:
             raise error_type(f"{method} {path}: response is not JSON") from error
 
-    def _record_era(self, text: str | None) -> None:
-        if text is not None and text.isascii() and text.isdigit():
-            self.era = max(self.era, int(text))
+    def _era_of(self, response: aiohttp.ClientResponse) -> int:
+        text = response.headers.get(ERA_HEADER, "")
+        if len(text) > MAX_ERA_DIGITS or not (text.isascii() and text.isdigit()):
+            self.era = max(self.era, FIRST_ERA)
+            return self.era
+        self.era = max(self.era, int(text))
+        return int(text)
 
     async def read(self, table: Table) -> Changes:
         """Return all rows of a table, page by page."""
         rows: list[StoredRow] = []
-        version: int | None = None
+        version: StoreVersion | None = None
         params = {"table": TABLES[table], "part": "", "limit": str(PAGE_ROWS)}
         while True:
-            _, response = await self._call(
+            response = await self._call(
                 "GET", "/-/rows-get", CALL_TIMEOUT_S, params=params
             )
-            page = _rows(response)
+            page = response.rows()
             rows += page
             # Later pages are read later; following from the first page's version
             # repeats the changes made between pages.
-            version = int(response["schema_version"]) if version is None else version
-            if not response.get("has_more") or not page:
+            version = response.version if version is None else version
+            if version.era != response.era:
+                raise HistoryLostError("the store was restored between two pages")
+            if not response.document.get("has_more") or not page:
                 return Changes(rows, version)
             params["range_start"] = page[-1].key + "\0"
 
-    async def follow(self, table: Table, after: int, wait_ms: float) -> Changes:
+    async def follow(
+        self, table: Table, after: StoreVersion, wait_ms: float
+    ) -> Changes:
         """Return the changes after a version; wait at most ``wait_ms`` for one."""
         params = {
             "table": TABLES[table],
-            "after": str(after),
+            "after": str(after.number),
             "wait_ms": str(int(wait_ms)),
         }
         timeout_s = wait_ms / 1e3 + CALL_TIMEOUT_S
-        _, response = await self._call("GET", "/-/rows-feed", timeout_s, params=params)
-        return Changes(_rows(response), int(response["schema_version"]))
+        response = await self._call("GET", "/-/rows-feed", timeout_s, params=params)
+        if response.era != after.era:
+            raise HistoryLostError(f"version {after} is of another era")
+        return Changes(response.rows(), response.version)
 
     async def put(
-        self, key: str, value: bytes, expected_version: int | None
-    ) -> int | None:
+        self, key: str, value: bytes, expected_version: StoreVersion | None
+    ) -> StoreVersion | None:
         """Write a row of the fleet's table; return its version, None on conflict."""
         row_key = {"table": TABLES[Table.FLEET], "part": "", "key": key}
         body: dict[str, Any] = {
@@ -145,11 +185,17 @@
             "remove": [],
         }
         if expected_version is not None:
-            body["expected"] = [{**row_key, "schema_version": expected_version}]
-        status, response = await self._call(
-            "POST", "/-/rows-tx", CALL_TIMEOUT_S, body=body
-        )
-        return int(response["schema_version"]) if status == HTTP_OK else None
+            if expected_version.era != self.era or self.era == UNKNOWN_ERA:
+                return None
+            condition = {**row_key, "schema_version": expected_version.number}
+            body["expected"] = [condition]
+        response = await self._call("POST", "/-/rows-tx", CALL_TIMEOUT_S, body=body)
+        if response.status != HTTP_OK:
+            return None
+        if expected_version is not None and expected_version.era != response.era:
+            # The version was given out again, maybe for another value of the row.
+            return None
+        return response.version
 
     def configuration(self, rows: Sequence[StoredRow]) -> bytes | None:
         """Return the newest configuration among the rows, or None if absent."""
@@ -179,17 +225,6 @@
             await self._session.close()
 
 
-def _rows(response: Mapping[str, Any]) -> list[StoredRow]:
-    return [
-        StoredRow(
-            str(row["key"]),
-            int(row.get("schema_version", 0)),
-            None if row.get("deleted") else _value(row.get("value")),
-        )
-        for row in response.get("rows", ())
-    ]
-
-
 def _value(text: Any) -> bytes:
     # Other programs' rows may hold any value; one that cannot be decoded becomes
     # empty, and an empty entry is not a target.
--- a/src/crocusspindle_standins/virtual/fleet.py
+++ b/src/crocusspindle_standins/virtual/fleet.py
@@ -4,24 +4,28 @@
 import json
 import random
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
+from functools import partial
 from typing import Final
 
 from crocusspindle.core.byte_rate_limiter import ByteRateLimiter
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
+from crocusspindle.core.policies import ALL_POLICIES
 from crocusspindle.core.reader_choice import ReaderChoice
 from crocusspindle.core.view import NodeAddress
 from crocusspindle.gateway.crash_sharing import CrashSharing
 from crocusspindle.gateway.exchange import Exchange
 from crocusspindle.gateway.fleet_state import FleetState
 from crocusspindle.gateway.membership import Membership
-from crocusspindle.gateway.placer_ranks import PlacerRanks
+from crocusspindle.gateway.placers import Placers
 from crocusspindle.gateway.platform_reader import PlatformReader
+from crocusspindle.gateway.reload import LiveBounds
 from crocusspindle.gateway.settings import (
     BYTES_PER_MS,
     DOCUMENTS_LINK_FRACTION,
     UNITS_PER_CORE,
+    Bounds,
 )
 from crocusspindle.ids import DomainId, HostId, Incarnation, ServiceId
 from crocusspindle.metrics import Metrics
@@ -30,6 +34,7 @@
 from crocusspindle_standins.virtual.network import Link, Network
 from crocusspindle_standins.virtual.store import (
     CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
     Store,
     StoreClient,
     target_row,
@@ -72,7 +77,14 @@
         self.fleet_state = FleetState(platform.parse_configuration)
         self.platform_reader = PlatformReader(platform, self.fleet_state, rng)
         self.crashes = CrashSharing(self.exchange, self.fleet_state, metrics)
-        self.ranks = PlacerRanks(address, self.exchange, self.fleet_state)
+        self.placers = Placers(
+            address,
+            LiveBounds(Bounds()),
+            self.exchange,
+            self.fleet_state,
+            ALL_POLICIES,
+            self.crashes,
+        )
         self.membership = Membership(
             address,
             self.exchange,
@@ -92,6 +104,7 @@
             self.platform_reader,
             self.membership,
             self.crashes,
+            self.placers,
         ):
             await service.start()
 
@@ -99,6 +112,7 @@
         """End all services at once, as a killed process does."""
         await self.exchange.stop()
         for service in (
+            self.placers,
             self.crashes,
             self.membership,
             self.platform_reader,
@@ -122,6 +136,7 @@
         self._versions = 1
         self._targets: list[TargetIdentity] = []
         self.listed: dict[TargetIdentity, ListedTarget] = {}
+        self.evacuated: frozenset[DomainId] = frozenset()
         for number in range(targets):
             self._list_target(number)
         self.configure(ROUTES)
@@ -155,14 +170,47 @@
         self._targets.remove(target)
         self.store.put(Table.TARGETS, target, None)
 
-    def write_all_again(self) -> None:
-        """Write what the operator and the targets last wrote, after a restore."""
+    def evacuate(self, domain: DomainId) -> None:
+        """Evacuate a failure domain as an operator does."""
+        self.evacuated |= {domain}
+        self.store.put(Table.CONFIGURATION, EVACUATION_PREFIX + domain, b"{}")
+
+    def take_back(self, domain: DomainId) -> None:
+        """End the evacuation of a failure domain."""
+        self.evacuated -= {domain}
+        self.store.put(Table.CONFIGURATION, EVACUATION_PREFIX + domain, None)
+
+    def writers_of_lost_rows(self, rng: random.Random) -> list[Callable[[], None]]:
+        """Return functions that each write again some of what a restore has undone."""
+        targets = sorted(self.listed.keys() | self.store.tables[Table.TARGETS].keys())
+        rng.shuffle(targets)
+        writers: list[Callable[[], None]] = [
+            partial(self._write_again, [TargetIdentity(name) for name in part])
+            for part in (targets[number::8] for number in range(8))
+        ]
+        writers += [self._write_configuration, self._write_evacuations_again]
+        rng.shuffle(writers)
+        return writers
+
+    def _write_again(self, targets: Sequence[TargetIdentity]) -> None:
+        rows = self.store.tables[Table.TARGETS]
+        for target in targets:
+            listed = self.listed.get(target)
+            value = None if listed is None else target_row(listed)
+            row = rows.get(target)
+            if value != (None if row is None else row.value):
+                self.store.put(Table.TARGETS, target, value)
+
+    def _write_configuration(self) -> None:
         self.store.put(Table.CONFIGURATION, CONFIGURATION_KEY, self._configuration)
-        for key, row in list(self.store.tables[Table.TARGETS].items()):
-            if row.value is not None and key not in self.listed:
-                self.store.put(Table.TARGETS, key, None)
-        for target in list(self.listed.values()):
-            self.write_target(target)
+
+    def _write_evacuations_again(self) -> None:
+        for domain in map(DomainId, DOMAINS):
+            is_evacuated = domain in self.evacuated
+            row = self.store.tables[Table.CONFIGURATION].get(EVACUATION_PREFIX + domain)
+            if is_evacuated != (row is not None and row.value is not None):
+                change = self.evacuate if is_evacuated else self.take_back
+                change(domain)
 
     def configure(self, routes: int) -> None:
         """Write a configuration as long as that of so many routes, at 12 words each."""
@@ -176,7 +224,12 @@
             "note": " ".join(words),
         }
         self._configuration = json.dumps(document).encode()
-        self.store.put(Table.CONFIGURATION, CONFIGURATION_KEY, self._configuration)
+        self._write_configuration()
+
+    @property
+    def configuration_version(self) -> int:
+        """Return the version of the configuration that was written last."""
+        return int(f"{self._versions:08}", 16)
 
     def replace_targets(self, count: int) -> None:
         """Replace random targets of the list with new ones."""
--- a/src/crocusspindle_standins/virtual/store.py
+++ b/src/crocusspindle_standins/virtual/store.py
@@ -5,11 +5,12 @@
 import math
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Final, Self
 
 from crocusspindle.core.configuration import Configuration
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
+from crocusspindle.core.store_version import UNKNOWN_ERA, StoreVersion
 from crocusspindle.errors import PlatformUnavailableError
 from crocusspindle.ids import DomainId, ServiceId
 from crocusspindle.platform.documents import parse_configuration
@@ -21,11 +22,13 @@
 )
 
 CALL_S: Final = 0.01
+CALL_TIMEOUT_S: Final = 1.0
 MAX_WRITE_BACKLOG_S: Final = 1.0
 MIN_WAIT_S: Final = 1e-6
 """A shorter wait is lost to rounding of the clock and would never end."""
 
 CONFIGURATION_KEY: Final = "config"
+EVACUATION_PREFIX: Final = "evacuate/"
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,16 +51,22 @@
         self.writes_per_s = math.inf
         self.refused_writes = 0
         self.refuses: Callable[[str], bool] = lambda host: False
+        self.hangs: Callable[[str], bool] = lambda host: False
         self._writes_end_s = 0.0
         self._row_written = asyncio.Event()
 
-    def put(self, table: Table, key: str, value: bytes | None) -> int:
+    @property
+    def newest(self) -> StoreVersion:
+        """Return the newest version."""
+        return StoreVersion(self.era, self.version)
+
+    def put(self, table: Table, key: str, value: bytes | None) -> StoreVersion:
         """Write or remove a row and return the new version."""
         self.version += 1
-        self.tables[table][key] = StoredRow(key, self.version, value)
+        self.tables[table][key] = StoredRow(key, self.newest, value)
         self._row_written.set()
         self._row_written = asyncio.Event()
-        return self.version
+        return self.newest
 
     def copy(self) -> StoreCopy:
         """Return a copy to restore the store from."""
@@ -67,7 +76,13 @@
         """Go back to a copy: later writes are lost, their versions are reused."""
         self.era += 1
         self.version = copy.version
-        self.tables = {table: dict(rows) for table, rows in copy.tables.items()}
+        self.tables = {
+            table: {
+                key: replace(row, version=StoreVersion(self.era, row.version.number))
+                for key, row in rows.items()
+            }
+            for table, rows in copy.tables.items()
+        }
         self._row_written.set()
         self._row_written = asyncio.Event()
 
@@ -94,7 +109,7 @@
     def __init__(self, store: Store, host: str) -> None:
         self._store = store
         self._host = host
-        self.era = store.era
+        self.era = UNKNOWN_ERA
 
     @classmethod
     def from_config(cls, options: Mapping[str, Any]) -> Self:
@@ -103,6 +118,9 @@
 
     async def _call(self) -> None:
         self._store.calls[self._host] += 1
+        if self._store.hangs(self._host):
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            raise PlatformUnavailableError("the store does not respond")
         await asyncio.sleep(self._store.call_s)
         self._check_served()
 
@@ -115,9 +133,11 @@
         """Return all rows of a table."""
         await self._call()
         rows = [r for r in self._store.tables[table].values() if r.value is not None]
-        return Changes(rows, self._store.version)
+        return Changes(rows, self._store.newest)
 
-    async def follow(self, table: Table, after: int, wait_ms: float) -> Changes:
+    async def follow(
+        self, table: Table, after: StoreVersion, wait_ms: float
+    ) -> Changes:
         """Return rows changed after a version; wait for a change if there is none."""
         await self._call()
         era = self._store.era
@@ -126,28 +146,34 @@
         while True:
             if self._store.era != era:
                 raise PlatformUnavailableError("the store was restored")
-            if after > self._store.version:
+            if after.era != era or after.number > self._store.version:
                 raise HistoryLostError(f"version {after} is not known")
-            rows = [r for r in self._store.tables[table].values() if r.version > after]
+            rows = [
+                row
+                for row in self._store.tables[table].values()
+                if row.version.number > after.number
+            ]
             remaining_s = deadline_s - loop.time()
             self._check_served()
             if rows or remaining_s <= MIN_WAIT_S:
-                rows.sort(key=lambda row: row.version)
-                return Changes(rows, self._store.version)
+                rows.sort(key=lambda row: row.version.number)
+                return Changes(rows, self._store.newest)
             await self._store.wait_for_change(remaining_s)
 
     async def put(
-        self, key: str, value: bytes, expected_version: int | None
-    ) -> int | None:
+        self, key: str, value: bytes, expected_version: StoreVersion | None
+    ) -> StoreVersion | None:
         """Write a row of the fleet's table; return its version, None on conflict."""
         await self._call()
         await self._store.admit_write()
+        if expected_version is None:
+            return self._store.put(Table.FLEET, key, value)
         stored = self._store.tables[Table.FLEET].get(key)
-        if expected_version is not None and expected_version != (
-            stored.version if stored else 0
-        ):
+        # The store compares numbers, which it may have given out in an earlier era.
+        if expected_version.number != (stored.version.number if stored else 0):
             return None
-        return self._store.put(Table.FLEET, key, value)
+        version = self._store.put(Table.FLEET, key, value)
+        return version if expected_version.era == version.era else None
 
     def configuration(self, rows: Sequence[StoredRow]) -> bytes | None:
         """Return the newest value of the configuration's row."""
@@ -159,8 +185,9 @@
         return parse_configuration(value)
 
     def evacuated_domain(self, key: str) -> DomainId | None:
-        """Return None: the stand-in's operator evacuates nothing."""
-        return None
+        """Return the failure domain that a row evacuates."""
+        domain = key.removeprefix(EVACUATION_PREFIX)
+        return DomainId(domain) if domain != key else None
 
     def parse_target(self, key: str, value: bytes) -> ListedTarget | None:
         """Parse a target's row as ``target_row`` writes it."""
--- a/tests/core/test_view.py
+++ b/tests/core/test_view.py
@@ -5,7 +5,13 @@
 import pytest
 
 from crocusspindle.core.versioned_state import VersionedState
-from crocusspindle.core.view import NodeAddress, View, members_changed, next_view
+from crocusspindle.core.view import (
+    NodeAddress,
+    View,
+    members_changed,
+    next_view,
+    precedes_era,
+)
 from crocusspindle.ids import DomainId, HostId, Incarnation
 
 
@@ -52,7 +58,7 @@
 
     Applying it would serve a removed route and a withdrawn key.
     """
-    state: VersionedState[str] = VersionedState()
+    state: VersionedState[str, int] = VersionedState(-1)
     assert state.update("new", 7, 100.0)
     assert not state.update("old", 6, 200.0)
     assert (state.content, state.version, state.confirmed_at_ms) == ("new", 7, 100.0)
@@ -60,7 +66,7 @@
 
 def test_only_a_confirmation_of_the_known_version_counts():
     """A reader confirms version 8 as the newest while this node has version 7."""
-    state: VersionedState[str] = VersionedState()
+    state: VersionedState[str, int] = VersionedState(-1)
     state.update("seven", 7, 100.0)
     state.confirm(8, 900.0)
     assert state.age_ms(1_000.0) == 900.0
@@ -121,3 +127,26 @@
 def test_members_of_a_single_domain_keep_their_rank():
     view = next_view(None, present("a", "b", "c", "d"))
     assert view.ranked_across_domains("role", 3) == view.ranked("role")
+
+
+@pytest.mark.parametrize("era", [0, 1, 1_795_000_000])
+def test_only_the_first_view_of_a_fleet_is_first(era):
+    """Guards against full buckets after a restore: customers have spent tokens."""
+    first = next_view(None, present("a"), era=era)
+    assert first.is_first and not precedes_era(first, era)
+    assert not next_view(first, present("a", "b"), era=era).is_first
+    assert not next_view(first, present("a", "b"), era=era + 1).is_first
+
+
+def test_views_of_a_new_era_follow_all_those_that_the_store_lost():
+    """Guards against two views of one number: one that a restore has undone, and the
+    one that a writer that did not know it wrote in its place.
+    """
+    kept = next_view(None, present("a", "b"), era=1)
+    lost = kept
+    for names in ("a", "ab", "a"):
+        lost = next_view(lost, present(*names), era=1)
+    rewritten = next_view(kept, present("a", "b"), era=2)
+    assert precedes_era(lost, 2) and not precedes_era(rewritten, 2)
+    assert rewritten.number > lost.number
+    assert next_view(lost, present("a"), era=2).number == rewritten.number
--- a/tests/gateway/test_crash_sharing.py
+++ b/tests/gateway/test_crash_sharing.py
@@ -43,7 +43,7 @@
     watch = CrashWatch(node.fleet_state.crashes)
     for target in ("t0", "t1"):
         watch.ended(TargetIdentity(target), CONTENT, [], AttemptOutcome.CRASHED, 0.0)
-    node.crashes.record_crashes(ServiceId("service-0"), node.ranks, watch)
+    node.crashes.record_crashes(ServiceId("service-0"), node.placers.ranks, watch)
 
 
 def count_quarantining_hosts(fleet):
--- a/tests/gateway/test_fleet_state.py
+++ b/tests/gateway/test_fleet_state.py
@@ -4,6 +4,7 @@
 
 from crocusspindle.clock import now_ms
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
+from crocusspindle.core.store_version import StoreVersion
 from crocusspindle.core.view import NodeAddress, View, ViewEntry
 from crocusspindle.gateway.fleet_state import FleetState, HeldKeys
 from crocusspindle.gateway.messages import (
@@ -53,7 +54,9 @@
 
 def make_fleet_state() -> FleetState:
     fleet_state = FleetState(parse_configuration)
-    fleet_state.update_targets([target(n) for n in range(5)], 7, now_ms())
+    fleet_state.update_targets(
+        [target(n) for n in range(5)], StoreVersion(1, 7), now_ms()
+    )
     fleet_state.update_view(View(3, tuple(view_entry(n) for n in range(5))), now_ms())
     fleet_state.update_open_nodes([("127.0.0.1:80", "a")])
     return fleet_state
@@ -128,7 +131,7 @@
 def test_evacuation_reaches_a_node_before_it_can_serve():
     """Guards against a node that starts and sends to a domain that is evacuated."""
     reader, new_node = make_fleet_state(), FleetState(parse_configuration)
-    reader.update_evacuated({DomainId("a")}, 8, now_ms())
+    reader.update_evacuated({DomainId("a")}, StoreVersion(1, 8), now_ms())
     state = reader.state_for(new_node.held_keys()).without_documents()
     new_node.apply_state(decoded_copy(state), now_ms())
     assert new_node.evacuated.content == {"a"}
@@ -137,10 +140,10 @@
 def test_older_state_does_not_end_an_evacuation():
     """Guards against a reader with an older list that revives evacuated targets."""
     reader, node = make_fleet_state(), make_fleet_state()
-    node.update_evacuated({DomainId("a")}, 9, now_ms())
-    reader.update_evacuated((), 8, now_ms())
+    node.update_evacuated({DomainId("a")}, StoreVersion(1, 9), now_ms())
+    reader.update_evacuated((), StoreVersion(1, 8), now_ms())
     node.apply_state(state_for(reader, node), now_ms())
     assert node.evacuated.content == {"a"}
-    reader.update_evacuated((), 10, now_ms())
+    reader.update_evacuated((), StoreVersion(1, 10), now_ms())
     node.apply_state(state_for(reader, node), now_ms())
     assert node.evacuated.content == frozenset()
--- /dev/null
+++ b/tests/gateway/test_list_age.py
@@ -0,0 +1,99 @@
+"""Bound the time from a target's leaving until no host sends it work."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+import logbook
+import pytest
+
+from crocusspindle.core.listed_target import Readiness
+from crocusspindle.core.reader_choice import READER_ROLE
+from crocusspindle.core.view import rank_by_capacity
+from crocusspindle_standins.virtual.fleet import HostSize, VirtualFleet
+from crocusspindle_standins.virtual.loop import VirtualLoop, VirtualTime, run
+
+HOSTS = 24
+TARGETS = 30
+STARTED_S = 6.0
+KNOWN_S = 1.8
+"""A leaving target gets no work 2 s after the acknowledgement; the rest is for sending
+a request."""
+
+
+async def lose_reader(fleet: VirtualFleet) -> None:
+    """Kill the reader."""
+    for name in fleet.readers():
+        await fleet.kill(name)
+
+
+async def lose_first_readers(fleet: VirtualFleet) -> None:
+    """Kill the reader and the two hosts that would follow it."""
+    nodes = [node.address for node in fleet.nodes.values()]
+    for name in rank_by_capacity(READER_ROLE, nodes)[:3]:
+        await fleet.kill(name)
+
+
+async def cut_reader_off(fleet: VirtualFleet) -> None:
+    """Cut the reader off from all other hosts."""
+    for name in fleet.readers():
+        fleet.cut_off(name)
+
+
+async def refuse_reader(fleet: VirtualFleet) -> None:
+    """Let the store turn the reader away."""
+    readers = set(fleet.readers())
+    fleet.store.refuses = lambda host: host in readers
+
+
+async def hang_reader(fleet: VirtualFleet) -> None:
+    """Let the store's responses to the reader hang."""
+    readers = set(fleet.readers())
+    fleet.store.hangs = lambda host: host in readers
+
+
+DISTURBANCES = [
+    lose_reader,
+    lose_first_readers,
+    cut_reader_off,
+    refuse_reader,
+    hang_reader,
+]
+
+
+@pytest.mark.parametrize("seed", range(40))
+@pytest.mark.parametrize("disturb", DISTURBANCES, ids=lambda d: d.__name__)
+def test_all_hosts_know_in_time_that_a_target_leaves(
+    monkeypatch, disturb: Callable[[VirtualFleet], Awaitable[None]], seed: int
+):
+    """Guards against stages of a list's way to a host that add up to two seconds."""
+    loop = VirtualLoop()
+    monkeypatch.setattr("crocusspindle.clock.time", VirtualTime(loop))
+    rng = random.Random(seed)
+
+    async def scenario() -> None:
+        fleet = VirtualFleet(loop, [HostSize(100.0)] * HOSTS, TARGETS, seed)
+        await fleet.start_all()
+        await asyncio.sleep(STARTED_S + rng.uniform(0.0, 1.0))
+        target = rng.choice(sorted(fleet.listed))
+        disturbed_s, left_s = rng.uniform(0.0, 0.5), rng.uniform(0.0, 1.3)
+
+        async def disturb_later() -> None:
+            await asyncio.sleep(disturbed_s)
+            await disturb(fleet)
+
+        disturbing = asyncio.create_task(disturb_later())
+        await asyncio.sleep(left_s)
+        fleet.leave(target)
+        await asyncio.sleep(KNOWN_S)
+        await disturbing
+        late = [
+            name
+            for name, node in fleet.nodes.items()
+            if node.placers.targets[target].readiness is Readiness.READY
+            and node.address.ip not in fleet.network.cut_off
+        ]
+        assert not late
+
+    with logbook.NullHandler().applicationbound():
+        run(loop, scenario())
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -9,6 +9,7 @@
 from crocusspindle.core.byte_rate_limiter import ByteRateLimiter
 from crocusspindle.core.reader_choice import READER_ROLE, ReaderChoice
 from crocusspindle.core.rendezvous import order
+from crocusspindle.core.store_version import StoreVersion, absent_row
 from crocusspindle.core.view import View
 from crocusspindle.gateway.fleet_state import HeldKeys
 from crocusspindle.gateway.membership import Membership
@@ -120,6 +121,7 @@
         active_since_ms=now_ms() - 2 * SETTLE_MS,
         nodes={},
         row_versions={},
+        era=1,
         view_row_version=0,
         write_view=write_view,
     )
@@ -155,13 +157,14 @@
         active_since_ms=now_ms() - 2 * REMOVE_AFTER_MS,
         nodes={},
         row_versions={},
-        view_row_version=40,
+        view_row_version=StoreVersion(1, 40),
+        era=1,
         write_view=write_view,
     )
 
     class ProbedExchange(FakeExchange):
         async def request(self, to, content, silent_s, limit_s):
-            platform_reader.view_row_version = 41
+            platform_reader.view_row_version = StoreVersion(1, 41)
 
     numbers = {view_entry(n).node.host: n for n in range(3)}
     first, second, _ = order(READER_ROLE, list(numbers))
@@ -171,4 +174,38 @@
     membership._add_known_node(view_entry(numbers[second]).node)
     membership._open_nodes.record_ping(second, True, False, now_ms())
     await membership._view_keeper.renew(membership._pinging_nodes())
-    assert [row_version for _, row_version in written] == [40]
+    assert [row_version for _, row_version in written] == [StoreVersion(1, 40)]
+
+
+async def test_view_of_before_a_restore_is_written_again():
+    """Guards against a store that lacks the view, and gives its number out again."""
+    written = []
+
+    async def write_view(view, row_version):
+        written.append(view)
+        return True
+
+    fleet_state = make_fleet_state()
+    members = tuple(view_entry(n) for n in range(2))
+    lost = View(9, members)
+    fleet_state.update_view(lost, now_ms())
+    platform_reader = SimpleNamespace(
+        active=True,
+        is_store_lost=False,
+        active_since_ms=now_ms() - 2 * SETTLE_MS,
+        nodes={},
+        row_versions={},
+        view_row_version=absent_row(1),
+        era=1,
+        write_view=write_view,
+    )
+    hosts = order(READER_ROLE, [entry.node.host for entry in members])
+    nodes = {entry.node.host: entry.node for entry in members}
+    membership = membership_of(
+        nodes[hosts[0]], FakeExchange(), fleet_state, platform_reader
+    )
+    membership._add_known_node(nodes[hosts[1]])
+    membership._open_nodes.record_ping(hosts[1], True, False, now_ms())
+    await membership._view_keeper.renew(membership._pinging_nodes())
+    (view,) = written
+    assert view.entries == members and view.number > lost.number
--- a/tests/gateway/test_placing_backoffs.py
+++ b/tests/gateway/test_placing_backoffs.py
@@ -10,6 +10,7 @@
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
 from crocusspindle.core.placement_request import PlacementRefused, PlacementRequest
 from crocusspindle.core.policies import ALL_POLICIES
+from crocusspindle.core.store_version import StoreVersion
 from crocusspindle.core.target_signals import TargetSignals
 from crocusspindle.core.view import View
 from crocusspindle.gateway.crash_sharing import CrashSharing
@@ -106,7 +107,7 @@
     made = Placing(exchange, placers, random.Random(1), crashes)
     fleet_state.add_listener(placers._apply_fleet_state)
     fleet_state.update_view(View(1, (view_entry(0),)), now_ms())
-    fleet_state.update_targets(TARGETS, 1, now_ms())
+    fleet_state.update_targets(TARGETS, StoreVersion(1, 1), now_ms())
     fleet_state.notify()
     yield made
     await made.cancel_tasks()
--- a/tests/gateway/test_platform_reader.py
+++ b/tests/gateway/test_platform_reader.py
@@ -7,6 +7,8 @@
 import pytest
 
 from crocusspindle.clock import now_ms
+from crocusspindle.core import target_list
+from crocusspindle.core.store_version import FIRST_ERA, StoreVersion
 from crocusspindle.errors import PlatformUnavailableError
 from crocusspindle.gateway import platform_reader as module
 from crocusspindle.gateway import store_probe
@@ -14,7 +16,6 @@
 from crocusspindle.gateway.platform_reader import PlatformReader, ReadReason
 from crocusspindle.platform.documents import parse_configuration, parse_target
 from crocusspindle.platform.fleet_platform import (
-    FIRST_ERA,
     Changes,
     HistoryLostError,
     StoredRow,
@@ -32,6 +33,10 @@
     return json.dumps(document).encode()
 
 
+def at(number: int) -> StoreVersion:
+    return StoreVersion(FIRST_ERA, number)
+
+
 class Store:
     """Hold rows of targets; simulate outages, lost history and old state."""
 
@@ -52,8 +57,8 @@
         rows, version = self.old_state or (self.rows, self.version)
         if table is not Table.TARGETS:
             rows = self.evacuated if table is Table.CONFIGURATION else {}
-        stored = [StoredRow(key, 1, value) for key, value in rows.items()]
-        return Changes(stored, version)
+        stored = [StoredRow(key, at(1), value) for key, value in rows.items()]
+        return Changes(stored, at(version))
 
     async def follow(self, table, after, wait_ms):
         await asyncio.sleep(0.02)
@@ -63,14 +68,16 @@
             raise HistoryLostError("gone")
         rows = []
         if table is Table.CONFIGURATION:
-            rows = [StoredRow(key, 1, value) for key, value in self.evacuated.items()]
-            rows += [StoredRow(key, 1, None) for key in self.ended_evacuations]
+            rows = [
+                StoredRow(key, at(1), value) for key, value in self.evacuated.items()
+            ]
+            rows += [StoredRow(key, at(1), None) for key in self.ended_evacuations]
             self.ended_evacuations = []
         if table is Table.TARGETS:
-            rows = [StoredRow(key, 1, value) for key, value in self.rows.items()]
-            rows += [StoredRow(key, 1, None) for key in self.removed]
+            rows = [StoredRow(key, at(1), value) for key, value in self.rows.items()]
+            rows += [StoredRow(key, at(1), None) for key in self.removed]
             self.removed = []
-        return Changes(rows, self.version)
+        return Changes(rows, at(self.version))
 
     def _begin_call(self):
         if self.unreachable:
@@ -97,7 +104,7 @@
         ("OUTAGE_AFTER_MS", 150.0),
     ):
         monkeypatch.setattr(module, name, value)
-    monkeypatch.setattr(module, "RENEWAL_GRACE_MS", 300.0)
+    monkeypatch.setattr(target_list, "RENEWAL_GRACE_MS", 300.0)
     monkeypatch.setattr(store_probe, "RETRY_MS", 20.0)
     monkeypatch.setattr(store_probe, "RETRY_MAX_MS", 20.0)
     store = Store()
@@ -165,7 +172,7 @@
     await make_idle(store)
     del store.rows["t2"]
     fleet_state.update_targets(
-        [parse_target("t1", store.rows["t1"])], store.version, now_ms()
+        [parse_target("t1", store.rows["t1"])], at(store.version), now_ms()
     )
     store.platform_reader.request_reads(60_000.0, ReadReason.PINGED)
     await asyncio.sleep(0.1)
@@ -203,7 +210,7 @@
 
     async def apply_peers_list():
         peers = [parse_target("t1", store.rows["t1"])]
-        fleet_state.update_targets(peers, store.version, now_ms())
+        fleet_state.update_targets(peers, at(store.version), now_ms())
 
     store.platform_reader.query_peers = apply_peers_list
     store.unreachable = True
@@ -234,7 +241,7 @@
 
     async def apply_first_readers_list():
         in_force = fleet_state.targets.content
-        fleet_state.update_targets(in_force, store.version, now_ms())
+        fleet_state.update_targets(in_force, at(store.version), now_ms())
         fleet_state.store_regained_at_ms = now_ms()
 
     store.platform_reader.query_peers = apply_first_readers_list
--- a/tests/gateway/test_process_start.py
+++ b/tests/gateway/test_process_start.py
@@ -11,6 +11,7 @@
 from crocusspindle.core.placement_request import PlacementRefused, PlacementRequest
 from crocusspindle.core.policies import ALL_POLICIES
 from crocusspindle.core.quota_keeper import Admitted, NotKept
+from crocusspindle.core.store_version import StoreVersion
 from crocusspindle.core.view import View
 from crocusspindle.gateway.crash_sharing import CrashSharing
 from crocusspindle.gateway.exchange import Exchange
@@ -150,7 +151,7 @@
     pending = asyncio.create_task(placing.place(SERVICE, make_request()))
     await asyncio.sleep(0.02)
     assert not pending.done()
-    fleet_state.update_targets([TARGET], 1, now_ms())
+    fleet_state.update_targets([TARGET], StoreVersion(1, 1), now_ms())
     placement = await asyncio.wait_for(pending, 0.5)
     assert isinstance(placement, Placement) and placement.target == TARGET
 
--- a/tests/product/test_losses.py
+++ b/tests/product/test_losses.py
@@ -41,6 +41,16 @@
     assert most_frequent["number"] == 2 and most_frequent["at_s"] == {3: 2}
 
 
+def test_losses_tell_when_the_store_was_restored():
+    lines = [
+        line(10, "request ended", outcome="200", took_ms=120, aim_ms=600),
+        line(12, "store restored", previous=1, era=2),
+        line(13, "store restored", previous=1, era=2),
+    ]
+    restored = count_losses(lines).table()["store_restored"]
+    assert restored == [{"era": 2, "at_s": 2, "nodes": 2}]
+
+
 def test_logs_without_requests_are_an_error():
     with pytest.raises(InvalidInputError, match="no line of a request"):
         count_losses(["nothing", line(1, "started")])
