Read the list of targets on a node before the one in force is too old

What callers saw: the bound of 2 s from a target's leaving to its last request is met by a sum of stages that nobody had added up.

Cause: a reader notices a call that hangs after 1.5 s, says so 0.6 s later, and hosts then look for another one. Nothing asked how old a list was.

Change: a node whose list was confirmed longer than 1.65 s ago reads it itself, once; a reader that reads already asks its peers, which have read by then.

--- a/src/crocusspindle/gateway/assembly.py
+++ b/src/crocusspindle/gateway/assembly.py
@@ -19,6 +19,7 @@
 from crocusspindle.gateway.fleet_state import FleetState
 from crocusspindle.gateway.hand_over import HandOver
 from crocusspindle.gateway.line_log import LineHandler
+from crocusspindle.gateway.list_watch import ListWatch
 from crocusspindle.gateway.membership import Membership
 from crocusspindle.gateway.paths import Paths
 from crocusspindle.gateway.placers import Placers
@@ -112,6 +113,7 @@
         exchange,
         fleet_state,
         platform_reader,
+        ListWatch(fleet_state, platform_reader),
         quota,
         membership,
         crashes,
--- a/src/crocusspindle/gateway/platform_reader.py
+++ b/src/crocusspindle/gateway/platform_reader.py
@@ -4,7 +4,7 @@
 import json
 import math
 import random
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Collection, Mapping
 from enum import Enum
 from typing import ClassVar, Final
 
@@ -83,6 +83,7 @@
     PINGED = "another node asked"
     NO_READER = "no reader answered"
     DOCUMENTS_DEFERRED = "the reader has no room for whole contents"
+    OLD_LIST = "the list of targets was confirmed too long ago"
 
 
 class PlatformReader(Service):
@@ -113,6 +114,7 @@
         self._newest_version = NO_VERSION
         self._era = UNKNOWN_ERA
         self._calls = 0
+        self._reads_once = asyncio.Lock()
         self._failing_since_ms: dict[Table, float] = {}
         self._probe = StoreProbe(rng)
         self._row_handlers: Mapping[Table, RowHandler] = {
@@ -220,14 +222,21 @@
         self._newest_version = max(self._newest_version, changes.version)
         return True
 
-    async def read_once(self, reason: ReadReason) -> None:
-        """Read the tables once, unless this node follows them already."""
-        if self.active:
-            return
+    async def read_once(
+        self, reason: ReadReason, tables: Collection[Table] = tuple(Table)
+    ) -> None:
+        """Read tables once, unless this node follows them already."""
+        async with self._reads_once:
+            if not self.active:
+                await self._read_once(reason, tables)
+
+    async def _read_once(self, reason: ReadReason, tables: Collection[Table]) -> None:
         self._reset()
         log_state_change(self._log, "reads the platform once", reason=reason.value)
         for table, handle_rows in self._row_handlers.items():
             began_ms = now_ms()
+            if table not in tables:
+                continue
             if (
                 table is Table.FLEET
                 and self._fleet_state.view.age_ms(began_ms) < OWN_READ_MS
--- a/src/crocusspindle_standins/on_platform/store.py
+++ b/src/crocusspindle_standins/on_platform/store.py
@@ -127,14 +127,18 @@
         try:
             response = await handler(request)
         except web.HTTPException as refusal:
-            response = refusal
+            self._add_era(refusal)
+            raise
         except ConnectionResetError:
             if request.transport is not None:
                 request.transport.abort()
             return web.Response()
+        self._add_era(response)
+        return response
+
+    def _add_era(self, response: web.StreamResponse) -> None:
         if self.era is not None:
             response.headers["Store-Era"] = str(self.era)
-        return response
 
     async def _transact(self, request: web.Request) -> web.Response:
         await self._admit()
--- a/src/crocusspindle_standins/virtual/fleet.py
+++ b/src/crocusspindle_standins/virtual/fleet.py
@@ -17,6 +17,7 @@
 from crocusspindle.gateway.crash_sharing import CrashSharing
 from crocusspindle.gateway.exchange import Exchange
 from crocusspindle.gateway.fleet_state import FleetState
+from crocusspindle.gateway.list_watch import ListWatch
 from crocusspindle.gateway.membership import Membership
 from crocusspindle.gateway.placers import Placers
 from crocusspindle.gateway.platform_reader import PlatformReader
@@ -95,6 +96,7 @@
             ByteRateLimiter(size.link_mbit_s * BYTES_PER_MS * DOCUMENTS_LINK_FRACTION),
             rng,
         )
+        self.list_watch = ListWatch(self.fleet_state, self.platform_reader)
         self.membership.is_ready = lambda: self.fleet_state.view.content is not None
 
     async def start(self) -> None:
@@ -102,6 +104,7 @@
         for service in (
             self.exchange,
             self.platform_reader,
+            self.list_watch,
             self.membership,
             self.crashes,
             self.placers,
@@ -115,6 +118,7 @@
             self.placers,
             self.crashes,
             self.membership,
+            self.list_watch,
             self.platform_reader,
             self.exchange,
         ):
