Check once more that a target gets work when its connection has opened

What callers saw: nothing yet (found in reading). A connection may take 0.3 s to open. News that its target leaves, asks for a backoff or is evacuated, and that comes meanwhile, was not looked at: the last check was made when the grant came.

Change: the sender asks its own newest list when the connection has opened, and closes it without sending if the target gets no more work. The attempt ends as withheld: it did not arrive, its grant goes back, and another target is tried, also for a streamed body, of which nothing was read.

--- a/src/crocusspindle/core/attempt_outcome.py
+++ b/src/crocusspindle/core/attempt_outcome.py
@@ -22,6 +22,8 @@
     - ``CRASHED``: the connection broke, and the port refused the next one.
     - ``DISCONNECTED``: the connection broke, and neither this target nor another one
       that responded before accepts a connection from this sender.
+    - ``WITHHELD``: while the connection opened, the sender learned that the target
+      gets no more work. Nothing was sent.
     """
 
     ANSWERED = "answered"
@@ -35,6 +37,7 @@
     ABANDONED = "abandoned"
     CRASHED = "crashed"
     DISCONNECTED = "disconnected"
+    WITHHELD = "withheld"
 
     @property
     def shows_path(self) -> bool:
@@ -49,7 +52,11 @@
     @property
     def arrived(self) -> bool:
         """Return True if the request may have reached the target."""
-        return self not in (AttemptOutcome.UNREACHED, AttemptOutcome.CLOSED)
+        return self not in (
+            AttemptOutcome.UNREACHED,
+            AttemptOutcome.CLOSED,
+            AttemptOutcome.WITHHELD,
+        )
 
     @property
     def may_have_run(self) -> bool:
--- a/src/crocusspindle/gateway/attempt_runner.py
+++ b/src/crocusspindle/gateway/attempt_runner.py
@@ -52,7 +52,7 @@
         self._hands_over = policies.has(Policy.HAND_OVER)
         self._metrics = metrics
         self._rng = rng
-        self._client = TargetClient(dialect, placing.record_signals)
+        self._client = TargetClient(dialect, placing.record_signals, placing.may_send)
 
     async def start(self) -> None:
         """Open the client for targets."""
@@ -132,7 +132,8 @@
         if result.outcome is AttemptOutcome.ANSWERED:
             return False
         streamed = not isinstance(context.outgoing.body, bytes | None)
-        if streamed or now_ms() >= context.deadline_ms:
+        is_unread = result.outcome is AttemptOutcome.WITHHELD
+        if (streamed and not is_unread) or now_ms() >= context.deadline_ms:
             return False
         if not result.outcome.may_have_run:
             return len(context.tried_targets) < MAX_TARGETS_TRIED
@@ -221,7 +222,9 @@
         finally:
             latency_ms = now_ms() - began_ms
             signals = result.signals if result else NO_SIGNALS
-            if outcome is not AttemptOutcome.CRASHED:
+            if outcome is AttemptOutcome.WITHHELD:
+                self._placing.return_unsent(placement)
+            elif outcome is not AttemptOutcome.CRASHED:
                 self._placing.report_outcome(
                     placement, context.content, outcome, latency_ms, signals.limit_per_s
                 )
--- a/src/crocusspindle/gateway/placing.py
+++ b/src/crocusspindle/gateway/placing.py
@@ -141,8 +141,7 @@
                 return _limit_retry_after(decision, first_end_ms - now_ms())
             if self._is_usable(decision):
                 return decision
-            self._return_placement(decision)
-            self._placers.notify_if_leaving(decision.target)
+            self.return_unsent(decision)
             returned |= self._exclusions_after(service, decision)
 
     def _first_backoff_end_ms(self, backed_off: frozenset[TargetIdentity]) -> float:
@@ -167,12 +166,19 @@
     def _is_usable(self, placement: Placement) -> bool:
         # The placer's list may be older than this node's, or the target asked for a
         # backoff while the request was queued.
-        target = placement.target
+        return self._accepts(placement.target)
+
+    def _accepts(self, target: ListedTarget) -> bool:
         return (
             target.readiness is Readiness.READY
             and self._backoffs.until_ms(target.identity) <= now_ms()
         )
 
+    def may_send(self, target: ListedTarget) -> bool:
+        """Return True if a target still gets work, by this node's list."""
+        listed = self._placers.targets.get(target.identity)
+        return listed is not None and self._accepts(listed)
+
     def _exclusions_after(
         self, service: ServiceId, placement: Placement
     ) -> frozenset[TargetIdentity]:
@@ -183,7 +189,9 @@
             if target.readiness is not Readiness.READY
         ) | {placement.target.identity}
 
-    def _return_placement(self, placement: Placement) -> None:
+    def return_unsent(self, placement: Placement) -> None:
+        """Return a grant of which nothing was sent; notify placers if that is due."""
+        self._placers.notify_if_leaving(placement.target)
         if placement.grant is None or placement.placer_address is None:
             self._fallback.ended(placement.target.identity)
             return
--- a/src/crocusspindle/gateway/strict_connector.py
+++ b/src/crocusspindle/gateway/strict_connector.py
@@ -3,10 +3,13 @@
 import asyncio
 import functools
 import socket
+from collections.abc import Callable
+from contextvars import ContextVar
 from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
 
 from crocusspindle.services.targets import CONNECT_TIMEOUT_S
 from crocusspindle.shielded_connector import ShieldedConnector
@@ -47,6 +50,32 @@
             )
 
 
+class WithheldError(aiohttp.ClientError):
+    """Report that a request must not be sent on the connection that has opened."""
+
+
+check_before_sending: ContextVar[Callable[[], None] | None] = ContextVar(
+    "check_before_sending", default=None
+)
+"""Called when a connection has opened for a request of the current task; raises
+``WithheldError`` to close it and send nothing."""
+
+
+class _CheckingConnector(ShieldedConnector):
+    """Check that a request may still be sent once its connection has opened."""
+
+    async def connect(self, *args: Any, **options: Any) -> Connection:
+        connection = await super().connect(*args, **options)
+        check = check_before_sending.get()
+        if check is not None:
+            try:
+                check()
+            except BaseException:
+                connection.close()
+                raise
+        return connection
+
+
 def single_use_session(own_ip: str | None = None) -> aiohttp.ClientSession:
     """Return a session that sends each request once, on a new connection.
 
@@ -67,7 +96,7 @@
 
 def _strict_connector(own_ip: str | None) -> aiohttp.TCPConnector:
     local = None if own_ip is None else (own_ip, 0)
-    connector = ShieldedConnector(limit=0, force_close=True, local_addr=local)
+    connector = _CheckingConnector(limit=0, force_close=True, local_addr=local)
     loop = asyncio.get_running_loop()
     # The library has no public way to set the class of its connections, and its types
     # allow only the default class.
--- a/src/crocusspindle/gateway/target_client.py
+++ b/src/crocusspindle/gateway/target_client.py
@@ -15,7 +15,11 @@
 from crocusspindle.core.target_signals import NO_SIGNALS, TargetSignals
 from crocusspindle.gateway.dialect import Dialect
 from crocusspindle.gateway.port_probe import PortAnswer, probe
-from crocusspindle.gateway.strict_connector import single_use_session
+from crocusspindle.gateway.strict_connector import (
+    WithheldError,
+    check_before_sending,
+    single_use_session,
+)
 from crocusspindle.log_lines import Logger, log_state_change
 from crocusspindle.services.targets import forwarded
 
@@ -76,6 +80,12 @@
 
 
 RecordSignals = Callable[[ListedTarget, TargetSignals], None]
+MaySend = Callable[[ListedTarget], bool]
+
+
+def _may_send(target: ListedTarget) -> bool:
+    """Return True; the default."""
+    return True
 
 
 class TargetClient:
@@ -85,13 +95,18 @@
     or have been closed by the target: the caller would get a wrong response or none.
 
     ``record_signals`` is called with the signals of each response but a 421, which
-    another target sends, as soon as its head has arrived.
+    another target sends, as soon as its head has arrived. ``may_send`` is asked once
+    the connection to a target has opened: until then, news of the target may come.
     """
 
     def __init__(
-        self, dialect: Dialect, record_signals: RecordSignals | None = None
+        self,
+        dialect: Dialect,
+        record_signals: RecordSignals | None = None,
+        may_send: MaySend = _may_send,
     ) -> None:
         self._dialect = dialect
+        self._may_send = may_send
         self._record_signals = record_signals
         self._log = Logger("sender")
         self._session: aiohttp.ClientSession | None = None
@@ -115,6 +130,8 @@
         try:
             async with asyncio.timeout(remaining_s(deadline_ms)):
                 result = await self._exchange(target, outgoing, deadline_ms)
+        except WithheldError as error:
+            result = AttemptResult(AttemptOutcome.WITHHELD, 0.0, detail=str(error))
         except aiohttp.ConnectionTimeoutError as error:
             result = AttemptResult(AttemptOutcome.UNREACHED, 0.0, detail=str(error))
         except aiohttp.ClientConnectorError as error:
@@ -174,13 +191,17 @@
         headers[self._dialect.target_identity] = target.identity
         left_ms = max(1, int(remaining_s(deadline_ms) * 1e3))
         headers[self._dialect.time_left_ms] = str(left_ms)
-        response = await self._session.request(
-            outgoing.method,
-            URL(f"http://{target.address}{outgoing.raw_path}", encoded=True),
-            headers=headers,
-            data=outgoing.body,
-            allow_redirects=False,
-        )
+        token = check_before_sending.set(lambda: self._check_target(target))
+        try:
+            response = await self._session.request(
+                outgoing.method,
+                URL(f"http://{target.address}{outgoing.raw_path}", encoded=True),
+                headers=headers,
+                data=outgoing.body,
+                allow_redirects=False,
+            )
+        finally:
+            check_before_sending.reset(token)
         self._record_response(target)
         try:
             signals = self._read_signals(target, response)
@@ -191,6 +212,10 @@
             response.close()
             raise
 
+    def _check_target(self, target: ListedTarget) -> None:
+        if not self._may_send(target):
+            raise WithheldError("the target gets no more work")
+
     def _read_signals(
         self, target: ListedTarget, response: aiohttp.ClientResponse
     ) -> TargetSignals:
--- a/tests/gateway/test_placing_backoffs.py
+++ b/tests/gateway/test_placing_backoffs.py
@@ -187,3 +187,24 @@
     refused = await place(placing)
     assert isinstance(refused, PlacementRefused) and refused.reason == "no-target"
     assert 0.0 < refused.retry_after_ms <= 300.0
+
+
+async def test_nothing_may_be_sent_to_a_target_that_the_newest_list_lacks(placing):
+    """Guards against a grant that is used after the news that its target left."""
+    placement = await place(placing)
+    assert placing.may_send(placement.target)
+    fleet_state = placing._placers._fleet_state
+    draining = [replace(t, readiness=Readiness.DRAINING) for t in TARGETS]
+    for listed in (draining, [], TARGETS):
+        version = StoreVersion(1, fleet_state.targets.version.number + 1)
+        fleet_state.update_targets(listed, version, now_ms())
+        fleet_state.notify()
+        assert placing.may_send(placement.target) is (listed is TARGETS)
+
+
+async def test_an_unsent_grant_is_returned_to_its_placer(exchange, placing):
+    """Guards against a slot that stays taken though nothing was sent."""
+    placement = await place(placing)
+    placing.return_unsent(placement)
+    await asyncio.sleep(0.05)
+    assert [note.grant for note in exchange.outcomes] == [placement.grant]
