--- a/src/crocusspindle_standins/on_platform/fleet.py
+++ b/src/crocusspindle_standins/on_platform/fleet.py
@@ -22,6 +22,9 @@
 
 SOURCE: Final = Path(__file__).resolve().parents[2]
 KEY: Final = "key-of-the-club"
+GUEST_KEY: Final = "key-of-the-guest"
+"""Key that configurations of a test may hold and withdraw."""
+
 HOST: Final = "hall.example"
 START_TIMEOUT_S: Final = 20.0
 HEARTBEAT_S: Final = 0.5
@@ -92,6 +95,7 @@
 class Fleet:
     """Hold the store, the targets and the gateways of one test.
 
+    ``writes_entries`` is False while targets must not write to the store.
     ``program`` is the module that each gateway's process runs. ``sent_through`` has the
     gateway's name for each request id.
     """
@@ -105,6 +109,7 @@
     gateways: list[Gateway] = field(default_factory=list)
     session: aiohttp.ClientSession | None = None
     runner: web.AppRunner | None = None
+    writes_entries: bool = True
     heartbeat_task: asyncio.Task[None] | None = None
     requests: int = 0
     sent_through: dict[str, str] = field(default_factory=dict)
@@ -140,7 +145,7 @@
 
     async def _write_entries(self) -> None:
         while True:
-            for target in self.targets:
+            for target in self.targets if self.writes_entries else ():
                 await self._publish_entry(target)
             await asyncio.sleep(HEARTBEAT_S)
 
--- a/src/crocusspindle_standins/on_platform/target.py
+++ b/src/crocusspindle_standins/on_platform/target.py
@@ -104,6 +104,7 @@
         """Listen on a port of a host; 0 picks a free one."""
         self.starts += 1
         self.started_ms = int(time.time() * 1e3)
+        self.entry_state = "ready"
         self._server = web.Server(self._serve)
         self._runner = web.ServerRunner(self._server, shutdown_timeout=SHUTDOWN_S)
         await self._runner.setup()
--- a/src/crocusspindle_standins/soak/callers.py
+++ b/src/crocusspindle_standins/soak/callers.py
@@ -4,7 +4,7 @@
 import itertools
 from typing import Final
 
-from crocusspindle_standins.on_platform.fleet import HOST, KEY, Gateway
+from crocusspindle_standins.on_platform.fleet import GUEST_KEY, HOST, KEY, Gateway
 from crocusspindle_standins.soak.history import (
     NEVER_S,
     NO_RESPONSE,
@@ -36,9 +36,7 @@
         stays_open = False
         if not connection[0].at_eof():
             request_id = f"{name}-{number}"
-            stays_open = await _exchange(
-                request_id, plan.gateway, step, connection, history
-            )
+            stays_open = await _exchange(request_id, plan, step, connection, history)
         if not stays_open or not plan.keeps_connection:
             connection[1].close()
             connection = None
@@ -56,13 +54,14 @@
 
 
 async def _exchange(
-    name: str, gateway: int, step: Step, connection: Connection, history: History
+    name: str, plan: CallerPlan, step: Step, connection: Connection, history: History
 ) -> bool:
     """Send a step's requests and record them; return True if more may follow."""
     body = b"x" * step.body_bytes
     folder = "orders" if step.method == "POST" else "pages"
     ids = [f"{name}-{number}" for number in range(step.count)]
-    heads = b"".join(_head(step, folder, request_id) for request_id in ids)
+    key = GUEST_KEY if plan.is_guest else KEY
+    heads = b"".join(_head(step, folder, request_id, key) for request_id in ids)
     began_s = history.now_s()
     sent_s = await _send(heads + body, step, connection, history)
     status, stays_open = NO_RESPONSE, True
@@ -79,7 +78,7 @@
         stays_open = response is not None and headers.get("connection") != "close"
         request = Request(
             request_id,
-            gateway,
+            plan.gateway,
             step.method,
             f"/{folder}/{request_id}",
             body,
@@ -90,16 +89,17 @@
             headers.get("x-request-id", ""),
             answer,
             is_behind_another=request_id != ids[0],
+            is_guest=plan.is_guest,
         )
         history.requests.append(request)
     return stays_open
 
 
-def _head(step: Step, folder: str, request_id: str) -> bytes:
+def _head(step: Step, folder: str, request_id: str, key: str) -> bytes:
     length = f"Content-Length: {step.body_bytes}\r\n" if step.method == "POST" else ""
     return (
         f"{step.method} /{folder}/{request_id} HTTP/1.1\r\nHost: {HOST}\r\n"
-        f"{length}X-Request-Id: {request_id}\r\nX-Api-Key: {KEY}\r\n"
+        f"{length}X-Request-Id: {request_id}\r\nX-Api-Key: {key}\r\n"
         f"X-Deadline-Milliseconds: {DEADLINE_MS}\r\n\r\n"
     ).encode()
 
--- a/src/crocusspindle_standins/soak/checks.py
+++ b/src/crocusspindle_standins/soak/checks.py
@@ -20,6 +20,11 @@
 
 CLOSING_LIMIT_S: Final = 0.2
 CALM_S: Final = 3.0
+START_S: Final = 1.5
+"""A restarted process takes this long until it can learn of anything."""
+
+DRAIN_S: Final = 2.0
+REVOCATION_S: Final = 5.0
 AFTER_GRACE_S: Final = 1.0
 ROUTE_TIMEOUT_S: Final = 2.0
 RESPONSE_MARGIN_S: Final = 0.01
@@ -77,7 +82,57 @@
         for request in history.requests
         if (text := find(request, history.runs_of(request))) is not None
     ]
-    return [*findings, *lost_requests(history), *bad_exits(history)]
+    return [
+        *findings,
+        *lost_requests(history),
+        *bad_exits(history),
+        *late_work(history),
+        *withdrawn_keys(history),
+    ]
+
+
+def late_work(history: History) -> Iterator[Finding]:
+    """Find requests that a target ran too long after it had said that it leaves."""
+    requests = {request.request_id: request for request in history.requests}
+    for leaving in history.leavings:
+        due_s = leaving.at_s + DRAIN_S
+        if _was_store_away(history, leaving.at_s - CALM_S, due_s):
+            continue
+        for run in history.runs:
+            request = requests.get(run.request_id)
+            if run.target != leaving.target or run.began_s <= due_s or request is None:
+                continue
+            since_s = run.began_s - CALM_S - START_S
+            if _was_stopped(history, request.gateway, since_s, run.began_s):
+                continue
+            if _is_disrupted(history, request.gateway, since_s, run.began_s):
+                continue
+            late_s = run.began_s - due_s
+            text = f"reached {run.target} {late_s:.3f} s too late"
+            yield Finding("leaving target", request.gateway, text, request)
+
+
+def withdrawn_keys(history: History) -> Iterator[Finding]:
+    """Find requests that ran too long after their key was withdrawn."""
+    for request in history.requests:
+        due_s = history.revoked_s + REVOCATION_S
+        if request.is_guest and request.began_s > due_s and history.runs_of(request):
+            text = f"ran, sent {request.began_s - due_s:.3f} s too late"
+            yield Finding("withdrawn key", request.gateway, text, request)
+
+
+def _was_store_away(history: History, from_s: float, to_s: float) -> bool:
+    return any(
+        outage.began_s <= to_s and outage.ended_s >= from_s
+        for outage in history.outages
+    )
+
+
+def _was_stopped(history: History, gateway: int, from_s: float, to_s: float) -> bool:
+    return any(
+        stop.gateway == gateway and stop.at_s <= to_s and stop.exited_s >= from_s
+        for stop in history.stops
+    )
 
 
 def lost_requests(history: History) -> Iterator[Finding]:
--- a/src/crocusspindle_standins/soak/history.py
+++ b/src/crocusspindle_standins/soak/history.py
@@ -33,6 +33,7 @@
     echoed_id: str = ""
     answer: bytes = field(default=b"", repr=False)
     is_behind_another: bool = False
+    is_guest: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +67,22 @@
     ended_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    """Record when the store acknowledged that a target leaves."""
+
+    target: str
+    at_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Outage:
+    """Record when the store was away."""
+
+    began_s: float
+    ended_s: float
+
+
 @dataclass
 class History:
     """Hold the records of one run."""
@@ -76,6 +93,9 @@
     runs: list[Run] = field(default_factory=list)
     stops: list[Stop] = field(default_factory=list)
     disruptions: list[Disruption] = field(default_factory=list)
+    leavings: list[Leaving] = field(default_factory=list)
+    outages: list[Outage] = field(default_factory=list)
+    revoked_s: float = NEVER_S
     ended_by_themselves: list[int] = field(default_factory=list)
     timeline: list[tuple[float, str]] = field(default_factory=list)
 
--- a/src/crocusspindle_standins/soak/plan.py
+++ b/src/crocusspindle_standins/soak/plan.py
@@ -30,6 +30,9 @@
     CONFIGURE = "configure"
     DISTURB = "disturb"
     CUT = "cut"
+    RESTORE = "restore"
+    LEAVE = "leave"
+    REVOKE = "revoke"
 
 
 MAX_EVENTS: Final[Mapping[Action, int]] = {
@@ -39,6 +42,10 @@
     Action.CONFIGURE: 2,
     Action.DISTURB: 2,
 }
+GUEST: Final = 1
+"""The caller of each gateway that uses the guest's key."""
+
+LOST_VERSIONS: Final = ("0", "3", "70", "670")
 LASTING: Final = frozenset({Action.PAUSE, Action.DISTURB})
 DETAILS: Final[Mapping[Action, tuple[str, ...]]] = {
     Action.RELOAD: (
@@ -53,7 +60,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Event:
-    """Plan one event, in seconds after the start of the run."""
+    """Plan one event, in seconds after the start of the run.
+
+    A restore of the store lasts from the moment of its copy until the targets and the
+    operator write again; ``detail`` is the number of versions that it loses.
+    """
 
     at_s: float
     action: Action
@@ -76,10 +87,14 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerPlan:
-    """Plan the steps that a caller repeats with one gateway."""
+    """Plan the steps that a caller repeats with one gateway.
+
+    A guest's key is withdrawn in some runs.
+    """
 
     gateway: int
     keeps_connection: bool
+    is_guest: bool
     steps: tuple[Step, ...]
 
 
@@ -100,10 +115,12 @@
     gateways = rng.randint(3, 6)
     events = _stops(rng, gateways) + _other_events(rng, gateways)
     events += _cuts(random.Random(f"{seed} cuts"), gateways)
+    events += _restores(random.Random(f"{seed} restores"))
     callers = tuple(
         CallerPlan(
             gateway,
             keeps_connection=number > 0,
+            is_guest=number == GUEST,
             steps=tuple(_step(rng) for _ in range(STEPS)),
         )
         for gateway in range(gateways)
@@ -157,6 +174,29 @@
     ]
 
 
+def _restores(rng: random.Random) -> list[Event]:
+    """Restore the store up to twice, and let targets leave and a key be withdrawn."""
+    restores = [
+        Event(
+            round(rng.uniform(0.5, RUN_S - 6), 3),
+            Action.RESTORE,
+            0,
+            rng.choice(LOST_VERSIONS),
+            round(rng.uniform(1.5, 5.0), 3),
+        )
+        for _ in range(rng.randint(0, 2))
+    ]
+    leavings = [
+        Event(round(rng.uniform(0.5, RUN_S - 5), 3), Action.LEAVE, target)
+        for target in rng.sample(range(TARGETS), rng.randint(0, 2))
+    ]
+    revokes = [
+        Event(round(rng.uniform(0.5, RUN_S - 6), 3), Action.REVOKE, 0)
+        for _ in range(rng.randint(0, 1))
+    ]
+    return restores + leavings + revokes
+
+
 def _step(rng: random.Random) -> Step:
     pause_s, is_post = rng.choice(PAUSES_S), rng.random() < 1 / 2
     return Step(
--- a/src/crocusspindle_standins/soak/play.py
+++ b/src/crocusspindle_standins/soak/play.py
@@ -8,17 +8,25 @@
 from pathlib import Path
 from typing import Final
 
-from crocusspindle_standins.on_platform.fleet import Fleet, Gateway, configuration
+from crocusspindle_standins.on_platform.fleet import (
+    GUEST_KEY,
+    Fleet,
+    Gateway,
+    configuration,
+)
 from crocusspindle_standins.on_platform.partitioned import (
     CutMode,
     end_cut,
     write_cut,
 )
+from crocusspindle_standins.on_platform.store import StoreMode
 from crocusspindle_standins.on_platform.target import TargetFault
 from crocusspindle_standins.soak.callers import run_caller
 from crocusspindle_standins.soak.history import (
     Disruption,
     History,
+    Leaving,
+    Outage,
     RecordedTarget,
     Stop,
 )
@@ -26,6 +34,7 @@
 
 READY_CHECK_S: Final = 0.5
 SETTLE_S: Final = 0.5
+LEAVES_FOR_S: Final = 4.0
 KILL_AFTER_S: Final = 2.0
 """Time past the grace period after which a process that still runs is killed."""
 
@@ -42,6 +51,8 @@
             make_target=make_target,
             program="crocusspindle_standins.on_platform.partitioned",
         )
+        self._document = configuration()
+        self._document["tenants"]["guest"] = {"api_keys": [GUEST_KEY]}
         self._version = 1
         self._stopping: set[int] = set()
         self._apply_by_action: dict[Action, Callable[[Event], Awaitable[None]]] = {
@@ -52,12 +63,16 @@
             Action.CONFIGURE: self._configure,
             Action.DISTURB: self._disturb_target,
             Action.CUT: self._cut,
+            Action.RESTORE: self._restore,
+            Action.LEAVE: self._leave,
+            Action.REVOKE: self._revoke,
         }
 
     async def play(self) -> None:
         """Run the whole plan; stop all processes at the end."""
         try:
             await self.fleet.start(self._plan.gateways, TARGETS)
+            await self.fleet.configure(self._document)
             for target in self.fleet.targets:
                 target.work_s = self._plan.work_s
             self.history.begin()
@@ -151,11 +166,48 @@
         self.history.disruptions.append(disruption)
 
     async def _configure(self, event: Event) -> None:
+        added = {"prefix": f"/added-{self._version}/"}
+        pages = self._document["routes"]["pages"]
+        self._document["routes"]["added"] = {**pages, **added}
+        await self._write_next_document()
+
+    async def _write_next_document(self) -> None:
         self._version += 1
-        document = configuration(self._version)
-        added = {**document["routes"]["pages"], "prefix": f"/added-{self._version}/"}
-        document["routes"]["added"] = added
-        await self.fleet.configure(document)
+        self._document["version"] = f"{self._version:08x}"
+        await self.fleet.configure(self._document)
+
+    async def _revoke(self, event: Event) -> None:
+        del self._document["tenants"]["guest"]
+        await self._write_next_document()
+        self.history.revoked_s = self.history.now_s()
+
+    async def _leave(self, event: Event) -> None:
+        target = self.fleet.targets[event.subject]
+        if not target.is_listening:
+            return
+        identity = target.identity
+        await target.write_entry(self.fleet.store, "draining")
+        self.history.leavings.append(Leaving(identity, self.history.now_s()))
+        await asyncio.sleep(LEAVES_FOR_S)
+        if target.identity == identity:
+            await target.restart()
+
+    async def _restore(self, event: Event) -> None:
+        store = self.fleet.store
+        copy = store.copy()
+        for number in range(int(event.detail)):
+            await store.put("notes", f"note-{number}", b"")
+        await asyncio.sleep(event.lasts_s / 2)
+        began_s = self.history.now_s()
+        store.mode = StoreMode.RESETS
+        await asyncio.sleep(event.lasts_s / 4)
+        self.fleet.writes_entries = False
+        await store.restore(copy)
+        store.mode = StoreMode.HEALTHY
+        self.history.outages.append(Outage(began_s, self.history.now_s()))
+        await asyncio.sleep(event.lasts_s / 4)
+        await self.fleet.configure(self._document)
+        self.fleet.writes_entries = True
 
     async def _cut(self, event: Event) -> None:
         settings = self.fleet.gateways[event.subject].settings
--- a/tests/gateway/test_stop_soak.py
+++ b/tests/gateway/test_stop_soak.py
@@ -11,6 +11,8 @@
     TIMED_OUT,
     Disruption,
     History,
+    Leaving,
+    Outage,
     Request,
     Run,
     Stop,
@@ -38,18 +40,22 @@
 CLOSED = replace(ANSWERED, status=NO_RESPONSE, echoed_id="", answer=b"")
 LATE = replace(CLOSED, ended_s=11.35)
 GIVEN_UP = replace(CLOSED, ended_s=12.6)
+LEAVING = Leaving("t0", at_s=9.0)
+GUEST = replace(ANSWERED, is_guest=True)
 RUN = Run("r1", "t0", began_s=11.1, ended_s=11.2)
 LONG_RUN = Run("r1", "t0", began_s=11.1, ended_s=13.0)
 
 
-def checks_broken(*records, ended_by_themselves=()):
+def checks_broken(*records, **fields):
     """Return the names of the checks that a made-up history breaks."""
-    history = History(ended_by_themselves=list(ended_by_themselves))
+    history = History(**fields)
     lists = {
         Request: history.requests,
         Run: history.runs,
         Stop: history.stops,
         Disruption: history.disruptions,
+        Leaving: history.leavings,
+        Outage: history.outages,
     }
     for record in records:
         lists[type(record)].append(record)
@@ -100,6 +106,10 @@
         ("planned stop", [STOP, CLOSED, replace(RUN, broke_off_s=11.25)]),
         ("planned stop", [STOP, LATE, Disruption(1, 11.0, 11.1)]),
         ("planned stop", [STOP, LATE, Disruption(0, 6.0, 7.9)]),
+        ("leaving target", [ANSWERED, RUN, LEAVING]),
+        ("leaving target", [ANSWERED, RUN, LEAVING, Outage(11.05, 11.08)]),
+        ("leaving target", [ANSWERED, RUN, LEAVING, Disruption(0, 5.0, 6.5)]),
+        ("leaving target", [ANSWERED, RUN, LEAVING, replace(STOP, at_s=5, exited_s=6)]),
         ("exit", [replace(STOP, status=1)]),
         ("exit", [replace(STOP, status=-9, exited_s=15.0)]),
         ("exit", [replace(STOP, exited_s=13.1)]),
@@ -117,6 +127,14 @@
     assert not checks_broken(refused)
 
 
+def test_a_request_that_ran_with_a_withdrawn_key_is_found():
+    assert checks_broken(GUEST, RUN, revoked_s=5.9) == ["withdrawn key"]
+    assert not checks_broken(GUEST, RUN, revoked_s=6.1)
+    assert not checks_broken(GUEST, RUN)
+    assert not checks_broken(GUEST, revoked_s=5.9)
+    assert not checks_broken(ANSWERED, RUN, revoked_s=5.9)
+
+
 def test_a_process_that_ended_by_itself_is_found():
     assert checks_broken(ended_by_themselves=[2]) == ["exit"]
 
@@ -137,6 +155,12 @@
         [STOP, LATE, Disruption(0, 11.2, 11.9)],
         [STOP, CLOSED, replace(RUN, broke_off_s=11.15)],
         [STOP, GIVEN_UP, LONG_RUN],
+        [ANSWERED, RUN, replace(LEAVING, at_s=9.2)],
+        [ANSWERED, RUN, replace(LEAVING, target="t1")],
+        [ANSWERED, RUN, LEAVING, Outage(9.1, 9.9)],
+        [ANSWERED, RUN, LEAVING, Outage(5.5, 6.1)],
+        [ANSWERED, RUN, LEAVING, Disruption(0, 6.0, 6.7)],
+        [ANSWERED, RUN, LEAVING, replace(STOP, at_s=6, exited_s=7)],
         [replace(STOP, status=-9), Disruption(0, 11.0, 11.0)],
     ],
 )
--- a/tests/gateway/test_store_drill.py
+++ b/tests/gateway/test_store_drill.py
@@ -7,7 +7,12 @@
 
 import pytest
 
-from crocusspindle_standins.on_platform.fleet import KEY, Fleet, configuration
+from crocusspindle_standins.on_platform.fleet import (
+    GUEST_KEY,
+    KEY,
+    Fleet,
+    configuration,
+)
 from crocusspindle_standins.on_platform.store import StoreCopy, StoreMode
 
 GATEWAYS = 6
@@ -25,7 +30,6 @@
 DRAIN_S = 2.0
 REVOCATION_S = 5.0
 OK = 200
-GUEST_KEY = "key-of-the-guest"
 
 
 @dataclass(frozen=True, slots=True)
@@ -170,8 +174,7 @@
     await fleet.configure(document(3, with_guest=False))
     revoked_s = time.monotonic()
     await asyncio.sleep(1.0)
-    assert fleet.heartbeat_task is not None
-    fleet.heartbeat_task.cancel()
+    fleet.writes_entries = False
     back_s = await drill(fleet, copy)
     await asyncio.sleep(3.0)
     await fleet.configure(document(3, with_guest=False))
