--- a/src/crocusspindle/gateway/crash_sharing.py
+++ b/src/crocusspindle/gateway/crash_sharing.py
@@ -11,8 +11,9 @@
 from crocusspindle.core.placement_request import PlacementRefused
 from crocusspindle.gateway import instruments
 from crocusspindle.gateway.exchange import Address, Exchange
-from crocusspindle.gateway.fleet_state import FleetState, packed_record, unpacked_record
+from crocusspindle.gateway.fleet_state import FleetState
 from crocusspindle.gateway.messages import CrashNote, Done
+from crocusspindle.gateway.packed_documents import packed_record, unpacked_record
 from crocusspindle.gateway.placer_ranks import PlacerRanks
 from crocusspindle.ids import ContentDigest, ServiceId
 from crocusspindle.kernel import Service
--- a/src/crocusspindle/gateway/fleet_state.py
+++ b/src/crocusspindle/gateway/fleet_state.py
@@ -5,28 +5,31 @@
 import zlib
 from collections.abc import Callable, Iterable, Sequence
 from contextlib import suppress
-from dataclasses import astuple
 from typing import Any, ClassVar, Final, NamedTuple
 
 import msgpack
 
 from crocusspindle.clock import now_ms, wall_ms
 from crocusspindle.core.configuration import Configuration
-from crocusspindle.core.crash_record import Crash, CrashRecord
+from crocusspindle.core.crash_record import CrashRecord
 from crocusspindle.core.crash_table import CrashTable
 from crocusspindle.core.departed_targets import DepartedTargets
-from crocusspindle.core.listed_target import (
-    ListedTarget,
-    Readiness,
-    TargetIdentity,
-)
+from crocusspindle.core.listed_target import ListedTarget, Readiness
 from crocusspindle.core.store_version import NO_VERSION, UNKNOWN_ERA, StoreVersion
 from crocusspindle.core.versioned_state import VersionedState
-from crocusspindle.core.view import NodeAddress, View, ViewEntry
+from crocusspindle.core.view import View
 from crocusspindle.errors import InvalidInputError
 from crocusspindle.gateway.document_deltas import Delta, DocumentEncodings
 from crocusspindle.gateway.messages import State
-from crocusspindle.ids import ContentDigest, DomainId, HostId, Incarnation, ServiceId
+from crocusspindle.gateway.packed_documents import (
+    packed_record,
+    packed_targets,
+    packed_view,
+    unpacked_record,
+    unpacked_targets,
+    unpacked_view,
+)
+from crocusspindle.ids import DomainId
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
 
@@ -418,102 +421,3 @@
 def _encode(content: Any) -> bytes:
     encoding: bytes = msgpack.packb(content)
     return encoding
-
-
-def packed_targets(listed: Sequence[ListedTarget]) -> list[Any]:
-    """Convert targets to plain lists."""
-    return [
-        [
-            t.identity,
-            t.service,
-            t.address,
-            t.domain,
-            t.slots,
-            t.readiness.value,
-            t.cold,
-            t.started_ms,
-        ]
-        for t in listed
-    ]
-
-
-def unpacked_targets(parts: Sequence[Sequence[Any]]) -> list[ListedTarget]:
-    """Convert the output of `packed_targets` back."""
-    return [
-        ListedTarget(
-            TargetIdentity(identity),
-            ServiceId(service),
-            address,
-            DomainId(domain),
-            slots,
-            Readiness(readiness),
-            *cold_state,
-        )
-        for identity, service, address, domain, slots, readiness, *cold_state in parts
-    ]
-
-
-def packed_record(record: CrashRecord) -> list[Any]:
-    """Convert a crash record to plain lists."""
-    return [
-        record.content,
-        record.generation,
-        sorted([crash.target, crash.at_ms, crash.alone] for crash in record.crashes),
-        record.trials,
-        record.last_ms,
-        record.was_shared,
-    ]
-
-
-def unpacked_record(parts: Sequence[Any]) -> CrashRecord:
-    """Convert the output of `packed_record` back."""
-    content, generation, crashes, trials, last_ms, was_shared = parts
-    return CrashRecord(
-        ContentDigest(content),
-        generation,
-        frozenset(
-            Crash(TargetIdentity(target), at_ms, alone)
-            for target, at_ms, alone in crashes
-        ),
-        trials,
-        last_ms,
-        was_shared,
-    )
-
-
-def packed_node(node: NodeAddress) -> tuple[Any, ...]:
-    """Convert a node to a plain tuple."""
-    return astuple(node)
-
-
-def unpacked_node(parts: Sequence[Any]) -> NodeAddress:
-    """Convert the output of `packed_node` back."""
-    host, incarnation, ip, port, domain, caller_address, capacity = parts
-    return NodeAddress(
-        HostId(host),
-        Incarnation(incarnation),
-        ip,
-        port,
-        DomainId(domain),
-        caller_address,
-        capacity,
-    )
-
-
-def packed_view(view: View) -> list[Any]:
-    """Convert a view to plain lists."""
-    return [
-        view.number,
-        [[*packed_node(entry.node), entry.joined] for entry in view.entries],
-        [[*packed_node(entry.node), entry.joined] for entry in view.fenced],
-    ]
-
-
-def unpacked_view(parts: Sequence[Any]) -> View:
-    """Convert the output of `packed_view` back."""
-    number, entries, fenced = parts
-    return View(number, _view_entries(entries), _view_entries(fenced))
-
-
-def _view_entries(packed: Sequence[Sequence[Any]]) -> tuple[ViewEntry, ...]:
-    return tuple(ViewEntry(unpacked_node(entry[:-1]), entry[-1]) for entry in packed)
--- a/src/crocusspindle/gateway/held_requests.py
+++ b/src/crocusspindle/gateway/held_requests.py
@@ -15,7 +15,7 @@
     PlatformUnavailableError,
 )
 from crocusspindle.gateway.assembly import platform_of
-from crocusspindle.gateway.fleet_state import packed_record, unpacked_record
+from crocusspindle.gateway.packed_documents import packed_record, unpacked_record
 from crocusspindle.gateway.platform_reader import CRASH_PREFIX
 from crocusspindle.ids import ContentDigest
 from crocusspindle.platform import settings_file, table_store
--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -16,14 +16,7 @@
 from crocusspindle.core.view import NodeAddress, ViewEntryKey
 from crocusspindle.errors import PlatformError
 from crocusspindle.gateway.exchange import Address, Exchange
-from crocusspindle.gateway.fleet_state import (
-    NOTHING_HELD,
-    FleetState,
-    HeldKeys,
-    packed_node,
-    packed_record,
-    unpacked_node,
-)
+from crocusspindle.gateway.fleet_state import NOTHING_HELD, FleetState, HeldKeys
 from crocusspindle.gateway.messages import (
     MAX_DOCUMENT_BYTES,
     CrashNote,
@@ -34,6 +27,11 @@
     Probe,
     State,
 )
+from crocusspindle.gateway.packed_documents import (
+    packed_node,
+    packed_record,
+    unpacked_node,
+)
 from crocusspindle.gateway.platform_reader import (
     OWN_READ_MS,
     READ_AFTER_PING_MS,
--- a/src/crocusspindle/gateway/platform_reader.py
+++ b/src/crocusspindle/gateway/platform_reader.py
@@ -22,8 +22,8 @@
 from crocusspindle.core.target_list import Entry, KnownBefore, NoEntry, TargetList
 from crocusspindle.core.view import NodeAddress, View
 from crocusspindle.errors import PlatformError, PlatformUnavailableError
-from crocusspindle.gateway.fleet_state import (
-    FleetState,
+from crocusspindle.gateway.fleet_state import FleetState
+from crocusspindle.gateway.packed_documents import (
     packed_node,
     packed_record,
     packed_view,
