Check a customer's quota over a restore in the middle of a change of view

Hosts are killed between the copy and the restore, so that the store loses the views without them, and come back while it is away.

--- a/tests/gateway/test_store_drill.py
+++ b/tests/gateway/test_store_drill.py
@@ -27,6 +27,11 @@
 """Time in which hosts learn the store's newest version."""
 
 CHANGES_AFTER_S = 3.2
+VIEW_CHANGES_S = 3.5
+"""Time in which killed hosts are removed from the view."""
+
+PER_S, BURST = 20.0, 20.0
+WINDOW_S, OVERSHOOT, SLACK = 5.0, 0.1, 20.0
 DRAIN_S = 2.0
 REVOCATION_S = 5.0
 OK = 200
@@ -43,9 +48,14 @@
 
 @dataclass
 class Callers:
-    """Send requests steadily, one in six of them with the guest's key."""
+    """Send requests steadily, one in seven of them with the guest's key.
+
+    Gateways before ``from_gateway`` get none.
+    """
 
     fleet: Fleet
+    from_gateway: int = 0
+    guest_share: int = 7
     calls: list[Call] = field(default_factory=list)
 
     async def run(self, for_s: float) -> None:
@@ -59,9 +69,11 @@
 
     async def _call(self, number: int) -> None:
         sent_s = time.monotonic()
-        key = GUEST_KEY if number % 7 == 0 else KEY
+        is_guest = self.guest_share and number % self.guest_share == 0
+        key = GUEST_KEY if is_guest else KEY
+        gateway = self.from_gateway + number % (GATEWAYS - self.from_gateway)
         status, _, _ = await self.fleet.call(
-            f"/pages/{number}", gateway=number % GATEWAYS, key=key
+            f"/pages/{number}", gateway=gateway, key=key
         )
         self.calls.append(Call(sent_s, key, status))
 
@@ -184,3 +196,46 @@
     assert max(leaving.arrival_times_s) <= left_s + DRAIN_S
     assert callers.last_served(GUEST_KEY) <= revoked_s + REVOCATION_S
     assert await count_ready(fleet) == GATEWAYS
+
+
+def most_in_window(times_s: list[float], window_s: float) -> int:
+    """Return the largest number of times within any window."""
+    times_s, first, most = sorted(times_s), 0, 0
+    for number, time_s in enumerate(times_s):
+        while times_s[first] <= time_s - window_s:
+            first += 1
+        most = max(most, number - first + 1)
+    return most
+
+
+@pytest.mark.parametrize("killed", [0, 1, 3])
+async def test_quota_holds_over_a_restore_in_the_middle_of_a_change_of_view(
+    fleet, killed
+):
+    """Guards against two hosts that keep one customer, or buckets that fill twice.
+
+    Hosts are killed between the copy and the restore, so that the store loses the views
+    without them, and come back while it is away.
+    """
+    limited = document(3)
+    limited["tenants"]["club"] |= {"per_s": PER_S, "burst": BURST}
+    await fleet.configure(limited)
+    await asyncio.sleep(WINDOW_S + READ_S)
+    for target in fleet.targets:
+        target.arrival_times_s.clear()
+    callers = Callers(fleet, from_gateway=killed, guest_share=0)
+    running = asyncio.create_task(callers.run(14.0))
+    await asyncio.sleep(1.0)
+    copy = await lose_versions(fleet, 5)
+    for gateway in fleet.gateways[:killed]:
+        gateway.process.kill()
+        await gateway.process.wait()
+    await asyncio.sleep(VIEW_CHANGES_S if killed else 0.0)
+    for gateway in fleet.gateways[:killed]:
+        await fleet.run(gateway)
+    await drill(fleet, copy)
+    await running
+    arrivals = [at_s for target in fleet.targets for at_s in target.arrival_times_s]
+    quota = PER_S * WINDOW_S + BURST
+    assert most_in_window(arrivals, WINDOW_S) <= quota * (1 + OVERSHOOT) + SLACK
+    assert callers.served(0.0) * len(callers.calls) >= PER_S * 10.0
