--- a/tests/gateway/test_fleet_state.py
+++ b/tests/gateway/test_fleet_state.py
@@ -2,6 +2,8 @@
 
 import json
 
+import pytest
+
 from crocusspindle.clock import now_ms
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
 from crocusspindle.core.store_version import StoreVersion
@@ -147,3 +149,44 @@
     reader.update_evacuated((), StoreVersion(1, 10), now_ms())
     node.apply_state(state_for(reader, node), now_ms())
     assert node.evacuated.content == frozenset()
+
+
+def test_peer_of_an_older_era_wins_nothing():
+    """Guards against a host that was suspended while the store was restored."""
+    node, suspended = make_fleet_state(), make_fleet_state()
+    restored = []
+    node.on_restored = lambda: restored.append(node.store_era)
+    for state in (node, suspended):
+        state.advance_era(1)
+    suspended.update_targets([target(9)], StoreVersion(1, 90), now_ms())
+    suspended.update_evacuated({DomainId("a")}, StoreVersion(1, 90), now_ms())
+    node.advance_era(2)
+    node.update_targets([target(1)], StoreVersion(2, 5), now_ms())
+    node.update_evacuated((), StoreVersion(2, 5), now_ms())
+    node.apply_state(state_for(suspended, node), now_ms())
+    assert node.targets.content == (target(1),)
+    assert node.evacuated.content == frozenset()
+    assert node.store_era == 2 and restored == [2]
+    suspended.apply_state(state_for(node, suspended), now_ms())
+    assert suspended.targets.content == (target(1),)
+    assert suspended.evacuated.content == frozenset()
+    assert suspended.store_era == 2
+
+
+def test_state_in_force_stays_so_when_the_store_is_restored():
+    """Guards against a fleet that has no list between a restore and its next read."""
+    node = make_fleet_state()
+    node.advance_era(1)
+    before = (node.targets, node.view, node.configuration)
+    node.advance_era(2)
+    assert (node.targets, node.view, node.configuration) == before
+    assert len(node.targets.content) == 5
+
+
+def test_first_era_that_a_node_hears_of_is_no_restore():
+    node = make_fleet_state()
+    node.on_restored = lambda: pytest.fail("the store was not restored")
+    node.advance_era(7)
+    node.advance_era(7)
+    node.advance_era(6)
+    assert node.store_era == 7
