--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -32,6 +32,23 @@
         self.messages.append(content)
 
 
+ABSENT_ROW = absent_row(1)
+
+
+def reader_double(write_view, active_ms, view_row_version=ABSENT_ROW):
+    """Return a stand-in of a reader that has been active for a time."""
+    return SimpleNamespace(
+        active=True,
+        is_store_lost=False,
+        active_since_ms=now_ms() - active_ms,
+        nodes={},
+        row_versions={},
+        view_row_version=view_row_version,
+        era=1,
+        write_view=write_view,
+    )
+
+
 def membership_of(node, exchange, fleet_state, platform_reader) -> Membership:
     choice, document_limiter = (
         ReaderChoice(node.host, random.Random(1)),
@@ -115,16 +132,7 @@
     fleet_state = make_fleet_state()
     view = View(9, tuple(view_entry(n) for n in rest), (view_entry(returning),))
     fleet_state.update_view(view, now_ms())
-    platform_reader = SimpleNamespace(
-        active=True,
-        is_store_lost=False,
-        active_since_ms=now_ms() - 2 * SETTLE_MS,
-        nodes={},
-        row_versions={},
-        era=1,
-        view_row_version=0,
-        write_view=write_view,
-    )
+    platform_reader = reader_double(write_view, 2 * SETTLE_MS)
     writer = view_entry(rest[0]).node
     membership = membership_of(writer, FakeExchange(), fleet_state, platform_reader)
     for number in (returning, rest[1]):
@@ -151,15 +159,8 @@
 
     fleet_state = make_fleet_state()
     fleet_state.update_view(View(9, tuple(view_entry(n) for n in range(3))), now_ms())
-    platform_reader = SimpleNamespace(
-        active=True,
-        is_store_lost=False,
-        active_since_ms=now_ms() - 2 * REMOVE_AFTER_MS,
-        nodes={},
-        row_versions={},
-        view_row_version=StoreVersion(1, 40),
-        era=1,
-        write_view=write_view,
+    platform_reader = reader_double(
+        write_view, 2 * REMOVE_AFTER_MS, StoreVersion(1, 40)
     )
 
     class ProbedExchange(FakeExchange):
@@ -189,16 +190,7 @@
     members = tuple(view_entry(n) for n in range(2))
     lost = View(9, members)
     fleet_state.update_view(lost, now_ms())
-    platform_reader = SimpleNamespace(
-        active=True,
-        is_store_lost=False,
-        active_since_ms=now_ms() - 2 * SETTLE_MS,
-        nodes={},
-        row_versions={},
-        view_row_version=absent_row(1),
-        era=1,
-        write_view=write_view,
-    )
+    platform_reader = reader_double(write_view, 2 * SETTLE_MS, absent_row(1))
     hosts = order(READER_ROLE, [entry.node.host for entry in members])
     nodes = {entry.node.host: entry.node for entry in members}
     membership = membership_of(
