--- a/src/crocusspindle/core/target_list.py
+++ b/src/crocusspindle/core/target_list.py
@@ -138,9 +138,8 @@
         self._targets[name] = keep_leaving(entry, known)
 
     def _drop_missing(self, known: KnownBefore, now_ms: float) -> None:
-        # Dropping entries that expired at the end of an outage would leave a service
-        # without targets for two seconds. Of one that another reader has dropped, its
-        # time is over.
+        # Dropped at the end of an outage, expired entries would leave a service without
+        # targets for two seconds. What another reader has dropped is not kept.
         kept: set[TargetIdentity] = set()
         if now_ms < known.store_regained_ms + RENEWAL_GRACE_MS:
             kept = self._missing & {target.identity for target in known.in_force}
