Take requests from a gateway that has not joined the view yet

Callers of a gateway that had just become ready and reached no target were refused (503, no-path) although all other gateways had paths.

Cause: a gateway is ready once it has a view, be it one that does not name it yet, for up to half a second. Others take requests of members only, so each answered not-a-member; an upload, whose body can be sent once, was lost with the first of them. Seen in the lines of that test, repeated 40 times on: one failure, in which the view in force on all gateways named three members and the fourth handed over and was refused by each.

Change: a gateway tells the taker who it is, by the datagram that readers get at its start, before it hands a request over. A taker knows it by the view or by that. The sender of such a datagram would be added to the view by the reader as well, so that nobody gets in who could not before.

The new test keeps the view as it is while a gateway starts: 503 and no run before, 200 and one run now.

--- a/src/crocusspindle/gateway/assembly.py
+++ b/src/crocusspindle/gateway/assembly.py
@@ -90,7 +90,15 @@
     admission = Admission(bounds, dialect, fleet_state)
     paths = Paths(placers, metrics, rng)
     hand_over = HandOver(
-        node, dialect, exchange, fleet_state, placers, policies, metrics, rng
+        node,
+        dialect,
+        exchange,
+        fleet_state,
+        membership,
+        placers,
+        policies,
+        metrics,
+        rng,
     )
     attempt_runner = AttemptRunner(
         node, dialect, placing, paths, hand_over, policies, metrics, rng
--- a/src/crocusspindle/gateway/hand_over.py
+++ b/src/crocusspindle/gateway/hand_over.py
@@ -20,6 +20,7 @@
 from crocusspindle.gateway.exchange import Exchange
 from crocusspindle.gateway.fleet_state import FleetState
 from crocusspindle.gateway.hand_over_headers import REFUSED, HandedOver
+from crocusspindle.gateway.membership import Membership
 from crocusspindle.gateway.messages import ReachingAnswer, ReachingAsk
 from crocusspindle.gateway.placers import Placers
 from crocusspindle.gateway.placing import PEER_SILENT_S
@@ -68,7 +69,12 @@
     """Hand requests over to another node, once, and bound those taken from others."""
 
     name: ClassVar[str] = "hand_over"
-    needs: ClassVar[tuple[str, ...]] = ("exchange", "knowledge", "placers")
+    needs: ClassVar[tuple[str, ...]] = (
+        "exchange",
+        "knowledge",
+        "membership",
+        "placers",
+    )
 
     def __init__(
         self,
@@ -76,12 +82,14 @@
         dialect: Dialect,
         exchange: Exchange,
         fleet_state: FleetState,
+        membership: Membership,
         placers: Placers,
         policies: Policies,
         metrics: Metrics,
         rng: random.Random,
     ) -> None:
         self._node = node
+        self._membership = membership
         self._dialect = dialect
         self._exchange = exchange
         self._fleet_state = fleet_state
@@ -161,6 +169,8 @@
         address = self._placers.ranks.address(host)
         if address is None:
             return None
+        # This node may serve callers before the taker's view names it.
+        self._membership.introduce(address)
         began_ms = now_ms()
         outcome, detail = AttemptOutcome.ABANDONED, ""
         context.running_attempts += 1
@@ -270,12 +280,15 @@
     def read_mark(self, request: web.BaseRequest) -> HandedOver | None:
         """Return how a request was handed over, None for one of a caller.
 
-        Raise ``Refusal`` if its sender is no member of the fleet.
+        Raise ``Refusal`` if its sender neither is a member nor has introduced itself.
         """
         if not self.is_taken(request):
             return None
         sender = request.remote or ""
-        if not self._placers.ranks.is_member(sender):
+        is_known = self._placers.ranks.is_member(
+            sender
+        ) or self._membership.has_introduced_itself(sender)
+        if not is_known:
             raise Refusal(503, "not-a-member")
         return HandedOver.from_headers(sender, request.headers)
 
--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -154,6 +154,14 @@
         self.leaving = True
         self._wake.set()
 
+    def introduce(self, to: Address) -> None:
+        """Tell a node who this one is; its view may not name this node yet."""
+        self._exchange.notify(to, self._own_hello())
+
+    def has_introduced_itself(self, ip: str) -> bool:
+        """Return True if a node with an IP address has told who it is."""
+        return any(node.ip == ip for node in self._known_nodes.values())
+
     def address(self, host: HostId) -> Address | None:
         """Return the address for a node's datagrams; None if the node is unknown."""
         view = self._fleet_state.view.content
@@ -170,7 +178,7 @@
         for host in self._candidates()[:MAX_READERS_TRIED]:
             to = self.address(host)
             if to is not None and host != self._node.host:
-                self._exchange.notify(to, self._own_hello())
+                self.introduce(to)
         if self._fleet_state.view.content is None:
             # The whole fleet starts. A node that pings at once knows only itself, and
             # each node would read the platform for itself.
@@ -271,7 +279,7 @@
             return ReaderResponse.NONE
         self._fleet_state.apply_state(state, sent_ms)
         if state.sender_unknown:
-            self._exchange.notify(to, self._own_hello())
+            self.introduce(to)
         if state.crash_digest != self._fleet_state.crash_digest:
             records = self._fleet_state.crashes.shared()
             self._exchange.notify(to, CrashNote([packed_record(r) for r in records]))
--- a/tests/gateway/test_hand_over.py
+++ b/tests/gateway/test_hand_over.py
@@ -8,12 +8,19 @@
 from multidict import CIMultiDict
 
 from crocusspindle.gateway.hand_over_headers import REFUSED, REQUEST_HEADERS, HandedOver
-from crocusspindle_standins.on_platform.fleet import HOST, KEY, Fleet
+from crocusspindle_standins.on_platform.fleet import (
+    HOST,
+    KEY,
+    START_TIMEOUT_S,
+    Fleet,
+    Gateway,
+)
 from crocusspindle_standins.on_platform.partitioned import (
     CutMode,
     end_cut,
     write_cut,
 )
+from crocusspindle_standins.on_platform.store import TableStore
 from crocusspindle_standins.on_platform.target import TargetFault
 
 GATEWAYS = 4
@@ -24,10 +31,22 @@
 """Time in which an order reaches its target; its route gives up after two seconds."""
 
 
+class ViewLockedStore(TableStore):
+    """Refuse to replace the view while ``is_locked``, so that no node joins it."""
+
+    is_locked = False
+
+    async def _transact(self, request):
+        rows = (await request.json())["puts"]
+        if self.is_locked and any(row["key"] == "view" for row in rows):
+            return self._respond([], status=412)
+        return await super()._transact(request)
+
+
 @pytest.fixture
 async def fleet(tmp_path):
     program = "crocusspindle_standins.on_platform.partitioned"
-    started = Fleet(tmp_path, program=program)
+    started = Fleet(tmp_path, ViewLockedStore(), program=program)
     try:
         await started.start(GATEWAYS, targets=4)
         yield started
@@ -111,6 +130,33 @@
     assert fleet.ran(f"r{fleet.requests}") == 1
 
 
+async def add_before_it_joins(fleet: Fleet) -> Gateway:
+    """Start a gateway that becomes ready and isn't in the view."""
+    fleet.store.is_locked = True
+    gateway = await fleet.add_gateway(GATEWAYS)
+    async with asyncio.timeout(START_TIMEOUT_S):
+        while not await fleet.is_ready(gateway):
+            await asyncio.sleep(0.02)
+    return gateway
+
+
+async def test_a_gateway_that_has_not_joined_hands_over(fleet):
+    """Guards against a new gateway without paths whose requests all others refuse."""
+    await add_before_it_joins(fleet)
+    await cut_off(fleet, [GATEWAYS])
+
+    async def parts():
+        for _ in range(5):
+            yield b"x" * 100_000
+
+    status, _, _ = await fleet.call(
+        "/orders/new", "POST", gateway=GATEWAYS, data=parts()
+    )
+    assert (status, fleet.ran(f"r{fleet.requests}")) == (OK, 1)
+    for number in range(5):
+        assert (await fleet.call(f"/pages/{number}", gateway=GATEWAYS))[0] == OK
+
+
 async def test_all_are_refused_at_once_if_no_gateway_has_a_path(fleet):
     """Guards against requests that go from host to host, or wait for their deadline."""
     await cut_off(fleet, range(GATEWAYS))
--- a/tests/gateway/test_hand_over_client.py
+++ b/tests/gateway/test_hand_over_client.py
@@ -68,6 +68,7 @@
         dialect(),
         None,
         SimpleNamespace(configuration=SimpleNamespace(version=3)),
+        SimpleNamespace(introduce=lambda to: None),
         SimpleNamespace(ranks=ranks),
         Policies.without(["named-hand-over"]),
         SimpleNamespace(add=lambda *_, **__: None),
