Drop relayed reports of a limit that its target has ended

Targets that reported no limit any more got some 1 request a second in place of 10 for seconds.

Cause: hosts relay the limit they were last told with each placement request, for up to 10 s, so that a new placer knows it. The report holds an age; the time that the placer computes from it is later than the true one by the way of the message. After two responses had ended the limit, a relayed report that came later than any before passed for a newer one and brought the limit back; before that, each such report discarded the responses counted so far.

Change: a report is older than a response without a limit to a request that was sent later, and is dropped. The times compared are seconds apart, so that the lateness of a message does not matter. Two tests of RateLimit fail without it.

--- a/src/crocusspindle/core/rate_limit.py
+++ b/src/crocusspindle/core/rate_limit.py
@@ -47,6 +47,7 @@
         self._per_ms = math.inf
         self._request_sent_ms = -math.inf
         self._response_ms = -math.inf
+        self._sent_without_limit_ms = -math.inf
         self._responses_without_limit = 0
         self._tokens = 0.0
         self._filled_at_ms = -math.inf
@@ -79,7 +80,8 @@
         """Apply the limit that a response names; return True if it changed."""
         if report.limit_per_s is None:
             return self._apply_missing_limit(report)
-        if report.sent_ms < self._request_sent_ms:
+        # Hosts relay a report for seconds, also after a newer response named no limit.
+        if report.sent_ms < max(self._request_sent_ms, self._sent_without_limit_ms):
             return False
         per_ms = max(MIN_LIMIT_PER_S, report.limit_per_s) / 1e3
         self._request_sent_ms = report.sent_ms
@@ -104,6 +106,7 @@
         is_reported = self._reported_per_ms < math.inf
         if not is_reported or report.sent_ms <= self._response_ms:
             return False
+        self._sent_without_limit_ms = max(self._sent_without_limit_ms, report.sent_ms)
         self._responses_without_limit += 1
         if self._responses_without_limit < RESPONSES_WITHOUT_LIMIT:
             return False
--- a/tests/core/test_rate_limit.py
+++ b/tests/core/test_rate_limit.py
@@ -91,6 +91,26 @@
     assert limit.is_active
 
 
+def test_a_limit_that_has_ended_does_not_return_with_an_old_report():
+    """Guards against hosts that relay a limit after its target has ended it."""
+    limit = limited(1.0)
+    for n in range(RESPONSES_WITHOUT_LIMIT):
+        limit.apply_report(report(None, 1_000.0 + n), 1_050.0 + n)
+    # A relayed time is late by the rounding of its age and the way of the message.
+    assert not limit.apply_report(report(1.0, 20.0), 2_000.0)
+    assert not limit.is_active
+    assert limit.apply_report(report(1.0, 1_500.0), 2_100.0)
+
+
+def test_an_old_report_does_not_keep_a_limit_from_ending():
+    """Guards against relayed reports between the responses that name no limit."""
+    limit = limited(1.0)
+    for n in range(RESPONSES_WITHOUT_LIMIT):
+        limit.apply_report(report(None, 1_000.0 * (n + 1)), 1_000.0 * (n + 1) + 50.0)
+        limit.apply_report(report(1.0, 20.0), 1_000.0 * (n + 1) + 900.0)
+    assert not limit.is_active
+
+
 def test_a_target_with_a_limit_of_zero_is_probed():
     """Guards against a limit whose end goes unnoticed because no requests are sent."""
     times = sent_in(limited(0.0), 60_000)
