Wake the hosts that wait for the store once one of them has reached it

Callers of hosts that were restarted while the store was away were refused for up to six seconds after its return: the hosts were not ready.

Cause: each host retries to find the fleet by itself, after growing waits of up to 4 s and half of that more, and hears nothing of hosts that have found it: the first ones tell only the likely readers who they are, and nothing wakes a host that waits. A host whose next try met another short outage waited anew.

Change: the first host that reaches the store after it had failed tells all members of the view, and each that hears of it, or of a host that announces the store's return, tries again within 0.2 s. One that was woken tells only the likely readers, so that the messages do not grow with the pairs of hosts. Who is turned away by the store alone still waits half a second between tries.

The test fails without the change in all six cases and passes with it (36 hosts, half or all of them, ready and configured 1 s after the return).

--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -170,12 +170,16 @@
         return None if node is None else (node.ip, node.peer_port)
 
     async def _join_fleet(self) -> None:
-        await self._registration.find_fleet()
+        tells_all = await self._registration.find_fleet()
         for node in self._platform_reader.nodes.values():
             self._add_known_node(node)
         # Only the likely readers need this process's address. Notifying all nodes would
-        # cost a message for each pair of nodes when a fleet starts.
-        for host in self._candidates()[:MAX_READERS_TRIED]:
+        # cost a message for each pair of nodes when a fleet starts. But if all have
+        # waited for the store, the first one that reached it wakes the others.
+        told = (
+            self._candidates() if tells_all else self._candidates()[:MAX_READERS_TRIED]
+        )
+        for host in told:
             to = self.address(host)
             if to is not None and host != self._node.host:
                 self.introduce(to)
@@ -197,6 +201,7 @@
 
     async def _hello(self, hello: Hello, sender: Address) -> None:
         self._add_known_node(unpacked_node(hello.node))
+        self._registration.retry_soon()
 
     async def _refresh_loop(self) -> None:
         while True:
@@ -412,8 +417,10 @@
         self._applying_push = True
         applied = self._fleet_state.apply_state(state, -math.inf)
         self._applying_push = False
-        if state.reaches_store and self._lost_pauses is not None:
-            self.spawn(self._use_announced_reader(sender))
+        if state.reaches_store:
+            self._registration.retry_soon()
+            if self._lost_pauses is not None:
+                self.spawn(self._use_announced_reader(sender))
         self._pushed_keys = self._fleet_state.current_keys()
         if not applied:
             # An earlier push was lost, and this one holds only a delta to it.
--- a/src/crocusspindle/gateway/registration.py
+++ b/src/crocusspindle/gateway/registration.py
@@ -16,6 +16,9 @@
 REGISTER_MAX_MS: Final = 4_000.0
 """Maximum delay between tries while no other node is known."""
 
+TOLD_SPREAD_S: Final = 0.2
+"""Time over which the nodes spread their calls that learn of the store's return."""
+
 REGISTER_LATER_MAX_MS: Final = 30_000.0
 """Maximum delay between tries of a host that has found the others. They add it to the
 view without its row, which only serves nodes that start while there is no reader."""
@@ -37,12 +40,21 @@
         self._platform_reader = platform_reader
         self._rng = rng
         self._spawn = spawn
+        self._store_found_by_other = asyncio.Event()
         self._log = Logger("membership")
 
-    async def find_fleet(self) -> None:
-        """Read the members and write this node's row, in the background if possible."""
+    def retry_soon(self) -> None:
+        """Stop waiting to find the fleet: another node has, so the store responds."""
+        self._store_found_by_other.set()
+
+    async def find_fleet(self) -> bool:
+        """Read the members and write this node's row, in the background if possible.
+
+        Return True if calls have failed before and no other node has told of the
+        store's return.
+        """
         backoff = Backoff(REGISTER_RETRY_MS, REGISTER_MAX_MS, self._rng)
-        registered = False
+        registered = has_failed = False
         while True:
             try:
                 if self._fleet_state.view.content is None:
@@ -52,14 +64,26 @@
                     # in a second, and none of them is needed to find a reader.
                     if not registered:
                         self._spawn(self._register_later())
-                    return
+                    return has_failed and not self._store_found_by_other.is_set()
                 if registered:
-                    return
+                    return False
                 await self._platform_reader.register(self._node)
                 registered = True
             except PlatformError as error:
+                has_failed = True
                 log_state_change(self._log, "cannot register", error=str(error))
-                await asyncio.sleep(backoff.next_ms() / 1e3)
+                await self._wait_to_retry(backoff.next_ms() / 1e3)
+
+    async def _wait_to_retry(self, wait_s: float) -> None:
+        self._store_found_by_other.clear()
+        # The store may turn away this node only, while others go on telling it.
+        first_s = min(wait_s, REGISTER_RETRY_MS / 1e3)
+        await asyncio.sleep(first_s)
+        try:
+            await asyncio.wait_for(self._store_found_by_other.wait(), wait_s - first_s)
+        except TimeoutError:
+            return
+        await asyncio.sleep(self._rng.uniform(0.0, TOLD_SPREAD_S))
 
     def register_again(self) -> None:
         """Write this node's row again, since a restored store may lack it."""
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -15,6 +15,9 @@
 HOSTS = 12
 TARGETS = 30
 STARTED_S = 6.0
+JOINED_S = 1.0
+"""Time after the store's return in which callers are served as before."""
+
 DRAIN_S = 2.0
 """A leaving target gets no new work later than this after its acknowledgement."""
 
@@ -24,13 +27,15 @@
     """Return a function that runs a scenario on a virtual fleet that has started."""
 
     def run_on_fleet(
-        scenario: Callable[[VirtualFleet], Awaitable[None]], seed: int
+        scenario: Callable[[VirtualFleet], Awaitable[None]],
+        seed: int,
+        hosts: int = HOSTS,
     ) -> None:
         loop = VirtualLoop()
         monkeypatch.setattr("crocusspindle.clock.time", VirtualTime(loop))
 
         async def run_all() -> None:
-            fleet = VirtualFleet(loop, [HOST_SIZE] * HOSTS, TARGETS, seed)
+            fleet = VirtualFleet(loop, [HOST_SIZE] * hosts, TARGETS, seed)
             await fleet.start_all()
             await asyncio.sleep(STARTED_S)
             await scenario(fleet)
@@ -110,3 +115,35 @@
         assert not hosts_that_list(fleet, target, Readiness.READY)
 
     run_scenario(scenario, seed)
+
+
+@pytest.mark.parametrize("away_s", [2.0, 6.0, 12.0])
+@pytest.mark.parametrize("share", [0.5, 1.0])
+def test_hosts_that_start_while_the_store_is_away_join_at_its_return(
+    run_scenario, share, away_s
+):
+    """Guards against hosts that wait for their next try though others have joined."""
+
+    async def scenario(fleet: VirtualFleet) -> None:
+        copy = fleet.store.copy()
+        fleet.configure(routes=10)
+        fleet.store.refuses = lambda host: True
+        restarted = sorted(fleet.nodes)[: round(36 * share)]
+        for host in restarted:
+            await fleet.kill(host)
+        await asyncio.sleep(0.5)
+        for host in restarted:
+            await fleet.start(host)
+        await asyncio.sleep(away_s)
+        fleet.store.restore(copy)
+        fleet.store.refuses = lambda host: False
+        await asyncio.sleep(JOINED_S)
+        waiting = [
+            host
+            for host, node in fleet.nodes.items()
+            if not node.membership.ready
+            or node.fleet_state.configuration.content is None
+        ]
+        assert not waiting
+
+    run_scenario(scenario, seed=1, hosts=36)
