Keep the view of each era of the store in a row of its own

Two different views with one number were in force after a restore: two hosts could keep a customer's quota or place for a service at a time, each by a view that all take for the newest.

Cause, from its lines: host n009 wrote view 2|2 (era 2, second of it) as version 37. Host n008 had heard of the new era from a peer, but its reader had not; it wrote view 1|3 in place of the row version 37 of era 1. The store compares the number, which was the same, and replaced 2|2. The next writer knew 1|3 only, and numbered its view 2|2. The platform's client refused conditions of an earlier era only once a call of its own had told it of the new one; a write that is performed late has the same effect whatever the client knows.

Change: the view's row is named after the era (view/2). A write that was decided in one era can't name the row of a later one, so that views of an era follow one another in one row, whose versions are given out once. The first view of an era removes the rows of earlier ones in the same transaction. And a reader that a peer has told of a newer era writes no view before it has read.

Ways weighed: a second condition on a row that marks the era doesn't help, as a copy holds it with its version; numbers drawn by each writer would no longer order views.

What it changes for an upgrade: hosts of earlier versions don't read the new rows.

--- a/src/crocusspindle/gateway/platform_reader.py
+++ b/src/crocusspindle/gateway/platform_reader.py
@@ -43,7 +43,7 @@
     Table,
 )
 
-VIEW_KEY: Final = "view"
+VIEW_PREFIX: Final = "view"
 HOST_PREFIX: Final = "host/"
 CRASH_PREFIX: Final = "crash/"
 READ_AFTER_PING_MS: Final = 3_000.0
@@ -72,6 +72,16 @@
 three missed writes."""
 
 
+def view_key(era: int) -> str:
+    """Return the key of the view's row in an era of the store.
+
+    A condition names a number, which a restored store may have given out again. A write
+    that was decided before the restore can't replace the view of a row that only writes
+    of a later era name.
+    """
+    return f"{VIEW_PREFIX}/{era}"
+
+
 RowHandler = Callable[[Changes, bool, float], Awaitable[None]]
 """Applies changes of a table. Arguments: the changes, True if they hold all rows, and
 the time (ms) at which the call began."""
@@ -105,6 +115,7 @@
         self._requested = asyncio.Event()
         self.active_since_ms = math.inf
         self.view_row_version = absent_row(FIRST_ERA)
+        self._view_keys: set[str] = set()
         self.nodes: dict[HostId, NodeAddress] = {}
         self.row_versions: dict[HostId, StoreVersion] = {}
         self._written_crashes: dict[ContentDigest, CrashRecord] = {}
@@ -299,6 +310,7 @@
         self.nodes.clear()
         self.row_versions.clear()
         self.view_row_version = absent_row(newest)
+        self._view_keys.clear()
         self._written_crashes.clear()
         self._fleet_state.advance_era(newest)
 
@@ -416,9 +428,12 @@
     ) -> None:
         for row in changes.rows:
             if row.value is None:
+                self._view_keys.discard(row.key)
                 continue
-            if row.key == VIEW_KEY:
-                self.view_row_version = row.version
+            if row.key.startswith(VIEW_PREFIX):
+                self._view_keys.add(row.key)
+                if row.key == view_key(self._era):
+                    self.view_row_version = row.version
                 self._fleet_state.update_view(
                     unpacked_view(json.loads(row.value)), began_ms
                 )
@@ -435,12 +450,17 @@
 
     async def write_view(self, view: View, row_version: StoreVersion) -> bool:
         """Replace the view of a row version; return False if another was first."""
+        self._adopt_era()
+        if row_version.era != self._era:
+            return False
         value = json.dumps(packed_view(view)).encode()
-        began_ms = now_ms()
-        version = await self._platform.put(VIEW_KEY, value, row_version)
+        began_ms, key = now_ms(), view_key(row_version.era)
+        earlier = self._view_keys - {key}
+        version = await self._platform.put(key, value, row_version, earlier)
         if version is None:
             return False
         self.view_row_version = version
+        self._view_keys = {key}
         self._fleet_state.update_view(view, began_ms)
         return True
 
--- a/src/crocusspindle/platform/fleet_platform.py
+++ b/src/crocusspindle/platform/fleet_platform.py
@@ -4,7 +4,7 @@
 settings give as ``form``.
 """
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any, Final, Protocol, Self, TypeVar
@@ -73,13 +73,18 @@
         """
 
     async def put(
-        self, key: str, value: bytes, expected_version: StoreVersion | None
+        self,
+        key: str,
+        value: bytes,
+        expected_version: StoreVersion | None,
+        removed_keys: Collection[str] = (),
     ) -> StoreVersion | None:
         """Write a row of the fleet's table; return its version, None on conflict.
 
-        ``expected_version`` is the version that the row must have, that of `absent_row`
-        if it must not exist; None writes the row unconditionally. A version of another
-        era than the store's is a conflict.
+        Rows with ``removed_keys`` are removed together with it. ``expected_version`` is
+        the version that the row must have, that of `absent_row` if it must not exist;
+        None writes the row unconditionally. A version of another era than the store's
+        is a conflict.
         """
 
     def configuration(self, rows: Sequence[StoredRow]) -> bytes | None:
--- a/src/crocusspindle/platform/table_store.py
+++ b/src/crocusspindle/platform/table_store.py
@@ -4,7 +4,7 @@
 import base64
 import binascii
 import json
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any, Final, Self
 
@@ -175,14 +175,18 @@
         return Changes(response.rows(), response.version)
 
     async def put(
-        self, key: str, value: bytes, expected_version: StoreVersion | None
+        self,
+        key: str,
+        value: bytes,
+        expected_version: StoreVersion | None,
+        removed_keys: Collection[str] = (),
     ) -> StoreVersion | None:
         """Write a row of the fleet's table; return its version, None on conflict."""
-        row_key = {"table": TABLES[Table.FLEET], "part": "", "key": key}
+        row_key = _fleet_row(key)
         body: dict[str, Any] = {
             "expected": [],
             "puts": [{**row_key, "value": base64.b64encode(value).decode()}],
-            "remove": [],
+            "remove": [_fleet_row(removed) for removed in sorted(removed_keys)],
         }
         if expected_version is not None:
             if expected_version.era != self.era or self.era == UNKNOWN_ERA:
@@ -225,6 +229,10 @@
             await self._session.close()
 
 
+def _fleet_row(key: str) -> dict[str, Any]:
+    return {"table": TABLES[Table.FLEET], "part": "", "key": key}
+
+
 def _value(text: Any) -> bytes:
     # Other programs' rows may hold any value; one that cannot be decoded becomes
     # empty, and an empty entry is not a target.
--- a/src/crocusspindle_standins/virtual/fleet.py
+++ b/src/crocusspindle_standins/virtual/fleet.py
@@ -20,7 +20,7 @@
 from crocusspindle.gateway.list_watch import ListWatch
 from crocusspindle.gateway.membership import Membership
 from crocusspindle.gateway.placers import Placers
-from crocusspindle.gateway.platform_reader import PlatformReader
+from crocusspindle.gateway.platform_reader import PlatformReader, view_key
 from crocusspindle.gateway.reload import LiveBounds
 from crocusspindle.gateway.settings import (
     BYTES_PER_MS,
@@ -285,7 +285,7 @@
 
     def count_listed_processes(self) -> int:
         """Return how many running processes the store's view lists."""
-        row = self.store.tables[Table.FLEET].get("view")
+        row = self.store.tables[Table.FLEET].get(view_key(self.store.era))
         if row is None or row.value is None:
             return 0
         _, entries, _ = json.loads(row.value)
--- a/src/crocusspindle_standins/virtual/store.py
+++ b/src/crocusspindle_standins/virtual/store.py
@@ -4,8 +4,9 @@
 import json
 import math
 from collections import Counter
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass, replace
+from functools import partial
 from typing import Any, Final, Self
 
 from crocusspindle.core.configuration import Configuration
@@ -162,20 +163,31 @@
             await self._store.wait_for_change(remaining_s)
 
     async def put(
-        self, key: str, value: bytes, expected_version: StoreVersion | None
+        self,
+        key: str,
+        value: bytes,
+        expected_version: StoreVersion | None,
+        removed_keys: Collection[str] = (),
     ) -> StoreVersion | None:
         """Write a row of the fleet's table; return its version, None on conflict."""
+        apply = partial(
+            self._apply_put, key, value, expected_version, sorted(removed_keys)
+        )
         await self._call()
         await self._store.admit_write()
         delay_s = self._store.delays_writes_s(self._host)
         if delay_s > 0.0:
             loop = asyncio.get_running_loop()
-            loop.call_later(delay_s, self._apply_put, key, value, expected_version)
+            loop.call_later(delay_s, apply)
             raise PlatformUnknownError("the response is lost")
-        return self._apply_put(key, value, expected_version)
+        return apply()
 
     def _apply_put(
-        self, key: str, value: bytes, expected_version: StoreVersion | None
+        self,
+        key: str,
+        value: bytes,
+        expected_version: StoreVersion | None,
+        removed_keys: Sequence[str],
     ) -> StoreVersion | None:
         if expected_version is None:
             return self._store.put(Table.FLEET, key, value)
@@ -183,6 +195,8 @@
         # The store compares numbers, which it may have given out in an earlier era.
         if expected_version.number != (stored.version.number if stored else 0):
             return None
+        for removed in removed_keys:
+            self._store.put(Table.FLEET, removed, None)
         version = self._store.put(Table.FLEET, key, value)
         return version if expected_version.era == version.era else None
 
--- a/tests/gateway/test_hand_over.py
+++ b/tests/gateway/test_hand_over.py
@@ -38,7 +38,7 @@
 
     async def _transact(self, request):
         rows = (await request.json())["puts"]
-        if self.is_locked and any(row["key"] == "view" for row in rows):
+        if self.is_locked and any(row["key"].startswith("view") for row in rows):
             return self._respond([], status=412)
         return await super()._transact(request)
 
--- a/tests/gateway/test_restored_fleets.py
+++ b/tests/gateway/test_restored_fleets.py
@@ -31,8 +31,9 @@
 """Hosts that have run and reached all others for so long are bound by a change."""
 
 
-FOUND_SEEDS = (1198, 1272, 1336)
-"""Seeds that found a host that joins late after the store's return, or after a cut."""
+FOUND_SEEDS = (1198, 1272, 1336, 2210)
+"""Seeds that found a host that joins late after the store's return or after a cut, and
+two views of one number."""
 
 
 class Observer:
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -8,8 +8,14 @@
 import pytest
 
 from crocusspindle.core.listed_target import Readiness
+from crocusspindle.core.view import NodeAddress, View, next_view
+from crocusspindle.gateway.fleet_state import FleetState
+from crocusspindle.gateway.platform_reader import PlatformReader, view_key
+from crocusspindle.ids import DomainId, HostId, Incarnation
+from crocusspindle.platform.fleet_platform import Table
 from crocusspindle_standins.virtual.fleet import HostSize, VirtualFleet
 from crocusspindle_standins.virtual.loop import VirtualLoop, VirtualTime, run
+from crocusspindle_standins.virtual.store import Store, StoreClient
 
 HOST_SIZE = HostSize(100.0, 1.0)
 HOSTS = 12
@@ -117,6 +123,65 @@
     run_scenario(scenario, seed)
 
 
+def reader_of(store: Store, host: str) -> PlatformReader:
+    """Return a reader with a state of its own."""
+    client = StoreClient(store, host)
+    fleet_state = FleetState(client.parse_configuration)
+    return PlatformReader(client, fleet_state, random.Random(1))
+
+
+def view_of(*hosts: str, previous: View | None = None, era: int) -> View:
+    """Return the view of some hosts that follows another one."""
+    nodes = {
+        HostId(host): NodeAddress(
+            HostId(host), Incarnation(host), "10.0.0.1", 1, DomainId("a"), "10.0.0.1:2"
+        )
+        for host in hosts
+    }
+    return next_view(previous, nodes, era=era)
+
+
+async def test_view_decided_before_a_restore_replaces_none_of_after_it():
+    """Guards against two views of one number: the condition of a late writer names a
+    version that the store has given out again.
+    """
+    store = Store()
+    late, writer, reader = (reader_of(store, host) for host in ("n1", "n2", "n3"))
+    copy = store.copy()
+    await late.read_fleet()
+    lost = view_of("n1", era=1)
+    assert await late.write_view(lost, late.view_row_version)
+    lost_version = late.view_row_version
+    store.restore(copy)
+    await writer.read_fleet()
+    written = view_of("n1", "n2", era=2)
+    assert await writer.write_view(written, writer.view_row_version)
+    assert writer.view_row_version.number == lost_version.number
+    decided_before = view_of("n1", "n3", previous=lost, era=1)
+    assert not await late.write_view(decided_before, lost_version)
+    await reader.read_fleet()
+    assert reader._fleet_state.view.content == written
+    assert await writer.write_view(
+        view_of("n2", previous=written, era=2), writer.view_row_version
+    )
+
+
+async def test_views_of_earlier_eras_are_removed():
+    """Guards against a row for each restore that all hosts read at their start."""
+    store = Store()
+    writer = reader_of(store, "n1")
+    await writer.read_fleet()
+    view = view_of("n1", era=1)
+    assert await writer.write_view(view, writer.view_row_version)
+    store.restore(store.copy())
+    await writer.read_fleet()
+    assert await writer.write_view(
+        view_of("n1", previous=view, era=2), writer.view_row_version
+    )
+    rows = store.tables[Table.FLEET]
+    assert [key for key, row in rows.items() if row.value is not None] == [view_key(2)]
+
+
 @pytest.mark.parametrize("away_s", [2.0, 6.0, 12.0])
 @pytest.mark.parametrize("share", [0.5, 1.0])
 def test_hosts_that_start_while_the_store_is_away_join_at_its_return(
