Read the whole list of targets again after an outage, not only its changes

A target that was gone stayed listed as ready, on all hosts but one, for as long as their reader went on, though the store had no row of it. A request would reach it, or what runs at its address by then.

Cause: a reader keeps a target whose row is gone for two seconds after an outage, since it may only be late. If the store is away again before they are over, the target stays in that reader's list (host n005). Others that come back from an outage adopt the list of a peer; there the target was one like any other. The feed says nothing of it any more: the removal of its row lies before the position from which it goes on.

Change: a reader whose list was unconfirmed for longer than an outage takes reads the whole table. A target without a row is then missing, and is dropped two seconds later, whichever list it came from.

--- a/src/crocusspindle/gateway/platform_reader.py
+++ b/src/crocusspindle/gateway/platform_reader.py
@@ -214,7 +214,7 @@
                     after=None if complete else position,
                     rows=len(changes.rows),
                 )
-            if not await self._may_apply(table, changes):
+            if not await self._may_apply(table, changes, complete):
                 continue
             await handle_rows(changes, complete, began_ms)
             self._positions[table] = changes.version
@@ -224,9 +224,14 @@
             spent_s = (now_ms() - began_ms) / 1e3
             await asyncio.sleep(max(0.0, POLL_INTERVAL_S - spent_s))
 
-    async def _may_apply(self, table: Table, changes: Changes) -> bool:
+    async def _may_apply(self, table: Table, changes: Changes, complete: bool) -> bool:
         if table is Table.TARGETS and self._targets_are_unconfirmed():
             await self._check_outage_scope()
+            if not complete:
+                # Some node may keep a target that has no row any more. No change of a
+                # row would end that, here or at any node that adopted its list.
+                self._positions.pop(table, None)
+                return False
             if self._fleet_state.targets.version > changes.version:
                 # Peers hold a newer list; the next call returns what this one lacks.
                 return False
@@ -269,7 +274,7 @@
             if self.active:
                 # A ping has started the loops meanwhile; they read from now on.
                 return
-            if await self._may_apply(table, changes):
+            if await self._may_apply(table, changes, complete=True):
                 await handle_rows(changes, True, began_ms)
         self._fleet_state.notify()
 
--- a/tests/gateway/test_platform_reader.py
+++ b/tests/gateway/test_platform_reader.py
@@ -252,6 +252,25 @@
     assert listed(fleet_state) == []
 
 
+async def test_target_without_an_entry_in_a_peers_list_is_dropped(reader_of_store):
+    """Guards against a target that a peer keeps for a while, and that stays listed for
+    ever at a reader that adopted its list.
+    """
+    store, fleet_state = reader_of_store
+    gone = parse_target("t3", entry())
+
+    async def apply_peers_list():
+        peers = [*fleet_state.targets.content, gone]
+        fleet_state.update_targets(peers, at(store.version), now_ms())
+
+    store.platform_reader.query_peers = apply_peers_list
+    store.unreachable = True
+    await asyncio.sleep(0.3)
+    store.unreachable = False
+    await asyncio.sleep(0.6)
+    assert listed(fleet_state) == ["t1", "t2"]
+
+
 async def test_reader_without_the_store_reports_it(reader_of_store):
     """Guards against nodes that ping this reader until their state is stale.
 
