Let a host that stays out of the view write its row again

It serves callers meanwhile, but has no role, and others know its failure domain only from the view.

Cause: it pings the reader that ranks first, which was cut off shortly before and is still passed over by the others. Only the reader of the others writes the view, and it adds hosts that ping it or whose rows are new. The first reader hears one host and rightly changes nothing for ten seconds.

Change: a host that follows a reader and that the view has not named for four seconds writes its row again, one write at a time. Tried before: after two seconds and without a reader; hosts that are cut off were then added and removed again (7 views where 3 are allowed), and a fleet whose store refuses rows was refused 396 times (300 allowed) in the tests of convergence. Both pass as it is now.

--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -208,6 +208,8 @@
             self._wake.clear()
             await self._refresh_state()
             self._update_readiness()
+            if self._follows_reader and not self.leaving:
+                self._registration.register_if_left_out()
             try:
                 await asyncio.wait_for(self._wake.wait(), self._pause_s())
             except TimeoutError:
--- a/src/crocusspindle/gateway/registration.py
+++ b/src/crocusspindle/gateway/registration.py
@@ -1,10 +1,12 @@
 """Find the fleet at the start of a process and write the node's row."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
+from crocusspindle.clock import now_ms
 from crocusspindle.core.backoff import Backoff
 from crocusspindle.core.view import NodeAddress
 from crocusspindle.errors import PlatformError
@@ -16,6 +18,10 @@
 REGISTER_MAX_MS: Final = 4_000.0
 """Maximum delay between tries while no other node is known."""
 
+LEFT_OUT_MS: Final = 4_000.0
+"""How long a node waits to be added to the view until it writes its row again. One that
+pings the reader of the others is added within a second."""
+
 TOLD_SPREAD_S: Final = 0.2
 """Time over which the nodes spread their calls that learn of the store's return."""
 
@@ -33,7 +39,7 @@
         fleet_state: FleetState,
         platform_reader: PlatformReader,
         rng: random.Random,
-        spawn: Callable[[Coroutine[Any, Any, None]], object],
+        spawn: Callable[[Coroutine[Any, Any, None]], asyncio.Task[None]],
     ) -> None:
         self._node = node
         self._fleet_state = fleet_state
@@ -41,6 +47,8 @@
         self._rng = rng
         self._spawn = spawn
         self._store_found_by_other = asyncio.Event()
+        self._left_out_since_ms = math.inf
+        self._writing: asyncio.Task[None] | None = None
         self._log = Logger("membership")
 
     def retry_soon(self) -> None:
@@ -85,6 +93,27 @@
             return
         await asyncio.sleep(self._rng.uniform(0.0, TOLD_SPREAD_S))
 
+    def register_if_left_out(self) -> None:
+        """Write this node's row again if the view hasn't named it for a while.
+
+        After a cut, this node may ping another reader than the others do. Only theirs
+        writes the view, and it adds the nodes that it reads of.
+        """
+        view = self._fleet_state.view.content
+        entry = None if view is None else view.by_host.get(self._node.host)
+        is_named = (
+            entry is not None and entry.node.incarnation == self._node.incarnation
+        )
+        if view is None or is_named:
+            self._left_out_since_ms = math.inf
+            return
+        self._left_out_since_ms = min(self._left_out_since_ms, now_ms())
+        is_writing = self._writing is not None and not self._writing.done()
+        if now_ms() - self._left_out_since_ms >= LEFT_OUT_MS and not is_writing:
+            self._left_out_since_ms = now_ms()
+            log_state_change(self._log, "left out of the view", view=view.number)
+            self._writing = self._spawn(self._register_later())
+
     def register_again(self) -> None:
         """Write this node's row again, since a restored store may lack it."""
         self._spawn(self._register_again())
