Report the store's return although a table has to be read whole first

Found in reading, which caused it; seen by nobody.

Cause: whether the store had been lost was kept in a variable of one pass of the loop; the pass that finds the list unconfirmed now ends without applying it, and the next one no longer knows. Change: the reader keeps it until it has reported.

A test for each table as the last one fails for the targets without the change.

--- a/src/crocusspindle/gateway/platform_reader.py
+++ b/src/crocusspindle/gateway/platform_reader.py
@@ -127,6 +127,7 @@
         self._calls = 0
         self._reads_once = asyncio.Lock()
         self._failing_since_ms: dict[Table, float] = {}
+        self._was_lost = False
         self._probe = StoreProbe(rng)
         self._row_handlers: Mapping[Table, RowHandler] = {
             Table.CONFIGURATION: self._apply_configuration_rows,
@@ -181,6 +182,7 @@
             self._positions.clear()
             # Without calls, earlier failures do not show if the store is reachable now.
             self._failing_since_ms.clear()
+            self._was_lost = False
             log_state_change(self._log, "rests from reading", calls=self._calls)
         await self._requested.wait()
 
@@ -203,7 +205,7 @@
                 self._record_failure(table, error)
                 continue
             self._probe.record_success()
-            was_lost = self.is_store_lost
+            self._was_lost |= self.is_store_lost
             if self._failing_since_ms.pop(table, None) is not None:
                 log_state_change(
                     self._log,
@@ -219,7 +221,8 @@
             await handle_rows(changes, complete, began_ms)
             self._positions[table] = changes.version
             self._fleet_state.notify()
-            if was_lost and not self.is_store_lost:
+            if self._was_lost and not self.is_store_lost:
+                self._was_lost = False
                 self.on_store_regained()
             spent_s = (now_ms() - began_ms) / 1e3
             await asyncio.sleep(max(0.0, POLL_INTERVAL_S - spent_s))
--- a/tests/gateway/test_platform_reader.py
+++ b/tests/gateway/test_platform_reader.py
@@ -46,6 +46,7 @@
         self.version = 1
         self.era = FIRST_ERA
         self.unreachable = False
+        self.unreachable_tables: frozenset[Table] = frozenset()
         self.drops_history: frozenset[Table] = frozenset()
         self.frozen = False
         self.evacuated: dict[str, bytes] = {}
@@ -53,7 +54,7 @@
         self.old_state: tuple[dict[str, bytes], int] | None = None
 
     async def read(self, table):
-        self._begin_call()
+        self._begin_call(table)
         rows, version = self.old_state or (self.rows, self.version)
         if table is not Table.TARGETS:
             rows = self.evacuated if table is Table.CONFIGURATION else {}
@@ -62,7 +63,7 @@
 
     async def follow(self, table, after, wait_ms):
         await asyncio.sleep(0.02)
-        self._begin_call()
+        self._begin_call(table)
         if self.drops_history and table in self.drops_history:
             self.drops_history -= {table}
             raise HistoryLostError("gone")
@@ -79,8 +80,8 @@
             self.removed = []
         return Changes(rows, at(self.version))
 
-    def _begin_call(self):
-        if self.unreachable:
+    def _begin_call(self, table):
+        if self.unreachable or table in self.unreachable_tables:
             raise PlatformUnavailableError("away")
         self.version += not self.frozen
 
@@ -271,6 +272,26 @@
     assert listed(fleet_state) == ["t1", "t2"]
 
 
+@pytest.mark.parametrize("last", list(Table))
+async def test_return_of_the_store_is_reported_once_all_tables_are_read(
+    reader_of_store, monkeypatch, last
+):
+    """Guards against hosts that wait although a reader reaches the store again."""
+    monkeypatch.setattr(module, "STORE_LOST_AFTER_MS", 100.0)
+    store, _ = reader_of_store
+    reports = []
+    store.platform_reader.on_store_regained = lambda: reports.append(now_ms())
+    store.unreachable = True
+    await asyncio.sleep(0.3)
+    store.unreachable_tables = frozenset({last})
+    store.unreachable = False
+    await asyncio.sleep(0.2)
+    assert not reports
+    store.unreachable_tables = frozenset()
+    await asyncio.sleep(0.2)
+    assert len(reports) == 1
+
+
 async def test_reader_without_the_store_reports_it(reader_of_store):
     """Guards against nodes that ping this reader until their state is stale.
 
