--- a/src/crocusspindle/gateway/platform_reader.py
+++ b/src/crocusspindle/gateway/platform_reader.py
@@ -233,7 +233,13 @@
             if not complete:
                 # Some node may keep a target that has no row any more. No change of a
                 # row would end that, here or at any node that adopted its list.
-                self._positions.pop(table, None)
+                log_state_change(
+                    self._log,
+                    "reads the whole table",
+                    table=table.value,
+                    after=self._positions.pop(table, None),
+                    list_version=self._fleet_state.targets.version,
+                )
                 return False
             if self._fleet_state.targets.version > changes.version:
                 # Peers hold a newer list; the next call returns what this one lacks.
