--- a/src/crocusspindle/gateway/hand_over.py
+++ b/src/crocusspindle/gateway/hand_over.py
@@ -285,10 +285,8 @@
         if not self.is_taken(request):
             return None
         sender = request.remote or ""
-        is_known = self._placers.ranks.is_member(
-            sender
-        ) or self._membership.has_introduced_itself(sender)
-        if not is_known:
+        is_member = self._placers.ranks.is_member(sender)
+        if not is_member and not self._membership.has_introduced_itself(sender):
             raise Refusal(503, "not-a-member")
         return HandedOver.from_headers(sender, request.headers)
 
