Start each period of reading with whole tables

Cause: a node that stops reading forgets its positions. A call that was under way ended 10 ms later and put its position back; its changes had the removal of the target's row, which was kept for the grace of two seconds after the restore. When the node began to read again half a second later, it started from the list in force, in which the target stood like any other, and went on from that position: nothing told of the removal any more.

Change: the start of a period forgets the positions, and what a call of an earlier period returns is dropped. So the first response of a period is a whole table, which says what is missing.

The test lets a feed respond after its node has stopped reading; the target stays listed before and is dropped now.

--- a/src/crocusspindle/gateway/platform_reader.py
+++ b/src/crocusspindle/gateway/platform_reader.py
@@ -128,6 +128,7 @@
         self._reads_once = asyncio.Lock()
         self._failing_since_ms: dict[Table, float] = {}
         self._was_lost = False
+        self._period = 0
         self._probe = StoreProbe(rng)
         self._row_handlers: Mapping[Table, RowHandler] = {
             Table.CONFIGURATION: self._apply_configuration_rows,
@@ -157,6 +158,10 @@
         self._requested.set()
 
     def _reset(self) -> None:
+        # A call of an earlier period may still run. Its changes and its position belong
+        # to another list.
+        self._period += 1
+        self._positions.clear()
         self._target_list.reset(self._fleet_state.targets.content or ())
         self._evacuated = EvacuatedDomains(self._fleet_state.evacuated.content or ())
         self._failing_since_ms.clear()
@@ -190,7 +195,7 @@
         while True:
             await self._wait_until_requested()
             self._adopt_era()
-            position = self._positions.get(table)
+            position, period = self._positions.get(table), self._period
             try:
                 began_ms, changes, complete = await self._call_or_probe(table)
             except HistoryLostError:
@@ -205,6 +210,8 @@
                 self._record_failure(table, error)
                 continue
             self._probe.record_success()
+            if period != self._period:
+                continue
             self._was_lost |= self.is_store_lost
             if self._failing_since_ms.pop(table, None) is not None:
                 log_state_change(
--- a/tests/gateway/test_platform_reader.py
+++ b/tests/gateway/test_platform_reader.py
@@ -47,6 +47,7 @@
         self.era = FIRST_ERA
         self.unreachable = False
         self.unreachable_tables: frozenset[Table] = frozenset()
+        self.feed_s: dict[Table, float] = {}
         self.drops_history: frozenset[Table] = frozenset()
         self.frozen = False
         self.evacuated: dict[str, bytes] = {}
@@ -62,7 +63,7 @@
         return Changes(stored, at(version))
 
     async def follow(self, table, after, wait_ms):
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(self.feed_s.get(table, 0.02))
         self._begin_call(table)
         if self.drops_history and table in self.drops_history:
             self.drops_history -= {table}
@@ -180,6 +181,29 @@
     assert listed(fleet_state) == ["t1"]
 
 
+async def test_target_removed_as_the_reads_end_does_not_stay_listed(
+    reader_of_store, monkeypatch
+):
+    """Guards against a reader that goes on from a position of an earlier period, and
+    never hears again of a removal before it.
+    """
+    monkeypatch.setattr(module, "OUTAGE_AFTER_MS", 2_000.0)
+    store, fleet_state = reader_of_store
+    # Missing entries are kept for a while.
+    fleet_state.store_regained_at_ms = now_ms()
+    store.feed_s = {Table.TARGETS: 0.1}
+    await asyncio.sleep(0.06)
+    del store.rows["t2"]
+    store.removed.append("t2")
+    store.platform_reader._requested_until_ms = 0.0
+    await asyncio.sleep(0.15)
+    assert not store.platform_reader.active and not store.removed
+    store.feed_s = {}
+    store.platform_reader.request_reads(60_000.0, ReadReason.PINGED)
+    await asyncio.sleep(0.6)
+    assert listed(fleet_state) == ["t1"]
+
+
 async def test_entries_not_renewed_after_an_outage_are_dropped_without_a_new_version(
     reader_of_store,
 ):
