Name the customer in placement requests, and design the parts for demanding load

A placer that knows no customer can only serve a shortage in proportion to what each customer sends. PlaceAsk names the customer; the placer takes its weight from its own configuration. SpendAsk gets a priority, SpendAnswer the number of a token that can be returned, Ping the sender's load; ReturnAsk and TargetLimitNote are new and not sent yet. A message with more fields than this version knows is decoded without them, so that later versions can append fields. FairQueue takes any item, not only requests of node.

No decision changes yet.

--- a/src/crocusspindle/core/admission.py
+++ b/src/crocusspindle/core/admission.py
@@ -23,7 +23,7 @@
     def __init__(
         self,
         max_queued: int,
-        queue: FairQueue,
+        queue: FairQueue[RequestId],
         target_pool: TargetPool,
         attempts: Attempts,
         generator: random.Random,
--- a/src/crocusspindle/core/fair_queue.py
+++ b/src/crocusspindle/core/fair_queue.py
@@ -10,9 +10,12 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
-from typing import Final
+from typing import Final, Generic, TypeVar
 
-from crocusspindle.ids import CustomerId, RequestId
+from crocusspindle.ids import CustomerId
+
+Item = TypeVar("Item")
+"""Identifies a queued request: hashable and unique in its queue."""
 
 _MIN_WEIGHT: Final = 1e-6
 """A customer of weight 0 would wait forever behind all others."""
@@ -35,14 +38,14 @@
 
 
 @dataclass(slots=True)
-class _Flow:
+class _Flow(Generic[Item]):
     configured_weight: float
     weight: float
     start_tag: float
-    items: list[tuple[float, int, RequestId]] = field(default_factory=list)
+    items: list[tuple[float, int, Item]] = field(default_factory=list)
 
 
-class FairQueue:
+class FairQueue(Generic[Item]):
     """Order queued requests by customer weight, then by deadline.
 
     Keeps the backlog of a large customer from starving small ones, both when one
@@ -50,9 +53,9 @@
     """
 
     def __init__(self) -> None:
-        self._flows: dict[CustomerId, _Flow] = {}
+        self._flows: dict[CustomerId, _Flow[Item]] = {}
         self._heads: list[tuple[float, int, CustomerId]] = []
-        self._entries: dict[RequestId, tuple[CustomerId, tuple[float, int, RequestId]]]
+        self._entries: dict[Item, tuple[CustomerId, tuple[float, int, Item]]]
         self._entries = {}
         self._virtual_time = 0.0
         self._sequence = 0
@@ -62,12 +65,12 @@
     def __len__(self) -> int:
         return len(self._entries)
 
-    def __contains__(self, request: RequestId) -> bool:
+    def __contains__(self, request: Item) -> bool:
         return request in self._entries
 
     def push(
         self,
-        request: RequestId,
+        request: Item,
         customer: CustomerId,
         weight: float,
         deadline_ms: float,
@@ -85,7 +88,7 @@
         insort(flow.items, item)
         self._entries[request] = (customer, item)
 
-    def pop(self) -> RequestId:
+    def pop(self) -> Item:
         """Remove and return the next request; raise IndexError if there is none."""
         if self.peek() is None:
             raise IndexError("pop from an empty queue")
@@ -101,7 +104,7 @@
         self._update_if_idle(flow)
         return request
 
-    def remove(self, request: RequestId) -> bool:
+    def remove(self, request: Item) -> bool:
         """Remove a request; return True if it was queued."""
         found = self._entries.pop(request, None)
         if found is None:
@@ -112,7 +115,7 @@
         self._update_if_idle(flow)
         return True
 
-    def peek(self) -> RequestId | None:
+    def peek(self) -> Item | None:
         """Return the next request without removing it, or None."""
         while self._heads:
             tag, _, customer = self._heads[0]
@@ -122,7 +125,7 @@
             heappop(self._heads)  # stale: the customer's requests have been removed
         return None
 
-    def ahead_of(self, request: RequestId) -> int:
+    def ahead_of(self, request: Item) -> int:
         """Return how many queued requests will be served before this one.
 
         Counts what each other customer gets by its weight until then. This is a lower
@@ -146,7 +149,7 @@
         active = sum(flow.weight for flow in self._flows.values() if flow.items)
         return min(1.0, own.weight / active) if active > 0 else 1.0
 
-    def last_request_over_share(self) -> RequestId | None:
+    def last_request_over_share(self) -> Item | None:
         """Return the last request of the customer with most queued for its weight."""
         queued = [flow for flow in self._flows.values() if flow.items]
         if not queued:
@@ -160,7 +163,7 @@
             if flow.items:
                 yield customer, len(flow.items)
 
-    def _flow(self, customer: CustomerId, weight: float) -> _Flow:
+    def _flow(self, customer: CustomerId, weight: float) -> _Flow[Item]:
         flow = self._flows.get(customer)
         effective = self._effective_weight(weight)
         if flow is None:
@@ -178,7 +181,7 @@
         mean = self._queued_weight / max(1, self._queued_customers)
         return max(weight, _MIN_WEIGHT_TO_MEAN * mean, _MIN_WEIGHT)
 
-    def _update_if_idle(self, flow: _Flow) -> None:
+    def _update_if_idle(self, flow: _Flow[Item]) -> None:
         if not self._entries:
             self._reset()
         elif not flow.items:
--- a/src/crocusspindle/core/group_coordinator.py
+++ b/src/crocusspindle/core/group_coordinator.py
@@ -69,7 +69,7 @@
         self._settings = settings
         self._target_pool = TargetPool(weights, settings.domain)
         self._requests: dict[RequestId, PendingRequest] = {}
-        self._queue = FairQueue()
+        self._queue: FairQueue[RequestId] = FairQueue()
         self._retries: deque[RequestId] = deque()
         self._timers = Timers(self._is_live)
         self._retry_tokens = RetryTokens(
--- a/src/crocusspindle/core/placement_request.py
+++ b/src/crocusspindle/core/placement_request.py
@@ -5,7 +5,14 @@
 from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.listed_target import ListedTarget, TargetIdentity
 from crocusspindle.core.target_tracker import EjectionState
-from crocusspindle.ids import NO_CONTENT, ContentDigest, DomainId, GrantId, HostId
+from crocusspindle.ids import (
+    NO_CONTENT,
+    ContentDigest,
+    CustomerId,
+    DomainId,
+    GrantId,
+    HostId,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,7 +25,8 @@
     `aim_ms` is what is left of the route's latency objective. A `hedge` is a retry
     whose first attempt still runs. A `counted` request may already be in the retry
     budget: a placer got it before, and may be slow rather than lost. A `trial` is
-    a held request's next attempt.
+    a held request's next attempt. `weight` is the customer's weight in fair queueing:
+    its rate, or 0 if it has none.
     """
 
     sender: HostId
@@ -35,6 +43,8 @@
     content: ContentDigest = NO_CONTENT
     trial: bool = False
     excluded: frozenset[TargetIdentity] = frozenset()
+    customer: CustomerId | None = None
+    weight: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/crocusspindle/gateway/attempt_runner.py
+++ b/src/crocusspindle/gateway/attempt_runner.py
@@ -119,6 +119,7 @@
             body_bytes=context.body_bytes,
             content=context.content,
             excluded=frozenset(context.tried_targets),
+            customer=context.customer.customer if context.customer else None,
         )
         placement = await self._placing.place(service, placement_request)
         if isinstance(placement, Placement):
--- a/src/crocusspindle/gateway/messages.py
+++ b/src/crocusspindle/gateway/messages.py
@@ -7,6 +7,7 @@
 import msgpack
 
 from crocusspindle.core.attempt_outcome import AttemptOutcome
+from crocusspindle.core.configuration import LOWEST_PRIORITY
 from crocusspindle.core.store_version import NO_VERSION
 from crocusspindle.errors import PeerError
 from crocusspindle.gateway.document_deltas import NO_BASE
@@ -48,10 +49,15 @@
 
 
 def unpack(parts: Any) -> Any:
-    """Convert the output of `pack` back; raise ``PeerError`` if it is malformed."""
+    """Convert the output of `pack` back; raise ``PeerError`` if it is malformed.
+
+    Trailing fields that this version does not know are dropped: a newer version has
+    appended them.
+    """
     try:
         message_type = _BY_CODE[parts[0]]
-        return message_type(*parts[1:])
+        known_fields = len(_FIELDS[message_type])
+        return message_type(*parts[1 : 1 + known_fields])
     except (TypeError, KeyError, IndexError) as error:
         raise PeerError(f"message cannot be decoded: {error!r}") from error
 
@@ -83,13 +89,15 @@
 class Ping:
     """Request a reader's state; serves as the node's heartbeat.
 
-    ``held`` are the keys of `HeldKeys`.
+    ``held`` are the keys of `HeldKeys`, ``load`` is the sender's load in eighths of its
+    processor share.
     """
 
     incarnation: str
     held: Sequence[int]
     ready: bool
     leaving: bool
+    load: int = 0
 
 
 @message(23)
@@ -169,7 +177,7 @@
     ``left_ms`` is the time to the request's deadline. ``counted`` is True if a
     placer may have counted the request before. ``limits`` are those that targets
     reported to the sender: target, requests per second, and the age (ms) of the request
-    whose response reported it.
+    whose response reported it. ``customer`` is empty for a request without one.
     """
 
     service: str
@@ -185,6 +193,7 @@
     content: str
     excluded: list[str]
     limits: Sequence[tuple[str, float | None, int]]
+    customer: str = ""
 
 
 @message(5)
@@ -256,6 +265,19 @@
     started_ms: int
 
 
+@message(25)
+@dataclass(frozen=True, slots=True)
+class TargetLimitNote:
+    """Report learned concurrency limits to the other placers of a service.
+
+    ``limits`` holds a target and its limit, for each target whose limit is below its
+    slots.
+    """
+
+    service: str
+    limits: Sequence[tuple[str, int]]
+
+
 @message(8)
 @dataclass(frozen=True, slots=True)
 class EjectedNote:
@@ -288,14 +310,28 @@
 
     customer: str
     wait_limit_ms: float
+    priority: int = LOWEST_PRIORITY
 
 
 @message(10)
 @dataclass(frozen=True, slots=True)
 class SpendAnswer:
-    """Grant a token that is valid after a wait."""
+    """Grant a token that is valid after a wait.
+
+    ``token`` is the number by which it can be returned; 0 if it can't be.
+    """
 
     wait_ms: float
+    token: int = 0
+
+
+@message(24)
+@dataclass(frozen=True, slots=True)
+class ReturnAsk:
+    """Return a token whose request certainly did not run; `Done` confirms it."""
+
+    customer: str
+    token: int
 
 
 @message(11)
--- a/src/crocusspindle/gateway/placers.py
+++ b/src/crocusspindle/gateway/placers.py
@@ -48,7 +48,14 @@
 from crocusspindle.gateway.reload import LiveBounds
 from crocusspindle.gateway.reported_limits import packed_limits, unpacked_limits
 from crocusspindle.gateway.retry_sharing import RetrySharing
-from crocusspindle.ids import ContentDigest, DomainId, GrantId, HostId, ServiceId
+from crocusspindle.ids import (
+    ContentDigest,
+    CustomerId,
+    DomainId,
+    GrantId,
+    HostId,
+    ServiceId,
+)
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
 
@@ -208,6 +215,12 @@
         services = {} if configuration is None else configuration.services
         return services.get(service, ServiceRule())
 
+    def _weight_of(self, customer: CustomerId) -> float:
+        configuration = self._fleet_state.configuration.content
+        customers = {} if configuration is None else configuration.customers
+        rule = customers.get(customer)
+        return 0.0 if rule is None else rule.rate_per_s
+
     def may_be_cold(self, target: ListedTarget) -> bool:
         """Return True if a target tolerates only a limited rate, as far as known."""
         rule = self._rule_of(target.service)
@@ -247,6 +260,8 @@
             content=content,
             trial=self._crashes.is_held(content),
             excluded=frozenset(TargetIdentity(name) for name in message.excluded),
+            customer=CustomerId(message.customer) if message.customer else None,
+            weight=self._weight_of(CustomerId(message.customer)),
         )
         placer = self._placer(ServiceId(message.service))
         for report in unpacked_limits(message.limits, at_ms):
