Share a full service fairly among customers, and admit by schedule

Queued requests are now served by priority, then by start-time fair queueing over customers (one FairQueue for node and serve, which takes any item and can serve one out of turn), then by the time up to which they can be on time. A request waits if a slot is expected in time after those that go before it until then; when others go before it, it is refused at once. At most one slot in eight goes to a priority that is served less than 0.3 times as often as all. Refused callers return spread over the capacity.

The test of the wait queue's order asks how many go before a queued request instead of before a priority, with the same requests.

--- a/benchmarks/placing_simulation.py
+++ b/benchmarks/placing_simulation.py
@@ -22,7 +22,7 @@
 from crocusspindle.core.policies import ALL_POLICIES, Policies
 from crocusspindle.core.retry_budget import RetryBudget
 from crocusspindle.core.service_placer import ServicePlacer
-from crocusspindle.ids import DomainId, HostId, ServiceId
+from crocusspindle.ids import NO_CUSTOMER, CustomerId, DomainId, HostId, ServiceId
 
 BROKEN_AFTER_MS: Final = 1.0
 MAX_TARGETS_TRIED: Final = 4
@@ -37,7 +37,7 @@
 
     ``work_ms`` is the mean service time and ``spread`` its coefficient of variation;
     ``aim_ms`` is the latency objective. A failed idempotent request is retried until
-    ``attempts`` attempts have reached a target.
+    ``attempts`` attempts have reached a target. ``weight`` is the customer's rate.
     """
 
     name: str
@@ -52,6 +52,8 @@
     attempts: int = 2
     from_ms: float = 0.0
     until_ms: float = math.inf
+    customer: CustomerId = NO_CUSTOMER
+    weight: float = 0.0
 
     def draw_ms(self, rng: random.Random) -> float:
         """Return the service time of one request, log-normally distributed."""
@@ -121,6 +123,12 @@
     attempts_sent: int = 0
     other_domain: int = 0
     latencies_ms: list[float] = field(default_factory=list)
+    refused_after_ms: list[float] = field(default_factory=list)
+
+    @property
+    def on_time_fraction(self) -> float:
+        """Return the fraction that was answered within the latency objective."""
+        return self.on_time / max(1, self.request_count)
 
     @property
     def served(self) -> float:
@@ -297,6 +305,8 @@
             retry=retry,
             hedge=hedge,
             excluded=frozenset(request.tried) | self._known_gray(now_ms),
+            customer=route_load.customer,
+            weight=route_load.weight,
         )
         answer = self.placer.request_placement(placement_request, now_ms)
         if isinstance(answer, QueuedRequest):
@@ -336,6 +346,7 @@
                 tally.lost += 1
             else:
                 tally.refused += 1
+                tally.refused_after_ms.append(now_ms - request.began_ms)
 
     def _send(self, request: _Request, placed: PlacementGranted, now_ms: float) -> None:
         target = placed.target.identity
--- a/src/crocusspindle/core/fair_queue.py
+++ b/src/crocusspindle/core/fair_queue.py
@@ -9,7 +9,7 @@
 from bisect import bisect_left, insort
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from typing import Final, Generic, TypeVar
 
 from crocusspindle.ids import CustomerId
@@ -32,6 +32,10 @@
 enforced elsewhere, bound their demand, and together they gain at most a tenth of the
 service."""
 
+_MAX_STALE_HEADS: Final = 256
+"""Heads left behind by requests that were served out of turn, before they are
+dropped."""
+
 _MAX_IDLE_FLOWS: Final = 256
 """Above about this number of flows, idle ones with their full credit are dropped, so
 that memory is proportional to the queue."""
@@ -90,19 +94,53 @@
 
     def pop(self) -> Item:
         """Remove and return the next request; raise IndexError if there is none."""
-        if self.peek() is None:
+        request = self.peek()
+        if request is None:
             raise IndexError("pop from an empty queue")
-        tag, _, customer = heappop(self._heads)
+        self.take(request)
+        return request
+
+    def take(self, request: Item) -> None:
+        """Remove a request that is served, and charge its customer for it.
+
+        A request may be served before the one that is next, which no free slot suits.
+        """
+        customer, item = self._entries.pop(request)
         flow = self._flows[customer]
-        _, _, request = flow.items.pop(0)
-        del self._entries[request]
-        self._virtual_time = max(self._virtual_time, tag)
-        flow.start_tag = tag + 1.0 / flow.weight
+        flow.items.remove(item)
+        self._virtual_time = max(self._virtual_time, flow.start_tag)
+        flow.start_tag += 1.0 / flow.weight
         if flow.items:
             self._sequence += 1
             heappush(self._heads, (flow.start_tag, self._sequence, customer))
+        if len(self._heads) > _MAX_STALE_HEADS + 2 * len(self._flows):
+            self._drop_stale_heads()
         self._update_if_idle(flow)
-        return request
+
+    def _drop_stale_heads(self) -> None:
+        self._heads = [
+            (flow.start_tag, flow.items[0][1], customer)
+            for customer, flow in self._flows.items()
+            if flow.items
+        ]
+        heapify(self._heads)
+
+    def in_order(self) -> Iterator[Item]:
+        """Yield the queued requests in the order in which they would be served."""
+        heads = [
+            (flow.start_tag, flow.items[0][1], customer, 0)
+            for customer, flow in self._flows.items()
+            if flow.items
+        ]
+        heapify(heads)
+        while heads:
+            tag, _, customer, position = heappop(heads)
+            flow = self._flows[customer]
+            yield flow.items[position][2]
+            if position + 1 < len(flow.items):
+                sequence = flow.items[position + 1][1]
+                tag += 1.0 / flow.weight
+                heappush(heads, (tag, sequence, customer, position + 1))
 
     def remove(self, request: Item) -> bool:
         """Remove a request; return True if it was queued."""
@@ -131,9 +169,9 @@
         Counts what each other customer gets by its weight until then. This is a lower
         bound, since requests that arrive later may still be served first.
         """
-        customer, item = self._entries[request]
+        customer, _ = self._entries[request]
         own = self._flows[customer]
-        position = bisect_left(own.items, item)
+        position = self.position_of(request)
         tag = own.start_tag + position / own.weight
         return position + sum(
             min(len(flow.items), int((tag - flow.start_tag) * flow.weight) + 1)
@@ -141,6 +179,11 @@
             if flow is not own and flow.items and flow.start_tag <= tag
         )
 
+    def position_of(self, request: Item) -> int:
+        """Return how many queued requests of its customer go before this one."""
+        customer, item = self._entries[request]
+        return bisect_left(self._flows[customer].items, item)
+
     def share_of(self, customer: CustomerId) -> float:
         """Return the fraction of the service that a customer gets now."""
         own = self._flows.get(customer)
--- a/src/crocusspindle/core/placement_queue.py
+++ b/src/crocusspindle/core/placement_queue.py
@@ -1,13 +1,17 @@
 """Decide which requests wait for a slot of a service, start next or are refused.
 
-Made for a service that is full for some seconds. Requests that can meet their latency
-objective go first, by priority and then by age. Late ones use slots that would idle: a
-late answer is worth more to its caller than none. A request that would not be served
-before its deadline is refused at once, with the time to retry after.
+Made for a service that is full for some seconds: by a burst, or by one customer that
+sends several times its usual rate. A request waits if a slot is expected in time for
+its latency objective after those that go before it. When others that go before it
+arrive and it no longer fits, it is refused then, while its caller can still do
+something else. Late requests use slots that would idle: a late answer is worth more to
+its caller than none.
 """
 
 import math
+import random
 from collections.abc import Iterator
+from dataclasses import dataclass
 from typing import Final
 
 from crocusspindle.core.latency_sample import LatencySample
@@ -17,6 +21,8 @@
     QueuedRequest,
 )
 from crocusspindle.core.policies import Policies, Policy
+from crocusspindle.core.priority_shares import RESERVED_EVERY
+from crocusspindle.core.retry_times import RetryTimes
 from crocusspindle.core.service_load import ServiceLoad
 from crocusspindle.core.wait_queue import WaitQueue
 
@@ -26,10 +32,28 @@
 """Quantile of the latency that must fit before the deadline: a late request is queued
 only if three in four of its kind would still finish."""
 
+ON_TIME_QUANTILE: Final = 0.9
+"""Quantile of the latency that must fit into the latency objective after the wait."""
 
-def refused_as_full(wait_ms: float) -> PlacementRefused:
-    """Return the refusal of a service that expects a free slot after a time."""
-    return PlacementRefused("full", max(RETRY_MIN_MS, wait_ms))
+WAIT_MARGIN: Final = 1.2
+"""Factor on the expected wait of a new request. The capacity of the next seconds is
+known to about a fifth, and a request that turns out too late is refused late."""
+
+EXTENSION_STEPS: Final = 2
+"""Iterations of the expected wait. Each adds the requests that arrive during it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Capacity:
+    """Hold the slots of a service, and the rate at which they become free if busy."""
+
+    slots: float
+    per_ms: float
+
+    @classmethod
+    def of_slots(cls, slots: float, mean_latency_ms: float) -> "Capacity":
+        """Return the capacity of slots; a latency of 0 is unknown."""
+        return cls(slots, slots / mean_latency_ms if mean_latency_ms > 0.0 else 0.0)
 
 
 class PlacementQueue:
@@ -39,6 +63,7 @@
         self._policies = policies
         self._queue = WaitQueue()
         self._load = ServiceLoad(now_ms)
+        self._retry_times = RetryTimes(random.Random(0))
 
     def __len__(self) -> int:
         """Return how many requests are queued."""
@@ -53,9 +78,14 @@
             else self._load.mean_latency_ms
         )
 
-    def record_arrival(self, now_ms: float) -> None:
+    def record_arrival(self, request: PlacementRequest, now_ms: float) -> None:
         """Count a request's first attempt."""
-        self._load.record_arrival(now_ms)
+        self._load.record_arrival(now_ms, request.priority, request.customer)
+        self._queue.shares.record_arrival(request.priority, now_ms)
+
+    def record_immediate_grant(self, request: PlacementRequest, now_ms: float) -> None:
+        """Count a first attempt that got a slot without waiting."""
+        self._queue.shares.record_grant(request.priority, now_ms, waited=False)
 
     def record_answer(self, latency_ms: float) -> None:
         """Record the latency of one answer."""
@@ -65,21 +95,62 @@
         self,
         request: PlacementRequest,
         sample: LatencySample,
-        open_slots: float,
+        capacity: Capacity,
         now_ms: float,
     ) -> QueuedRequest | PlacementRefused:
         """Queue a request if it can still finish in time, or refuse it."""
-        ahead = self._queue.ahead_of(request.priority, now_ms)
-        wait_ms = (ahead + 1) * sample.typical_ms / open_slots
         on_time_ms = _on_time_limit_ms(request, sample, now_ms)
         limit_ms = max(on_time_ms, self._late_limit_ms(request, sample, now_ms))
-        if wait_ms > on_time_ms:
-            wait_ms = self._late_wait_ms(open_slots, now_ms)
-        if wait_ms > limit_ms or not self._policies.has(Policy.QUEUEING):
-            return refused_as_full(min(wait_ms, limit_ms))
         waiting = QueuedRequest(request, now_ms, now_ms + on_time_ms, now_ms + limit_ms)
         self._queue.add(waiting)
-        return waiting
+        wait_ms = self._expected_wait_ms(waiting, capacity.per_ms, now_ms)
+        if self._policies.has(Policy.QUEUEING):
+            if wait_ms * WAIT_MARGIN <= on_time_ms:
+                return waiting
+            if self._late_wait_ms(capacity.slots, now_ms) <= limit_ms:
+                self._queue.demote(waiting)
+                return waiting
+        refused = self._refuse(waiting, capacity.per_ms, wait_ms - on_time_ms, now_ms)
+        self._queue.remove(waiting)
+        return refused
+
+    def _expected_wait_ms(
+        self, waiting: QueuedRequest, capacity_per_ms: float, now_ms: float
+    ) -> float:
+        """Return the time to a slot, with the requests that go before it until then."""
+        request = waiting.request
+        ahead = self._queue.ahead_of(waiting, now_ms)
+        same_priority = self._queue.ahead_in_priority(waiting)
+        own = self._queue.position_of(waiting)
+        share = self._queue.share_of(request.priority, request.customer)
+        others_per_ms = self._load.rate_of_others_per_ms(
+            request.priority, request.customer, now_ms
+        )
+        # While a customer's earlier requests are served, the others of its priority
+        # are served at most by their share.
+        others_max = own * (1.0 - share) / max(share, 1e-6)
+        room = max(0.0, others_max - (same_priority - own))
+        left_per_ms = self._left_per_ms(request.priority, capacity_per_ms, now_ms)
+        owed = self._queue.shares.owed_grants(request.priority, now_ms)
+
+        def wait_ms(arriving: float) -> float:
+            by_order_ms = _time_ms(ahead + arriving + 1, left_per_ms)
+            if same_priority >= owed:
+                return by_order_ms
+            reserved_per_ms = capacity_per_ms / RESERVED_EVERY
+            return min(by_order_ms, _time_ms(same_priority + 1, reserved_per_ms))
+
+        expected_ms = wait_ms(0.0)
+        for _ in range(EXTENSION_STEPS):
+            expected_ms = wait_ms(min(others_per_ms * expected_ms, room))
+        return expected_ms
+
+    def _left_per_ms(
+        self, priority: int, capacity_per_ms: float, now_ms: float
+    ) -> float:
+        """Return the rate of slots that higher priorities leave to one."""
+        higher_per_ms = self._load.rate_above_per_ms(priority, now_ms)
+        return max(0.0, capacity_per_ms - higher_per_ms)
 
     def _late_limit_ms(
         self, request: PlacementRequest, sample: LatencySample, now_ms: float
@@ -97,7 +168,7 @@
         # Late requests get only the capacity that new ones leave. While these alone
         # fill the service, a late one would wait in vain.
         spare_per_ms = self._load.spare_per_ms(open_slots, now_ms)
-        return (len(self._queue) + 1) / spare_per_ms if spare_per_ms > 0 else math.inf
+        return len(self._queue) / spare_per_ms if spare_per_ms > 0 else math.inf
 
     def in_order(self, now_ms: float) -> Iterator[QueuedRequest]:
         """Yield all queued requests, in the order in which they get slots."""
@@ -111,14 +182,67 @@
         A late one that takes the last slot of a full service makes the next one late
         too.
         """
-        if now_ms < waiting.on_time_until_ms:
+        if not self._queue.is_late(waiting):
             return True
         return self._load.spare_per_ms(open_slots, now_ms) > 0.0
 
-    def can_meet_deadline(
+    def refuse_hopeless(self, capacity: Capacity, now_ms: float) -> None:
+        """Refuse the queued requests that are not expected to be served in time."""
+        if capacity.per_ms > 0.0:
+            self._refuse_displaced(capacity, now_ms)
+        for waiting in self._queue.late(now_ms):
+            if not self._can_meet_deadline(waiting, capacity.slots, now_ms):
+                self._settle_refused(waiting, capacity.per_ms, 0.0, now_ms)
+
+    def _refuse_displaced(self, capacity: Capacity, now_ms: float) -> None:
+        # Requests that go before them have arrived since they were queued.
+        ahead = 0
+        late_wait_ms = self._late_wait_ms(capacity.slots, now_ms)
+        for waiting in list(self._queue.on_time(now_ms)):
+            wait_ms = (ahead + 1) / capacity.per_ms
+            late_by_ms = now_ms + wait_ms - waiting.on_time_until_ms
+            if late_by_ms <= 0.0:
+                ahead += 1
+            elif now_ms + late_wait_ms <= waiting.give_up_ms:
+                self._queue.demote(waiting)
+            else:
+                self._settle_refused(waiting, capacity.per_ms, late_by_ms, now_ms)
+
+    def _settle_refused(
+        self,
+        waiting: QueuedRequest,
+        capacity_per_ms: float,
+        excess_ms: float,
+        now_ms: float,
+    ) -> None:
+        waiting.settled = self._refuse(waiting, capacity_per_ms, excess_ms, now_ms)
+        self._queue.remove(waiting)
+
+    def _refuse(
+        self,
+        waiting: QueuedRequest,
+        capacity_per_ms: float,
+        excess_ms: float,
+        now_ms: float,
+    ) -> PlacementRefused:
+        """Return the refusal, with the time at which the customer has room again."""
+        request = waiting.request
+        priority = request.priority
+        rate_per_ms = max(
+            self._left_per_ms(priority, capacity_per_ms, now_ms),
+            capacity_per_ms / RESERVED_EVERY,
+        )
+        rate_per_ms *= self._queue.share_of(priority, request.customer)
+        spacing_ms = 1.0 / rate_per_ms if rate_per_ms > 0.0 else 0.0
+        at_ms = self._retry_times.next_for(
+            request.customer, now_ms, max(RETRY_MIN_MS, excess_ms), spacing_ms
+        )
+        return PlacementRefused("full", at_ms - now_ms)
+
+    def _can_meet_deadline(
         self, waiting: QueuedRequest, open_slots: float, now_ms: float
     ) -> bool:
-        """Return True if a request may still be served before its deadline.
+        """Return True if a late request may still be served before its deadline.
 
         While new requests alone fill the service, a late one waits for their burst to
         end. A burst that has lasted so long will hardly end in the time that is left,
@@ -132,20 +256,26 @@
             return True
         return self._load.spare_per_ms(open_slots, now_ms) > 0.0
 
-    def drop_settled(self) -> None:
-        """Drop the requests that have a decision."""
-        self._queue.drop_settled()
+    def take(self, waiting: QueuedRequest, now_ms: float) -> None:
+        """Drop a request that got a slot, and charge its customer."""
+        self._queue.take(waiting, now_ms)
 
     def remove(self, waiting: QueuedRequest) -> None:
-        """Drop a request whose caller has left."""
+        """Drop a request that is refused or whose caller has left."""
         self._queue.remove(waiting)
 
 
+def _time_ms(requests: float, per_ms: float) -> float:
+    return requests / per_ms if per_ms > 0.0 else math.inf
+
+
 def _on_time_limit_ms(
     request: PlacementRequest, sample: LatencySample, now_ms: float
 ) -> float:
-    # Half of what the latency objective leaves beside the typical latency: the other
-    # half is for work that takes longer.
+    work_ms = (
+        sample.quantile_ms(ON_TIME_QUANTILE)
+        if sample.has_enough_samples
+        else sample.typical_ms
+    )
     left_ms = request.deadline_ms - now_ms
-    spare_ms = min(request.aim_ms, left_ms) - sample.typical_ms
-    return max(MIN_WAIT_MS, spare_ms / 2)
+    return max(MIN_WAIT_MS, min(request.aim_ms, left_ms) - work_ms)
--- a/src/crocusspindle/core/placement_request.py
+++ b/src/crocusspindle/core/placement_request.py
@@ -7,6 +7,7 @@
 from crocusspindle.core.target_tracker import EjectionState
 from crocusspindle.ids import (
     NO_CONTENT,
+    NO_CUSTOMER,
     ContentDigest,
     CustomerId,
     DomainId,
@@ -43,7 +44,7 @@
     content: ContentDigest = NO_CONTENT
     trial: bool = False
     excluded: frozenset[TargetIdentity] = frozenset()
-    customer: CustomerId | None = None
+    customer: CustomerId = NO_CUSTOMER
     weight: float = 0.0
 
 
--- a/src/crocusspindle/core/route_latencies.py
+++ b/src/crocusspindle/core/route_latencies.py
@@ -44,6 +44,11 @@
             return route_sample
         return self._all if self._all.has_enough_samples else route_sample
 
+    @property
+    def mean_ms(self) -> float:
+        """Return the mean latency of all work, 0 until there are enough values."""
+        return self._all.typical_ms
+
     @property
     def min_suspicious_ms(self) -> float:
         """Return the age up to which no work of the service is suspicious.
--- a/src/crocusspindle/core/service_load.py
+++ b/src/crocusspindle/core/service_load.py
@@ -3,45 +3,82 @@
 import math
 from typing import Final
 
-RATE_DECAY_MS: Final = 1_000.0
-"""Decay time of the arrival rate: a burst is noticed within its first second, and its
-end as soon."""
-
-MIN_OBSERVED_MS: Final = 200.0
-"""Shortest observed time: in less, a few requests would look like a high rate."""
+from crocusspindle.core.decayed_rate import DecayedRate
+from crocusspindle.ids import NO_CUSTOMER, CustomerId
 
 SAMPLE_WEIGHT: Final = 0.05
 """Weight of the newest answer in the mean latency: the last twenty or so count."""
 
+MIN_OBSERVED_MS: Final = 200.0
+"""Time after which a new placer trusts the rate of all requests together."""
+
+MAX_CUSTOMERS: Final = 1_024
+"""Customers whose rates are kept. Beyond it, those without recent requests are
+dropped."""
+
+FORGOTTEN_PER_MS: Final = 1e-4
+"""A customer below this rate, one request in ten seconds, may be dropped."""
+
 
 class ServiceLoad:
-    """Track the rate of first attempts and the mean latency of answers."""
+    """Track the rates of first attempts and the mean latency of answers.
+
+    Rates are kept for the whole service, for each priority, and for each customer with
+    each priority.
+    """
 
     def __init__(self, now_ms: float) -> None:
-        self._rate_per_ms = 0.0
-        self._updated_ms = now_ms
         self._began_ms = now_ms
+        self._total = DecayedRate(now_ms, MIN_OBSERVED_MS)
+        self._by_priority: dict[int, DecayedRate] = {}
+        self._by_customer: dict[tuple[int, CustomerId], DecayedRate] = {}
         self.mean_latency_ms = math.nan
 
-    def record_arrival(self, now_ms: float) -> None:
+    def record_arrival(
+        self, now_ms: float, priority: int = 0, customer: CustomerId = NO_CUSTOMER
+    ) -> None:
         """Count one request."""
-        self._rate_per_ms = self._decayed_rate(now_ms) + 1.0 / RATE_DECAY_MS
-        self._updated_ms = now_ms
+        self._total.record(now_ms)
+        key = (priority, customer)
+        if key not in self._by_customer:
+            self._drop_idle_customers(now_ms)
+            self._by_customer[key] = DecayedRate(self._began_ms)
+            self._by_priority.setdefault(priority, DecayedRate(self._began_ms))
+        self._by_customer[key].record(now_ms)
+        self._by_priority[priority].record(now_ms)
+
+    def _drop_idle_customers(self, now_ms: float) -> None:
+        if len(self._by_customer) < MAX_CUSTOMERS:
+            return
+        self._by_customer = {
+            key: rate
+            for key, rate in self._by_customer.items()
+            if rate.per_ms(now_ms) > FORGOTTEN_PER_MS
+        }
 
     def rate_per_ms(self, now_ms: float) -> float:
         """Return the recent rate of requests."""
-        # A placer that has just taken over has observed only a fraction of the decay
-        # time.
-        observed_ms = max(MIN_OBSERVED_MS, now_ms - self._began_ms)
-        return self._decayed_rate(now_ms) / (
-            1.0 - math.exp(-observed_ms / RATE_DECAY_MS)
-        )
+        return self._total.per_ms(now_ms)
 
-    def _decayed_rate(self, now_ms: float) -> float:
-        return self._rate_per_ms * math.exp(
-            -max(0.0, now_ms - self._updated_ms) / RATE_DECAY_MS
+    def rate_above_per_ms(self, priority: int, now_ms: float) -> float:
+        """Return the rate of the requests with a higher priority than this one."""
+        return sum(
+            rate.per_ms(now_ms)
+            for other, rate in self._by_priority.items()
+            if other < priority
         )
 
+    def rate_of_others_per_ms(
+        self, priority: int, customer: CustomerId, now_ms: float
+    ) -> float:
+        """Return the rate of the other customers' requests with the same priority."""
+        total = self._by_priority.get(priority)
+        own = self._by_customer.get((priority, customer))
+        if total is None:
+            return 0.0
+        own_per_ms = 0.0 if own is None else own.per_ms(now_ms)
+        return max(0.0, total.per_ms(now_ms) - own_per_ms)
+
     def record_answer(self, latency_ms: float) -> None:
         """Record the latency of one answer."""
         if math.isnan(self.mean_latency_ms):
--- a/src/crocusspindle/core/service_placer.py
+++ b/src/crocusspindle/core/service_placer.py
@@ -27,8 +27,8 @@
 from crocusspindle.core.path_evidence import PathEvidence, SenderPathChange
 from crocusspindle.core.placement_queue import (
     RETRY_MIN_MS,
+    Capacity,
     PlacementQueue,
-    refused_as_full,
 )
 from crocusspindle.core.placement_request import (
     EjectionStateChange,
@@ -164,10 +164,14 @@
         else:
             if not placement_request.counted:
                 self._retry_budget.request(now_ms)
-            self._queue.record_arrival(now_ms)
+            self._queue.record_arrival(placement_request, now_ms)
         self._refresh_if_due(now_ms)
+        # Those that wait go first: a slot may have become free by time alone.
+        self._serve_queue(now_ms)
         placed = self._place(placement_request, now_ms)
         if placed is not None:
+            if not placement_request.retry:
+                self._queue.record_immediate_grant(placement_request, now_ms)
             return placed
         if placement_request.hedge:
             self._retry_budget.give_back()
@@ -207,9 +211,12 @@
         if not self._any_healthy_for(placement_request, now_ms):
             return self._refuse_without_target(placement_request, now_ms)
         sample = self._sample(placement_request)
-        return self._queue.enqueue(
-            placement_request, sample, self._open_slots(sample.typical_ms), now_ms
-        )
+        capacity = self._capacity(sample.typical_ms)
+        return self._queue.enqueue(placement_request, sample, capacity, now_ms)
+
+    def _capacity(self, default_latency_ms: float = 0.0) -> Capacity:
+        mean_ms = self._latencies.mean_ms or default_latency_ms
+        return Capacity.of_slots(self._open_slots(mean_ms), mean_ms)
 
     def _any_healthy_for(
         self, placement_request: PlacementRequest, now_ms: float
@@ -432,27 +439,38 @@
     def process_due(self, now_ms: float) -> None:
         """Apply what became due by time, then serve the queue."""
         self._refresh(now_ms)
-        self._serve_queue(now_ms)
+        if len(self._queue):
+            self._refuse_held(now_ms)
+            self._serve_queue(now_ms)
+            self._queue.refuse_hopeless(self._capacity(), now_ms)
+
+    def _refuse_held(self, now_ms: float) -> None:
+        for waiting in list(self._queue.in_order(now_ms)):
+            content = waiting.request.content
+            if self._crashes.is_held(content):
+                hold_ms = self._crashes.hold_ms(content)
+                waiting.settled = PlacementRefused("held", hold_ms)
+                self._queue.remove(waiting)
 
     def _serve_queue(self, now_ms: float) -> None:
-        if not len(self._queue):
+        # Few requests queued at a full service find a free slot. Checking every target
+        # for each would use up the placer's CPU time when it is scarce.
+        if not len(self._queue) or not self._any_free(now_ms):
             return
         slots = self._open_slots(self._queue.mean_latency_ms)
-        free = self._any_free(now_ms)
+        started: list[QueuedRequest] = []
         for waiting in self._queue.in_order(now_ms):
             if self._crashes.is_held(waiting.request.content):
-                hold_ms = self._crashes.hold_ms(waiting.request.content)
-                waiting.settled = PlacementRefused("held", hold_ms)
                 continue
-            # Few requests queued at a full service find a free slot. Checking every
-            # target for each would use up the placer's CPU time when it is scarce.
-            if free and self._queue.may_start(waiting, slots, now_ms):
-                waiting.settled = self._place(waiting.request, now_ms)
-                free = waiting.settled is None or self._any_free(now_ms)
-            in_time = self._queue.can_meet_deadline(waiting, slots, now_ms)
-            if waiting.settled is None and not in_time:
-                waiting.settled = refused_as_full(self._typical_ms(waiting.request))
-        self._queue.drop_settled()
+            if not self._queue.may_start(waiting, slots, now_ms):
+                continue
+            waiting.settled = self._place(waiting.request, now_ms)
+            if waiting.settled is not None:
+                started.append(waiting)
+                if not self._any_free(now_ms):
+                    break
+        for waiting in started:
+            self._queue.take(waiting, now_ms)
 
     def abandon(self, waiting: QueuedRequest) -> None:
         """Drop a queued request whose caller has left."""
--- a/src/crocusspindle/gateway/attempt_runner.py
+++ b/src/crocusspindle/gateway/attempt_runner.py
@@ -19,7 +19,7 @@
 from crocusspindle.gateway.request_context import RequestContext
 from crocusspindle.gateway.responses import Refusal
 from crocusspindle.gateway.target_client import AttemptResult, TargetClient
-from crocusspindle.ids import ServiceId
+from crocusspindle.ids import NO_CUSTOMER, ServiceId
 from crocusspindle.metrics import Metrics
 
 HEDGE_RETRY_MS: Final = 150.0
@@ -119,7 +119,7 @@
             body_bytes=context.body_bytes,
             content=context.content,
             excluded=frozenset(context.tried_targets),
-            customer=context.customer.customer if context.customer else None,
+            customer=context.customer.customer if context.customer else NO_CUSTOMER,
         )
         placement = await self._placing.place(service, placement_request)
         if isinstance(placement, Placement):
--- a/src/crocusspindle/gateway/placers.py
+++ b/src/crocusspindle/gateway/placers.py
@@ -260,13 +260,16 @@
             content=content,
             trial=self._crashes.is_held(content),
             excluded=frozenset(TargetIdentity(name) for name in message.excluded),
-            customer=CustomerId(message.customer) if message.customer else None,
+            customer=CustomerId(message.customer),
             weight=self._weight_of(CustomerId(message.customer)),
         )
         placer = self._placer(ServiceId(message.service))
         for report in unpacked_limits(message.limits, at_ms):
             self._apply_limit(placer, report)
         decision = placer.request_placement(placement_request, at_ms)
+        if placer.queued:
+            # Requests that were queued before may have got slots.
+            self._wake_settled()
         self._retry_sharing.publish_if_due(ServiceId(message.service))
         if isinstance(decision, PlacementRefused) and decision.reason == "repeats":
             self._retry_sharing.log_bound(ServiceId(message.service))
--- a/src/crocusspindle/gateway/placing.py
+++ b/src/crocusspindle/gateway/placing.py
@@ -242,7 +242,7 @@
             placement_request.content,
             list(placement_request.excluded),
             packed_limits(self._limits_of(service), now_ms()),
-            placement_request.customer or "",
+            placement_request.customer,
         )
         response = await self._exchange.request(
             to, message, PEER_SILENT_S, left_ms / 1e3
--- a/src/crocusspindle/ids.py
+++ b/src/crocusspindle/ids.py
@@ -9,6 +9,9 @@
 """A failure domain."""
 
 CustomerId = NewType("CustomerId", str)
+NO_CUSTOMER: Final = CustomerId("")
+"""The customer of requests that name none."""
+
 ServiceId = NewType("ServiceId", str)
 TargetId = NewType("TargetId", str)
 """The ``host:port`` of one target."""
--- a/tests/core/test_placement_components.py
+++ b/tests/core/test_placement_components.py
@@ -39,7 +39,9 @@
     for entry in (late, on_time, urgent):
         queue.add(entry)
     assert list(queue.in_order(200.0)) == [urgent, on_time, late]
-    assert queue.ahead_of(1, 200.0) == 1
+    next_one = queued(1, 400.0)
+    queue.add(next_one)
+    assert queue.ahead_of(next_one, 200.0) == 1
 
 
 def test_a_hedge_starts_while_it_can_still_be_in_time():
