Report when a service is overloaded, and which customers use its room

From the id of a request that was refused as full nothing led to who took the slots. Its line now names the service and the placer that decided; the placer logs when a service begins to refuse requests as full and, once it has not for two seconds, for how long it did, what came, was granted and refused, and the customers with most grants. Gauges of waiting requests by service and of overloaded services are read at a scrape.

--- a/src/crocusspindle/core/placement_queue.py
+++ b/src/crocusspindle/core/placement_queue.py
@@ -15,6 +15,7 @@
 from typing import Final
 
 from crocusspindle.core.latency_sample import LatencySample
+from crocusspindle.core.overload_watch import OverloadWatch
 from crocusspindle.core.placement_request import (
     PlacementRefused,
     PlacementRequest,
@@ -64,6 +65,7 @@
         self._queue = WaitQueue()
         self._load = ServiceLoad(now_ms)
         self._retry_times = RetryTimes(random.Random(0))
+        self.overload = OverloadWatch()
 
     def __len__(self) -> int:
         """Return how many requests are queued."""
@@ -82,10 +84,12 @@
         """Count a request's first attempt."""
         self._load.record_arrival(now_ms, request.priority, request.customer)
         self._queue.shares.record_arrival(request.priority, now_ms)
+        self.overload.record_request(request)
 
     def record_immediate_grant(self, request: PlacementRequest, now_ms: float) -> None:
         """Count a first attempt that got a slot without waiting."""
         self._queue.shares.record_grant(request.priority, now_ms, waited=False)
+        self.overload.record_grant(request)
 
     def record_answer(self, latency_ms: float) -> None:
         """Record the latency of one answer."""
@@ -226,6 +230,7 @@
         now_ms: float,
     ) -> PlacementRefused:
         """Return the refusal, with the time at which the customer has room again."""
+        self.overload.record_refusal(waiting.request, now_ms)
         request = waiting.request
         priority = request.priority
         rate_per_ms = max(
@@ -259,6 +264,7 @@
     def take(self, waiting: QueuedRequest, now_ms: float) -> None:
         """Drop a request that got a slot, and charge its customer."""
         self._queue.take(waiting, now_ms)
+        self.overload.record_grant(waiting.request)
 
     def remove(self, waiting: QueuedRequest) -> None:
         """Drop a request that is refused or whose caller has left."""
--- a/src/crocusspindle/core/placement_request.py
+++ b/src/crocusspindle/core/placement_request.py
@@ -59,10 +59,14 @@
 
 @dataclass(frozen=True, slots=True)
 class PlacementRefused:
-    """State why no target is granted, and the time after which to retry."""
+    """State why no target is granted, and the time after which to retry.
+
+    `placer` is the node that decided, None if the sender did so itself.
+    """
 
     reason: str
     retry_after_ms: float
+    placer: HostId | None = None
 
 
 @dataclass(slots=True)
--- a/src/crocusspindle/core/service_placer.py
+++ b/src/crocusspindle/core/service_placer.py
@@ -23,6 +23,7 @@
     Readiness,
     TargetIdentity,
 )
+from crocusspindle.core.overload_watch import OverloadChange
 from crocusspindle.core.path_attribution import PathAttribution, state_change
 from crocusspindle.core.path_evidence import PathEvidence, SenderPathChange
 from crocusspindle.core.placement_queue import (
@@ -144,6 +145,15 @@
         self._changes.clear()
         return changes
 
+    def overload_changes(self) -> list[OverloadChange]:
+        """Return the beginnings and ends of overloads since the last call."""
+        return self._queue.overload.changes()
+
+    @property
+    def is_overloaded(self) -> bool:
+        """Return True while requests are refused as full."""
+        return self._queue.overload.is_overloaded
+
     def path_changes(self) -> list[SenderPathChange]:
         """Return the changes of senders' paths since the last call."""
         return self._paths.changes()
@@ -443,6 +453,7 @@
             self._refuse_held(now_ms)
             self._serve_queue(now_ms)
             self._queue.refuse_hopeless(self._capacity(), now_ms)
+        self._queue.overload.end_if_over(now_ms)
 
     def _refuse_held(self, now_ms: float) -> None:
         for waiting in list(self._queue.in_order(now_ms)):
--- a/src/crocusspindle/gateway/attempt_runner.py
+++ b/src/crocusspindle/gateway/attempt_runner.py
@@ -126,7 +126,8 @@
             return placement
         if last_result is not None and last_result.outcome.may_have_run:
             return last_result
-        raise Refusal(503, placement.reason, placement.retry_after_ms)
+        fields = {"service": service, "placer": placement.placer}
+        raise Refusal(503, placement.reason, placement.retry_after_ms, fields)
 
     def _should_retry(self, context: RequestContext, result: AttemptResult) -> bool:
         """Return True if the request should be sent to another target."""
--- a/src/crocusspindle/gateway/entry.py
+++ b/src/crocusspindle/gateway/entry.py
@@ -215,7 +215,10 @@
                 refusal = error
         assert refusal is not None
         if context is not None:
-            refusal.context_fields = self._log_fields(context)
+            refusal.context_fields = {
+                **self._log_fields(context),
+                **refusal.context_fields,
+            }
         self._metrics.add(instruments.REFUSED, reason=refusal.reason)
         self._log_refusal(processed, refusal)
         response = refusal_response(refusal, processed.request_id, self._dialect)
--- a/src/crocusspindle/gateway/instruments.py
+++ b/src/crocusspindle/gateway/instruments.py
@@ -24,6 +24,24 @@
     "`full` and `repeats` the capacity of a service, `proof-too-old` and `no-keeper` "
     "the network to the platform or between nodes.",
 )
+WAITING: Final = declare(
+    "gateway_waiting",
+    InstrumentKind.GAUGE,
+    unit="requests",
+    labels=("service",),
+    meaning="Requests that wait at this node, as a placer, for a slot of a target.",
+    when_rising="A service is at its capacity: see `service overloaded` in the log of "
+    "its placer.",
+)
+SHORT_SERVICES: Final = declare(
+    "gateway_short_services",
+    InstrumentKind.GAUGE,
+    unit="services",
+    meaning="Services that this node places and that refused a request as full within "
+    "the last two seconds.",
+    when_rising="The line `service no longer overloaded` names the customers that "
+    "used the service's room.",
+)
 ATTEMPTS: Final = declare(
     "gateway_sendings",
     InstrumentKind.COUNTER,
--- a/src/crocusspindle/gateway/placers.py
+++ b/src/crocusspindle/gateway/placers.py
@@ -1,7 +1,8 @@
 """Answer placement requests for the services that this node places."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from dataclasses import asdict
 from typing import ClassVar, Final
 
 from crocusspindle.clock import now_ms
@@ -15,6 +16,7 @@
     TargetIdentity,
     mark_evacuated,
 )
+from crocusspindle.core.overload_watch import OverloadChange
 from crocusspindle.core.placement_request import (
     PlacementGranted,
     PlacementRefused,
@@ -27,6 +29,7 @@
 from crocusspindle.core.store_version import StoreVersion
 from crocusspindle.core.target_tracker import EjectionState
 from crocusspindle.core.view import NodeAddress
+from crocusspindle.gateway import instruments
 from crocusspindle.gateway.crash_sharing import CrashSharing
 from crocusspindle.gateway.exchange import Address, Exchange
 from crocusspindle.gateway.fleet_state import FleetState
@@ -58,6 +61,7 @@
 )
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
+from crocusspindle.metrics import Metrics
 
 PROCESS_INTERVAL_S: Final = 0.02
 """Interval at which queues are processed while requests wait."""
@@ -85,7 +89,9 @@
         fleet_state: FleetState,
         policies: Policies,
         crashes: CrashSharing,
+        metrics: Metrics,
     ) -> None:
+        self._metrics = metrics
         self._bounds = bounds
         self._exchange = exchange
         self._fleet_state = fleet_state
@@ -114,6 +120,18 @@
         self._exchange.handle(LeavingNote, self._leaving_note)
         self._exchange.handle(ReachingAsk, self._reaching_ask)
         self._fleet_state.add_listener(self._apply_fleet_state)
+        self._metrics.observe(instruments.WAITING, self._waiting_by_service)
+        self._metrics.observe(instruments.SHORT_SERVICES, self._short_services)
+
+    def _waiting_by_service(self) -> list[tuple[float, Mapping[str, str]]]:
+        return [
+            (placer.queued, {"service": service})
+            for service, placer in self._placers.items()
+        ]
+
+    def _short_services(self) -> list[tuple[float, Mapping[str, str]]]:
+        short = sum(placer.is_overloaded for placer in self._placers.values())
+        return [(short, {})]
 
     def _apply_fleet_state(self) -> None:
         state = self._fleet_state
@@ -386,6 +404,8 @@
                 sender=path_change.sender,
                 targets=path_change.targets,
             )
+        for overload_change in placer.overload_changes():
+            self._log_overload(service, placer, overload_change)
         limited_attempts = packed_limits(placer.limits.attempts(), now_ms())
         if limited_attempts:
             self.ranks.notify_others(service, PacedNote(service, limited_attempts))
@@ -407,6 +427,25 @@
                 left_ms = left_ms if ejected else 0
                 self._publish_ejection(service, change.target, left_ms)
 
+    def _log_overload(
+        self, service: ServiceId, placer: ServicePlacer, change: OverloadChange
+    ) -> None:
+        if change.overloaded:
+            log_state_change(
+                self._log, "service overloaded", service=service, waiting=placer.queued
+            )
+            return
+        log_state_change(
+            self._log,
+            "service no longer overloaded",
+            service=service,
+            lasted_ms=round(change.lasted_ms),
+            requests=change.requests,
+            granted=change.granted,
+            refused=change.refused,
+            largest=[asdict(use) for use in change.largest],
+        )
+
     def _publish_ejection(
         self, service: ServiceId, target: TargetIdentity, left_ms: float
     ) -> None:
--- a/src/crocusspindle/gateway/placing.py
+++ b/src/crocusspindle/gateway/placing.py
@@ -248,7 +248,7 @@
             to, message, PEER_SILENT_S, left_ms / 1e3
         )
         if isinstance(response, RefusedAnswer):
-            return PlacementRefused(response.reason, response.retry_after_ms)
+            return PlacementRefused(response.reason, response.retry_after_ms, host)
         if not isinstance(response, PlaceAnswer):
             self._suspect_until_ms[host] = now_ms() + PLACER_SUSPECT_MS
             log_state_change(
--- a/tests/core/test_customer_shares.py
+++ b/tests/core/test_customer_shares.py
@@ -16,6 +16,7 @@
     Tally,
 )
 from crocusspindle.core.latency_sample import LatencySample
+from crocusspindle.core.overload_watch import OverloadWatch
 from crocusspindle.core.placement_queue import Capacity, PlacementQueue
 from crocusspindle.core.placement_request import (
     PlacementRefused,
@@ -213,3 +214,21 @@
             shares.record_grant(priority, now_ms, waited=True)
     assert 0.0 < granted[2] <= sum(granted.values()) / 8
     assert granted[2] / 800 == pytest.approx(0.3 * 0.25, rel=0.2)
+
+
+def test_an_overload_names_the_customers_that_used_the_room():
+    """Guards against refusals of which an operator can't tell who caused them."""
+    watch = OverloadWatch()
+    large, small = waiting_request("large"), waiting_request("small")
+    watch.record_refusal(small, 0.0)
+    for _ in range(3):
+        watch.record_request(large)
+        watch.record_grant(large)
+    watch.end_if_over(1_000.0)
+    watch.record_refusal(small, 1_500.0)
+    watch.end_if_over(3_600.0)
+    began, ended = watch.changes()
+    assert began.overloaded and not ended.overloaded
+    assert (ended.lasted_ms, ended.granted, ended.refused) == (1_500.0, 3, 2)
+    assert ended.largest[0].customer == "large"
+    assert not watch.is_overloaded and not watch.changes()
