Expect those that go ahead of a large customer in its wait

A customer above its share was queued although requests of the others, of which none waited at the moment, kept going ahead of it; it was then refused after a wait. The expected wait now counts all customers that are active, by their weights, at the rate of the last second and for as far ahead as that was observed.

Giving up on late requests after a quarter instead of half of their time was tried and reverted: a burst of one second is then refused, not served late.

--- a/src/crocusspindle/core/placement_queue.py
+++ b/src/crocusspindle/core/placement_queue.py
@@ -25,7 +25,7 @@
 from crocusspindle.core.priority_shares import RESERVED_EVERY
 from crocusspindle.core.retry_times import RetryTimes
 from crocusspindle.core.service_load import ServiceLoad
-from crocusspindle.core.wait_queue import WaitQueue
+from crocusspindle.core.wait_queue import WaitQueue, queue_weight
 
 MIN_WAIT_MS: Final = 40.0
 RETRY_MIN_MS: Final = 100.0
@@ -40,6 +40,10 @@
 """Factor on the expected wait of a new request. The capacity of the next seconds is
 known to about a fifth, and a request that turns out too late is refused late."""
 
+FORECAST_MS: Final = 1_000.0
+"""How far ahead the recent rate of requests is taken to last: as long as it is observed.
+A burst may end before a longer wait does."""
+
 EXTENSION_STEPS: Final = 2
 """Iterations of the expected wait. Each adds the requests that arrive during it."""
 
@@ -82,7 +86,9 @@
 
     def record_arrival(self, request: PlacementRequest, now_ms: float) -> None:
         """Count a request's first attempt."""
-        self._load.record_arrival(now_ms, request.priority, request.customer)
+        self._load.record_arrival(
+            now_ms, request.priority, request.customer, queue_weight(request.weight)
+        )
         self._queue.shares.record_arrival(request.priority, now_ms)
         self.overload.record_request(request)
 
@@ -126,14 +132,14 @@
         ahead = self._queue.ahead_of(waiting, now_ms)
         same_priority = self._queue.ahead_in_priority(waiting)
         own = self._queue.position_of(waiting)
-        share = self._queue.share_of(request.priority, request.customer)
+        weight = queue_weight(request.weight)
+        others_weight = self._load.active_weight(request.priority, now_ms) - weight
         others_per_ms = self._load.rate_of_others_per_ms(
             request.priority, request.customer, now_ms
         )
-        # While a customer's earlier requests are served, the others of its priority
-        # are served at most by their share.
-        others_max = own * (1.0 - share) / max(share, 1e-6)
-        room = max(0.0, others_max - (same_priority - own))
+        # Before this request the other customers are served at most by their share,
+        # also those of which no request waits now.
+        room = max(0.0, own * others_weight / weight - (same_priority - own))
         left_per_ms = self._left_per_ms(request.priority, capacity_per_ms, now_ms)
         owed = self._queue.shares.owed_grants(request.priority, now_ms)
 
@@ -146,7 +152,8 @@
 
         expected_ms = wait_ms(0.0)
         for _ in range(EXTENSION_STEPS):
-            expected_ms = wait_ms(min(others_per_ms * expected_ms, room))
+            forecast_ms = min(expected_ms, FORECAST_MS)
+            expected_ms = wait_ms(min(others_per_ms * forecast_ms, room))
         return expected_ms
 
     def _left_per_ms(
--- a/src/crocusspindle/core/service_load.py
+++ b/src/crocusspindle/core/service_load.py
@@ -1,6 +1,7 @@
 """Estimate how much work arrives at a service, and how much it can carry."""
 
 import math
+from dataclasses import dataclass
 from typing import Final
 
 from crocusspindle.core.decayed_rate import DecayedRate
@@ -19,6 +20,18 @@
 FORGOTTEN_PER_MS: Final = 1e-4
 """A customer below this rate, one request in ten seconds, may be dropped."""
 
+ACTIVE_PER_MS: Final = 2e-4
+"""A customer above this rate counts as active: it sent a request within two seconds."""
+
+ACTIVE_REFRESH_MS: Final = 100.0
+"""Interval at which the active customers are counted again."""
+
+
+@dataclass(slots=True)
+class _CustomerLoad:
+    rate: DecayedRate
+    weight: float = 1.0
+
 
 class ServiceLoad:
     """Track the rates of first attempts and the mean latency of answers.
@@ -31,31 +44,50 @@
         self._began_ms = now_ms
         self._total = DecayedRate(now_ms, MIN_OBSERVED_MS)
         self._by_priority: dict[int, DecayedRate] = {}
-        self._by_customer: dict[tuple[int, CustomerId], DecayedRate] = {}
+        self._by_customer: dict[tuple[int, CustomerId], _CustomerLoad] = {}
+        self._active_weights: dict[int, float] = {}
+        self._active_counted_ms = -math.inf
         self.mean_latency_ms = math.nan
 
     def record_arrival(
-        self, now_ms: float, priority: int = 0, customer: CustomerId = NO_CUSTOMER
+        self,
+        now_ms: float,
+        priority: int = 0,
+        customer: CustomerId = NO_CUSTOMER,
+        weight: float = 1.0,
     ) -> None:
-        """Count one request."""
+        """Count one request; ``weight`` is its customer's in fair queueing."""
         self._total.record(now_ms)
-        key = (priority, customer)
-        if key not in self._by_customer:
+        load = self._by_customer.get((priority, customer))
+        if load is None:
             self._drop_idle_customers(now_ms)
-            self._by_customer[key] = DecayedRate(self._began_ms)
+            load = _CustomerLoad(DecayedRate(self._began_ms))
+            self._by_customer[priority, customer] = load
             self._by_priority.setdefault(priority, DecayedRate(self._began_ms))
-        self._by_customer[key].record(now_ms)
+        load.rate.record(now_ms)
+        load.weight = weight
         self._by_priority[priority].record(now_ms)
 
     def _drop_idle_customers(self, now_ms: float) -> None:
         if len(self._by_customer) < MAX_CUSTOMERS:
             return
         self._by_customer = {
-            key: rate
-            for key, rate in self._by_customer.items()
-            if rate.per_ms(now_ms) > FORGOTTEN_PER_MS
+            key: load
+            for key, load in self._by_customer.items()
+            if load.rate.per_ms(now_ms) > FORGOTTEN_PER_MS
         }
 
+    def active_weight(self, priority: int, now_ms: float) -> float:
+        """Return the weights together of the active customers of a priority."""
+        if now_ms - self._active_counted_ms >= ACTIVE_REFRESH_MS:
+            self._active_counted_ms = now_ms
+            self._active_weights.clear()
+            for (other, _), load in self._by_customer.items():
+                if load.rate.per_ms(now_ms) > ACTIVE_PER_MS:
+                    total = self._active_weights.get(other, 0.0)
+                    self._active_weights[other] = total + load.weight
+        return self._active_weights.get(priority, 0.0)
+
     def rate_per_ms(self, now_ms: float) -> float:
         """Return the recent rate of requests."""
         return self._total.per_ms(now_ms)
@@ -76,7 +108,7 @@
         own = self._by_customer.get((priority, customer))
         if total is None:
             return 0.0
-        own_per_ms = 0.0 if own is None else own.per_ms(now_ms)
+        own_per_ms = 0.0 if own is None else own.rate.per_ms(now_ms)
         return max(0.0, total.per_ms(now_ms) - own_per_ms)
 
     def record_answer(self, latency_ms: float) -> None:
