--- a/src/crocusspindle_standins/on_platform/target.py
+++ b/src/crocusspindle_standins/on_platform/target.py
@@ -6,6 +6,7 @@
 import struct
 import time
 from collections import Counter
+from contextlib import AbstractAsyncContextManager, nullcontext
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Final
@@ -24,6 +25,16 @@
 
 SHUTDOWN_S: Final = 0.1
 
+RESPONSE_BYTES: Final = "response_bytes="
+"""A path that ends with this and a number gets a response body of that length."""
+
+
+def response_body(path: str, body: bytes) -> bytes:
+    """Return the whole response body to a request with a path and a body."""
+    text = b"answer to " + path.encode() + b" " + body
+    size = path.rpartition(RESPONSE_BYTES)[2]
+    return text.ljust(int(size), b".") if size.isdecimal() else text
+
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
@@ -67,6 +78,8 @@
 
     If it ``is_leaving``, its responses say so and its entry does not. If
     ``retry_after_s`` is set, each refusal asks the sender to send nothing for so long.
+    A request that takes the last of the slots runs ``full_slowdown`` times as long. If
+    ``limits_runs``, requests beyond the slots wait until one is free.
     """
 
     identity: str
@@ -75,6 +88,8 @@
     slots: int = 2
     work_s: float = 0.02
     limit: str | None = None
+    full_slowdown: float = 1.0
+    limits_runs: bool = False
     retry_after_s: float | None = None
     is_leaving: bool = False
     arrivals: list[Arrival] = field(default_factory=list)
@@ -90,6 +105,7 @@
     started_ms: int = 0
     entry_state: str = "ready"
     _in_flight: int = 0
+    _free_slots: asyncio.Semaphore | None = None
     _sequence: int = 0
     _server: web.Server | None = None
     _runner: web.ServerRunner | None = None
@@ -184,10 +200,22 @@
             return web.Response(status=503, headers=self._refusal_headers())
         self._in_flight += 1
         try:
-            return await self._run(request)
+            async with self._slot():
+                return await self._run(request)
         finally:
             self._in_flight -= 1
 
+    def _slot(self) -> AbstractAsyncContextManager[object]:
+        if not self.limits_runs:
+            return nullcontext()
+        if self._free_slots is None:
+            self._free_slots = asyncio.Semaphore(self.slots)
+        return self._free_slots
+
+    def _run_time_s(self) -> float:
+        is_full = self._in_flight >= self.slots
+        return self.work_s * (self.full_slowdown if is_full else 1.0)
+
     def _refusal_headers(self) -> dict[str, str]:
         headers = {"X-Not-Executed": "1"}
         if self.retry_after_s is not None:
@@ -211,7 +239,7 @@
         if self.fault is TargetFault.RESETS and request.transport is not None:
             request.transport.abort()
             raise ConnectionResetError
-        await asyncio.sleep(self.work_s)
+        await asyncio.sleep(self._run_time_s())
         if self.fault is TargetFault.ERRORS:
             return web.Response(status=500, headers={"X-Server-Stamp": "failed"})
         if self.fault is TargetFault.CROSSES:
@@ -223,16 +251,16 @@
             headers["Server-Leaving"] = "1"
         if self.fault in (TargetFault.UNFRAMED, TargetFault.UNFRAMED_RESETS):
             return await self._respond_unframed(request, headers)
-        response_body = b"answer to " + request.path_qs.encode() + b" " + body
+        answer = response_body(request.path_qs, body)
         response = web.StreamResponse(headers=headers)
-        response.content_length = len(response_body)
+        response.content_length = len(answer)
         await response.prepare(request)
         if self.fault is TargetFault.CUTS:
-            await response.write(response_body[:3])
+            await response.write(answer[:3])
             if request.transport is not None:
                 request.transport.abort()
             return response
-        await response.write_eof(response_body)
+        await response.write_eof(answer)
         return response
 
     async def _respond_unframed(
