Soak a customer over its quota beside a small one, and slow readers

Cause: the soak checked planned stops with one customer without a quota.

Change: the document has version 2. One customer sends 4 to 7 times its quota once or twice, at drawn moments, beside a small one at an eighth of its quota; a 429 for the small one, or a share served below a quarter of the club's, is a finding. Four callers read 900 KB or 1.5 MB at 2 or 100 KB/s: a 200 must be whole, and what is read of a truncated response must be the beginning of the answer. A response cut after its first byte is no finding of a planned stop; no earlier caller recorded such parts. Draws of earlier events and callers are the same, as the new ones have a generator of their own.

Not tried on a gateway with a planted fault; each check is tested on made-up histories.

--- a/src/crocusspindle_standins/soak/callers.py
+++ b/src/crocusspindle_standins/soak/callers.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import itertools
+import socket
 from typing import Final
 
 from crocusspindle_standins.on_platform.fleet import GUEST_KEY, HOST, KEY, Gateway
+from crocusspindle_standins.on_platform.target import RESPONSE_BYTES
 from crocusspindle_standins.soak.history import (
     NEVER_S,
     NO_RESPONSE,
@@ -12,11 +14,14 @@
     History,
     Request,
 )
-from crocusspindle_standins.soak.plan import RUN_S, CallerPlan, Step
+from crocusspindle_standins.soak.plan import RUN_S, CallerPlan, Single, Step
 
 DEADLINE_MS: Final = 3_000
 PATIENCE_S: Final = 5.0
 CONNECT_PAUSE_S: Final = 0.1
+SINGLE_STEP: Final = Step(0.0, "GET", 1, 0, 1, 0.0)
+RECEIVE_BUFFER_BYTES: Final = 4_096
+READ_INTERVAL_S: Final = 0.1
 
 Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 Response = tuple[int, dict[str, str], bytes]
@@ -95,10 +100,65 @@
     return stays_open
 
 
-def _head(step: Step, folder: str, request_id: str, key: str) -> bytes:
+def key_of(customer: str) -> str:
+    """Return the API key of a customer that sends single requests."""
+    return KEY if customer == "club" else f"key-of-the-{customer}"
+
+
+async def send_single(
+    name: str, plan: Single, gateway: Gateway, history: History
+) -> None:
+    """Send one request at its time; record what was read until the end of the run."""
+    await asyncio.sleep(plan.at_s)
+    connection = await _connect(gateway)
+    if connection is None:
+        return
+    reader, writer = connection
+    # Small, so that the gateway holds a response, rather than the caller's kernel.
+    own = writer.get_extra_info("socket")
+    own.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    size = f"?{RESPONSE_BYTES}{plan.response_bytes}" if plan.response_bytes else ""
+    began_s = history.now_s()
+    writer.write(_head(SINGLE_STEP, "pages", name, key_of(plan.customer), size))
+    status, headers, answer = NO_RESPONSE, dict[str, str](), bytearray()
+    try:
+        async with asyncio.timeout(max(0.0, RUN_S - began_s)):
+            code, headers = await _read_head(reader)
+            length = int(headers["content-length"])
+            part_bytes = round(plan.read_bytes_per_s * READ_INTERVAL_S)
+            while len(answer) < length:
+                part = await reader.read(min(length - len(answer), part_bytes))
+                if not part:
+                    raise EOFError
+                answer += part
+                await asyncio.sleep(READ_INTERVAL_S if len(answer) < length else 0.0)
+            status = code
+    except (EOFError, ConnectionError):
+        pass
+    except TimeoutError:
+        status = TIMED_OUT
+    writer.close()
+    request = Request(
+        name,
+        plan.gateway,
+        SINGLE_STEP.method,
+        f"/pages/{name}{size}",
+        b"",
+        began_s,
+        began_s,
+        history.now_s(),
+        status,
+        headers.get("x-request-id", ""),
+        bytes(answer),
+        customer=plan.customer,
+    )
+    history.requests.append(request)
+
+
+def _head(step: Step, folder: str, request_id: str, key: str, query: str = "") -> bytes:
     length = f"Content-Length: {step.body_bytes}\r\n" if step.method == "POST" else ""
     return (
-        f"{step.method} /{folder}/{request_id} HTTP/1.1\r\nHost: {HOST}\r\n"
+        f"{step.method} /{folder}/{request_id}{query} HTTP/1.1\r\nHost: {HOST}\r\n"
         f"{length}X-Request-Id: {request_id}\r\nX-Api-Key: {key}\r\n"
         f"X-Deadline-Milliseconds: {DEADLINE_MS}\r\n\r\n"
     ).encode()
@@ -125,9 +185,13 @@
 
 
 async def _read_response(reader: asyncio.StreamReader) -> Response:
+    status, headers = await _read_head(reader)
+    return status, headers, await reader.readexactly(int(headers["content-length"]))
+
+
+async def _read_head(reader: asyncio.StreamReader) -> tuple[int, dict[str, str]]:
     head = (await reader.readuntil(b"\r\n\r\n")).decode()
     status_line, *lines = head.rstrip("\r\n").split("\r\n")
     fields = (line.partition(": ") for line in lines)
     headers = {name.lower(): text for name, _, text in fields}
-    body = await reader.readexactly(int(headers["content-length"]))
-    return int(status_line.split()[1]), headers, body
+    return int(status_line.split()[1]), headers
--- a/src/crocusspindle_standins/soak/checks.py
+++ b/src/crocusspindle_standins/soak/checks.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from crocusspindle_standins.on_platform.fleet import OK
+from crocusspindle_standins.on_platform.target import response_body
 from crocusspindle_standins.soak.history import (
     NEVER_S,
     NO_RESPONSE,
@@ -13,6 +14,7 @@
     Run,
     Stop,
 )
+from crocusspindle_standins.soak.plan import CLUB, SMALL
 
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 UNANSWERED_STATUSES: Final = frozenset({NO_RESPONSE, 502, 504})
@@ -30,6 +32,9 @@
 RESPONSE_MARGIN_S: Final = 0.01
 """A 504 is sent this long before the route's timeout, so that it arrives in time."""
 
+OVER_QUOTA: Final = 429
+MIN_SERVED_RATIO: Final = 1 / 4
+
 LAST_FRACTION: Final = 1 / 6
 SENT_LIMIT_S: Final = 3.0
 """A request sent later after SIGTERM is answered even if its target is still at work in
@@ -60,17 +65,25 @@
 
 def wrong_answer(request: Request, _: list[Run]) -> str | None:
     """Find a success that is not the target's own whole answer to the request."""
-    whole = f"answer to {request.path} ".encode() + request.body
+    whole = response_body(request.path, request.body)
     is_own = request.answer == whole and request.echoed_id == request.request_id
     if request.status != OK or is_own:
         return None
     return f"got the answer {request.answer[:80]!r} of {request.echoed_id!r}"
 
 
+def wrong_part(request: Request, _: list[Run]) -> str | None:
+    """Find a truncated response that is not the beginning of the target's answer."""
+    whole = response_body(request.path, request.body)
+    is_part = request.status > 0 or whole.startswith(request.answer)
+    return None if is_part else f"got the part {request.answer[:80]!r}"
+
+
 REQUEST_CHECKS: Final[Mapping[str, Callable[[Request, list[Run]], str | None]]] = {
     "at most once": ran_twice,
     "true refusals": refused_and_ran,
     "own answer": wrong_answer,
+    "own part": wrong_part,
 }
 
 
@@ -88,9 +101,31 @@
         *bad_exits(history),
         *late_work(history),
         *withdrawn_keys(history),
+        *unserved_small_customer(history),
     ]
 
 
+def unserved_small_customer(history: History) -> Iterator[Finding]:
+    """Find a small customer that suffers from one that exceeds its quota."""
+    small = [request for request in history.requests if request.customer == SMALL]
+    club = [
+        request
+        for request in history.requests
+        if request.customer == CLUB and not request.is_guest
+    ]
+    for request in small:
+        if request.status == OVER_QUOTA:
+            text = "refused as over its quota"
+            yield Finding("small customer", request.gateway, text, request)
+    if small and _served_share(small) < _served_share(club) * MIN_SERVED_RATIO:
+        text = f"served {_served_share(small):.2f}, the club {_served_share(club):.2f}"
+        yield Finding("small customer", small[0].gateway, text)
+
+
+def _served_share(requests: list[Request]) -> float:
+    return sum(request.status == OK for request in requests) / max(1, len(requests))
+
+
 def late_work(history: History) -> Iterator[Finding]:
     """Find requests that a target ran too long after it had said that it leaves."""
     requests = {request.request_id: request for request in history.requests}
@@ -151,10 +186,13 @@
 
 def _ended_around(stop: Stop, request: Request) -> bool:
     after_stop_s = request.ended_s - stop.at_s
+    # A caller that reads slowly may not get all of a response within the grace period.
+    is_truncated = request.status == NO_RESPONSE and bool(request.answer)
     return (
         request.gateway == stop.gateway
         and request.status in UNANSWERED_STATUSES
         and request.sent_s < NEVER_S
+        and not is_truncated
         and 0.0 <= after_stop_s <= stop.grace_s + AFTER_GRACE_S
     )
 
--- a/src/crocusspindle_standins/soak/history.py
+++ b/src/crocusspindle_standins/soak/history.py
@@ -34,6 +34,7 @@
     answer: bytes = field(default=b"", repr=False)
     is_behind_another: bool = False
     is_guest: bool = False
+    customer: str = "club"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/crocusspindle_standins/soak/plan.py
+++ b/src/crocusspindle_standins/soak/plan.py
@@ -1,7 +1,7 @@
 """Plan the faults and the callers of one run from a seed."""
 
 import random
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from enum import Enum
 from typing import Final
@@ -45,6 +45,20 @@
 GUEST: Final = 1
 """The caller of each gateway that uses the guest's key."""
 
+CLUB: Final = "club"
+BURSTING: Final = "bursting"
+SMALL: Final = "small"
+QUOTAS: Final = {BURSTING: (20.0, 10.0), SMALL: (20.0, 20.0)}
+"""Rate and burst of customers beside the club and the guest."""
+
+FIRST_SINGLE_S: Final = 2.5
+"""By then the configuration with these customers is in force."""
+
+SMALL_INTERVAL_S: Final = 0.4
+SLOW_READERS: Final = 4
+LARGE_RESPONSES: Final = (900_000, 1_500_000)
+"""Lengths less and more than a gateway holds of one response, in bytes."""
+
 LOST_VERSIONS: Final = ("0", "3", "70", "670")
 LASTING: Final = frozenset({Action.PAUSE, Action.DISTURB})
 DETAILS: Final[Mapping[Action, tuple[str, ...]]] = {
@@ -98,6 +112,17 @@
     steps: tuple[Step, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Single:
+    """Plan one request on a connection of its own; 0 is the usual response length."""
+
+    at_s: float
+    gateway: int
+    customer: str
+    response_bytes: int = 0
+    read_bytes_per_s: int = 10_000_000
+
+
 @dataclass(frozen=True, slots=True)
 class Plan:
     """Hold all that is decided before a run."""
@@ -107,6 +132,7 @@
     work_s: float
     events: tuple[Event, ...]
     callers: tuple[CallerPlan, ...]
+    singles: tuple[Single, ...]
 
 
 def make_plan(seed: int) -> Plan:
@@ -128,7 +154,30 @@
     )
     in_order = tuple(sorted(events, key=lambda event: event.at_s))
     work_s = rng.choice((0.02, 0.1, 0.4, 0.8))
-    return Plan(seed, gateways, work_s, in_order, callers)
+    singles = tuple(_singles(random.Random(f"{seed} singles"), gateways))
+    return Plan(seed, gateways, work_s, in_order, callers, singles)
+
+
+def _singles(rng: random.Random, gateways: int) -> Iterator[Single]:
+    """Let one customer send 4 to 7 times its quota at drawn moments, beside others."""
+    at_s = FIRST_SINGLE_S
+    while at_s < RUN_S - 1:
+        yield Single(round(at_s, 3), rng.randrange(gateways), SMALL)
+        at_s += SMALL_INTERVAL_S * rng.uniform(0.5, 1.5)
+    for _ in range(rng.randint(1, 2)):
+        at_s = rng.uniform(FIRST_SINGLE_S, RUN_S - 3)
+        rate_per_s = QUOTAS[BURSTING][0] * rng.uniform(4.0, 7.0)
+        for number in range(round(rate_per_s * rng.uniform(0.5, 1.5))):
+            sent_s = round(at_s + number / rate_per_s, 3)
+            yield Single(sent_s, rng.randrange(gateways), BURSTING)
+    for _ in range(SLOW_READERS):
+        yield Single(
+            round(rng.uniform(FIRST_SINGLE_S, RUN_S - 5), 3),
+            rng.randrange(gateways),
+            CLUB,
+            rng.choice(LARGE_RESPONSES),
+            rng.choice((2_000, 100_000)),
+        )
 
 
 def _stops(rng: random.Random, gateways: int) -> list[Event]:
--- a/src/crocusspindle_standins/soak/play.py
+++ b/src/crocusspindle_standins/soak/play.py
@@ -21,7 +21,7 @@
 )
 from crocusspindle_standins.on_platform.store import StoreMode
 from crocusspindle_standins.on_platform.target import TargetFault
-from crocusspindle_standins.soak.callers import run_caller
+from crocusspindle_standins.soak.callers import key_of, run_caller, send_single
 from crocusspindle_standins.soak.history import (
     Disruption,
     History,
@@ -30,7 +30,7 @@
     RecordedTarget,
     Stop,
 )
-from crocusspindle_standins.soak.plan import TARGETS, Action, Event, Plan
+from crocusspindle_standins.soak.plan import QUOTAS, TARGETS, Action, Event, Plan
 
 READY_CHECK_S: Final = 0.5
 SETTLE_S: Final = 0.5
@@ -51,9 +51,14 @@
             make_target=make_target,
             program="crocusspindle_standins.on_platform.partitioned",
         )
-        self._document = configuration()
+        # The fleet starts with version 1; a document of the same version has no effect.
+        self._version = 2
+        self._document = configuration(self._version)
         self._document["tenants"]["guest"] = {"api_keys": [GUEST_KEY]}
-        self._version = 1
+        for customer, (rate_per_s, burst) in QUOTAS.items():
+            keys = [key_of(customer)]
+            tenant = {"api_keys": keys, "per_s": rate_per_s, "burst": burst}
+            self._document["tenants"][customer] = tenant
         self._stopping: set[int] = set()
         self._apply_by_action: dict[Action, Callable[[Event], Awaitable[None]]] = {
             Action.STOP: self._stop,
@@ -83,6 +88,10 @@
                     gateway = self.fleet.gateways[caller.gateway]
                     name = f"s{self._plan.seed}-c{number}"
                     group.create_task(run_caller(name, caller, gateway, self.history))
+                for number, single in enumerate(self._plan.singles):
+                    gateway = self.fleet.gateways[single.gateway]
+                    name = f"s{self._plan.seed}-{single.customer}{number}"
+                    group.create_task(send_single(name, single, gateway, self.history))
             await asyncio.sleep(SETTLE_S)
             self.history.ended_by_themselves.extend(
                 number
--- a/tests/gateway/test_stop_soak.py
+++ b/tests/gateway/test_stop_soak.py
@@ -17,7 +17,14 @@
     Run,
     Stop,
 )
-from crocusspindle_standins.soak.plan import RUN_S, Action, make_plan
+from crocusspindle_standins.soak.plan import (
+    BURSTING,
+    QUOTAS,
+    RUN_S,
+    SMALL,
+    Action,
+    make_plan,
+)
 from crocusspindle_standins.soak.play import Player
 
 SEEDS = range(40)
@@ -43,6 +50,9 @@
 LEAVING = Leaving("t0", at_s=9.0)
 GUEST = replace(ANSWERED, is_guest=True)
 RUN = Run("r1", "t0", began_s=11.1, ended_s=11.2)
+SMALL_SERVED = replace(ANSWERED, customer=SMALL)
+SMALL_REFUSED = replace(CLOSED, customer=SMALL, status=503)
+PART = replace(CLOSED, answer=b"answer to /orders/r1 p")
 LONG_RUN = Run("r1", "t0", began_s=11.1, ended_s=13.0)
 
 
@@ -90,12 +100,24 @@
     assert any(step.parts > 1 and step.body_bytes for step in steps)
 
 
+def test_one_customer_exceeds_its_quota_and_a_small_one_does_not():
+    for plan in map(make_plan, SEEDS):
+        times_s = sorted(s.at_s for s in plan.singles if s.customer == BURSTING)
+        assert times_s[9] - times_s[0] < 9 / QUOTAS[BURSTING][0] / 3
+        small = [s for s in plan.singles if s.customer == SMALL]
+        assert 10 < len(small) < QUOTAS[SMALL][0] * RUN_S / 4
+        assert any(s.response_bytes for s in plan.singles)
+
+
 @pytest.mark.parametrize(
     ("broken", "records"),
     [
         ("at most once", [ANSWERED, RUN, replace(RUN, target="t1")]),
         ("own answer", [replace(ANSWERED, answer=b"answer to /orders/r1 pa"), RUN]),
         ("own answer", [replace(ANSWERED, echoed_id="r2"), RUN]),
+        ("own part", [replace(PART, answer=b"answer to /orders/r2")]),
+        ("small customer", [replace(SMALL_REFUSED, status=429)]),
+        ("small customer", [ANSWERED, SMALL_SERVED, *[SMALL_REFUSED] * 4]),
         ("planned stop", [STOP, LATE]),
         ("planned stop", [STOP, CLOSED, RUN]),
         ("planned stop", [STOP, replace(CLOSED, is_behind_another=True), RUN]),
@@ -144,6 +166,8 @@
     [
         [STOP, ANSWERED, RUN],
         [STOP, CLOSED],
+        [STOP, PART, RUN],
+        [ANSWERED, SMALL_SERVED, *[SMALL_REFUSED] * 3],
         [STOP, replace(LATE, sent_s=NEVER_S)],
         [STOP, replace(LATE, is_behind_another=True)],
         [STOP, replace(LATE, gateway=1)],
@@ -177,5 +201,7 @@
     await player.play()
     assert not check(player.history)
     assert len(player.history.stops) >= 2
-    answered = [r for r in player.history.requests if r.status == 200]
-    assert len(answered) > len(player.history.requests) / 2
+    # Most requests beyond a quota are refused.
+    requests = [r for r in player.history.requests if r.customer != BURSTING]
+    answered = [r for r in requests if r.status == 200]
+    assert len(answered) > len(requests) / 2
