--- a/src/crocusspindle/core/placement_queue.py
+++ b/src/crocusspindle/core/placement_queue.py
@@ -41,8 +41,8 @@
 known to about a fifth, and a request that turns out too late is refused late."""
 
 FORECAST_MS: Final = 1_000.0
-"""How far ahead the recent rate of requests is taken to last: as long as it is observed.
-A burst may end before a longer wait does."""
+"""How far ahead the recent rate of requests is taken to last: as long as it is measured
+over. A burst may end before a longer wait does."""
 
 EXTENSION_STEPS: Final = 2
 """Iterations of the expected wait. Each adds the requests that arrive during it."""
