Give a customer's tokens by priority and deadline, and take unused ones back

Cause: a token went to whichever request arrived when one was available, and was spent before a target was granted; requests that were then refused used up quota.

Change: the quota keeper queues requests for a token by priority, then earliest deadline, one in eight by arrival (core/token_queue.py), and refuses at once what does not fit its wait limit. Spending the next token in advance is gone. Tokens are numbered; the entry returns the token of a request that certainly arrived at no target and no other node. The bucket takes the admission of a returned number out of its window, once, while it is open; it then goes to the next request that waits. Handed-over requests are not returned, since the other node may have sent them.

Test changed: the one that spent a token in advance now waits for it, as strict: it gets the token after 100 ms and not at 99 ms. The simulation of random changes of keeper moved to its own module, to be run with returns as well.

Token order, return and keeper tests pass; accepting a number twice, or keeping numbers over a release, fails them.

--- a/src/crocusspindle/core/quota_keeper.py
+++ b/src/crocusspindle/core/quota_keeper.py
@@ -15,39 +15,43 @@
 
 A view also lists its fenced entries: removed members that may still act on an older
 view.
+
+Tokens are numbered. A node whose request certainly did not run returns its token, which
+goes to the next waiting request. Each number is taken back once, while the bucket is
+open from which it was spent. After a release, a reassignment or a restart no node knows
+it, so a return that is late, doubled or meant for another process changes nothing.
 """
 
+import hashlib
 import math
+import random
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Final
 
 from crocusspindle.core.assignment_history import AssignmentHistory, Tenure
-from crocusspindle.core.configuration import CustomerRule
+from crocusspindle.core.configuration import LOWEST_PRIORITY, CustomerRule
+from crocusspindle.core.retry_times import RetryTimes
+from crocusspindle.core.spend_result import (
+    Admitted,
+    NotKept,
+    OverRate,
+    SpendResult,
+)
+from crocusspindle.core.token_queue import TokenQueue, WaitingSpend
 from crocusspindle.core.view import View, ViewEntry, ViewEntryKey
-from crocusspindle.core.window_bucket import WindowBucket
+from crocusspindle.core.window_bucket import TokenForecast, WindowBucket
 from crocusspindle.ids import CustomerId, HostId, Incarnation
 
+CHECK_INTERVAL_MS: Final = 10.0
+"""Minimum interval between checks whether waiting requests still fit their limits. Each
+takes a pass over the queue; at the rate of arrivals, they would cost a large customer's
+keeper most of its processor time."""
 
-@dataclass(frozen=True, slots=True)
-class Admitted:
-    """Admit a request, to be sent after a wait."""
-
-    wait_ms: float
-
-
-@dataclass(frozen=True, slots=True)
-class OverRate:
-    """Refuse a request over the customer's rate, until a token is available."""
-
-    retry_after_ms: float
-
-
-@dataclass(frozen=True, slots=True)
-class NotKept:
-    """Report that this node does not keep the customer, or not yet."""
-
-
-SpendResult = Admitted | OverRate | NotKept
+_COUNTER_BITS: Final = 32
+"""Low bits of a token's number, which count the tokens of the process; the high bits
+identify the process. At 2,000 tokens a second they repeat after 24 days, while a number
+is valid for a window of seconds."""
 
 
 @dataclass(slots=True)
@@ -61,6 +65,8 @@
     """
 
     bucket: WindowBucket
+    queue: TokenQueue = field(default_factory=TokenQueue)
+    checked_ms: float = -math.inf
     tokens: float = 0.0
     opened: bool = False
     successor_since_ms: float = math.nan
@@ -71,6 +77,7 @@
     def close(self) -> None:
         """Stop admitting; the next opening requires all releases again."""
         self.opened = False
+        self.bucket.close()
         self.previous_released_ms = math.nan
         self.successor_since_ms = math.nan
 
@@ -78,7 +85,8 @@
 class QuotaKeeper:
     """Admit requests of the customers that this node keeps.
 
-    ``began_ms`` is when this node's process started.
+    ``began_ms`` is when this node's process started. ``generator`` spreads the retry
+    times of refused requests.
     """
 
     def __init__(
@@ -87,6 +95,7 @@
         incarnation: Incarnation,
         fence_ms: float,
         window_ms: float,
+        generator: random.Random,
         began_ms: float = math.inf,
     ) -> None:
         self._window_ms = window_ms
@@ -98,6 +107,11 @@
         self._accounts: dict[CustomerId, _Account] = {}
         self._fenced_since_ms: dict[ViewEntryKey, float] = {}
         self._history = AssignmentHistory(host, incarnation)
+        self._token_prefix = _token_prefix(host, incarnation)
+        self._tokens_spent = 0
+        # Priorities are refused at their own rates, so each has its own retry times.
+        self._retry_times = [RetryTimes(generator) for _ in range(LOWEST_PRIORITY + 1)]
+        self._settled: list[WaitingSpend] = []
 
     def set_rules(self, rules: Mapping[CustomerId, CustomerRule]) -> None:
         """Apply a new configuration's limits; a lower burst truncates the buckets."""
@@ -125,7 +139,7 @@
         # have become keeper after the fence. The tokens left here must not be spent.
         self._history.forget()
         for account in self._accounts.values():
-            account.close()
+            self._close(account)
             account.tokens = 0.0
 
     def _close_reassigned(self, view_number: int, now_ms: float) -> None:
@@ -139,7 +153,7 @@
             }
             if account.opened and not self.ranks_first(customer):
                 self._freeze(account, customer, now_ms)
-                account.close()
+                self._close(account)
                 account.barred_to_view = max(account.barred_to_view, view_number)
 
     def expired_entry_keys(self, now_ms: float) -> set[ViewEntryKey]:
@@ -185,27 +199,128 @@
         return waiting
 
     def spend(
-        self, customer: CustomerId, wait_limit_ms: float, now_ms: float
-    ) -> SpendResult:
-        """Spend one token, or the next one if it arrives within the wait limit.
-
-        Requests of a customer near its rate come in bursts: a short wait for the next
-        token serves a request that would be retried after a refusal. A longer wait
-        than the limit is refused at once.
+        self,
+        customer: CustomerId,
+        wait_limit_ms: float,
+        now_ms: float,
+        priority: int = LOWEST_PRIORITY,
+    ) -> SpendResult | WaitingSpend:
+        """Spend one token, or wait for one if it arrives within the wait limit.
+
+        Requests of a customer near its rate come in bursts: a short wait for a token
+        serves a request that would be retried after a refusal. A longer wait than the
+        limit is refused at once.
         """
         rule = self._rules.get(customer)
         if rule is None or not self._may_admit(customer, now_ms):
             return NotKept()
+        if rule.rate_per_s <= 0.0:
+            # The asking node still has a configuration in which there was a limit.
+            return Admitted()
         account = self._accounts[customer]
         if not account.opened:
             self._open(account, customer, rule, now_ms)
             account.opened = True
-        missing = 1.0 - account.bucket.tokens(rule, now_ms)
-        wait_ms = max(0.0, missing / rule.rate_per_s * 1e3)
-        if wait_ms > wait_limit_ms:
-            return OverRate(wait_ms)
-        account.bucket.record_admission(now_ms)
-        return Admitted(wait_ms)
+        priority = min(max(0, priority), LOWEST_PRIORITY)
+        self._give_tokens(account, rule, now_ms)
+        if not account.queue and _has_token(account, rule, now_ms):
+            return self._admit(account, priority, now_ms)
+        forecast = TokenForecast.of(account.bucket, rule, now_ms)
+        waiting = WaitingSpend(priority, now_ms + wait_limit_ms)
+        if not account.queue.add(waiting, forecast):
+            return self._refuse(account, forecast, waiting)
+        self._refuse_unfit(account, forecast)
+        return waiting if waiting.settled is None else waiting.settled
+
+    def _admit(self, account: _Account, priority: int, now_ms: float) -> Admitted:
+        self._tokens_spent += 1
+        token = self._token_prefix | self._tokens_spent % (1 << _COUNTER_BITS)
+        account.bucket.record_admission(now_ms, token)
+        account.queue.record_token(priority)
+        return Admitted(token)
+
+    def _refuse(
+        self, account: _Account, forecast: TokenForecast, waiting: WaitingSpend
+    ) -> OverRate:
+        rule, now_ms, priority = forecast.rule, forecast.now_ms, waiting.priority
+        tokens = account.queue.tokens_until(priority, waiting.give_up_ms)
+        rate_per_ms = rule.rate_per_s / 1e3 * account.queue.share_of(priority)
+        retry_ms = self._retry_times[priority].next_for(
+            rule.customer, now_ms, forecast.wait_ms(tokens), 1.0 / rate_per_ms
+        )
+        return OverRate(retry_ms - now_ms)
+
+    def _give_tokens(
+        self, account: _Account, rule: CustomerRule, now_ms: float
+    ) -> None:
+        while account.queue and _has_token(account, rule, now_ms):
+            waiting = account.queue.pop()
+            waiting.settled = self._admit(account, waiting.priority, now_ms)
+            self._settled.append(waiting)
+
+    def _refuse_unfit(self, account: _Account, forecast: TokenForecast) -> None:
+        if forecast.now_ms < account.checked_ms + CHECK_INTERVAL_MS:
+            return
+        account.checked_ms = forecast.now_ms
+        for waiting in account.queue.drop_unfit(forecast):
+            waiting.settled = self._refuse(account, forecast, waiting)
+            self._settled.append(waiting)
+
+    def serve_waiting(self, customer: CustomerId, now_ms: float) -> float | None:
+        """Give available tokens to waiting requests; refuse those that no longer fit.
+
+        Return the time until the next token (ms), None if no request waits any more.
+        """
+        account = self._accounts.get(customer)
+        if account is None or not account.queue:
+            return None
+        rule = self._rules.get(customer)
+        is_limited = rule is not None and rule.rate_per_s > 0.0
+        if not is_limited or not self._may_admit(customer, now_ms):
+            self._end_waits(account)
+            return None
+        assert rule is not None
+        self._give_tokens(account, rule, now_ms)
+        if not account.queue:
+            return None
+        forecast = TokenForecast.of(account.bucket, rule, now_ms)
+        self._refuse_unfit(account, forecast)
+        return forecast.first_wait_ms if account.queue else None
+
+    def settled(self) -> list[WaitingSpend]:
+        """Return the waiting requests that were settled since the last call."""
+        settled = self._settled
+        self._settled = []
+        return settled
+
+    def abandon(
+        self, customer: CustomerId, waiting: WaitingSpend, now_ms: float
+    ) -> None:
+        """Drop a waiting request, or take its token back if it just got one."""
+        self._account(customer).queue.remove(waiting)
+        if isinstance(waiting.settled, Admitted):
+            self.take_back(customer, waiting.settled.token, now_ms)
+
+    def take_back(self, customer: CustomerId, token: int, now_ms: float) -> bool:
+        """Take a token back whose request did not run; give it to the next one.
+
+        Return False if it can't be taken back: twice, after more than a window, or
+        after this node stopped keeping the customer.
+        """
+        account = self._accounts.get(customer)
+        if account is None or not account.bucket.take_back(token, now_ms):
+            return False
+        self.serve_waiting(customer, now_ms)
+        return True
+
+    def _close(self, account: _Account) -> None:
+        account.close()
+        self._end_waits(account)
+
+    def _end_waits(self, account: _Account) -> None:
+        for waiting in account.queue.clear():
+            waiting.settled = NotKept()
+            self._settled.append(waiting)
 
     def _may_admit(self, customer: CustomerId, now_ms: float) -> bool:
         if now_ms - self._view_confirmed_at_ms >= self._fence_ms:
@@ -285,7 +400,7 @@
             self._fill_unopened(account, customer, now_ms)
         account.barred_to_view = max(account.barred_to_view, view_number)
         tokens = account.tokens
-        account.close()
+        self._close(account)
         account.tokens = 0.0
         return tokens
 
@@ -306,3 +421,12 @@
         if now_ms < fence_ends_ms and exclusive_ms <= ended_ms:
             self._open(account, customer, rule, now_ms)
             account.tokens = account.bucket.tokens(rule, ended_ms)
+
+
+def _has_token(account: _Account, rule: CustomerRule, now_ms: float) -> bool:
+    return account.bucket.tokens(rule, now_ms) >= 1.0
+
+
+def _token_prefix(host: HostId, incarnation: Incarnation) -> int:
+    process = hashlib.sha256(f"{host} {incarnation}".encode()).digest()
+    return int.from_bytes(process[:4]) << _COUNTER_BITS
--- a/src/crocusspindle/gateway/assembly.py
+++ b/src/crocusspindle/gateway/assembly.py
@@ -71,7 +71,7 @@
     exchange = Exchange((settings.ip, settings.peer_port), rng, metrics)
     fleet_state = FleetState(platform.parse_configuration)
     platform_reader = PlatformReader(platform, fleet_state, rng)
-    quota = Quota(node, bounds, exchange, fleet_state, began_ms)
+    quota = Quota(node, bounds, exchange, fleet_state, metrics, rng, began_ms)
     reader_choice = ReaderChoice(node.host, rng)
     document_limiter = ByteRateLimiter(settings.document_bytes_per_ms)
     membership = Membership(
--- a/src/crocusspindle/gateway/attempt_runner.py
+++ b/src/crocusspindle/gateway/attempt_runner.py
@@ -233,6 +233,7 @@
             context.running_attempts -= 1
             context.arrived_attempts += outcome.arrived
             context.may_have_run |= outcome.may_have_run
+            context.may_have_arrived |= outcome.arrived
             context.attempt_records.append(
                 {
                     "target": placement.target.identity,
--- a/src/crocusspindle/gateway/entry.py
+++ b/src/crocusspindle/gateway/entry.py
@@ -8,8 +8,12 @@
 
 from crocusspindle.clock import now_ms
 from crocusspindle.core.attempt_outcome import AttemptOutcome
-from crocusspindle.core.configuration import Configuration, CustomerRule
-from crocusspindle.core.quota_keeper import Admitted, OverRate
+from crocusspindle.core.configuration import (
+    LOWEST_PRIORITY,
+    Configuration,
+    CustomerRule,
+)
+from crocusspindle.core.spend_result import Admitted, OverRate
 from crocusspindle.core.versioned_state import VersionedState
 from crocusspindle.gateway import instruments
 from crocusspindle.gateway.admission import Admission
@@ -190,9 +194,14 @@
         processed.context = context
         self._check_not_held(context)
         # The node that handed it over has spent the customer's token.
+        spent: Admitted | None = None
         if context.customer is not None and handed_over is None:
-            await self._spend(context, context.customer)
-        processed.result = await self._attempt_runner.send(context)
+            spent = await self._spend(context, context.customer)
+        try:
+            processed.result = await self._attempt_runner.send(context)
+        finally:
+            if spent is not None and context.certainly_not_arrived:
+                context.token_returned = self._quota.return_token(spent)
 
     def _check_not_held(self, context: RequestContext) -> None:
         refused = self._crashes.refusal(context.content)
@@ -223,17 +232,22 @@
             response.headers[REFUSED] = refusal.reason
         return response
 
-    async def _spend(self, context: RequestContext, customer: CustomerRule) -> None:
+    async def _spend(self, context: RequestContext, customer: CustomerRule) -> Admitted:
         wait_limit_ms = context.route.aim_ms * MAX_TOKEN_WAIT_FRACTION
         wait_until_ms = context.began_ms + context.route.aim_ms * KEEPER_WAIT_FRACTION
-        decision = await self._quota.spend(customer, wait_limit_ms, wait_until_ms)
+        priority = min(context.priority, LOWEST_PRIORITY)
+        asked_ms = now_ms()
+        try:
+            decision = await self._quota.spend(
+                customer, wait_limit_ms, wait_until_ms, priority
+            )
+        finally:
+            context.quota_wait_ms = now_ms() - asked_ms
         if isinstance(decision, OverRate):
             raise Refusal(429, "rate", decision.retry_after_ms)
         if not isinstance(decision, Admitted):
             raise Refusal(503, "no-keeper", NO_KEEPER_RETRY_MS)
-        context.quota_wait_ms = decision.wait_ms
-        if decision.wait_ms > 0:
-            await asyncio.sleep(decision.wait_ms / 1e3)
+        return decision
 
     async def _send_target_response(
         self, request: web.BaseRequest, context: RequestContext, result: AttemptResult
@@ -266,6 +280,7 @@
             "body_bytes": context.body_bytes,
             "content": context.content,
             "quota_wait_ms": round(context.quota_wait_ms),
+            "token_returned": context.token_returned,
             "version": configuration.version,
             "proof_age_ms": _age_ms(configuration),
         }
--- a/src/crocusspindle/gateway/hand_over.py
+++ b/src/crocusspindle/gateway/hand_over.py
@@ -222,6 +222,7 @@
         context.running_attempts -= 1
         context.arrived_attempts += outcome.may_have_run
         context.may_have_run |= outcome.may_have_run
+        context.may_have_arrived |= outcome.arrived
         context.attempt_records.append(
             {
                 "handed_to": host,
--- a/src/crocusspindle/gateway/instruments.py
+++ b/src/crocusspindle/gateway/instruments.py
@@ -120,6 +120,19 @@
     when_rising="Other hosts have lost their network to targets: see `handed_over_by` "
     "in the request lines.",
 )
+TOKENS_RETURNED: Final = declare(
+    "gateway_tokens_returned",
+    InstrumentKind.COUNTER,
+    unit="tokens",
+    labels=("outcome",),
+    meaning="Tokens of customers' rates returned since their requests certainly "
+    "arrived at no target: `accepted` or `rejected` by this node as the quota keeper, "
+    "`unconfirmed` by the keeper that this node returned them to.",
+    when_rising="`accepted`: requests get tokens and are refused afterwards, see "
+    "`gateway_refused` for the reasons. `rejected`: keepers change, or copies arrive "
+    "late. `unconfirmed`: keepers or the network between nodes fail; these tokens are "
+    "lost to their customers.",
+)
 LOG_DROPPED: Final = declare(
     "log_dropped",
     InstrumentKind.GAUGE,
--- a/src/crocusspindle/gateway/quota.py
+++ b/src/crocusspindle/gateway/quota.py
@@ -1,25 +1,33 @@
 """Spend tokens at customers' quota keepers, and serve as the keeper of some quotas."""
 
 import asyncio
-from typing import ClassVar, Final
+import random
+from dataclasses import dataclass
+from typing import Any, ClassVar, Final
 
 from crocusspindle.clock import now_ms
-from crocusspindle.core.configuration import CustomerRule
-from crocusspindle.core.quota_keeper import (
+from crocusspindle.core.configuration import LOWEST_PRIORITY, CustomerRule
+from crocusspindle.core.quota_keeper import QuotaKeeper
+from crocusspindle.core.quota_reserve import QuotaReserve
+from crocusspindle.core.spend_result import (
+    NOT_RETURNABLE,
     Admitted,
     NotKept,
     OverRate,
-    QuotaKeeper,
+    SpendResult,
 )
-from crocusspindle.core.quota_reserve import QuotaReserve
+from crocusspindle.core.token_queue import WaitingSpend
 from crocusspindle.core.view import NodeAddress, ViewEntry, ViewEntryKey
+from crocusspindle.gateway import instruments
 from crocusspindle.gateway.exchange import Address, Exchange
 from crocusspindle.gateway.fleet_state import FleetState
 from crocusspindle.gateway.messages import (
+    Done,
     NotMineAnswer,
     RefusedAnswer,
     ReleaseAnswer,
     ReleaseAsk,
+    ReturnAsk,
     SpendAnswer,
     SpendAsk,
 )
@@ -27,6 +35,7 @@
 from crocusspindle.ids import CustomerId, HostId
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
+from crocusspindle.metrics import Metrics
 
 PEER_SILENT_S: Final = 0.09
 RELEASE_TIMEOUT_S: Final = 0.1
@@ -42,6 +51,19 @@
 
 NO_KEEPER_RETRY_MS: Final = 600.0
 
+MIN_SERVE_INTERVAL_S: Final = 0.001
+MAX_SERVE_INTERVAL_S: Final = 0.02
+"""Bounds of the interval at which waiting requests are served. In between, the keeper
+waits for the customer's next token."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SpentToken(Admitted):
+    """Admit a request by a token that ``keeper`` takes back if it was not used."""
+
+    customer: CustomerId
+    keeper: Address
+
 
 class Quota(Service):
     """Spend customers' tokens at their keepers, and serve as a quota keeper."""
@@ -55,6 +77,8 @@
         bounds: LiveBounds,
         exchange: Exchange,
         fleet_state: FleetState,
+        metrics: Metrics,
+        rng: random.Random,
         began_ms: float,
     ) -> None:
         self._node = node
@@ -66,6 +90,7 @@
             node.incarnation,
             bounds.current.view_fence_ms,
             bounds.current.quota_window_ms,
+            rng,
             began_ms,
         )
         self._reserve = QuotaReserve(
@@ -75,11 +100,15 @@
         self._collecting: dict[CustomerId, asyncio.Task[None]] = {}
         self._keepers: dict[CustomerId, HostId] = {}
         self._keepers_view = -1
+        self._metrics = metrics
+        self._waiters: dict[int, asyncio.Event] = {}
+        self._served: set[CustomerId] = set()
         self._log = Logger("quota")
 
     async def start(self) -> None:
         """Register the message handlers."""
         self._exchange.handle(SpendAsk, self._spend_ask)
+        self._exchange.handle(ReturnAsk, self._return_ask)
         self._exchange.handle(ReleaseAsk, self._release_ask)
         self._fleet_state.add_listener(self._apply_fleet_state)
 
@@ -99,21 +128,82 @@
         if view.version != self._keepers_view:
             self._keepers_view = view.version
             self._keepers.clear()
+        self._wake_settled()
 
     async def _spend_ask(
         self, message: SpendAsk, sender: Address
     ) -> SpendAnswer | RefusedAnswer | NotMineAnswer:
         customer = CustomerId(message.customer)
-        decision = self._keeper.spend(customer, message.wait_limit_ms, now_ms())
+        decision = self._spend_here(message)
         if isinstance(decision, NotKept) and self._keeper.ranks_first(customer):
             await self._collect_releases(customer)
-            decision = self._keeper.spend(customer, message.wait_limit_ms, now_ms())
+            decision = self._spend_here(message)
+        if isinstance(decision, WaitingSpend):
+            decision = await self._wait_for_token(customer, decision)
         if isinstance(decision, Admitted):
-            return SpendAnswer(round(decision.wait_ms, 1))
+            return SpendAnswer(0.0, decision.token)
         if isinstance(decision, OverRate):
             return RefusedAnswer("rate", round(decision.retry_after_ms, 1))
         return NotMineAnswer()
 
+    def _spend_here(self, message: SpendAsk) -> SpendResult | WaitingSpend:
+        decision = self._keeper.spend(
+            CustomerId(message.customer),
+            message.wait_limit_ms,
+            now_ms(),
+            message.priority,
+        )
+        self._wake_settled()
+        return decision
+
+    async def _wait_for_token(
+        self, customer: CustomerId, waiting: WaitingSpend
+    ) -> SpendResult:
+        settled = asyncio.Event()
+        self._waiters[id(waiting)] = settled
+        if customer not in self._served:
+            self._served.add(customer)
+            self.spawn(self._serve_waiting(customer))
+        try:
+            await settled.wait()
+        except asyncio.CancelledError:
+            self._keeper.abandon(customer, waiting, now_ms())
+            self._wake_settled()
+            raise
+        finally:
+            del self._waiters[id(waiting)]
+        assert waiting.settled is not None
+        return waiting.settled
+
+    async def _serve_waiting(self, customer: CustomerId) -> None:
+        try:
+            while True:
+                next_ms = self._keeper.serve_waiting(customer, now_ms())
+                self._wake_settled()
+                if next_ms is None:
+                    return
+                next_s = max(MIN_SERVE_INTERVAL_S, next_ms / 1e3)
+                await asyncio.sleep(min(next_s, MAX_SERVE_INTERVAL_S))
+        finally:
+            self._served.discard(customer)
+
+    def _wake_settled(self) -> None:
+        for waiting in self._keeper.settled():
+            waiter = self._waiters.get(id(waiting))
+            if waiter is not None:
+                waiter.set()
+
+    async def _return_ask(self, message: ReturnAsk, sender: Address) -> Done:
+        accepted = self._keeper.take_back(
+            CustomerId(message.customer), message.token, now_ms()
+        )
+        self._wake_settled()
+        self._count_returned("accepted" if accepted else "rejected")
+        return Done()
+
+    def _count_returned(self, outcome: str) -> None:
+        self._metrics.add(instruments.TOKENS_RETURNED, outcome=outcome)
+
     async def _collect_releases(self, customer: CustomerId) -> None:
         # One round of release requests serves all spend requests that wait for it.
         task = self._collecting.get(customer)
@@ -154,19 +244,24 @@
         tokens = self._keeper.release(
             CustomerId(message.customer), message.view_number, now_ms()
         )
+        self._wake_settled()
         return ReleaseAnswer(tokens)
 
     async def spend(
-        self, rule: CustomerRule, wait_limit_ms: float, wait_until_ms: float
-    ) -> Admitted | OverRate | NotKept:
+        self,
+        rule: CustomerRule,
+        wait_limit_ms: float,
+        wait_until_ms: float,
+        priority: int = LOWEST_PRIORITY,
+    ) -> SpendResult:
         """Spend a customer's token at its keeper, or from the local reserve.
 
-        Return ``NotKept`` if no keeper decides and the reserve allows none. Shortly
-        after this node's start, callers wait for a keeper and for its tokens until
-        ``wait_until_ms`` at most.
+        Return ``SpentToken`` if the token can be returned, and ``NotKept`` if no keeper
+        decides and the reserve allows none. Shortly after this node's start, callers
+        wait for a keeper and for its tokens until ``wait_until_ms`` at most.
         """
         if rule.rate_per_s <= 0:
-            return Admitted(0.0)
+            return Admitted()
         startup_end_ms = self._fleet_state.started_ms + STARTUP_PERIOD_MS
         wait_until_ms = min(wait_until_ms, startup_end_ms)
         attempt = 0
@@ -180,16 +275,55 @@
             # Keepers that have just started hold no tokens yet, and all callers of a
             # fleet that was down retry at once.
             extended_wait_limit_ms = max(wait_limit_ms, wait_until_ms - now_ms())
-            message = SpendAsk(rule.customer, round(extended_wait_limit_ms))
-            response = await self._exchange.request(
-                to, message, PEER_SILENT_S, 2 * PEER_SILENT_S
-            )
+            message = SpendAsk(rule.customer, round(extended_wait_limit_ms), priority)
+            asked_ms = now_ms()
+            response = await self._ask_keeper(to, message)
             if isinstance(response, SpendAnswer):
-                return Admitted(response.wait_ms)
+                if response.wait_ms > 0.0:
+                    # A keeper of an older version grants tokens in advance.
+                    await asyncio.sleep(response.wait_ms / 1e3)
+                return _spent_token(message, response, to)
             if isinstance(response, RefusedAnswer):
                 return OverRate(response.retry_after_ms)
+            if isinstance(response, NotMineAnswer):
+                # The keeper changed while the request waited there.
+                wait_limit_ms = max(0.0, wait_limit_ms - (now_ms() - asked_ms))
         return self._spend_reserve(rule)
 
+    async def _ask_keeper(self, to: Address, message: SpendAsk) -> Any | None:
+        limit_s = message.wait_limit_ms / 1e3 + 2 * PEER_SILENT_S
+        asking = self.spawn(self._exchange.request(to, message, PEER_SILENT_S, limit_s))
+
+        def return_unused(done: asyncio.Task[Any | None]) -> None:
+            response = None if done.cancelled() or done.exception() else done.result()
+            if isinstance(response, SpendAnswer):
+                self.return_token(_spent_token(message, response, to))
+
+        try:
+            # If the caller leaves, the answer is still received and its token returned.
+            return await asyncio.shield(asking)
+        except asyncio.CancelledError:
+            asking.add_done_callback(return_unused)
+            raise
+
+    def return_token(self, spent: Admitted) -> bool:
+        """Return the token of a request that certainly did not run.
+
+        Return False if the token can't be returned.
+        """
+        if not isinstance(spent, SpentToken):
+            return False
+        self.spawn(self._return_to_keeper(spent))
+        return True
+
+    async def _return_to_keeper(self, spent: SpentToken) -> None:
+        message = ReturnAsk(spent.customer, spent.token)
+        response = await self._exchange.request(
+            spent.keeper, message, PEER_SILENT_S, PEER_SILENT_S
+        )
+        if response is None:
+            self._count_returned("unconfirmed")
+
     def _spend_reserve(self, rule: CustomerRule) -> Admitted | NotKept:
         bounds = self._bounds.current
         window_s = bounds.quota_window_ms / 1e3
@@ -198,7 +332,7 @@
         ) * bounds.quota_overshoot + bounds.quota_slack
         view = self._fleet_state.view.content
         if self._reserve.spend(rule.customer, slack, view, now_ms()):
-            return Admitted(0.0)
+            return Admitted()
         return NotKept()
 
     def keeper_of(self, rule: CustomerRule) -> HostId | None:
@@ -218,3 +352,11 @@
             return None
         node = view.by_host[host].node
         return (node.ip, node.peer_port)
+
+
+def _spent_token(message: SpendAsk, answer: SpendAnswer, keeper: Address) -> Admitted:
+    if answer.token == NOT_RETURNABLE:
+        return Admitted()
+    return SpentToken(
+        answer.token, customer=CustomerId(message.customer), keeper=keeper
+    )
--- a/src/crocusspindle/gateway/request_context.py
+++ b/src/crocusspindle/gateway/request_context.py
@@ -33,7 +33,9 @@
     running_attempts: int = 0
     arrived_attempts: int = 0
     may_have_run: bool = False
+    may_have_arrived: bool = False
     quota_wait_ms: float = 0.0
+    token_returned: bool = False
     caller_key: str | None = None
     handed_over: HandedOver | None = None
 
@@ -42,6 +44,15 @@
         """Return True if no target runs the request or may have run it."""
         return self.running_attempts == 0 and not self.may_have_run
 
+    @property
+    def certainly_not_arrived(self) -> bool:
+        """Return True if the request has reached no target and no other node.
+
+        A target that refused it has still spent work on it, and another node may have
+        sent it to such a target.
+        """
+        return self.certainly_not_run and not self.may_have_arrived
+
     @property
     def body_bytes(self) -> int:
         """Return the length of the body, or `BODY_BUFFER_BYTES` if it is streamed."""
--- a/tests/core/quota_fixtures.py
+++ b/tests/core/quota_fixtures.py
@@ -1,9 +1,11 @@
 """Create keepers, views and a customer for the quota tests."""
 
 import math
+import random
 
 from crocusspindle.core.configuration import CustomerRule
-from crocusspindle.core.quota_keeper import Admitted, QuotaKeeper
+from crocusspindle.core.quota_keeper import QuotaKeeper
+from crocusspindle.core.spend_result import Admitted
 from crocusspindle.core.view import NodeAddress, View, next_view
 from crocusspindle.ids import CustomerId, DomainId, HostId, Incarnation
 
@@ -29,7 +31,14 @@
 
 
 def new_keeper(owner: NodeAddress, began_ms: float = math.inf) -> QuotaKeeper:
-    created = QuotaKeeper(owner.host, owner.incarnation, FENCE_MS, WINDOW_MS, began_ms)
+    created = QuotaKeeper(
+        owner.host,
+        owner.incarnation,
+        FENCE_MS,
+        WINDOW_MS,
+        random.Random(1),
+        began_ms,
+    )
     created.set_rules({CLUB: RULE})
     return created
 
--- a/tests/core/test_quota_keeper.py
+++ b/tests/core/test_quota_keeper.py
@@ -5,12 +5,9 @@
 import pytest
 
 from crocusspindle.core.configuration import CustomerRule
-from crocusspindle.core.quota_keeper import (
-    Admitted,
-    NotKept,
-    OverRate,
-)
 from crocusspindle.core.quota_reserve import QuotaReserve
+from crocusspindle.core.spend_result import Admitted, NotKept, OverRate
+from crocusspindle.core.token_queue import WaitingSpend
 from crocusspindle.core.view import next_view
 from crocusspindle.ids import HostId
 from tests.core.quota_fixtures import (
@@ -25,6 +22,7 @@
     node,
     present,
 )
+from tests.core.quota_simulation import QuotaSimulation, assert_within_bound
 
 
 def test_the_first_keeper_admits_the_burst_and_then_the_rate():
@@ -36,12 +34,18 @@
     assert admitted(club_keeper, 1_000.0, 10) == 5
 
 
-def test_a_short_wait_spends_the_next_token_in_advance():
+def test_a_short_wait_gets_the_next_token():
+    """Guards against a refusal of a request that a token arrives for in time."""
     club_keeper = keeper("a", next_view(None, present("a")), 0.0)
     admitted(club_keeper, 0.0, 5)
-    result = club_keeper.spend(CLUB, 150.0, 0.0)
-    assert isinstance(result, Admitted) and result.wait_ms == 100.0
+    waiting = club_keeper.spend(CLUB, 150.0, 0.0)
+    assert isinstance(waiting, WaitingSpend)
     assert isinstance(club_keeper.spend(CLUB, 150.0, 0.0), OverRate)
+    assert club_keeper.serve_waiting(CLUB, 0.0) == 100.0
+    club_keeper.serve_waiting(CLUB, 99.0)
+    assert waiting.settled is None
+    club_keeper.serve_waiting(CLUB, 100.0)
+    assert isinstance(waiting.settled, Admitted)
 
 
 def test_a_keeper_with_an_expired_confirmation_stops():
@@ -175,55 +179,15 @@
 
 
 def _run_random_changes(rng: random.Random, pause_ms: float) -> None:
-    names = ("a", "b", "c", "d")
-    incarnations = dict.fromkeys(names, 1)
-    nodes = {HostId(n): node(n) for n in names}
-    view = next_view(None, nodes)
-    keepers = {n: keeper(n, view, 0.0) for n in names}
-    cut: dict[str, float] = {}
     admitted_at: list[float] = []
-    for step in range(1, 1_500):
-        now_ms = step * 20.0
-        if rng.random() < 0.004:
-            cut[rng.choice(names)] = now_ms + rng.uniform(500, 8_000)
-        if rng.random() < 0.004:
-            name = rng.choice(names)
-            incarnations[name] += 1
-            nodes[HostId(name)] = node(name, str(incarnations[name]))
-            keepers[name] = new_keeper(nodes[HostId(name)], now_ms)
-        cut = {n: until for n, until in cut.items() if until > now_ms}
-        reachable = {h: n for h, n in nodes.items() if h not in cut}
-        member_nodes = {entry.node.host: entry.node for entry in view.entries}
-        if member_nodes != reachable and rng.random() < 0.1 and reachable:
-            expired = set().union(
-                *(keepers[h].expired_entry_keys(now_ms) for h in reachable)
-            )
-            view = next_view(view, reachable, expired)
-        for name in names:
-            if name not in cut and rng.random() < 0.3:
-                keepers[name].set_view(view, now_ms, now_ms)
+    simulation = QuotaSimulation(rng)
+    for now_ms in simulation.steps():
         if now_ms % (pause_ms + 1_000.0) < pause_ms:
             continue
-        for name in names:
-            result = keepers[name].spend(CLUB, 0.0, now_ms)
-            if isinstance(result, NotKept) and keepers[name].ranks_first(CLUB):
-                _collect_releases(name, keepers, nodes, cut, now_ms)
-                result = keepers[name].spend(CLUB, 0.0, now_ms)
-            if isinstance(result, Admitted):
+        for name in simulation.names:
+            if isinstance(simulation.spend(name, now_ms), Admitted):
                 admitted_at.append(now_ms)
-    for i, since_ms in enumerate(admitted_at):
-        within = [at for at in admitted_at[i:] if at <= since_ms + 5_000.0]
-        assert len(within) <= RULE.burst + RULE.rate_per_s * 5 + 1
-
-
-def _collect_releases(name, keepers, nodes, cut, now_ms) -> None:
-    number = keepers[name]._view.number
-    for pending in keepers[name].pending_releases(CLUB, now_ms):
-        host = pending.node.host
-        if host in cut or name in cut:
-            continue
-        tokens = keepers[host].release(CLUB, number, now_ms)
-        keepers[name].record_release(CLUB, pending.key, tokens, now_ms)
+    assert_within_bound(admitted_at)
 
 
 def test_a_new_process_keeps_no_customer_until_the_view_names_it():
--- a/tests/gateway/test_process_start.py
+++ b/tests/gateway/test_process_start.py
@@ -10,7 +10,7 @@
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
 from crocusspindle.core.placement_request import PlacementRefused, PlacementRequest
 from crocusspindle.core.policies import ALL_POLICIES
-from crocusspindle.core.quota_keeper import Admitted, NotKept
+from crocusspindle.core.spend_result import Admitted, NotKept
 from crocusspindle.core.store_version import StoreVersion
 from crocusspindle.core.view import View
 from crocusspindle.gateway.crash_sharing import CrashSharing
@@ -94,7 +94,17 @@
     fleet_state.started_ms = started_ms
     fleet_state.update_view(View(4, (view_entry(0), view_entry(1))), now_ms())
     bounds = LiveBounds(Bounds())
-    return Quota(view_entry(0).node, bounds, keeper_exchange, fleet_state, now_ms())
+    node = view_entry(0).node
+    metrics = Metrics(node.host, node.domain)
+    return Quota(
+        node,
+        bounds,
+        keeper_exchange,
+        fleet_state,
+        metrics,
+        random.Random(1),
+        now_ms(),
+    )
 
 
 async def test_first_caller_waits_for_the_first_configuration():
