Reserve half of the retry budget for the highest priority that retries

Cause: the retry budget was spent first come, first served. While all targets of a service shed half of their work, a large route of a low priority left almost none for a small one of a high priority.

Change: once half of what the window allows is used, the rest is for the highest priority that retried within the last second (core/retry_budget.py); others are refused as `repeats`. The log line of the bound names that priority.

With one priority nothing changes. Tests of retries and of the service placer pass.

--- a/src/crocusspindle/core/retry_budget.py
+++ b/src/crocusspindle/core/retry_budget.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from typing import Final
 
+from crocusspindle.core.configuration import LOWEST_PRIORITY
 from crocusspindle.core.retry_record import RetryRecord, TimeSlice
 
 EXTRA_FRACTIONS: Final = (0.7, 0.12, 0.05)
@@ -32,6 +33,13 @@
 """Fraction of the bound that a placer uses before it publishes its counts: when a
 placer is lost, its successor uses the unpublished retries once more."""
 
+FREE_FRACTION: Final = 0.5
+"""Fraction of the bound that all priorities may use. The rest is reserved for the
+highest priority that retries."""
+
+PRIORITY_MEMORY_MS: Final = 1_000.0
+"""Time after a retry of a priority in which the reserve is kept for it."""
+
 
 class RetryBudget:
     """Count a service's requests and retries, including those of its other placers.
@@ -40,6 +48,11 @@
     times: the service would get several times its load when its capacity is lowest.
     Above the bound a retry is refused, and the refusal names the reason.
 
+    First come, first served, the retries of a large route of a low priority would leave
+    none for a small one of a high priority. Once `FREE_FRACTION` of the bound is used,
+    only the highest priority that retried just before may use the rest. A successor
+    continues with the counts, and learns of the priorities from its own retries.
+
     The role of the placer moves to another host when a host joins, leaves or is silent.
     With its own counts only, the new placer would allow a fraction of its own requests
     in addition to the retries of its predecessor in the same window.
@@ -58,6 +71,7 @@
         self._published_ms = -math.inf
         self._unpublished = 0
         self._others: dict[str, RetryRecord] = {}
+        self._retried_ms: dict[int, float] = {}
 
     def set_known_since(self, since_ms: float) -> None:
         """Record that all placements since a time were made or received here."""
@@ -80,15 +94,30 @@
             self._since_ms = now_ms
         self._requests.append(now_ms)
 
-    def retry(self, now_ms: float) -> bool:
-        """Count one retry; return False if the window allows no more."""
+    def retry(self, now_ms: float, priority: int = LOWEST_PRIORITY) -> bool:
+        """Count one retry; return False if the window allows its priority no more."""
         self._forget(now_ms)
-        if self._used(now_ms) + 1 > self._allowed(now_ms):
+        # A refused one counts too: its priority still has requests to retry.
+        self._retried_ms[priority] = now_ms
+        allowed = self._allowed(now_ms)
+        if priority > self.highest_priority(now_ms):
+            allowed *= FREE_FRACTION
+        if self._used(now_ms) + 1 > allowed:
             return False
         self._retries.append(now_ms)
         self._unpublished += 1
         return True
 
+    def highest_priority(self, now_ms: float) -> int:
+        """Return the highest priority that retried just before."""
+        since_ms = now_ms - PRIORITY_MEMORY_MS
+        recent = (
+            priority
+            for priority, retried_ms in self._retried_ms.items()
+            if retried_ms > since_ms
+        )
+        return min(recent, default=LOWEST_PRIORITY)
+
     def is_publish_due(self, now_ms: float) -> bool:
         """Return True if this placer should publish its counts to the others."""
         if (
--- a/src/crocusspindle/core/service_placer.py
+++ b/src/crocusspindle/core/service_placer.py
@@ -159,7 +159,7 @@
         if placement_request.hedge and not self._may_hedge(placement_request, now_ms):
             return PlacementRefused("full", self._typical_ms(placement_request))
         if placement_request.retry:
-            if not self._retry_budget.retry(now_ms):
+            if not self._retry_budget.retry(now_ms, placement_request.priority):
                 return PlacementRefused("repeats", self._typical_ms(placement_request))
         else:
             if not placement_request.counted:
--- a/src/crocusspindle/gateway/retry_sharing.py
+++ b/src/crocusspindle/gateway/retry_sharing.py
@@ -103,6 +103,7 @@
             used=used,
             allowed=round(allowed),
             known_ms=round(budget.known_ms(at_ms)),
+            reserved_for=budget.highest_priority(at_ms),
         )
 
 
