--- a/tests/core/test_token_return.py
+++ b/tests/core/test_token_return.py
@@ -21,6 +21,7 @@
     present,
 )
 from tests.core.quota_simulation import QuotaSimulation, assert_within_bound
+from tests.core.token_return_simulation import Spending, compare
 
 
 def first_keeper():
@@ -206,3 +207,18 @@
                 due.append((now_ms + rng.random() * delay_ms, to, result.token))
     assert_within_bound(ran_at)
     assert accepted
+
+
+def test_returning_serves_more_than_keeping_and_shields_others():
+    """Guards against a quota lost to a full service, or a queue full of excess.
+
+    Spent only after a grant, a token is never lost; but all that a customer sends above
+    its rate is queued for slots, which others then don't get.
+    """
+    kept, returned, after = (
+        compare(spending, 50.0, 20.0)
+        for spending in (Spending.KEPT, Spending.RETURNED, Spending.AFTER_GRANT)
+    )
+    assert returned.served["club"] > 1.05 * kept.served["club"]
+    assert returned.share("others") > 1.05 * after.share("others")
+    assert returned.idle_ms == 0.0 < after.idle_ms
