Choose the hosts of discovery answers by capacity left

A discovery answer lists the first 64 addresses of the caller's failure domain in text order, whatever the size and load of the hosts.

core/host_choice.py lists a host for the fraction of the callers that corresponds to its capacity left, relative to the host with most: sequential Poisson sampling with the rendezvous score of caller and host (core/rendezvous.py). A change of one host moves only that host's callers.

--- /dev/null
+++ b/src/crocusspindle/core/host_choice.py
@@ -0,0 +1,124 @@
+"""Choose the hosts whose addresses a discovery answer lists, by capacity left.
+
+Made for hosts of different size and load, and for load that differs by failure domain.
+A caller picks uniformly from its answer, so a host's share of the callers is the
+fraction of the answers that list it.
+"""
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from crocusspindle.core.capacity_left import LEFT_MAX
+from crocusspindle.core.rendezvous import sample_by_share
+
+MAX_ADDRESSES: Final = 64
+MIN_ADDRESSES: Final = 2
+"""With fewer hosts than this in the caller's domain, those of all domains are listed;
+a caller with one address has none when that host ends."""
+
+MAX_OVER_MEAN: Final = 2.0
+"""A host counts with at most this multiple of the mean fraction of capacity left. In a
+loaded fleet, the one host that is idle would otherwise get many times its share."""
+
+LOADED_LEFT: Final = 2.0
+"""Mean eighths of capacity left below which a domain is loaded above three quarters."""
+
+MAX_ABROAD: Final = 0.5
+"""Fraction of a loaded domain's traffic that other domains get at most. Traffic between
+domains has a price, and its effect shows only after some seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class OpenHost:
+    """Hold a host that accepts callers.
+
+    ``left`` is the capacity that it has left, in eighths of ``capacity``.
+    """
+
+    address: str
+    domain: str
+    capacity: float
+    left: int = LEFT_MAX
+
+
+class HostChoice:
+    """Choose hosts for callers from one list of open hosts."""
+
+    def __init__(self, hosts: Iterable[OpenHost]) -> None:
+        self._by_domain: dict[str, list[OpenHost]] = {}
+        for host in hosts:
+            self._by_domain.setdefault(host.domain, []).append(host)
+        self._shares: dict[str, dict[str, float]] = {}
+
+    def addresses(self, domain: str, caller: str) -> list[str]:
+        """Return the addresses for a caller in a domain, in text order.
+
+        ``caller`` is the caller's IP address. It gets the same hosts until their
+        capacity left changes, and of two hosts in its domain the one with twice the
+        capacity left is listed for twice as many callers.
+        """
+        if domain not in self._by_domain:
+            domain = ""
+        shares = self._shares.get(domain)
+        if shares is None:
+            shares = self._shares[domain] = self._shares_for(domain)
+        key = b"caller " + caller.encode()
+        return sorted(sample_by_share(key, shares, MIN_ADDRESSES, MAX_ADDRESSES))
+
+    def _shares_for(self, domain: str) -> dict[str, float]:
+        local = self._by_domain.get(domain, [])
+        if len(local) < MIN_ADDRESSES:
+            everywhere = [h for hosts in self._by_domain.values() for h in hosts]
+            return _relative_shares(everywhere)
+        shares = _relative_shares(local)
+        return shares | self._shares_abroad(domain, sum(shares.values()))
+
+    def _shares_abroad(self, domain: str, local_share: float) -> dict[str, float]:
+        """Return the shares of other domains' hosts for a loaded domain.
+
+        They grow from zero with the load of the domain and the capacity that others
+        have left, without a threshold at which all callers would move together. A
+        domain that takes callers has too much left to send its own away.
+        """
+        missing = LOADED_LEFT - _mean_left(self._by_domain[domain])
+        spare = {
+            other: max(0.0, _mean_left(hosts) - LOADED_LEFT)
+            for other, hosts in self._by_domain.items()
+            if other != domain
+        }
+        abroad = MAX_ABROAD * min(1.0, missing, max(spare.values(), default=0.0))
+        if abroad <= 0.0:
+            return {}
+        weights = {
+            host.address: host.capacity * host.left * spare[other]
+            for other in spare
+            for host in self._by_domain[other]
+            if spare[other] > 0.0
+        }
+        factor = local_share * abroad / (1.0 - abroad) / sum(weights.values())
+        return {
+            address: min(1.0, weight * factor) for address, weight in weights.items()
+        }
+
+
+def _relative_shares(hosts: Sequence[OpenHost]) -> dict[str, float]:
+    """Return each host's share, relative to the one with most capacity left."""
+    if not hosts:
+        return {}
+    left_bound = MAX_OVER_MEAN * _mean_left(hosts)
+    weights = {
+        host.address: host.capacity * min(host.left, left_bound) for host in hosts
+    }
+    return _relative(weights)
+
+
+def _relative(weights: Mapping[str, float]) -> dict[str, float]:
+    largest = max(weights.values())
+    return {address: weight / largest for address, weight in weights.items()}
+
+
+def _mean_left(hosts: Sequence[OpenHost]) -> float:
+    """Return the mean capacity left in eighths, weighted by capacity."""
+    capacity = sum(host.capacity for host in hosts)
+    return sum(host.capacity * host.left for host in hosts) / capacity
--- a/src/crocusspindle/core/rendezvous.py
+++ b/src/crocusspindle/core/rendezvous.py
@@ -43,3 +43,23 @@
         return (-math.log(min(uniform, MAX_UNIFORM)) / weights[member], member)
 
     return sorted(weights, key=rank)
+
+
+def sample_by_share(
+    key: bytes, shares: Mapping[Name, float], at_least: int, at_most: int
+) -> list[Name]:
+    """Return a sample of the members for a key, by rank.
+
+    Each member is in the samples of exactly the fraction of the keys that ``shares``
+    gives for it, above 0 to 1, unless the sample is too small or too large: then the
+    members that rank first are taken. If a share changes, only that fraction of keys
+    changes its sample. Ohlsson, "Sequential Poisson sampling", 1998.
+    """
+
+    ranks = {
+        member: (score(key, member) + 1) / SCORE_RANGE / share
+        for member, share in shares.items()
+    }
+    ranked = sorted(ranks, key=lambda member: (ranks[member], member))
+    within = sum(rank <= 1.0 for rank in ranks.values())
+    return ranked[: min(at_most, max(at_least, within))]
