Distribute the capacity left of hosts, and list hosts by it

Hosts answered discovery requests from the list of open nodes alone, which holds address and failure domain.

Each host measures the fraction of its processor share used in the last second and the lateness of its event loop (gateway/host_load.py) and reports it in Ping.load. The reader derives steps of capacity left and sends them with responses to pings, never in pushes. The list of open nodes is decoded as pairs, and a third element would make hosts of the previous version drop the whole state, so the steps are a field of their own at the end of State: two bits for each host in the order of the list. Ping has the digest of the steps that the sender holds, by which the reader also tells an idle host from one of a version without loads. Trailing fields at their defaults are no longer sent. Sizes come from the view. Steps are used for 10 s after a reader confirmed them.

Tests: host loads, capacity left, simulated callers, fleet convergence, membership, fleet state, ports, exchange, end to end, process start, planned stop pass.

--- a/src/crocusspindle/core/capacity_left.py
+++ b/src/crocusspindle/core/capacity_left.py
@@ -36,6 +36,9 @@
 """Time for which a host reports less load before it gets more callers. Most callers use
 an answer for two seconds, and the load is measured over the last second."""
 
+LOAD_VALID_MS: Final = 1_200.0
+"""Time for which a reported load is used: two intervals of pings, and some more."""
+
 
 def left_at(load: int) -> int:
     """Return the eighths of its capacity that a host has left at a load."""
@@ -46,16 +49,15 @@
     """Record the loads of hosts, and derive the capacity that they have left."""
 
     def __init__(self) -> None:
-        self._loads: dict[HostId, int] = {}
-        self._reporting: set[HostId] = set()
+        self._loads: dict[HostId, int | None] = {}
+        self._reported_ms: dict[HostId, float] = {}
         self._less_loaded_since_ms: dict[str, float] = {}
         self._changed_ms = -math.inf
 
-    def record(self, host: HostId, load: int) -> None:
-        """Record the load that a host reports, in eighths."""
+    def record(self, host: HostId, load: int | None, now_ms: float) -> None:
+        """Record the load that a host reports, in eighths; None if it reports none."""
         self._loads[host] = load
-        if load > 0:
-            self._reporting.add(host)
+        self._reported_ms[host] = now_ms
 
     def update(
         self,
@@ -70,6 +72,7 @@
         or of the previous reader. A host that was not listed before starts with the
         mean of its domain: one idle host in a loaded domain would get most callers.
         """
+        self._drop_outdated(now_ms)
         steps = {
             address: previous.get(address, LEFT_MAX)
             for address in listed
@@ -91,26 +94,34 @@
                 steps.update(changed)
         return {address: step for address, step in steps.items() if step < LEFT_MAX}
 
+    def _drop_outdated(self, now_ms: float) -> None:
+        # The process that sent them may have ended, or pings another reader.
+        for host, reported_ms in list(self._reported_ms.items()):
+            if now_ms - reported_ms >= LOAD_VALID_MS:
+                del self._reported_ms[host]
+                del self._loads[host]
+
     def _wanted_steps(
         self, steps: Mapping[str, int], listed: Mapping[str, NodeAddress]
     ) -> dict[str, int]:
         """Return the steps by the loads that this reader has received.
 
-        A host that has never reported any load may be of a version that reports none.
-        It counts as the others of its domain do: as one that is not loaded, it would
-        be the only one to get more callers while they are loaded.
+        A host that reports no load, since its version has none, counts as the others of
+        its domain do: as one that is not loaded, it would be the only one to get more
+        callers while they are loaded.
         """
-        means = _means(
-            {a: steps[a] for a, node in listed.items() if node.host in self._reporting},
-            listed,
-        )
-        wanted = {}
-        for address, node in listed.items():
-            if node.host in self._reporting:
-                wanted[address] = _wanted_step(steps[address], self._loads[node.host])
-            elif node.host in self._loads:
-                wanted[address] = means.get(node.domain, LEFT_MAX)
-        return wanted
+        own_steps = {
+            address: _wanted_step(steps[address], load)
+            for address, node in listed.items()
+            if (load := self._loads.get(node.host)) is not None
+        }
+        means = _means({a: steps[a] for a in own_steps}, listed)
+        of_others = {
+            address: means.get(node.domain, LEFT_MAX)
+            for address, node in listed.items()
+            if node.host in self._loads
+        }
+        return of_others | own_steps
 
     def _changed_steps(
         self, steps: Mapping[str, int], wanted: Mapping[str, int], now_ms: float
--- a/src/crocusspindle/gateway/assembly.py
+++ b/src/crocusspindle/gateway/assembly.py
@@ -18,6 +18,7 @@
 from crocusspindle.gateway.exchange import Exchange
 from crocusspindle.gateway.fleet_state import FleetState
 from crocusspindle.gateway.hand_over import HandOver
+from crocusspindle.gateway.host_load import HostLoad
 from crocusspindle.gateway.line_log import LineHandler
 from crocusspindle.gateway.list_watch import ListWatch
 from crocusspindle.gateway.membership import Membership
@@ -124,6 +125,7 @@
         ListWatch(fleet_state, platform_reader),
         quota,
         membership,
+        HostLoad(settings, membership, metrics),
         crashes,
         placers,
         placing,
--- a/src/crocusspindle/gateway/fleet_state.py
+++ b/src/crocusspindle/gateway/fleet_state.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 import zlib
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from contextlib import suppress
 from typing import Any, ClassVar, Final, NamedTuple
 
@@ -23,9 +23,11 @@
 from crocusspindle.gateway.messages import State
 from crocusspindle.gateway.packed_documents import (
     packed_record,
+    packed_steps,
     packed_targets,
     packed_view,
     unpacked_record,
+    unpacked_steps,
     unpacked_targets,
     unpacked_view,
 )
@@ -41,6 +43,14 @@
 NO_DIGEST: Final = 0
 """Digest of a document that a node does not hold; no encoding has it."""
 
+UNLOADED_DIGEST: Final = 1
+"""Digest of the capacities left of a fleet without a loaded host, whatever its list of
+open nodes is. In this usual state the digest takes one byte in each message."""
+
+CAPACITY_VALID_MS: Final = 10_000.0
+"""Time for which capacities left are used after a reader has confirmed them. A reader
+of a version without them never replaces them; a new reader confirms within seconds."""
+
 UNCONFIRMED_AGE_MS: Final = 1e9
 """Age reported for state that has never been confirmed."""
 
@@ -73,6 +83,8 @@
     ``era_began_ms`` when it learned of it, if it knew another one before.
     ``stale_responses`` counts those of the store that were dropped.
     ``ended_evacuations`` has the era in which the evacuation of a domain ended.
+    ``capacity_left`` has the eighths of capacity left by caller address, for the open
+    nodes that have less than `LEFT_MAX`.
     Registered in the kernel as ``knowledge``.
     """
 
@@ -97,6 +109,10 @@
         self.ended_evacuations: dict[DomainId, int] = {}
         self.open_nodes: list[tuple[str, str]] = []
         self.open_digest = NO_DIGEST
+        self.capacity_left: dict[str, int] = {}
+        self.capacity_digest = NO_DIGEST
+        self._packed_capacity = b""
+        self._capacity_confirmed_at_ms = -math.inf
         self.crashes = CrashTable()
         self.crash_digest = NO_DIGEST
         self.store_regained_at_ms = -math.inf
@@ -256,6 +272,30 @@
         encoding = _encode(self.open_nodes)
         self.open_digest = encoding_digest(encoding)
         self._encodings["open"].update(self.open_digest, encoding)
+        if self.capacity_digest != NO_DIGEST:
+            self._pack_capacity_left(self.capacity_left)
+
+    def update_capacity_left(self, left: Mapping[str, int]) -> None:
+        """Apply the capacities left that this node has derived as the reader."""
+        if left != self.capacity_left or self.capacity_digest == NO_DIGEST:
+            self._pack_capacity_left(left)
+        self._capacity_confirmed_at_ms = now_ms()
+
+    def confirmed_capacity_left(self) -> Mapping[str, int]:
+        """Return the capacities left; none if no reader has confirmed them recently."""
+        age_ms = now_ms() - self._capacity_confirmed_at_ms
+        return self.capacity_left if age_ms < CAPACITY_VALID_MS else {}
+
+    def _pack_capacity_left(self, left: Mapping[str, int]) -> None:
+        addresses = [address for address, _ in self.open_nodes]
+        packed = packed_steps(addresses, left)
+        self.capacity_left = unpacked_steps(addresses, packed)
+        self._packed_capacity = packed
+        # The steps are in the order of the list, so they are those of one list only.
+        digest = zlib.crc32(packed, self.open_digest)
+        self.capacity_digest = (
+            max(digest, UNLOADED_DIGEST + 1) if packed else UNLOADED_DIGEST
+        )
 
     def merge_crashes(self, records: Sequence[CrashRecord]) -> list[CrashRecord]:
         """Merge crash records of other nodes; return the records that changed."""
@@ -302,6 +342,7 @@
         open_nodes = self._apply_delta("open", state.open_nodes)
         if open_nodes is not None:
             self.update_open_nodes(msgpack.unpackb(open_nodes))
+        self._apply_capacity_left(state)
         crashes = self._apply_delta("crashes", state.crashes)
         if crashes is not None:
             records = msgpack.unpackb(crashes)
@@ -354,10 +395,27 @@
             self.targets.update(content, version, confirmed_at_ms)
         return encoding
 
+    def _apply_capacity_left(self, state: State) -> None:
+        if state.capacity_digest == NO_DIGEST:
+            return
+        if state.capacity_left is not None and state.open_digest == self.open_digest:
+            addresses = [address for address, _ in self.open_nodes]
+            self._pack_capacity_left(unpacked_steps(addresses, state.capacity_left))
+        if state.capacity_digest == self.capacity_digest:
+            self._capacity_confirmed_at_ms = now_ms()
+
     def state_for(
-        self, held: HeldKeys, sender_unknown: bool = False, reaches_store: bool = False
+        self,
+        held: HeldKeys,
+        sender_unknown: bool = False,
+        reaches_store: bool = False,
+        held_capacity_digest: int | None = None,
     ) -> State:
-        """Return the state, with documents that differ from those a peer holds."""
+        """Return the state, with documents that differ from those a peer holds.
+
+        Capacities left are included only if ``held_capacity_digest`` is given: they are
+        sent to nodes that ping this one, and not pushed.
+        """
         at_ms = now_ms()
         config, targets, view = self.configuration, self.targets, self.view
         newer = config.version > held.configuration_version
@@ -365,6 +423,10 @@
         targets_differ = self.targets_digest not in (held.targets_digest, NO_DIGEST)
         crashes_differ = self.crash_digest not in (held.crash_digest, NO_DIGEST)
         open_differs = self.open_digest not in (held.open_digest, NO_DIGEST)
+        capacity_digest = (
+            NO_DIGEST if held_capacity_digest is None else self.capacity_digest
+        )
+        capacity_differs = capacity_digest not in (held_capacity_digest, NO_DIGEST)
         return State(
             configuration_version=config.version,
             configuration_age_ms=_age_field_ms(config.age_ms(at_ms)),
@@ -404,6 +466,8 @@
             evacuated_version=self.evacuated.version,
             evacuated=sorted(self.evacuated.content or ()),
             store_era=self.store_era,
+            capacity_digest=capacity_digest,
+            capacity_left=self._packed_capacity if capacity_differs else None,
         )
 
     def _delta_for(self, document: str, key: int) -> Delta:
--- a/src/crocusspindle/gateway/instruments.py
+++ b/src/crocusspindle/gateway/instruments.py
@@ -120,6 +120,15 @@
     when_rising="Other hosts have lost their network to targets: see `handed_over_by` "
     "in the request lines.",
 )
+HOST_LOAD: Final = declare(
+    "gateway_host_load",
+    InstrumentKind.GAUGE,
+    unit="eighths",
+    meaning="Fraction of its processor share that this host used in the last second, "
+    "in eighths; 8 also if its event loop was late.",
+    when_rising="From 5 on, fewer callers get its address. On all hosts: the fleet "
+    "needs more hosts; on one: see its roles in `view in force` and `started`.",
+)
 LOG_DROPPED: Final = declare(
     "log_dropped",
     InstrumentKind.GAUGE,
--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -3,20 +3,26 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 from enum import Enum
 from typing import ClassVar, Final
 
 from crocusspindle.clock import now_ms
 from crocusspindle.core.backoff import Backoff
 from crocusspindle.core.byte_rate_limiter import ByteRateLimiter
+from crocusspindle.core.capacity_left import LEFT_MAX, CapacityLeft
 from crocusspindle.core.open_nodes import PING_TIMEOUT_MS, OpenNodes
 from crocusspindle.core.reader_choice import ReaderChoice
 from crocusspindle.core.rendezvous import order
 from crocusspindle.core.view import NodeAddress, ViewEntryKey
 from crocusspindle.errors import PlatformError
 from crocusspindle.gateway.exchange import Address, Exchange
-from crocusspindle.gateway.fleet_state import NOTHING_HELD, FleetState, HeldKeys
+from crocusspindle.gateway.fleet_state import (
+    NO_DIGEST,
+    NOTHING_HELD,
+    FleetState,
+    HeldKeys,
+)
 from crocusspindle.gateway.messages import (
     MAX_DOCUMENT_BYTES,
     CrashNote,
@@ -124,6 +130,7 @@
         self._known_nodes: dict[HostId, NodeAddress] = {node.host: node}
         self._node_by_sender: dict[tuple[Address, str], NodeAddress] = {}
         self._open_nodes = OpenNodes()
+        self._capacity_left = CapacityLeft()
         self._pushed_keys = NOTHING_HELD
         self._applying_push = False
         self._deferred_since_ms = math.inf
@@ -132,6 +139,7 @@
         self._lost_pauses: Backoff | None = None
         self._wake = asyncio.Event()
         self.is_ready: Callable[[], bool] = lambda: False
+        self.load: Callable[[], int] = lambda: 0
         self.ready = False
         self.leaving = False
 
@@ -356,6 +364,8 @@
             self._fleet_state.held_keys(),
             self.ready,
             self.leaving,
+            self.load(),
+            self._fleet_state.capacity_digest,
         )
 
     async def _ping(self, ping: Ping, sender: Address) -> State:
@@ -367,12 +377,14 @@
             # A row of the host's previous process may have replaced this entry.
             self._known_nodes[host] = node
             self._open_nodes.record_ping(host, ping.ready, ping.leaving, now_ms())
+            self._capacity_left.record(host, _reported_load(ping), now_ms())
             if ping.leaving:
                 self._update_open_nodes()
         state = self._fleet_state.state_for(
             HeldKeys(*ping.held),
             sender_unknown=node is None,
             reaches_store=not self._platform_reader.is_store_lost,
+            held_capacity_digest=ping.capacity_digest,
         )
         return state if self._may_send(state) else state.without_documents()
 
@@ -467,6 +479,7 @@
         self._open_nodes.record_ping(
             self._node.host, self.ready, self.leaving, now_ms()
         )
+        nodes = pinging
         if self._may_lack_pings():
             nodes = {**self._possible_readers(), **pinging}
             open_nodes = self._open_nodes.list_with_previous(
@@ -474,10 +487,42 @@
             )
         else:
             open_nodes = self._open_nodes.list_pinging(pinging, now_ms())
-        if open_nodes != self._fleet_state.open_nodes:
+        previously_open = self._fleet_state.open_nodes
+        if open_nodes != previously_open:
             self._fleet_state.update_open_nodes(open_nodes)
+        self._update_capacity_left(nodes, previously_open)
+        if open_nodes != previously_open:
             self._push()
 
+    def _update_capacity_left(
+        self,
+        nodes: Mapping[HostId, NodeAddress],
+        previously_open: Sequence[tuple[str, str]],
+    ) -> None:
+        # Capacities are not pushed: nodes get them with their next ping, and a push to
+        # all nodes each second would cost more than the change of the steps.
+        self._capacity_left.record(self._node.host, self.load(), now_ms())
+        by_address = {node.caller_address: node for node in nodes.values()}
+        previous = self._fleet_state.capacity_left
+        left = self._capacity_left.update(
+            {
+                address: by_address[address]
+                for address, _ in self._fleet_state.open_nodes
+            },
+            {address for address, _ in previously_open},
+            previous,
+            now_ms(),
+        )
+        self._fleet_state.update_capacity_left(left)
+        if left != previous:
+            log_state_change(
+                self._log,
+                "capacity left changed",
+                loaded=len(left),
+                hosts=len(self._fleet_state.open_nodes),
+                least_eighths=min(left.values(), default=LEFT_MAX),
+            )
+
     def _may_lack_pings(self) -> bool:
         if self._platform_reader.is_store_lost:
             return True
@@ -497,3 +542,9 @@
     async def _respond_to_probe(self, probe: Probe, sender: Address) -> Done | None:
         is_staying = probe.incarnation == self._node.incarnation and not self.leaving
         return Done() if is_staying else None
+
+
+def _reported_load(ping: Ping) -> int | None:
+    """Return the sender's load; None if it may be of a version that reports none."""
+    reports_load = ping.load > 0 or ping.capacity_digest != NO_DIGEST
+    return ping.load if reports_load else None
--- a/src/crocusspindle/gateway/messages.py
+++ b/src/crocusspindle/gateway/messages.py
@@ -1,7 +1,7 @@
 """Define the messages between nodes and pack them."""
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, fields, replace
+from dataclasses import MISSING, dataclass, fields, replace
 from typing import Any, Final, TypeVar
 
 import msgpack
@@ -22,6 +22,7 @@
 _BY_CODE: Final[dict[int, type[Any]]] = {}
 _CODES: Final[dict[type[Any], int]] = {}
 _FIELDS: Final[dict[type[Any], tuple[str, ...]]] = {}
+_DEFAULTS: Final[dict[type[Any], tuple[Any, ...]]] = {}
 Kind = TypeVar("Kind", bound=type[Any])
 
 
@@ -34,18 +35,32 @@
         _BY_CODE[code] = message_type
         _CODES[message_type] = code
         _FIELDS[message_type] = tuple(entry.name for entry in fields(message_type))
+        _DEFAULTS[message_type] = tuple(
+            entry.default
+            for entry in reversed(fields(message_type))
+            if entry.default is not MISSING
+        )
         return message_type
 
     return add
 
 
 def pack(content: Any) -> list[Any]:
-    """Convert a message to a list that msgpack can encode."""
+    """Convert a message to a list that msgpack can encode.
+
+    Trailing fields at their defaults are left out: versions without these fields may
+    refuse longer messages, and `unpack` restores the defaults.
+    """
     message_type = type(content)
-    return [
+    parts = [
         _CODES[message_type],
         *(getattr(content, name) for name in _FIELDS[message_type]),
     ]
+    for default in _DEFAULTS[message_type]:
+        if parts[-1] != default:
+            break
+        parts.pop()
+    return parts
 
 
 def unpack(parts: Any) -> Any:
@@ -90,7 +105,8 @@
     """Request a reader's state; serves as the node's heartbeat.
 
     ``held`` are the keys of `HeldKeys`, ``load`` is the sender's load in eighths of its
-    processor share.
+    processor share, and ``capacity_digest`` identifies the capacities left that it
+    holds.
     """
 
     incarnation: str
@@ -98,6 +114,7 @@
     ready: bool
     leaving: bool
     load: int = 0
+    capacity_digest: int = 0
 
 
 @message(23)
@@ -116,7 +133,9 @@
     responding node reaches the store, and ``store_regained_age_ms`` is the time since
     the end of an outage of the store for the whole fleet. ``documents_deferred`` is
     True if the responder held back full documents of the store for lack of bandwidth,
-    or any documents because they are too long for a datagram.
+    or any documents because they are too long for a datagram. ``capacity_left`` are the
+    steps of `packed_steps` for the list of ``open_digest``, where ``capacity_digest``
+    differs from the receiver's.
     """
 
     configuration_version: int
@@ -140,6 +159,8 @@
     evacuated_version: Sequence[int] = NO_VERSION
     evacuated: Sequence[str] = ()
     store_era: int = -1
+    capacity_digest: int = 0
+    capacity_left: bytes | None = None
 
     @property
     def document_bytes(self) -> int:
@@ -151,7 +172,8 @@
             self.open_nodes,
             self.crashes,
         )
-        return sum(len(delta[1]) for delta in contents if delta is not None)
+        capacity_bytes = len(self.capacity_left or b"")
+        return capacity_bytes + sum(len(delta[1]) for delta in contents if delta)
 
     def without_documents(self) -> "State":
         """Return the state with versions and ages only."""
@@ -165,6 +187,7 @@
             view=None,
             open_nodes=None,
             crashes=None,
+            capacity_left=None,
             documents_deferred=needs_full_document or too_long,
         )
 
--- a/src/crocusspindle/gateway/ports.py
+++ b/src/crocusspindle/gateway/ports.py
@@ -1,14 +1,17 @@
 """Serve a node's ports: callers, readiness, discovery, metrics."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from typing import ClassVar, Final
+from collections.abc import Awaitable, Callable, Mapping
+from statistics import fmean
+from typing import Any, ClassVar, Final
 
 from aiohttp import web
 
 from crocusspindle.caller_connections import abort_connections, close_connections
 from crocusspindle.clock import now_ms
+from crocusspindle.core.capacity_left import LEFT_MAX
 from crocusspindle.core.configuration import CallerLimits
+from crocusspindle.core.host_choice import HostChoice, OpenHost
 from crocusspindle.gateway import instruments
 from crocusspindle.gateway.caller_port import CallerServer
 from crocusspindle.gateway.dialect import Dialect
@@ -28,10 +31,6 @@
 then avoid a node that leaves. A shorter time would cost each caller a request a
 second."""
 
-MAX_ADDRESSES: Final = 64
-MIN_LOCAL_NODES: Final = 2
-"""With at least this many nodes in the caller's domain, no others are listed."""
-
 ACCEPTING_FRACTION: Final = 0.62
 """Fraction of the grace period in which a leaving node accepts new connections. Callers
 that cached its address connect until then, and their requests still end in time."""
@@ -80,6 +79,8 @@
         self._hand_over_listener: asyncio.Server | None = None
         self._other_servers: list[asyncio.Server] = []
         self._caller_server = CallerServer(entry, self._limits)
+        self._choice = HostChoice([])
+        self._choice_key: tuple[Any, ...] = ()
 
     async def start(self) -> None:
         """Open all ports."""
@@ -123,23 +124,43 @@
         if request.path != self._dialect.where_path:
             return web.Response(status=404)
         domain = self._dialect.caller_domain(request.query)
-        addresses = self._addresses(domain)
+        addresses = self._addresses(domain, request.remote or "")
         if not addresses:
             return web.Response(status=503)
         valid_s = min(WHERE_VALID_S, self._bounds.current.where_valid_ms / 1e3)
         body = self._dialect.where_response(addresses, valid_s)
         return web.Response(body=body, content_type="application/json")
 
-    def _addresses(self, domain: str) -> list[str]:
-        open_nodes = self._fleet_state.open_nodes
-        local = [
-            address for address, node_domain in open_nodes if node_domain == domain
+    def _addresses(self, domain: str, caller_ip: str) -> list[str]:
+        addresses = self._host_choice().addresses(domain, caller_ip)
+        if not addresses and self._is_ready():
+            addresses = [self._settings.caller_address]
+        return addresses
+
+    def _host_choice(self) -> HostChoice:
+        state = self._fleet_state
+        left = state.confirmed_capacity_left()
+        key = (state.view.version, state.open_digest, dict(left))
+        if key != self._choice_key:
+            self._choice_key = key
+            self._choice = HostChoice(self._open_hosts(left))
+        return self._choice
+
+    def _open_hosts(self, left: Mapping[str, int]) -> list[OpenHost]:
+        view = self._fleet_state.view.content
+        nodes = [] if view is None else [entry.node for entry in view.entries]
+        capacities = {node.caller_address: node.capacity for node in nodes}
+        # A host that has just joined may be open before the view names it.
+        mean = fmean(capacities.values()) if capacities else 1.0
+        return [
+            OpenHost(
+                address,
+                domain,
+                capacities.get(address, mean),
+                left.get(address, LEFT_MAX),
+            )
+            for address, domain in self._fleet_state.open_nodes
         ]
-        if len(local) < MIN_LOCAL_NODES:
-            local = [address for address, _ in open_nodes]
-        if not local and self._is_ready():
-            local = [self._settings.caller_address]
-        return local[:MAX_ADDRESSES]
 
     async def _scrape(self, request: web.BaseRequest) -> web.StreamResponse:
         self._metrics.set(instruments.LOG_DROPPED, self._lines.dropped)
