--- a/src/crocusspindle/core/host_choice.py
+++ b/src/crocusspindle/core/host_choice.py
@@ -66,6 +66,10 @@
         key = b"caller " + caller.encode()
         return sorted(sample_by_share(key, shares, MIN_ADDRESSES, MAX_ADDRESSES))
 
+    def in_domain(self, domain: str) -> list[str]:
+        """Return the addresses of all hosts of a domain, in text order."""
+        return sorted(host.address for host in self._by_domain.get(domain, []))
+
     def _shares_for(self, domain: str) -> dict[str, float]:
         local = self._by_domain.get(domain, [])
         if len(local) < MIN_ADDRESSES:
--- a/src/crocusspindle/core/load_steps.py
+++ b/src/crocusspindle/core/load_steps.py
@@ -4,10 +4,10 @@
 
 from crocusspindle.core.capacity_left import LOAD_MAX
 
-LATE_FRACTION: Final = 0.125
+LATE_FRACTION: Final = 0.25
 """Fraction of a period by which the timers of a late event loop fire late in sum. A
-process that waits this long for a processor adds noticeably to all latencies, also if
-it uses less than its share."""
+process that waits this long for a processor delays all its requests, also if it uses
+less than its share. One large document or collection of garbage takes less."""
 
 CHANGE_STEPS: Final = 0.75
 """Steps by which the load differs from the reported one before that changes. Rounding
--- a/tests/gateway/test_end_to_end.py
+++ b/tests/gateway/test_end_to_end.py
@@ -1,11 +1,13 @@
 """End-to-end tests of gateway processes with a stand-in of the platform."""
 
 import asyncio
+import re
 import signal
 
 import aiohttp
 import pytest
 
+from crocusspindle.core.capacity_left import LOAD_MAX
 from crocusspindle_standins.on_platform.fleet import KEY, Fleet, configuration
 from crocusspindle_standins.on_platform.store import StoreMode
 from crocusspindle_standins.on_platform.target import TargetFault
@@ -314,6 +316,8 @@
     assert 'crocusspindle_gateway_refused_total{reason="no-route"} 1.0' in text
     assert 'crocusspindle_gateway_request_ms_count{route="safe"} 3.0' in text
     assert "crocusspindle_log_dropped 0.0" in text
+    load = re.search(r"(?m)^crocusspindle_gateway_host_load (\S+)$", text)
+    assert load is not None and 0 <= float(load[1]) <= LOAD_MAX
 
 
 async def test_one_gateway_reads_the_store_for_all(fleet):
