--- a/src/crocusspindle/gateway/instruments.py
+++ b/src/crocusspindle/gateway/instruments.py
@@ -151,6 +151,15 @@
     "late. `unconfirmed`: keepers or the network between nodes fail; these tokens are "
     "lost to their customers.",
 )
+HOST_LOAD: Final = declare(
+    "gateway_host_load",
+    InstrumentKind.GAUGE,
+    unit="eighths",
+    meaning="Fraction of its processor share that this host used in the last second, "
+    "in eighths; 8 also if its event loop was late.",
+    when_rising="From 5 on, fewer callers get its address. On all hosts: the fleet "
+    "needs more hosts; on one: see its roles in `view in force` and `started`.",
+)
 LOG_DROPPED: Final = declare(
     "log_dropped",
     InstrumentKind.GAUGE,
