Reserve no more retries than higher priorities need

Half of the retry budget was kept for the highest priority that retried within the last second, however little of it that needed: a route of low volume and high priority would have cost the others half of their retries. The reserve is now what the higher priorities need in a window at the rate of the last second, less what they used of the window, at most half.

--- a/src/crocusspindle/core/retry_budget.py
+++ b/src/crocusspindle/core/retry_budget.py
@@ -34,11 +34,11 @@
 placer is lost, its successor uses the unpublished retries once more."""
 
 FREE_FRACTION: Final = 0.5
-"""Fraction of the bound that all priorities may use. The rest is reserved for the
-highest priority that retries."""
+"""Fraction of the bound that all priorities may use. The rest may be reserved for
+higher priorities that retry."""
 
 PRIORITY_MEMORY_MS: Final = 1_000.0
-"""Time after a retry of a priority in which the reserve is kept for it."""
+"""Time after a retry of a priority in which a reserve is kept for it."""
 
 
 class RetryBudget:
@@ -49,9 +49,11 @@
     Above the bound a retry is refused, and the refusal names the reason.
 
     First come, first served, the retries of a large route of a low priority would leave
-    none for a small one of a high priority. Once `FREE_FRACTION` of the bound is used,
-    only the highest priority that retried just before may use the rest. A successor
-    continues with the counts, and learns of the priorities from its own retries.
+    none for a small one of a high priority. A priority therefore leaves what the higher
+    ones still need in a window if they go on as in the last second, up to half of the
+    bound.
+    A successor continues with the counts, and learns of the priorities from its own
+    retries.
 
     The role of the placer moves to another host when a host joins, leaves or is silent.
     With its own counts only, the new placer would allow a fraction of its own requests
@@ -67,11 +69,13 @@
         self._rank = 0
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
+        # The priorities of these retries, in the same order.
+        self._retry_priorities: deque[int] = deque()
         self._number = 0
         self._published_ms = -math.inf
         self._unpublished = 0
         self._others: dict[str, RetryRecord] = {}
-        self._retried_ms: dict[int, float] = {}
+        self._recent: deque[tuple[float, int]] = deque()
 
     def set_known_since(self, since_ms: float) -> None:
         """Record that all placements since a time were made or received here."""
@@ -98,24 +102,32 @@
         """Count one retry; return False if the window allows its priority no more."""
         self._forget(now_ms)
         # A refused one counts too: its priority still has requests to retry.
-        self._retried_ms[priority] = now_ms
+        self._recent.append((now_ms, priority))
         allowed = self._allowed(now_ms)
-        if priority > self.highest_priority(now_ms):
-            allowed *= FREE_FRACTION
-        if self._used(now_ms) + 1 > allowed:
+        if self._used(now_ms) + 1 > allowed - self._reserved(priority, now_ms):
             return False
         self._retries.append(now_ms)
+        self._retry_priorities.append(priority)
         self._unpublished += 1
         return True
 
+    def _reserved(self, priority: int, now_ms: float) -> float:
+        """Return how many retries are kept for priorities above one."""
+        while self._recent and self._recent[0][0] <= now_ms - PRIORITY_MEMORY_MS:
+            self._recent.popleft()
+        higher = sum(other < priority for _, other in self._recent)
+        if not higher:
+            return 0.0
+        needed = higher * self._window_ms / PRIORITY_MEMORY_MS
+        used = sum(other < priority for other in self._retry_priorities)
+        return min(
+            max(0.0, needed - used), (1.0 - FREE_FRACTION) * self._allowed(now_ms)
+        )
+
     def highest_priority(self, now_ms: float) -> int:
         """Return the highest priority that retried just before."""
         since_ms = now_ms - PRIORITY_MEMORY_MS
-        recent = (
-            priority
-            for priority, retried_ms in self._retried_ms.items()
-            if retried_ms > since_ms
-        )
+        recent = (priority for at_ms, priority in self._recent if at_ms > since_ms)
         return min(recent, default=LOWEST_PRIORITY)
 
     def is_publish_due(self, now_ms: float) -> bool:
@@ -150,9 +162,11 @@
 
     def _forget(self, now_ms: float) -> None:
         since_ms = now_ms - self._window_ms
-        for times in (self._requests, self._retries):
-            while times and times[0] <= since_ms:
-                times.popleft()
+        while self._requests and self._requests[0] <= since_ms:
+            self._requests.popleft()
+        while self._retries and self._retries[0] <= since_ms:
+            self._retries.popleft()
+            self._retry_priorities.popleft()
         expired = [
             origin
             for origin, record in self._others.items()
@@ -165,6 +179,7 @@
         """Uncount the newest retry, which was not sent because no slot was free."""
         if self._retries:
             self._retries.pop()
+            self._retry_priorities.pop()
 
     def state(self, now_ms: float) -> tuple[int, float]:
         """Return the retries used in the window, and the number that it allows."""
