Bound the request bodies in flight to a target

Cause: a placer grants slots whatever the bodies, so a target with free slots gets long uploads until its memory is full. Change: a grant counts PlacementRequest.body_bytes; a target gets no further body above 64 MB together. One that alone is longer runs beside no other body.

--- a/src/crocusspindle/core/service_placer.py
+++ b/src/crocusspindle/core/service_placer.py
@@ -321,6 +321,7 @@
             min_suspicious_ms,
             placement_request.content,
             COLD_SLOWNESS if tracker.limit.is_cold(now_ms) else 1.0,
+            body_bytes=placement_request.body_bytes,
         )
         tracker.last_used_ms = now_ms
         self.limits.record_attempt(tracker, now_ms)
--- a/src/crocusspindle/core/target_choice.py
+++ b/src/crocusspindle/core/target_choice.py
@@ -58,6 +58,7 @@
             and tracker.has_free_slot(now_ms)
             and tracker.listed.readiness is Readiness.READY
             and tracker.listed.identity not in request.excluded
+            and tracker.has_room(request.body_bytes)
         ]
         reachable = [
             tracker
@@ -168,6 +169,7 @@
             if self._has_free_slot(tracker, now_ms)
             and self._may_use_due_target(tracker, request, now_ms)
             and tracker.listed.identity not in request.excluded
+            and tracker.has_room(request.body_bytes)
             and self.reachable(tracker, request.sender, now_ms)
         ]
         if not due:
@@ -237,6 +239,7 @@
             and tracker.limit.allows(now_ms)
             and tracker.listed.readiness is Readiness.READY
             and tracker.listed.identity not in request.excluded
+            and tracker.has_room(request.body_bytes)
             and self.reachable(tracker, request.sender, now_ms)
         ]
 
--- a/src/crocusspindle/core/target_tracker.py
+++ b/src/crocusspindle/core/target_tracker.py
@@ -103,6 +103,11 @@
 last two hundred do."""
 
 
+MAX_BODY_BYTES: Final = 64 << 20
+"""Request bodies that the running requests of one target hold together, at most: a
+target buffers a body before it runs the request, and long ones would fill its memory
+while it has slots left."""
+
 COLD_SLOWNESS: Final = 2.0
 """Expected ratio of a cold target's latency to a warm one's."""
 
@@ -126,6 +131,7 @@
     content: ContentDigest = NO_CONTENT
     slowness: float = 1.0
     sender_lost_path: bool = False
+    body_bytes: int = 0
 
     def age_nats(self, age_ms: float) -> float:
         """Return -ln of the probability that healthy work lasts longer than an age.
@@ -220,6 +226,16 @@
             return False
         return len(self.grants) < self.concurrency_limit and self.limit.allows(now_ms)
 
+    def has_room(self, body_bytes: int) -> bool:
+        """Return True if a body fits beside those of the running requests.
+
+        One that alone is too long fits beside requests without a body.
+        """
+        if not body_bytes:
+            return True
+        running = sum(grant.body_bytes for grant in self.grants.values())
+        return not running or running + body_bytes <= MAX_BODY_BYTES
+
     @property
     def concurrency_limit(self) -> int:
         """Return how many requests the target may run at once."""
