Bound the memory that bodies of slow callers take

Cause: a response of up to 1 MB is read whole and handed to the transport, which holds it until the caller has taken it; 90 callers that read 2 KB/s hold 90 of them, beside 512 KB of read buffer for each body that is still read. Change: limits.memory_mb sets a bound. Requests and responses count what they hold, by customer, until it is sent or taken. Responses are kept in parts that are freed as the kernel takes them; the library's and the kernel's buffers of a connection are limited. Within the bound a response is read to its end whatever its caller's speed, also after the first MB; beyond its part only as its caller takes it. Above half of the bound uploads wait, above three quarters long ones are refused (`memory`), at the bound the largest response of the customer that holds most is aborted. Without the setting the measures are off; the stand-in fleet's settings name it only where a test asks. test_entry's fake context gets the method that the entry now calls.

--- a/src/crocusspindle/core/memory_bound.py
+++ b/src/crocusspindle/core/memory_bound.py
@@ -128,13 +128,20 @@
         """Return how many bytes are held for a customer."""
         return self._by_customer.get(customer, 0)
 
+    @property
+    def largest_customer(self) -> CustomerId | None:
+        """Return the customer that holds most, None also if nothing is held."""
+        return max(self._by_customer, key=self.held_by, default=None)
+
     def may_read_body(self, holding: Holding) -> bool:
         """Return True if more of a request's body may be read now.
 
         Above half of the bound, customers that hold less than an equal part of that
         half read on; of each other one, the oldest request does. The others' bodies
-        follow as it ends.
+        follow as it ends. Short bodies don't wait: they take little.
         """
+        if holding.size <= LARGE_BODY_BYTES:
+            return True
         limit = self.bound * BACK_PRESSURE_FRACTION
         if self.held_bytes < limit or self._is_below_part(holding.customer, limit):
             return True
--- a/src/crocusspindle/gateway/admission.py
+++ b/src/crocusspindle/gateway/admission.py
@@ -9,10 +9,12 @@
 
 from crocusspindle.clock import now_ms
 from crocusspindle.core.configuration import Configuration, CustomerRule, RouteRule
+from crocusspindle.core.memory_bound import LARGE_BODY_BYTES
 from crocusspindle.core.request_content import content_digest
 from crocusspindle.gateway.dialect import Dialect
 from crocusspindle.gateway.fleet_state import FleetState
 from crocusspindle.gateway.hand_over_headers import REQUEST_HEADERS, HandedOver
+from crocusspindle.gateway.held_memory import PAUSED_BYTES, HeldMemory, RequestMemory
 from crocusspindle.gateway.reload import LiveBounds
 from crocusspindle.gateway.request_context import BODY_BUFFER_BYTES, RequestContext
 from crocusspindle.gateway.responses import Refusal
@@ -29,13 +31,21 @@
 RESPONSE_MARGIN_MS: Final = 5.0
 """Part of the route's timeout reserved for delivering the response to the caller."""
 
+MEMORY_RETRY_MS: Final = 1_000.0
+"""Slow callers and long bodies hold memory for seconds."""
+
 
 class Admission:
     """Find a request's route and customer, and read its body."""
 
     def __init__(
-        self, bounds: LiveBounds, dialect: Dialect, fleet_state: FleetState
+        self,
+        bounds: LiveBounds,
+        dialect: Dialect,
+        fleet_state: FleetState,
+        memory: HeldMemory,
     ) -> None:
+        self._memory = memory
         self._bounds = bounds
         self._dialect = dialect
         self._fleet_state = fleet_state
@@ -67,11 +77,22 @@
             left_from_ms + time_left_ms,
             began_ms + route.timeout_ms - RESPONSE_MARGIN_MS,
         )
-        prefix = await self._read_prefix(configuration, request, deadline_ms)
+        memory = self._memory.request(
+            customer.customer if customer is not None else None, request_id
+        )
+        try:
+            prefix = await self._read_prefix(
+                configuration, request, deadline_ms, memory
+            )
+        except BaseException:
+            memory.release()
+            raise
         body: bytes | AsyncIterator[bytes] | None = prefix
         length = len(prefix or b"")
         if prefix is not None and length > BODY_BUFFER_BYTES:
-            body = _stream_body(prefix, request, configuration.limits.body_bytes)
+            body = _stream_body(
+                [prefix], request, configuration.limits.body_bytes, memory
+            )
             length = request.content_length or 0
         outgoing = OutgoingRequest(
             request_id,
@@ -79,6 +100,7 @@
             request.raw_path,
             self._headers(request, customer, body),
             body,
+            memory,
         )
         content = content_digest(
             request.method,
@@ -98,6 +120,7 @@
             deadline_ms,
             caller_key=request.headers.get(self._dialect.key),
             handed_over=handed_over,
+            streamed_bytes=length or BODY_BUFFER_BYTES,
         )
 
     def is_idempotent(self, request: web.BaseRequest) -> bool:
@@ -161,7 +184,11 @@
             return DEFAULT_TIMEOUT_MS
 
     async def _read_prefix(
-        self, configuration: Configuration, request: web.BaseRequest, deadline_ms: float
+        self,
+        configuration: Configuration,
+        request: web.BaseRequest,
+        deadline_ms: float,
+        memory: RequestMemory,
     ) -> bytes | None:
         """Return the whole body, or the prefix of one that is too long to buffer.
 
@@ -169,18 +196,33 @@
         """
         if not request.body_exists:
             return None
+        length = request.content_length
+        self._check_memory(length or 0)
+        held = memory.body()
+        held.resize(_buffered_bytes(length, 0))
         await _send_continue(request)
         prefix = bytearray()
         limit = configuration.limits.body_bytes
         while len(prefix) <= BODY_BUFFER_BYTES:
+            if not await self._memory.may_read_body(held, deadline_ms):
+                raise Refusal(503, "memory", MEMORY_RETRY_MS)
             chunk = await self._read_chunk(request, deadline_ms)
             if not chunk:
                 break
+            if length is None and len(prefix) <= LARGE_BODY_BYTES:
+                self._check_memory(len(prefix) + len(chunk))
             prefix += chunk
+            held.resize(len(prefix) + _buffered_bytes(length, len(prefix)))
             if len(prefix) > limit:
                 raise Refusal(413, "body-too-long")
+        if len(prefix) <= BODY_BUFFER_BYTES:
+            held.resize(len(prefix))
         return bytes(prefix)
 
+    def _check_memory(self, length: int) -> None:
+        if self._memory.refuses_body(length):
+            raise Refusal(503, "memory", MEMORY_RETRY_MS)
+
     @staticmethod
     async def _read_chunk(request: web.BaseRequest, deadline_ms: float) -> bytes:
         left_s = max(0.0, (deadline_ms - now_ms()) / 1e3)
@@ -209,6 +251,11 @@
         return headers
 
 
+def _buffered_bytes(length: int | None, read: int) -> int:
+    """Return how much of the rest of a body the connection may hold."""
+    return PAUSED_BYTES if length is None else min(PAUSED_BYTES, length - read)
+
+
 async def _send_continue(request: web.BaseRequest) -> None:
     # Some callers send a long body only after "100 Continue", and otherwise wait for
     # a second or more of their timeout.
@@ -218,10 +265,12 @@
 
 
 async def _stream_body(
-    prefix: bytes, request: web.BaseRequest, limit: int
+    prefix: list[bytes], request: web.BaseRequest, limit: int, memory: RequestMemory
 ) -> AsyncIterator[bytes]:
-    yield prefix
-    length = len(prefix)
+    length = len(prefix[0])
+    # The list is the only reference, so that the prefix is freed once it is sent.
+    yield prefix.pop()
+    memory.body().resize(PAUSED_BYTES)
     async for chunk in request.content.iter_any():
         length += len(chunk)
         if length > limit:
--- a/src/crocusspindle/gateway/assembly.py
+++ b/src/crocusspindle/gateway/assembly.py
@@ -1,11 +1,13 @@
 """Build the services of a node that serves on the platform."""
 
+import math
 import random
 import secrets
 from collections.abc import Callable
 from pathlib import Path
 
 from crocusspindle.core.byte_rate_limiter import ByteRateLimiter
+from crocusspindle.core.memory_bound import MemoryBound, bound_bytes
 from crocusspindle.core.policies import Policies
 from crocusspindle.core.reader_choice import ReaderChoice
 from crocusspindle.core.view import NodeAddress
@@ -18,6 +20,7 @@
 from crocusspindle.gateway.exchange import Exchange
 from crocusspindle.gateway.fleet_state import FleetState
 from crocusspindle.gateway.hand_over import HandOver
+from crocusspindle.gateway.held_memory import HeldMemory
 from crocusspindle.gateway.line_log import LineHandler
 from crocusspindle.gateway.list_watch import ListWatch
 from crocusspindle.gateway.membership import Membership
@@ -45,6 +48,12 @@
     return platform_type.from_config(settings.platform)
 
 
+def _memory_bound(settings: GatewaySettings) -> MemoryBound:
+    if math.isinf(settings.memory_mb):
+        return MemoryBound()
+    return MemoryBound(bound_bytes(settings.memory_mb))
+
+
 def build(
     path: Path,
     read: Callable[[Path], GatewaySettings],
@@ -87,7 +96,8 @@
     crashes = CrashSharing(exchange, fleet_state, metrics)
     placers = Placers(node, bounds, exchange, fleet_state, policies, crashes)
     placing = Placing(exchange, placers, rng, crashes)
-    admission = Admission(bounds, dialect, fleet_state)
+    memory = HeldMemory(_memory_bound(settings), metrics)
+    admission = Admission(bounds, dialect, fleet_state, memory)
     paths = Paths(placers, metrics, rng)
     hand_over = HandOver(
         node,
@@ -114,7 +124,15 @@
         metrics,
     )
     ports = Ports(
-        settings, dialect, fleet_state, membership, entry, metrics, bounds, lines
+        settings,
+        dialect,
+        fleet_state,
+        membership,
+        entry,
+        metrics,
+        bounds,
+        lines,
+        memory,
     )
     kernel = Kernel(drain_ms=settings.bounds.grace_ms)
     for service in (
--- a/src/crocusspindle/gateway/attempt_runner.py
+++ b/src/crocusspindle/gateway/attempt_runner.py
@@ -80,6 +80,8 @@
             )
             if isinstance(placement, AttemptResult):
                 return placement
+            if last_result is not None:
+                last_result.discard()
             last_result = await self._attempt_with_hedge(context, placement, service)
             if not self._should_retry(context, last_result):
                 return last_result
@@ -149,6 +151,7 @@
         """Send; hedge to a second target if an idempotent request gets no response."""
         first = asyncio.create_task(self._attempt(context, placement))
         second: asyncio.Task[AttemptResult] | None = None
+        chosen: AttemptResult | None = None
         try:
             wait_ms = placement.hedge_after_ms
             while second is None and self._may_hedge(context, wait_ms):
@@ -158,14 +161,18 @@
                 second = await self._start_hedge(context, service)
                 wait_ms = HEDGE_RETRY_MS
             if second is None:
-                return await first
-            return await _first_answered(first, second)
+                chosen = await first
+            else:
+                chosen = await _first_answered(first, second)
+            return chosen
         finally:
             attempts = [task for task in (first, second) if task is not None]
             for task in attempts:
                 task.cancel()
             # Wait until both have recorded their outcomes for this request's log line.
-            await asyncio.gather(*attempts, return_exceptions=True)
+            for result in await asyncio.gather(*attempts, return_exceptions=True):
+                if isinstance(result, AttemptResult) and result is not chosen:
+                    result.discard()
 
     def _may_hedge(self, context: RequestContext, wait_ms: float) -> bool:
         return (
--- a/src/crocusspindle/gateway/caller_port.py
+++ b/src/crocusspindle/gateway/caller_port.py
@@ -45,9 +45,16 @@
         "_started_early",
     )
 
-    def __init__(self, manager: web.Server, entry: Entry, limits: CallerLimits) -> None:
+    def __init__(
+        self,
+        manager: web.Server,
+        entry: Entry,
+        limits: CallerLimits,
+        **options: Any,
+    ) -> None:
         super().__init__(
             manager,
+            **options,
             keepalive_timeout=limits.idle_timeout_ms / 1e3,
             access_log=None,
             max_line_size=limits.header_bytes,
@@ -78,6 +85,7 @@
         self.record_header_received()
         for _, task in self._started_early.values():
             task.cancel()
+            task.add_done_callback(_release_result)
         self._started_early.clear()
         super().connection_lost(exc)
 
@@ -168,6 +176,11 @@
         return response
 
 
+def _release_result(task: asyncio.Task[ProcessedRequest]) -> None:
+    if not task.cancelled() and task.exception() is None:
+        task.result().release()
+
+
 def _is_plain_get(message: Any) -> bool:
     if not isinstance(message, RawRequestMessage) or message.method != "GET":
         return False
@@ -179,16 +192,21 @@
 class CallerServer(web.Server):
     """Create the protocol of each connection; cancel handlers of callers that leave."""
 
-    def __init__(self, entry: Entry, limits: Limits) -> None:
+    def __init__(
+        self, entry: Entry, limits: Limits, read_buffer_bytes: int | None = None
+    ) -> None:
         super().__init__(
             self._serve, request_factory=create_request, handler_cancellation=True
         )
         self._entry = entry
         self._limits = limits
+        self._options: dict[str, Any] = {}
+        if read_buffer_bytes is not None:
+            self._options["read_bufsize"] = read_buffer_bytes
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol of a new connection."""
-        return CallerProtocol(self, self._entry, self._limits())
+        return CallerProtocol(self, self._entry, self._limits(), **self._options)
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         protocol = request.protocol
--- a/src/crocusspindle/gateway/entry.py
+++ b/src/crocusspindle/gateway/entry.py
@@ -22,6 +22,7 @@
 from crocusspindle.gateway.quota import NO_KEEPER_RETRY_MS, Quota
 from crocusspindle.gateway.request_context import RequestContext
 from crocusspindle.gateway.responses import (
+    HeldResponse,
     Refusal,
     refusal_response,
     send_target_response,
@@ -54,6 +55,13 @@
     refusal: Refusal | None = None
     handed_over: HandedOver | None = None
 
+    def release(self) -> None:
+        """Free the bodies of the request and its responses."""
+        if self.context is not None:
+            self.context.release()
+        if self.result is not None:
+            self.result.discard()
+
 
 class Entry(Service):
     """Serve callers' requests."""
@@ -140,9 +148,13 @@
         processed = await (self._process(request) if started is None else started)
         self.running += 1
         try:
-            return await self._respond(request, processed)
+            response = await self._respond(request, processed)
+            if isinstance(response, HeldResponse):
+                await response.send(request)
+            return response
         finally:
             self.running -= 1
+            processed.release()
 
     async def _process(self, request: web.BaseRequest) -> ProcessedRequest:
         request_id = request.headers.get(self._dialect.request_id, "")
@@ -166,6 +178,8 @@
         finally:
             self.running -= 1
             self._processing.pop(id(processed), None)
+            if processed.result is None:
+                processed.release()
         return processed
 
     async def _send(
@@ -193,6 +207,7 @@
         if context.customer is not None and handed_over is None:
             await self._spend(context, context.customer)
         processed.result = await self._attempt_runner.send(context)
+        context.drop_body()
 
     def _check_not_held(self, context: RequestContext) -> None:
         refused = self._crashes.refusal(context.content)
@@ -240,6 +255,8 @@
     ) -> web.StreamResponse:
         if result.target_response is None:
             raise _refusal_after(context, result)
+        if result.target_response.content.held.is_dropped:
+            raise Refusal(502, "memory")
         response = await send_target_response(
             request, result.target_response, context.deadline_ms
         )
--- a/src/crocusspindle/gateway/hand_over.py
+++ b/src/crocusspindle/gateway/hand_over.py
@@ -60,6 +60,7 @@
         "no-configuration",
         "not-a-member",
         "old-configuration",
+        "memory",
     }
 )
 """Refusals that concern the node that took the request, not the request."""
@@ -124,6 +125,8 @@
             result = await self._send_to(host, context, service)
             if result is not None and not self._may_try_another(context, result):
                 return result
+            if result is not None:
+                result.discard()
             if not isinstance(context.outgoing.body, bytes | None):
                 # A streamed body can't be sent again.
                 break
@@ -244,15 +247,17 @@
             headers=self._headers(context),
             data=outgoing.body,
             allow_redirects=False,
+            read_bufsize=outgoing.memory.process.read_buffer_bytes,
         )
         try:
             reason = response.headers.get(REFUSED)
-            body, complete = await read_prefix(response)
+            content = await read_prefix(response, outgoing.memory)
             if reason is not None:
+                content.close()
                 return _refusal(response, reason)
-            result = TargetResponse(response.status, forwarded(response.headers), body)
-            if not complete:
-                result.open_response = response
+            result = TargetResponse(
+                response.status, forwarded(response.headers), content
+            )
         except BaseException:
             response.close()
             raise
--- a/src/crocusspindle/gateway/instruments.py
+++ b/src/crocusspindle/gateway/instruments.py
@@ -120,6 +120,26 @@
     when_rising="Other hosts have lost their network to targets: see `handed_over_by` "
     "in the request lines.",
 )
+HELD_BYTES: Final = declare(
+    "gateway_held_bytes",
+    InstrumentKind.GAUGE,
+    unit="bytes",
+    meaning="Request bodies that this node has read and not yet sent, and responses "
+    "that it has read and their callers have not yet taken.",
+    when_rising="Callers read their responses slowly, or targets read requests slowly; "
+    "see `gateway_memory_measures`.",
+)
+MEMORY_MEASURES: Final = declare(
+    "gateway_memory_measures",
+    InstrumentKind.COUNTER,
+    unit="requests",
+    labels=("measure",),
+    meaning="Requests that a measure against rising memory met: their body waited "
+    "(`back-pressure`), they were refused (`refusal`), or their response was dropped "
+    "(`drop`).",
+    when_rising="One customer's callers read slowly: see `memory measure begins` in "
+    "the log, with the customer that holds most. On all hosts: more hosts or memory.",
+)
 LOG_DROPPED: Final = declare(
     "log_dropped",
     InstrumentKind.GAUGE,
--- a/src/crocusspindle/gateway/ports.py
+++ b/src/crocusspindle/gateway/ports.py
@@ -14,6 +14,7 @@
 from crocusspindle.gateway.dialect import Dialect
 from crocusspindle.gateway.entry import Entry
 from crocusspindle.gateway.fleet_state import FleetState
+from crocusspindle.gateway.held_memory import HeldMemory
 from crocusspindle.gateway.line_log import LineHandler
 from crocusspindle.gateway.membership import Membership
 from crocusspindle.gateway.reload import LiveBounds
@@ -66,6 +67,7 @@
         metrics: Metrics,
         bounds: LiveBounds,
         lines: LineHandler,
+        memory: HeldMemory | None = None,
     ) -> None:
         self._bounds = bounds
         self._lines = lines
@@ -79,7 +81,8 @@
         self._caller_listener: asyncio.Server | None = None
         self._hand_over_listener: asyncio.Server | None = None
         self._other_servers: list[asyncio.Server] = []
-        self._caller_server = CallerServer(entry, self._limits)
+        read_buffer_bytes = None if memory is None else memory.read_buffer_bytes
+        self._caller_server = CallerServer(entry, self._limits, read_buffer_bytes)
 
     async def start(self) -> None:
         """Open all ports."""
--- a/src/crocusspindle/gateway/reload.py
+++ b/src/crocusspindle/gateway/reload.py
@@ -26,8 +26,8 @@
     """Read the settings again on SIGHUP and when their file has changed.
 
     Most bounds apply at once. The view fence and the quota window apply at the next
-    start, as do the node's addresses and names. The retry budget and the floor share of
-    a service are read when this node first uses them.
+    start, as do the node's addresses and names and the memory bound. The retry budget
+    and the floor share of a service are read when this node first uses them.
     Invalid settings are ignored: a node that stopped over a half-written file would
     drop its callers.
     """
--- a/src/crocusspindle/gateway/request_context.py
+++ b/src/crocusspindle/gateway/request_context.py
@@ -1,6 +1,6 @@
 """Hold the state of one request while it is served."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final
 
 from crocusspindle.core.configuration import CustomerRule, RouteRule
@@ -19,6 +19,7 @@
     """Hold one request, its attempts and the fields of its log line.
 
     ``handed_over`` is set if another node handed the request over to this one.
+    ``streamed_bytes`` is the length of a body that is streamed, or what is known of it.
     """
 
     request_id: str
@@ -36,6 +37,8 @@
     quota_wait_ms: float = 0.0
     caller_key: str | None = None
     handed_over: HandedOver | None = None
+    streamed_bytes: int = BODY_BUFFER_BYTES
+    _dropped_bytes: int = 0
 
     @property
     def certainly_not_run(self) -> bool:
@@ -44,11 +47,22 @@
 
     @property
     def body_bytes(self) -> int:
-        """Return the length of the body, or `BODY_BUFFER_BYTES` if it is streamed."""
+        """Return the length of the body, or ``streamed_bytes`` if it is streamed."""
         body = self.outgoing.body
         if body is None:
-            return 0
-        return len(body) if isinstance(body, bytes) else BODY_BUFFER_BYTES
+            return self._dropped_bytes
+        return len(body) if isinstance(body, bytes) else self.streamed_bytes
+
+    def drop_body(self) -> None:
+        """Free the body once no further attempt can need it."""
+        self._dropped_bytes = self.body_bytes
+        self.outgoing = replace(self.outgoing, body=None)
+        self.outgoing.memory.release_body()
+
+    def release(self) -> None:
+        """Free all that the request holds."""
+        self.drop_body()
+        self.outgoing.memory.release()
 
     @property
     def priority(self) -> int:
--- /dev/null
+++ b/src/crocusspindle/gateway/response_body.py
@@ -0,0 +1,169 @@
+"""Hold the part of a response that is read from its target and not yet taken."""
+
+import asyncio
+import socket
+from collections import deque
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from typing import Final
+
+import aiohttp
+
+from crocusspindle.clock import remaining_s
+from crocusspindle.gateway.held_memory import HeldBytes
+
+MAX_BUFFERED_BYTES: Final = 1 << 20
+"""Responses up to this size are read completely before they are forwarded, so that a
+truncated one is never passed on as complete."""
+
+READ_BYTES: Final = 1 << 16
+
+KERNEL_UNSENT_BYTES: Final = 1 << 16
+"""Unsent bytes that the kernel may hold of a caller's connection. It would otherwise
+take megabytes of each, which this process doesn't count."""
+
+Write = Callable[[bytes], Awaitable[None]]
+
+
+class ResponseBody:
+    """Read a body from its target, and write it to its caller.
+
+    Its first `MAX_BUFFERED_BYTES` are read before any of it is written. The rest is
+    read while it is written: at the target's speed if there is a memory bound and the
+    body is within its part of it, else at the caller's.
+    """
+
+    def __init__(self, response: aiohttp.ClientResponse, held: HeldBytes) -> None:
+        self.held = held
+        self.is_complete = False
+        self._response = response
+        self._parts: deque[bytes] = deque()
+        self._read_bytes = 0
+        self._unwritten_bytes = 0
+        self._arrived = asyncio.Event()
+        self._failure: Exception | None = None
+        self._reading: asyncio.Task[None] | None = None
+
+    @property
+    def size(self) -> int:
+        """Return how many bytes are read and not yet written."""
+        return self._unwritten_bytes
+
+    def joined(self) -> bytes:
+        """Return what is read and not yet written."""
+        return b"".join(self._parts)
+
+    async def read_prefix(self) -> None:
+        """Read what is read before any of the body is written."""
+        while self._read_bytes < MAX_BUFFERED_BYTES:
+            if not await self._read_part():
+                return
+            if self.held.is_dropped:
+                return
+            if self._read_bytes >= READ_BYTES and not self.held.may_read_ahead:
+                break
+        if self._response.content.at_eof():
+            self._set_complete()
+
+    async def _read_part(self) -> bool:
+        """Read one part; return False at the end of the body."""
+        part = await self._response.content.read(READ_BYTES)
+        if not part:
+            self._set_complete()
+            return False
+        self._parts.append(part)
+        self._read_bytes += len(part)
+        self._unwritten_bytes += len(part)
+        self._arrived.set()
+        self._count()
+        return True
+
+    def _set_complete(self) -> None:
+        self.is_complete = True
+        self._arrived.set()
+        self._count()
+
+    def _count(self) -> None:
+        if self.held.is_dropped:
+            self._parts.clear()
+            return
+        buffered = 0
+        if not self.is_complete:
+            unread = self._response.content.total_bytes - self._read_bytes
+            buffered = max(unread, 0)
+        self.held.resize(self._unwritten_bytes + buffered)
+
+    def start_reading(self, deadline_ms: float) -> None:
+        """Read the rest until the deadline while the body is written."""
+        if not self.is_complete and self._reading is None:
+            self._reading = asyncio.create_task(self._read_rest(deadline_ms))
+
+    async def _read_rest(self, deadline_ms: float) -> None:
+        try:
+            async with asyncio.timeout(remaining_s(deadline_ms)):
+                await self._wait_for_turn()
+                while not self.held.is_dropped and await self._read_part():
+                    await self._wait_for_turn()
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            self._failure = error
+        finally:
+            self._arrived.set()
+            self._response.close()
+
+    async def _wait_for_turn(self) -> None:
+        """Wait until the part of the bound or the caller allows one more part."""
+        memory = self.held.memory
+        while self._parts and not self.held.is_dropped:
+            if memory.bound.is_bounded and self.held.may_read_ahead:
+                return
+            await memory.wait_for_release()
+            self._count()
+
+    async def write_to(self, write: Write) -> None:
+        """Write the body as it arrives; raise an error if it ends early."""
+        while True:
+            if self.held.is_dropped:
+                raise ConnectionResetError("response dropped at the memory bound")
+            if self._failure is not None:
+                raise self._failure
+            if self._parts:
+                await self._write_part(write)
+            elif self.is_complete:
+                return
+            else:
+                self._arrived.clear()
+                await self._arrived.wait()
+
+    async def _write_part(self, write: Write) -> None:
+        part = self._parts.popleft()
+        await write(part)
+        self._unwritten_bytes -= len(part)
+        self._count()
+        # More may have arrived meanwhile than was written.
+        self.held.memory.notify_release()
+
+    def close(self) -> None:
+        """Stop reading and free what is held."""
+        if self._reading is not None:
+            self._reading.cancel()
+        if not self.is_complete:
+            self._response.close()
+        self._parts.clear()
+        self.held.release()
+
+
+def bound_buffers(transport: asyncio.Transport | None) -> None:
+    """Let writing to a caller wait until its kernel has taken everything.
+
+    What a transport or the kernel buffers of a slow caller's response would otherwise
+    be memory that nothing counts.
+    """
+    if transport is None:
+        return
+    transport.set_write_buffer_limits(high=0)
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        with suppress(OSError):
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, KERNEL_UNSENT_BYTES
+            )
--- a/src/crocusspindle/gateway/responses.py
+++ b/src/crocusspindle/gateway/responses.py
@@ -1,15 +1,17 @@
 """Respond to callers: forward a target's response, or state why there is none."""
 
-import asyncio
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
 from typing import Final
 
 from aiohttp import web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.payload import Payload
 
-from crocusspindle.clock import now_ms
 from crocusspindle.errors import CrocusspindleError
 from crocusspindle.gateway.dialect import Dialect
-from crocusspindle.gateway.target_client import READ_BYTES, TargetResponse
+from crocusspindle.gateway.response_body import ResponseBody, bound_buffers
+from crocusspindle.gateway.target_client import TargetResponse
 
 RETRYABLE_STATUSES: Final = frozenset({429, 503})
 CLOSING_STATUSES: Final = frozenset({400, 408, 413})
@@ -47,39 +49,99 @@
     return response
 
 
+class HeldResponse(web.Response):
+    """Respond with a whole body that counts as held until its caller has taken it."""
+
+    def __init__(self, target_response: TargetResponse) -> None:
+        super().__init__(status=target_response.status)
+        self._content = target_response.content
+        if self._content.size:
+            self.body = _HeldPayload(self._content)
+        _copy_headers(target_response, self)
+
+    async def send(self, request: web.BaseRequest) -> None:
+        """Send it, at the speed of its caller; abort the connection if that fails."""
+        bound_buffers(request.transport)
+        with _aborting(request, self._content):
+            await self.prepare(request)
+            await self.write_eof()
+
+
+class _HeldPayload(Payload):
+    """Write a body part by part, so that each is freed when it is taken."""
+
+    def __init__(self, content: ResponseBody) -> None:
+        super().__init__(content)
+        self._content = content
+        self._size = content.size
+
+    def decode(self, encoding: str = "utf-8", errors: str = "strict") -> str:
+        """Return the text of what is not yet written."""
+        return self._content.joined().decode(encoding, errors)
+
+    async def write(self, writer: AbstractStreamWriter) -> None:
+        """Write the body at the speed of its caller."""
+
+        async def write_part(part: bytes) -> None:
+            await writer.write(part)
+            await writer.drain()
+
+        await self._content.write_to(write_part)
+
+
 async def send_target_response(
     request: web.BaseRequest, target_response: TargetResponse, deadline_ms: float
 ) -> web.StreamResponse:
-    """Forward a target's response; abort the connection if it is truncated."""
-    if target_response.open_response is None:
-        response = web.Response(
-            status=target_response.status, body=target_response.body
-        )
+    """Forward a target's response; abort the connection if it is truncated.
+
+    A complete one is returned to be sent.
+    """
+    content = target_response.content
+    is_bounded = content.held.memory.bound.is_bounded
+    if content.is_complete:
+        if is_bounded:
+            return HeldResponse(target_response)
+        response = web.Response(status=target_response.status, body=content.joined())
         _copy_headers(target_response, response)
         return response
     stream = web.StreamResponse(status=target_response.status)
     _copy_headers(target_response, stream)
-    try:
+    if is_bounded:
+        bound_buffers(request.transport)
+    content.start_reading(deadline_ms)
+    with _aborting(request, content):
         await stream.prepare(request)
-        await stream.write(target_response.body)
-        async with asyncio.timeout(max(0.0, (deadline_ms - now_ms()) / 1e3)):
-            while chunk := await target_response.open_response.content.read(READ_BYTES):
-                await stream.write(chunk)
+        await content.write_to(stream.write)
         await stream.write_eof()
+    return stream
+
+
+@contextmanager
+def _aborting(request: web.BaseRequest, content: ResponseBody) -> Iterator[None]:
+    """Abort the connection if the response is dropped or fails.
+
+    A truncated response must not look complete.
+    """
+    transport = request.transport
+
+    def abort() -> None:
+        if transport is not None:
+            transport.abort()
+
+    content.held.on_drop = abort
+    try:
+        yield
     except BaseException:
-        # A truncated response must not look complete.
-        if request.transport is not None:
-            request.transport.abort()
+        abort()
         raise
     finally:
-        target_response.open_response.close()
-    return stream
+        content.close()
 
 
 def _copy_headers(
     target_response: TargetResponse, response: web.StreamResponse
 ) -> None:
-    complete = target_response.open_response is None
+    complete = target_response.content.is_complete
     response.headers.popall("Content-Type", None)
     for name, text in target_response.headers:
         if complete and name.lower() == "content-length":
--- a/src/crocusspindle/gateway/settings.py
+++ b/src/crocusspindle/gateway/settings.py
@@ -1,5 +1,6 @@
 """Hold the settings of a node that serves on the platform."""
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any, Final
@@ -53,7 +54,10 @@
 
 @dataclass(frozen=True)
 class GatewaySettings:
-    """Hold a node's addresses, names, capacity and bounds."""
+    """Hold a node's addresses, names, capacity and bounds.
+
+    ``memory_mb`` is the memory of the host; if infinite, bodies are not bounded.
+    """
 
     host: HostId
     domain: DomainId
@@ -68,6 +72,7 @@
     bounds: Bounds = field(default_factory=Bounds)
     link_mbit_s: float = 1_000.0
     cores: float = 1.0
+    memory_mb: float = math.inf
 
     @property
     def capacity(self) -> int:
--- a/src/crocusspindle/gateway/target_client.py
+++ b/src/crocusspindle/gateway/target_client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 import aiohttp
@@ -14,7 +14,9 @@
 from crocusspindle.core.listed_target import ListedTarget, TargetIdentity
 from crocusspindle.core.target_signals import NO_SIGNALS, TargetSignals
 from crocusspindle.gateway.dialect import Dialect
+from crocusspindle.gateway.held_memory import RequestMemory, uncounted
 from crocusspindle.gateway.port_probe import PortAnswer, probe
+from crocusspindle.gateway.response_body import ResponseBody
 from crocusspindle.gateway.strict_connector import (
     WithheldError,
     check_before_sending,
@@ -23,11 +25,6 @@
 from crocusspindle.log_lines import Logger, log_state_change
 from crocusspindle.services.targets import forwarded
 
-MAX_BUFFERED_BYTES: Final = 1 << 20
-"""Responses up to this size are read completely before they are forwarded, so that a
-truncated one is never passed on as complete."""
-
-READ_BYTES: Final = 1 << 16
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 """Statuses that guarantee to a caller that its request was not run."""
 
@@ -49,23 +46,31 @@
 
 @dataclass(frozen=True, slots=True)
 class OutgoingRequest:
-    """Hold a request to a target: its head, and a buffered or streamed body."""
+    """Hold a request to a target: its head, and a buffered or streamed body.
+
+    ``memory`` counts the responses to it.
+    """
 
     request_id: str
     method: str
     raw_path: str
     headers: CIMultiDict[str]
     body: bytes | AsyncIterator[bytes] | None
+    memory: RequestMemory = field(default_factory=uncounted)
 
 
 @dataclass(slots=True)
 class TargetResponse:
-    """Hold a target's whole response, or its prefix and the unread rest."""
+    """Hold a target's response, whose body may still be read."""
 
     status: int
     headers: list[tuple[str, str]]
-    body: bytes
-    open_response: aiohttp.ClientResponse | None = None
+    content: ResponseBody
+
+    @property
+    def body(self) -> bytes:
+        """Return what is read of the body and not yet written to the caller."""
+        return self.content.joined()
 
 
 @dataclass(slots=True)
@@ -78,6 +83,11 @@
     detail: str = ""
     signals: TargetSignals = NO_SIGNALS
 
+    def discard(self) -> None:
+        """Free the response, which no caller gets."""
+        if self.target_response is not None:
+            self.target_response.content.close()
+
 
 RecordSignals = Callable[[ListedTarget, TargetSignals], None]
 MaySend = Callable[[ListedTarget], bool]
@@ -199,6 +209,7 @@
                 headers=headers,
                 data=outgoing.body,
                 allow_redirects=False,
+                read_bufsize=outgoing.memory.process.read_buffer_bytes,
             )
         finally:
             check_before_sending.reset(token)
@@ -254,17 +265,16 @@
         if refused is not None:
             response.close()
             return refused
-        body, complete = await read_prefix(response)
+        content = await read_prefix(response, outgoing.memory)
         if response.status in SUCCESS_STATUSES and not self._is_valid_success(response):
             response.close()
+            content.close()
             return AttemptResult(
                 AttemptOutcome.BROKEN, 0.0, detail="response is not from the target"
             )
         target_response = TargetResponse(
-            response.status, forwarded(response.headers), body
+            response.status, forwarded(response.headers), content
         )
-        if not complete:
-            target_response.open_response = response
         failed = response.status >= SERVER_ERROR
         return AttemptResult(
             AttemptOutcome.ERROR if failed else AttemptOutcome.ANSWERED,
@@ -300,12 +310,14 @@
         )
 
 
-async def read_prefix(response: aiohttp.ClientResponse) -> tuple[bytes, bool]:
-    """Return the first `MAX_BUFFERED_BYTES` of a body, and True if that is all."""
-    prefix = bytearray()
-    while len(prefix) < MAX_BUFFERED_BYTES:
-        chunk = await response.content.read(READ_BYTES)
-        if not chunk:
-            return bytes(prefix), True
-        prefix += chunk
-    return bytes(prefix), response.content.at_eof()
+async def read_prefix(
+    response: aiohttp.ClientResponse, memory: RequestMemory
+) -> ResponseBody:
+    """Return a body of which the part to read before writing has been read."""
+    content = ResponseBody(response, memory.new_response())
+    try:
+        await content.read_prefix()
+    except BaseException:
+        content.close()
+        raise
+    return content
--- a/src/crocusspindle/platform/settings_file.py
+++ b/src/crocusspindle/platform/settings_file.py
@@ -1,5 +1,6 @@
 """Translate the platform's settings file into the product's settings."""
 
+import math
 import os
 import tomllib
 from collections.abc import Mapping
@@ -67,6 +68,7 @@
         link_mbit_s=_positive(limits, "link_mbps", 1_000.0, source, findings),
         cores=_positive(limits, "cores", 1.0, source, findings)
         * _positive(limits, "cpu_share", 1.0, source, findings),
+        memory_mb=_positive(limits, "memory_mb", math.inf, source, findings),
     )
     if findings:
         raise SettingsError(findings)
--- a/src/crocusspindle_standins/on_platform/fleet.py
+++ b/src/crocusspindle_standins/on_platform/fleet.py
@@ -95,6 +95,7 @@
 class Fleet:
     """Hold the store, the targets and the gateways of one test.
 
+    ``memory_mb`` is the memory of each gateway's host by its settings, if they name it.
     ``writes_entries`` is False while targets must not write to the store.
     ``program`` is the module that each gateway's process runs. ``sent_through`` has the
     gateway's name for each request id.
@@ -104,6 +105,7 @@
     store: TableStore = field(default_factory=TableStore)
     make_target: Callable[[str, str, str], PlatformTarget] = PlatformTarget
     program: str = "crocusspindle.gateway"
+    memory_mb: float | None = None
     store_address: str = ""
     targets: list[PlatformTarget] = field(default_factory=list)
     gateways: list[Gateway] = field(default_factory=list)
@@ -173,6 +175,7 @@
 
     def _settings(self, gateway: Gateway) -> str:
         ip, (front, ready, directory) = gateway.ip, gateway.ports
+        limits = "" if self.memory_mb is None else f"memory_mb = {self.memory_mb}"
         return f"""
 node = "{gateway.name}"
 zone = "a"
@@ -189,6 +192,8 @@
 [platform]
 address = "{self.store_address}"
 form = "table"
+[limits]
+{limits}
 """
 
     async def run(self, gateway: Gateway) -> None:
--- a/src/crocusspindle_standins/on_platform/target.py
+++ b/src/crocusspindle_standins/on_platform/target.py
@@ -22,6 +22,11 @@
 CRASHING: Final = "crashes"
 """A request whose path contains this word crashes the target that starts to run it."""
 
+LONG: Final = "long"
+"""A request whose path contains this word gets a response of ``long_bytes``."""
+
+LONG_BYTES: Final = 900_000
+
 SHUTDOWN_S: Final = 0.1
 
 
@@ -46,8 +51,8 @@
     """Select how a target fails.
 
     ``CROSSES`` returns the id of another request, ``CUTS`` truncates the response,
-    and ``UNFRAMED`` sends no length, so that the response lasts until the connection
-    ends.
+    ``STOPS`` sends half of it and then nothing, and ``UNFRAMED`` sends no length, so
+    that the response lasts until the connection ends.
     """
 
     NONE = "none"
@@ -57,6 +62,7 @@
     ERRORS = "errors"
     CROSSES = "crosses"
     CUTS = "cuts"
+    STOPS = "stops"
     UNFRAMED = "unframed"
     UNFRAMED_RESETS = "unframed resets"
 
@@ -76,6 +82,7 @@
     work_s: float = 0.02
     limit: str | None = None
     retry_after_s: float | None = None
+    long_bytes: int = LONG_BYTES
     is_leaving: bool = False
     arrivals: list[Arrival] = field(default_factory=list)
     survives_crashing_requests: bool = False
@@ -95,6 +102,11 @@
     _runner: web.ServerRunner | None = None
     _restart: asyncio.Task[None] | None = None
 
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests are running or being responded to."""
+        return self._in_flight
+
     @property
     def is_listening(self) -> bool:
         """Return True while the target listens."""
@@ -224,6 +236,8 @@
         if self.fault in (TargetFault.UNFRAMED, TargetFault.UNFRAMED_RESETS):
             return await self._respond_unframed(request, headers)
         response_body = b"answer to " + request.path_qs.encode() + b" " + body
+        if LONG in request.path_qs:
+            response_body += bytes(self.long_bytes - len(response_body))
         response = web.StreamResponse(headers=headers)
         response.content_length = len(response_body)
         await response.prepare(request)
@@ -232,6 +246,9 @@
             if request.transport is not None:
                 request.transport.abort()
             return response
+        if self.fault is TargetFault.STOPS:
+            await response.write(response_body[: len(response_body) // 2])
+            await asyncio.sleep(HANG_S)
         await response.write_eof(response_body)
         return response
 
--- a/tests/core/test_memory_bound.py
+++ b/tests/core/test_memory_bound.py
@@ -15,8 +15,8 @@
     bound_bytes,
 )
 
-KB = 1_000
-BOUND = 1_000 * KB
+UNIT = 10_000
+BOUND = 1_000 * UNIT
 LARGE = LARGE_BODY_BYTES + 1
 
 
@@ -25,11 +25,11 @@
     return MemoryBound(BOUND)
 
 
-def hold(bound, customer, kb, kind=HeldKind.RESPONSE):
+def hold(bound, customer, units, kind=HeldKind.RESPONSE):
     """Hold a body."""
     holding = Holding(customer, kind)
     bound.add(holding)
-    bound.resize(holding, kb * KB)
+    bound.resize(holding, units * UNIT)
     return holding
 
 
@@ -49,16 +49,16 @@
     unbounded = MemoryBound()
     hold(unbounded, "club", 10**9)
     upload = hold(unbounded, "club", 10**9, HeldKind.REQUEST)
-    assert not unbounded.is_bounded and unbounded.held_bytes == 2 * 10**12
+    assert not unbounded.is_bounded and unbounded.held_bytes == 2 * 10**9 * UNIT
     assert unbounded.may_read_body(upload) and unbounded.may_read_ahead("club")
     assert not unbounded.refuses_body(10**12) and unbounded.response_to_drop() is None
     assert unbounded.changes() == []
 
 
 @pytest.mark.parametrize(
-    ("held_kb", "reads_bodies", "refuses", "reads_ahead", "drops"),
+    ("held", "reads_bodies", "refuses", "reads_ahead", "drops"),
     [
-        (0, True, False, True, False),
+        (30, True, False, True, False),
         (499, True, False, True, False),
         (500, False, False, True, False),
         (749, False, False, True, False),
@@ -68,14 +68,15 @@
     ],
 )
 def test_measures_follow_in_order(
-    bound, held_kb, reads_bodies, refuses, reads_ahead, drops
+    bound, held, reads_bodies, refuses, reads_ahead, drops
 ):
     """Guards against requests that are lost while a gentler measure would do."""
-    older = hold(bound, "club", 0, HeldKind.REQUEST)
-    upload = hold(bound, "club", 0, HeldKind.REQUEST)
-    hold(bound, "club", held_kb)
+    older = hold(bound, "club", 10, HeldKind.REQUEST)
+    upload = hold(bound, "club", 10, HeldKind.REQUEST)
+    response = hold(bound, "club", 0)
+    bound.resize(response, (held - 20) * UNIT)
     assert bound.may_read_body(upload) is reads_bodies
-    assert bound.may_read_body(older) is (held_kb < 1_000)
+    assert bound.may_read_body(older) is (held < 1_000)
     assert bound.refuses_body(LARGE) is refuses
     assert not bound.refuses_body(LARGE_BODY_BYTES)
     assert bound.may_read_ahead("club") is reads_ahead
@@ -104,12 +105,23 @@
     """Guards against an upload at 2 KB/s behind which all others wait."""
     hold(bound, "slow", 300, HeldKind.REQUEST)
     hold(bound, "club", 300, HeldKind.REQUEST)
-    waiting = hold(bound, "club", 0, HeldKind.REQUEST)
+    waiting = hold(bound, "club", 10, HeldKind.REQUEST)
     assert not bound.may_read_body(waiting)
-    bound.resize(next(iter(bound._holdings["club"])), 100 * KB)
+    bound.resize(next(iter(bound._holdings["club"])), 230 * UNIT)
     assert bound.may_read_body(waiting)
 
 
+def test_a_short_body_does_not_wait(bound):
+    """Guards against small requests behind slow readers of the same customer."""
+    hold(bound, "club", 990)
+    hold(bound, "club", 10, HeldKind.REQUEST)
+    short = hold(bound, "club", 0, HeldKind.REQUEST)
+    bound.resize(short, LARGE_BODY_BYTES)
+    assert bound.may_read_body(short) and not bound.refuses_body(short.size)
+    bound.resize(short, LARGE)
+    assert not bound.may_read_body(short)
+
+
 def test_the_largest_response_of_the_largest_holder_is_dropped(bound):
     """Guards against a drop that hits a customer that holds little."""
     hold(bound, "club", 300)
@@ -134,7 +146,7 @@
     response = hold(bound, "slow", 100)
     for _ in range(2):
         bound.remove(response)
-    bound.resize(response, 50 * KB)
+    bound.resize(response, 50 * UNIT)
     assert bound.held_bytes == 0 and bound.held_by("slow") == 0
     assert not bound._by_customer and not bound._holdings
 
@@ -143,10 +155,10 @@
     """Guards against a log line for each body near a threshold."""
     response = hold(bound, "club", 500)
     assert bound.changes() == [(Measure.BACK_PRESSURE, True)]
-    for held_kb in (499, 501, 451):
-        bound.resize(response, held_kb * KB)
+    for units in (499, 501, 451):
+        bound.resize(response, units * UNIT)
         assert bound.changes() == []
-    bound.resize(response, 1_000 * KB)
+    bound.resize(response, 1_000 * UNIT)
     assert bound.changes() == [(Measure.REFUSAL, True), (Measure.DROP, True)]
     bound.remove(response)
     assert {began for _, began in bound.changes()} == {False}
--- a/tests/gateway/test_entry.py
+++ b/tests/gateway/test_entry.py
@@ -17,7 +17,10 @@
 
     def __init__(self) -> None:
         self.context = SimpleNamespace(
-            content="c", customer=None, certainly_not_run=True
+            content="c",
+            customer=None,
+            certainly_not_run=True,
+            release=lambda: None,
         )
 
     async def admit(self, request, request_id, began_ms, handed_over):
