--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -1,6 +1,7 @@
 """Tests of parsing valid and invalid platform documents."""
 
 import json
+import math
 
 import pytest
 
@@ -166,6 +167,20 @@
     assert translate(SETTINGS, "file").capacity == 100
 
 
+def test_memory_is_bounded_only_by_settings_that_name_it():
+    """Guards against measures on hosts whose memory is not known."""
+    assert translate(SETTINGS, "file").memory_mb == math.inf
+    document = {**SETTINGS, "limits": {"memory_mb": 152}}
+    assert translate(document, "file").memory_mb == 152
+
+
+@pytest.mark.parametrize("memory_mb", [0, -1, "much", True, math.nan])
+def test_an_invalid_memory_size_is_a_finding(memory_mb):
+    """Guards against a bound that refuses everything, or a host without one."""
+    with pytest.raises(SettingsError, match=r"limits\.memory_mb"):
+        translate({**SETTINGS, "limits": {"memory_mb": memory_mb}}, "file")
+
+
 @pytest.mark.parametrize("limits", [{"cores": 0}, {"link_mbps": "ten"}, "none"])
 def test_non_positive_limits_are_findings(limits):
     with pytest.raises(SettingsError, match=r"limits\."):
