--- a/src/crocusspindle/gateway/instruments.py
+++ b/src/crocusspindle/gateway/instruments.py
@@ -125,7 +125,8 @@
     InstrumentKind.GAUGE,
     unit="bytes",
     meaning="Request bodies that this node has read and not yet sent, and responses "
-    "that it has read and their callers have not yet taken.",
+    "that it has read and their callers have not yet taken (without "
+    "`limits.memory_mb` until they are handed to the connection).",
     when_rising="Callers read their responses slowly, or targets read requests slowly; "
     "see `gateway_memory_measures`.",
 )
--- a/src/crocusspindle/gateway/response_body.py
+++ b/src/crocusspindle/gateway/response_body.py
@@ -106,6 +106,10 @@
                     await self._wait_for_turn()
         except (aiohttp.ClientError, OSError, ValueError) as error:
             self._failure = error
+            # The caller can't get a whole response any more.
+            self._unwritten_bytes -= sum(len(part) for part in self._parts)
+            self._parts.clear()
+            self._count()
         finally:
             self._arrived.set()
             self._response.close()
