Read uploads one at a time above half of the memory bound

Cause: above half of the bound only a customer's oldest request was read, also while it ran at a slow target, and bodies that waited until their deadlines were sent in their last milliseconds (504) or refused as too slow (408), though they waited here. Change: between half and three quarters of the bound a customer's bodies are read one at a time; a body waits for half of its request's time, and is then refused as `memory`.

--- a/src/crocusspindle/core/memory_bound.py
+++ b/src/crocusspindle/core/memory_bound.py
@@ -63,13 +63,15 @@
 class Holding:
     """Hold how many bytes of one body are in memory, and for which customer.
 
-    All requests without a customer count as those of one.
+    All requests without a customer count as those of one. A request's body ``is_whole``
+    once no more of it is to be read.
     """
 
     customer: CustomerId | None
     kind: HeldKind
     size: int = 0
     is_open: bool = True
+    is_whole: bool = False
 
 
 def bound_bytes(memory_mb: float) -> float:
@@ -137,8 +139,9 @@
         """Return True if more of a request's body may be read now.
 
         Above half of the bound, customers that hold less than an equal part of that
-        half read on; of each other one, the oldest request does. The others' bodies
-        follow as it ends. Short bodies don't wait: they take little.
+        half read on; each other one reads one body at a time, the oldest, and above
+        three quarters only that of its oldest request, so that others follow as that
+        ends. Short bodies don't wait: they take little.
         """
         if holding.size <= LARGE_BODY_BYTES:
             return True
@@ -147,13 +150,13 @@
             return True
         if self.held_bytes >= self.bound:
             return False
-        return holding is self._oldest_request(holding.customer)
-
-    def _oldest_request(self, customer: CustomerId | None) -> Holding | None:
-        of_customer = self._holdings.get(customer, {})
-        return next(
-            (held for held in of_customer if held.kind is HeldKind.REQUEST), None
+        skips_whole = self.held_bytes < self.bound * REFUSAL_FRACTION
+        requests = (
+            held
+            for held in self._holdings.get(holding.customer, {})
+            if held.kind is HeldKind.REQUEST and not (skips_whole and held.is_whole)
         )
+        return holding is next(requests, None)
 
     def refuses_body(self, length: int) -> bool:
         """Return True if a new request with a body of this length is refused."""
--- a/src/crocusspindle/gateway/admission.py
+++ b/src/crocusspindle/gateway/admission.py
@@ -14,7 +14,12 @@
 from crocusspindle.gateway.dialect import Dialect
 from crocusspindle.gateway.fleet_state import FleetState
 from crocusspindle.gateway.hand_over_headers import REQUEST_HEADERS, HandedOver
-from crocusspindle.gateway.held_memory import PAUSED_BYTES, HeldMemory, RequestMemory
+from crocusspindle.gateway.held_memory import (
+    PAUSED_BYTES,
+    HeldBytes,
+    HeldMemory,
+    RequestMemory,
+)
 from crocusspindle.gateway.reload import LiveBounds
 from crocusspindle.gateway.request_context import BODY_BUFFER_BYTES, RequestContext
 from crocusspindle.gateway.responses import Refusal
@@ -31,6 +36,10 @@
 RESPONSE_MARGIN_MS: Final = 5.0
 """Part of the route's timeout reserved for delivering the response to the caller."""
 
+MEMORY_WAIT_FRACTION: Final = 0.5
+"""Fraction of a request's time that its body may wait for memory. Those that waited
+until their deadlines were sent in their last milliseconds, and got 504."""
+
 MEMORY_RETRY_MS: Final = 1_000.0
 """Slow callers and long bodies hold memory for seconds."""
 
@@ -201,12 +210,13 @@
         held = memory.body()
         held.resize(_buffered_bytes(length, 0))
         await _send_continue(request)
+        wait_until_ms = now_ms() + (deadline_ms - now_ms()) * MEMORY_WAIT_FRACTION
         prefix = bytearray()
         limit = configuration.limits.body_bytes
         while len(prefix) <= BODY_BUFFER_BYTES:
-            if not await self._memory.may_read_body(held, deadline_ms):
+            if not await self._memory.may_read_body(held, wait_until_ms):
                 raise Refusal(503, "memory", MEMORY_RETRY_MS)
-            chunk = await self._read_chunk(request, deadline_ms)
+            chunk = await self._read_chunk(request, deadline_ms, held)
             if not chunk:
                 break
             if length is None and len(prefix) <= LARGE_BODY_BYTES:
@@ -215,8 +225,8 @@
             held.resize(len(prefix) + _buffered_bytes(length, len(prefix)))
             if len(prefix) > limit:
                 raise Refusal(413, "body-too-long")
-        if len(prefix) <= BODY_BUFFER_BYTES:
-            held.resize(len(prefix))
+        is_streamed = len(prefix) > BODY_BUFFER_BYTES
+        held.finish(len(prefix) + (PAUSED_BYTES if is_streamed else 0))
         return bytes(prefix)
 
     def _check_memory(self, length: int) -> None:
@@ -224,12 +234,17 @@
             raise Refusal(503, "memory", MEMORY_RETRY_MS)
 
     @staticmethod
-    async def _read_chunk(request: web.BaseRequest, deadline_ms: float) -> bytes:
+    async def _read_chunk(
+        request: web.BaseRequest, deadline_ms: float, held: HeldBytes
+    ) -> bytes:
         left_s = max(0.0, (deadline_ms - now_ms()) / 1e3)
         try:
             async with asyncio.timeout(left_s):
                 return await request.content.readany()
         except TimeoutError as error:
+            if held.has_waited:
+                # The time was lost here, not by the caller.
+                raise Refusal(503, "memory", MEMORY_RETRY_MS) from error
             raise Refusal(408, "body-too-slow") from error
         except (ValueError, web.RequestPayloadError) as error:
             raise Refusal(400, "malformed-body") from error
--- a/src/crocusspindle/gateway/attempt_runner.py
+++ b/src/crocusspindle/gateway/attempt_runner.py
@@ -94,6 +94,8 @@
         last_result: AttemptResult | None,
     ) -> AttemptResult:
         if context.handed_over is None:
+            if last_result is not None:
+                last_result.discard()
             return await self._hand_over.send(context, service)
         if last_result is not None and last_result.outcome.may_have_run:
             return last_result
--- a/src/crocusspindle/gateway/held_memory.py
+++ b/src/crocusspindle/gateway/held_memory.py
@@ -37,6 +37,7 @@
         self.memory = memory
         self.request_id = request_id
         self.is_dropped = False
+        self.has_waited = False
         self.on_drop: Callable[[], None] | None = None
         memory.bound.add(self)
 
@@ -44,6 +45,13 @@
         """Set how many bytes are held."""
         self.memory.resize(self, size)
 
+    def finish(self, size: int) -> None:
+        """Set the size of a request's body of which no more is to be read."""
+        self.is_whole = True
+        self.resize(size)
+        # The next one may be read although nothing was released.
+        self.memory.notify_release()
+
     def release(self) -> None:
         """End counting; has no effect the second time."""
         self.resize(0)
@@ -125,13 +133,15 @@
             self._count(Measure.REFUSAL)
         return refuses
 
-    async def may_read_body(self, held: HeldBytes, deadline_ms: float) -> bool:
-        """Wait until more of a body may be read; return False after the deadline."""
+    async def may_read_body(self, held: HeldBytes, until_ms: float) -> bool:
+        """Wait until more of a body may be read; return False if it may not in time."""
         if self.bound.may_read_body(held):
             return True
-        self._count(Measure.BACK_PRESSURE)
+        if not held.has_waited:
+            held.has_waited = True
+            self._count(Measure.BACK_PRESSURE)
         while not self.bound.may_read_body(held):
-            left_s = remaining_s(deadline_ms)
+            left_s = remaining_s(until_ms)
             if left_s <= 0.0:
                 return False
             await self.wait_for_release(min(left_s, RECHECK_S))
--- a/tests/core/test_memory_bound.py
+++ b/tests/core/test_memory_bound.py
@@ -93,6 +93,17 @@
     assert [bound.may_read_body(upload) for upload in uploads[1:]] == [True, False]
 
 
+def test_a_whole_body_holds_up_others_only_near_the_bound(bound):
+    """Guards against uploads that go one by one through slow targets."""
+    uploads = [hold(bound, "club", 300, HeldKind.REQUEST) for _ in range(2)]
+    uploads[0].is_whole = True
+    assert bound.may_read_body(uploads[1])
+    bound.resize(uploads[0], 500 * UNIT)
+    assert not bound.may_read_body(uploads[1])
+    bound.remove(uploads[0])
+    assert bound.may_read_body(uploads[1])
+
+
 def test_a_customer_of_slow_readers_does_not_hold_up_another(bound):
     """Guards against back-pressure on the customers that hold little."""
     hold(bound, "slow", 900)
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -23,6 +23,7 @@
 CALLS_PER_S = 10
 OK = 200
 NOT_RUN = 503
+SILENT = 504
 DEADLINE_S = 2.0
 STREAM_BYTES = 100_000
 """At least this much is counted of a body that is streamed to its target."""
@@ -272,6 +273,31 @@
         assert statuses == {OK: 2, NOT_RUN: 2}
 
 
+@pytest.mark.parametrize(("memory_mb", "least_served"), [(120, 1), (200, 8)])
+async def test_uploads_to_slow_targets_stay_within_the_bound(
+    tmp_path, memory_mb, least_served
+):
+    """Guards against bodies that use up the host while they wait for slow targets."""
+    async with running_fleet(tmp_path, memory_mb) as fleet:
+        for target in fleet.targets:
+            target.work_s = 1.0
+        uploads = [
+            asyncio.create_task(
+                fleet.call(f"/orders/{n}", "POST", data=bytes(LONG_BYTES))
+            )
+            for n in range(SLOW_CALLERS)
+        ]
+        largest = []
+        while not all(upload.done() for upload in uploads):
+            largest.append(resident_bytes(fleet))
+            await asyncio.sleep(0.05)
+        statuses = Counter(upload.result()[0] for upload in uploads)
+        assert statuses[OK] >= least_served, statuses
+        assert set(statuses) <= {OK, NOT_RUN, SILENT}, statuses
+        assert max(largest) < memory_mb * 1e6, largest
+        await until(is_released, fleet)
+
+
 async def test_uploads_that_are_abandoned_release_what_they_held(tmp_path):
     """Guards against bodies that stay counted when their callers leave midway."""
     async with running_fleet(tmp_path, 200) as fleet:
