Give long responses of the stand-in target a path word of their own

Cause: the word "long" also stands in the path of test_hand_over.py::test_a_long_body_is_handed_over_once, whose target then failed.

--- a/src/crocusspindle_standins/on_platform/target.py
+++ b/src/crocusspindle_standins/on_platform/target.py
@@ -22,7 +22,7 @@
 CRASHING: Final = "crashes"
 """A request whose path contains this word crashes the target that starts to run it."""
 
-LONG: Final = "long"
+LONG: Final = "longpage"
 """A request whose path contains this word gets a response of ``long_bytes``."""
 
 LONG_BYTES: Final = 900_000
--- a/tests/gateway/test_held_memory.py
+++ b/tests/gateway/test_held_memory.py
@@ -18,7 +18,7 @@
 from tests.gateway.test_target_client import listed_target
 
 MB = 1_000_000
-LONG = "/pages/long"
+LONG = "/pages/longpage"
 
 
 @pytest.fixture
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -83,7 +83,7 @@
         loop = asyncio.get_running_loop()
         await loop.sock_connect(self.sock, (gateway.ip, gateway.ports[0]))
         head = (
-            f"GET /pages/long{self.number} HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"GET /pages/longpage{self.number} HTTP/1.1\r\nHost: {HOST}\r\n"
             f"X-Request-Id: slow{self.number}\r\nX-Api-Key: {GUEST_KEY}\r\n"
             f"X-Deadline-Milliseconds: {DEADLINE_S * 1e3}\r\n\r\n"
         )
@@ -143,7 +143,7 @@
     statuses = Counter()
 
     async def call(number):
-        path = f"/pages/long-{number}" if number % 5 == 0 else f"/pages/{number}"
+        path = f"/pages/longpage-{number}" if number % 5 == 0 else f"/pages/{number}"
         with suppress(OSError):
             status, body, _ = await fleet.call(path)
             if number % 5 or len(body) == LONG_BYTES:
@@ -253,7 +253,7 @@
             strict=False,
         ):
             target.fault = fault
-        calls = [fleet.call(f"/pages/long{n}") for n in range(20)]
+        calls = [fleet.call(f"/pages/longpage{n}") for n in range(20)]
         statuses = Counter(status for status, _, _ in await asyncio.gather(*calls))
         assert statuses[OK] > 0
         await until(is_released, fleet)
