--- a/src/crocusspindle_standins/on_platform/target.py
+++ b/src/crocusspindle_standins/on_platform/target.py
@@ -23,6 +23,11 @@
 CRASHING: Final = "crashes"
 """A request whose path contains this word crashes the target that starts to run it."""
 
+LONG: Final = "longpage"
+"""A request whose path contains this word gets a response of ``long_bytes``."""
+
+LONG_BYTES: Final = 900_000
+
 SHUTDOWN_S: Final = 0.1
 
 RESPONSE_BYTES: Final = "response_bytes="
@@ -57,8 +62,8 @@
     """Select how a target fails.
 
     ``CROSSES`` returns the id of another request, ``CUTS`` truncates the response,
-    and ``UNFRAMED`` sends no length, so that the response lasts until the connection
-    ends.
+    ``STOPS`` sends half of it and then nothing, and ``UNFRAMED`` sends no length, so
+    that the response lasts until the connection ends.
     """
 
     NONE = "none"
@@ -68,6 +73,7 @@
     ERRORS = "errors"
     CROSSES = "crosses"
     CUTS = "cuts"
+    STOPS = "stops"
     UNFRAMED = "unframed"
     UNFRAMED_RESETS = "unframed resets"
 
@@ -91,6 +97,7 @@
     full_slowdown: float = 1.0
     limits_runs: bool = False
     retry_after_s: float | None = None
+    long_bytes: int = LONG_BYTES
     is_leaving: bool = False
     arrivals: list[Arrival] = field(default_factory=list)
     survives_crashing_requests: bool = False
@@ -111,6 +118,11 @@
     _runner: web.ServerRunner | None = None
     _restart: asyncio.Task[None] | None = None
 
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests are running or being responded to."""
+        return self._in_flight
+
     @property
     def is_listening(self) -> bool:
         """Return True while the target listens."""
@@ -252,6 +264,8 @@
         if self.fault in (TargetFault.UNFRAMED, TargetFault.UNFRAMED_RESETS):
             return await self._respond_unframed(request, headers)
         answer = response_body(request.path_qs, body)
+        if LONG in request.path_qs:
+            answer += bytes(self.long_bytes - len(answer))
         response = web.StreamResponse(headers=headers)
         response.content_length = len(answer)
         await response.prepare(request)
@@ -260,6 +274,9 @@
             if request.transport is not None:
                 request.transport.abort()
             return response
+        if self.fault is TargetFault.STOPS:
+            await response.write(answer[: len(answer) // 2])
+            await asyncio.sleep(HANG_S)
         await response.write_eof(answer)
         return response
 
