Count the attempt that still runs when a hedge is handed over

A host that lost its paths hands a hedge over while its first attempt still runs. The mark said that no attempt had arrived, so the taker sent the request to as many targets as its route allows: three of two. The fault is older; few requests met it before.

The mark now carries the number of attempts that arrived or still run, beside the field that older versions read, and the taker's context starts with it: it neither hedges nor sends the request more often than is left.

--- a/src/crocusspindle/gateway/admission.py
+++ b/src/crocusspindle/gateway/admission.py
@@ -129,6 +129,7 @@
             deadline_ms,
             caller_key=request.headers.get(self._dialect.key),
             handed_over=handed_over,
+            arrived_attempts=handed_over.arrived_attempts if handed_over else 0,
             streamed_bytes=length or BODY_BUFFER_BYTES,
         )
 
--- a/src/crocusspindle/gateway/hand_over.py
+++ b/src/crocusspindle/gateway/hand_over.py
@@ -278,7 +278,8 @@
             now_ms() - context.began_ms,
             self._fleet_state.configuration.version,
             bool(context.attempt_records),
-            context.arrived_attempts > 0,
+            # Without the one that hands it over. An attempt that hedges may run here.
+            context.arrived_attempts + context.running_attempts - 1,
         )
         headers.update(mark.headers())
         return headers
--- a/src/crocusspindle/gateway/hand_over_headers.py
+++ b/src/crocusspindle/gateway/hand_over_headers.py
@@ -10,7 +10,8 @@
 VERSION: Final = "Crocusspindle-Configuration-Version"
 PLACED: Final = "Crocusspindle-Placed"
 ARRIVED: Final = "Crocusspindle-Arrived"
-REQUEST_HEADERS: Final = (AGE, VERSION, PLACED, ARRIVED)
+ATTEMPTS: Final = "Crocusspindle-Attempts"
+REQUEST_HEADERS: Final = (AGE, VERSION, PLACED, ARRIVED, ATTEMPTS)
 
 REFUSED: Final = "Crocusspindle-Refused"
 """Reason of a refusal by the node that took a request, in place of its response."""
@@ -22,14 +23,19 @@
 
     ``age_ms`` is the time since its caller's request arrived there. ``version`` is that
     of the configuration by which it was admitted. ``was_placed`` is True if a placer
-    has counted it, ``has_arrived`` if it may have reached a target.
+    has counted it. ``arrived_attempts`` may have reached a target or still run.
     """
 
     sender: str
     age_ms: float
     version: int
     was_placed: bool
-    has_arrived: bool
+    arrived_attempts: int
+
+    @property
+    def has_arrived(self) -> bool:
+        """Return True if the request may have reached a target."""
+        return self.arrived_attempts > 0
 
     def headers(self) -> dict[str, str]:
         """Return the request headers that say so."""
@@ -38,6 +44,7 @@
             VERSION: str(self.version),
             PLACED: str(int(self.was_placed)),
             ARRIVED: str(int(self.has_arrived)),
+            ATTEMPTS: str(self.arrived_attempts),
         }
 
     @classmethod
@@ -49,7 +56,8 @@
                 float(int(headers[AGE])),
                 int(headers[VERSION]),
                 headers[PLACED] == "1",
-                headers[ARRIVED] == "1",
+                # A node of an older version sends no count.
+                int(headers.get(ATTEMPTS, headers[ARRIVED])),
             )
         except (KeyError, ValueError) as error:
             raise Refusal(503, "malformed-hand-over") from error
--- a/tests/gateway/test_hand_over.py
+++ b/tests/gateway/test_hand_over.py
@@ -240,7 +240,7 @@
 @pytest.mark.parametrize("ip", [None, "127.0.0.1"])
 async def test_only_members_may_hand_requests_over(fleet, ip):
     """Guards against a request that passes for another host's, and skips its quota."""
-    mark = HandedOver(fleet.gateways[0].ip, 5.0, 1, True, False)
+    mark = HandedOver(fleet.gateways[0].ip, 5.0, 1, True, 0)
     headers = {
         "Host": HOST,
         "X-Request-Id": "forged",
--- a/tests/gateway/test_hand_over_client.py
+++ b/tests/gateway/test_hand_over_client.py
@@ -10,7 +10,7 @@
 from crocusspindle.clock import now_ms
 from crocusspindle.core.policies import Policies
 from crocusspindle.gateway.hand_over import HandOver
-from crocusspindle.gateway.hand_over_headers import REFUSED
+from crocusspindle.gateway.hand_over_headers import ATTEMPTS, REFUSED, HandedOver
 from crocusspindle.gateway.request_context import RequestContext
 from crocusspindle.gateway.responses import Refusal
 from crocusspindle.gateway.target_client import OutgoingRequest
@@ -41,8 +41,10 @@
     def __init__(self, behaviours):
         self.behaviours = list(behaviours)
         self.arrived = 0
+        self.marks = []
 
     async def respond(self, request):
+        self.marks.append(HandedOver.from_headers("own", request.headers))
         await request.read()
         behaviour = self.behaviours[self.arrived]
         self.arrived += 1
@@ -52,9 +54,9 @@
         return ANSWERS[behaviour]()
 
 
-async def send(behaviours, idempotent=False):
+async def send(behaviours, idempotent=False, running_attempts=0, takers=None):
     """Hand one request over; return its end, the arrivals and the context."""
-    takers = Takers(behaviours)
+    takers = takers or Takers(behaviours)
     runner = web.ServerRunner(web.Server(takers.respond))
     await runner.setup()
     site = web.TCPSite(runner, "127.0.0.1", 0)
@@ -81,6 +83,7 @@
     context = RequestContext(
         "r", route, None, outgoing, content, began_ms, began_ms + 2_000.0
     )
+    context.running_attempts = running_attempts
     await hand_over.start()
     try:
         end = await hand_over.send(context, BOOKS)
@@ -130,3 +133,18 @@
     end, arrived, context = await send(["has no path"] * len(TAKERS))
     assert arrived == len(TAKERS) and (end.status, end.reason) == (503, "no-path")
     assert end.retry_after_ms > 0.0 and context.certainly_not_run
+
+
+async def test_a_hedge_that_is_handed_over_counts_the_attempt_that_still_runs():
+    """Guards against a request that runs on more targets than its route allows."""
+    takers = Takers(["breaks", "answers"])
+    await send((), idempotent=True, running_attempts=1, takers=takers)
+    assert takers.marks[0].arrived_attempts == 1
+
+
+async def test_a_mark_of_an_older_version_has_no_count():
+    mark = HandedOver("own", 5.0, 1, True, 2)
+    headers = mark.headers()
+    assert HandedOver.from_headers("own", headers) == mark
+    del headers[ATTEMPTS]
+    assert HandedOver.from_headers("own", headers).arrived_attempts == 1
