Simulate targets of different speed that slow down when all slots are taken

A loss of throughput at the last slot shows in no scenario of the simulation: the time of a request did not depend on what runs beside it. Targets get speeds, rare long work, and a factor that applies to the request that takes the last slot or to all running work.

--- a/benchmarks/placing_simulation.py
+++ b/benchmarks/placing_simulation.py
@@ -29,6 +29,7 @@
 TICK_MS: Final = 20.0
 HEDGE_RETRY_MS: Final = 150.0
 FLOOR_FRACTION: Final = 0.7
+RARE_LONG_FACTOR: Final = 5.0
 
 
 @dataclass(frozen=True)
@@ -93,9 +94,33 @@
     connect_ms: float = 300.0
 
 
+@dataclass(frozen=True)
+class Slowdown:
+    """Define by what factor targets slow down while all their slots are taken.
+
+    It concerns the first ``targets`` targets. A ``shared`` target does the
+    work of all its running requests more slowly; one that isn't shared slows down only
+    a request that takes the last slot.
+    """
+
+    factor: float
+    targets: int
+    from_ms: float = 0.0
+    until_ms: float = math.inf
+    shared: bool = False
+
+    def applies(self, target: int, at_ms: float) -> bool:
+        """Return True if a target would slow down at a time."""
+        return target < self.targets and self.from_ms <= at_ms < self.until_ms
+
+
 @dataclass(frozen=True)
 class ServiceScenario:
-    """Describe one service with its load and faults."""
+    """Describe one service with its load and faults.
+
+    ``speeds`` are repeated over the targets. Of the requests, ``rare_long_fraction``
+    take five times as long.
+    """
 
     targets: int
     slots: int
@@ -107,6 +132,9 @@
     length_ms: float = 60_000.0
     budget_ratio: float = 0.2
     budget_extra: float = 64.0
+    speeds: Sequence[float] = (1.0,)
+    slowdown: Slowdown | None = None
+    rare_long_fraction: float = 0.0
 
 
 @dataclass
@@ -203,6 +231,23 @@
         return (entry, target) in self._bad and sample < paths.loss_fraction
 
 
+class SharedWork:
+    """Advance the work of the requests that run at one target."""
+
+    def __init__(self) -> None:
+        self.left_ms: dict[int, float] = {}
+        self.version = 0
+        self._advanced_ms = 0.0
+
+    def advance(self, factor: float, now_ms: float) -> None:
+        """Record the work done since the last change of the running requests."""
+        done_ms = (now_ms - self._advanced_ms) / factor
+        self._advanced_ms = now_ms
+        self.version += 1
+        for number in self.left_ms:
+            self.left_ms[number] -= done_ms
+
+
 class PlacingSimulation:
     """Simulate one service under one load with one seed.
 
@@ -225,6 +270,9 @@
         self._events: list[_Event] = []
         self._number = 0
         self._queued: list[tuple[_Request, QueuedRequest, bool]] = []
+        self._running = [0] * scenario.targets
+        self._shared = [SharedWork() for _ in range(scenario.targets)]
+        self._shared_ends: dict[int, Callable[[bool, float], None]] = {}
         self._budget = RetryBudget(
             scenario.budget_ratio, scenario.budget_extra, 10_000.0
         )
@@ -345,10 +393,18 @@
         request.tried.add(target)
         request.running += 1
         outcome, span_ms = self._attempt_result(request, int(target), now_ms)
-        ends_ms = min(now_ms + span_ms, request.ends_ms)
-        if ends_ms < now_ms + span_ms:
-            outcome = AttemptOutcome.SILENT
-        self._at(ends_ms, lambda at: self._ended(request, placed, outcome, now_ms, at))
+        self._running[int(target)] += 1
+        slowdown = self._scenario.slowdown
+        if slowdown is not None and slowdown.shared and span_ms < math.inf:
+            self._run_shared(request, placed, outcome, span_ms, now_ms)
+        else:
+            span_ms *= self._slowdown_factor(int(target), now_ms)
+            ends_ms = min(now_ms + span_ms, request.ends_ms)
+            if ends_ms < now_ms + span_ms:
+                outcome = AttemptOutcome.SILENT
+            self._at(
+                ends_ms, lambda at: self._ended(request, placed, outcome, now_ms, at)
+            )
         first = request.attempts_reached == 0
         request.attempts_reached += outcome.may_have_run
         if first and request.route_load.idempotent and request.route_load.attempts > 1:
@@ -356,6 +412,62 @@
             if hedge_ms < request.ends_ms:
                 self._at(hedge_ms, lambda at: self._hedge(request, at))
 
+    def _slowdown_factor(self, target: int, now_ms: float) -> float:
+        slowdown = self._scenario.slowdown
+        if slowdown is None or self._running[target] < self._scenario.slots:
+            return 1.0
+        return slowdown.factor if slowdown.applies(target, now_ms) else 1.0
+
+    def _run_shared(
+        self,
+        request: _Request,
+        placed: PlacementGranted,
+        outcome: AttemptOutcome,
+        work_ms: float,
+        now_ms: float,
+    ) -> None:
+        target = int(placed.target.identity)
+        work = self._shared[target]
+        self._running[target] -= 1
+        work.advance(self._slowdown_factor(target, now_ms), now_ms)
+        self._running[target] += 1
+        work.left_ms[placed.grant] = work_ms
+        self._shared_ends[placed.grant] = lambda is_over, at: self._ended(
+            request, placed, AttemptOutcome.SILENT if is_over else outcome, now_ms, at
+        )
+        self._at(
+            request.ends_ms,
+            lambda at: self._end_shared(target, placed.grant, True, at),
+        )
+        self._schedule_shared(target, now_ms)
+
+    def _schedule_shared(self, target: int, now_ms: float) -> None:
+        work = self._shared[target]
+        if not work.left_ms:
+            return
+        version = work.version
+        first = min(work.left_ms, key=work.left_ms.__getitem__)
+        factor = self._slowdown_factor(target, now_ms)
+
+        def finish(at_ms: float) -> None:
+            if work.version == version:
+                self._end_shared(target, first, False, at_ms)
+
+        self._at(now_ms + max(0.0, work.left_ms[first]) * factor, finish)
+
+    def _end_shared(
+        self, target: int, grant: int, is_over: bool, now_ms: float
+    ) -> None:
+        work = self._shared[target]
+        if grant not in work.left_ms:
+            return
+        work.advance(self._slowdown_factor(target, now_ms), now_ms)
+        del work.left_ms[grant]
+        ends = self._shared_ends.pop(grant)
+        # Ending the attempt may start the next one here, which advances the work again.
+        ends(is_over, now_ms)
+        self._schedule_shared(target, now_ms)
+
     def _hedge(self, request: _Request, now_ms: float) -> None:
         if request.done or request.running != 1:
             return
@@ -379,6 +491,10 @@
         self, target: int, route_load: RouteLoad, now_ms: float
     ) -> tuple[AttemptOutcome, float]:
         work_ms = route_load.draw_ms(self._rng)
+        if self._scenario.rare_long_fraction:
+            long = self._rng.random() < self._scenario.rare_long_fraction
+            work_ms *= RARE_LONG_FACTOR if long else 1.0
+        work_ms *= self._scenario.speeds[target % len(self._scenario.speeds)]
         gray = self._scenario.gray
         failed = self._rng.random() < route_load.error_fraction
         if gray is not None and self._gray_plan.is_gray(target, now_ms):
@@ -401,6 +517,7 @@
         now_ms: float,
     ) -> None:
         request.running -= 1
+        self._running[int(placed.target.identity)] -= 1
         if request.done:
             outcome = AttemptOutcome.ABANDONED
         self.placer.ended(
