Share the evaluation of two concurrency levels between node and placer

Both decide by the rise of a mean latency from one level to the next. The comparison moves from slots.py to throughput_test.py; node keeps its threshold of half the rise.

--- a/src/crocusspindle/core/slots.py
+++ b/src/crocusspindle/core/slots.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from crocusspindle.core.model import Target, TargetState
+from crocusspindle.core.throughput_test import Mean, accepts_probe
 
 _INITIAL_PROBE_INTERVAL: Final = 32
 """Number of successes at the limit before a higher one is probed. A failed probe costs
@@ -20,6 +21,9 @@
 _MAX_LIMIT: Final = 256
 """Below the 300 to 350 connections that a target accepts."""
 
+_MIN_GAIN_SHARE: Final = 0.5
+"""Share of an added request's throughput that a raised limit must gain."""
+
 _MAX_PAUSE_MS: Final = 1_000.0
 """A target that sheds everything still gets a request a second, so that its recovery is
 noticed within seconds."""
@@ -43,8 +47,8 @@
         self._ramping = target.slots > 1
         self._sheds_in_a_row = 0
         self._probe_interval = _INITIAL_PROBE_INTERVAL
-        self._at_limit = _Mean()
-        self._probe: _Mean | None = None
+        self._at_limit = Mean()
+        self._probe: Mean | None = None
 
     @property
     def accepts_new(self) -> bool:
@@ -94,7 +98,7 @@
         if self._probe is not None:
             self._end_probe(accepted=False)
         self.limit = max(1, min(self.limit, self.running))
-        self._at_limit = _Mean()
+        self._at_limit = Mean()
         if self.running == 0:
             # Another client loads the target, and no attempt of ours will end to show
             # when it has room again.
@@ -105,7 +109,7 @@
         if self.limit >= _MAX_LIMIT:
             return
         self.limit += 1
-        self._probe = _Mean()
+        self._probe = Mean()
 
     def _evaluate_probe(self, latency_ms: float) -> None:
         """Keep a raised limit if it increased throughput, not a queue in the target.
@@ -126,32 +130,16 @@
         if probe.count >= min(
             64 * previous_limit * previous_limit, _MAX_PROBE_INTERVAL
         ):
-            rise = probe.mean / max(self._at_limit.mean, 1e-9)
-            self._end_probe(accepted=rise < 1.0 + 0.5 / previous_limit)
+            accepted = accepts_probe(
+                previous_limit, self._at_limit.mean, probe.mean, _MIN_GAIN_SHARE
+            )
+            self._end_probe(accepted)
 
     def _end_probe(self, accepted: bool) -> None:
         self._probe = None
-        self._at_limit = _Mean()
+        self._at_limit = Mean()
         if accepted:
             self._probe_interval = _INITIAL_PROBE_INTERVAL
             return
         self.limit -= 1
         self._probe_interval = min(self._probe_interval * 2, _MAX_PROBE_INTERVAL)
-
-
-class _Mean:
-    """Average samples."""
-
-    __slots__ = ("count", "total")
-
-    def __init__(self) -> None:
-        self.count = 0
-        self.total = 0.0
-
-    def add(self, value: float) -> None:
-        self.count += 1
-        self.total += value
-
-    @property
-    def mean(self) -> float:
-        return self.total / self.count if self.count else 0.0
