Learn from latencies how many requests a target should run at once

Targets that slow down once all listed slots are taken were filled to the last slot and answered less than with one request fewer; the service collapsed at 0.85 of its capacity.

The placer compares the throughput of neighbouring levels within the same second, by the ratio of latency to the route's typical one, and lowers a limit if the loss exceeds 10 % by three standard errors. Targets of a service share a prior. One slot is held back for some requests while a queue leaves no answers at the lower level, and limited targets are probed with at most one request in 32. Capacity in placing (open slots, cost, floor) is the limit.

--- a/src/crocusspindle/core/floor_watch.py
+++ b/src/crocusspindle/core/floor_watch.py
@@ -242,7 +242,7 @@
         if tracker.ejection_state is EjectionState.HEALTHY
         and not tracker.limit.is_active
     ]
-    slots = sum(tracker.listed.slots for tracker in healthy)
+    slots = sum(tracker.capacity for tracker in healthy)
     busy = sum(len(tracker.grants) for tracker in healthy)
     return queued > 0 or busy >= BUSY_SLOT_SHARE * slots
 
--- a/src/crocusspindle/core/policies.py
+++ b/src/crocusspindle/core/policies.py
@@ -29,6 +29,7 @@
     LATE_QUEUEING = "late-queueing"
     REFUSAL_SHARE = "refusal-share"
     ROUTE_LATENCIES = "route-latencies"
+    LEARNED_LIMITS = "learned-limits"
     HAND_OVER = "hand-over"
     NAMED_HAND_OVER = "named-hand-over"
 
--- a/src/crocusspindle/core/service_placer.py
+++ b/src/crocusspindle/core/service_placer.py
@@ -12,6 +12,7 @@
 from typing import Final
 
 from crocusspindle.core.attempt_outcome import AttemptOutcome
+from crocusspindle.core.concurrency_limit import ConcurrencyLimits, LimitChange
 from crocusspindle.core.crash_table import CrashTable, Isolation
 from crocusspindle.core.crash_watch import CrashWatch
 from crocusspindle.core.floor_watch import FloorWatch
@@ -89,6 +90,9 @@
             policies.has(Policy.PATH_ATTRIBUTION),
         )
         self._floor = FloorWatch(floor_share)
+        self._concurrency = ConcurrencyLimits(now_ms)
+        self._all_healthy = True
+        self._learns_limits = policies.has(Policy.LEARNED_LIMITS)
         self._choice = TargetChoice(
             self._trackers,
             self._floor,
@@ -96,6 +100,7 @@
             policies,
             self._crashes,
             self._paths,
+            self._concurrency,
         )
         self._queue = PlacementQueue(policies, now_ms)
         self._last_grant = 0
@@ -117,7 +122,7 @@
                     entry, latency_updated_ms=now_ms, last_success_ms=now_ms
                 )
                 self._trackers[identity] = tracker
-            tracker.listed = entry
+            tracker.update_listed(entry, now_ms)
 
     def trackers(self) -> Mapping[TargetIdentity, TargetTracker]:
         """Return the tracker of each target."""
@@ -144,6 +149,31 @@
         self._changes.clear()
         return changes
 
+    def limit_changes(self) -> list[LimitChange]:
+        """Return the changes of learned concurrency limits since the last call."""
+        return self._concurrency.changes()
+
+    def lowered_limits(self) -> dict[TargetIdentity, int]:
+        """Return the limits below the listed slots that this placer has learned."""
+        return {
+            identity: tracker.learned.learned
+            for identity, tracker in self._trackers.items()
+            if tracker.learned.learned < tracker.listed.slots
+        }
+
+    def receive_limits(
+        self, limits: Iterable[tuple[TargetIdentity, int]], now_ms: float
+    ) -> None:
+        """Use another placer's learned limits until they expire."""
+        if not self._learns_limits:
+            return
+        limit_of = dict(limits)
+        for identity, tracker in self._trackers.items():
+            # A target that is not named is no longer limited.
+            limit = limit_of.get(identity, tracker.listed.slots)
+            tracker.learned.receive(limit, now_ms)
+        self._concurrency.update_lowered(self._trackers.values())
+
     def path_changes(self) -> list[SenderPathChange]:
         """Return the changes of senders' paths since the last call."""
         return self._paths.changes()
@@ -228,7 +258,7 @@
         # A rate limit keeps fewer slots busy than there are, the fewer the shorter the
         # work.
         return sum(
-            min(tracker.listed.slots, tracker.limit.sustained_concurrency(work_ms))
+            min(tracker.capacity, tracker.limit.sustained_concurrency(work_ms))
             for tracker in self._trackers.values()
             if tracker.ejection_state is EjectionState.HEALTHY
             and tracker.listed.readiness is Readiness.READY
@@ -270,6 +300,9 @@
             tracker.drop_expired(now_ms)
             if ejects_hung:
                 self._eject_hung(tracker, now_ms)
+        if self._learns_limits:
+            self._concurrency.evaluate_if_due(self._trackers.values(), now_ms)
+        self._all_healthy = healthy == len(self._trackers)
         self._onset_rate.record_time(healthy, len(self._trackers) - healthy, now_ms)
         if self._policies.has(Policy.FLOOR_TRIALS):
             self._floor.end_ejections_early(
@@ -321,6 +354,7 @@
             min_suspicious_ms,
             placement_request.content,
             COLD_SLOWNESS if tracker.limit.is_cold(now_ms) else 1.0,
+            self._record_start(tracker, now_ms),
         )
         tracker.last_used_ms = now_ms
         self.limits.record_attempt(tracker, now_ms)
@@ -329,6 +363,13 @@
         )
         return PlacementGranted(grant_id, tracker.listed, hedge_ms)
 
+    def _record_start(self, tracker: TargetTracker, now_ms: float) -> int:
+        if not self._learns_limits:
+            return 0
+        holds = self._concurrency.holds
+        holds.is_full = self._all_healthy and len(self._queue) > 0
+        return tracker.learned.record_start(len(tracker.grants) + 1, holds, now_ms)
+
     def ended(
         self,
         target: TargetIdentity,
@@ -377,9 +418,14 @@
         self.crash_watch.ended(target, content, running, outcome, now_ms)
         self._floor.record_outcome(outcome, now_ms)
         previous_state = tracker.ejection_state
-        tracker.record_result(
-            self._tracked_attempt(ended_grant, outcome, sender, latency_ms, now_ms)
+        attempt = self._tracked_attempt(
+            ended_grant, outcome, sender, latency_ms, now_ms
         )
+        tracker.record_result(attempt)
+        if ended_grant is not None and ended_grant.shows_level(attempt):
+            tracker.learned.record_answer(
+                ended_grant.level, attempt.slowness, ended_grant.began_ms
+            )
         self._unreached.record(outcome is AttemptOutcome.UNREACHED)
         if ended_grant is not None and ended_grant.is_typical(outcome):
             self._latencies.add(ended_grant.route, ended_grant.aim_ms, latency_ms)
--- a/src/crocusspindle/core/target_choice.py
+++ b/src/crocusspindle/core/target_choice.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from typing import Final
 
+from crocusspindle.core.concurrency_limit import ConcurrencyLimits
 from crocusspindle.core.crash_table import CrashTable, Isolation
 from crocusspindle.core.floor_watch import FloorWatch
 from crocusspindle.core.gray_onset_rate import GrayOnsetRate
@@ -39,7 +40,9 @@
         policies: Policies,
         crashes: CrashTable,
         paths: PathEvidence,
+        concurrency: ConcurrencyLimits,
     ) -> None:
+        self._concurrency = concurrency
         self._paths = paths
         self._crashes = crashes
         self._trackers = trackers
@@ -98,11 +101,9 @@
         due = self._due_target(request, now_ms)
         if due is not None:
             return due
-        trial_target = (
-            None if request.retry else self._trial_target(usable, request, now_ms)
-        )
-        if trial_target is not None:
-            return trial_target
+        tried = self._tried_target(usable, request, now_ms)
+        if tried is not None:
+            return tried
         healthy = [
             tracker
             for tracker in usable
@@ -195,10 +196,20 @@
     @staticmethod
     def _has_free_slot(tracker: TargetTracker, now_ms: float) -> bool:
         if tracker.ejection_state is EjectionState.EJECTED:
-            has_slot = len(tracker.grants) < tracker.listed.slots
+            has_slot = len(tracker.grants) < tracker.capacity
             return has_slot and not tracker.is_isolated and tracker.limit.allows(now_ms)
         return tracker.has_free_slot(now_ms)
 
+    def _tried_target(
+        self, usable: list[TargetTracker], request: PlacementRequest, now_ms: float
+    ) -> TargetTracker | None:
+        if request.retry:
+            return None
+        trial_target = self._trial_target(usable, request, now_ms)
+        if trial_target is not None:
+            return trial_target
+        return self._probed_target(request, now_ms)
+
     def _trial_target(
         self, usable: list[TargetTracker], request: PlacementRequest, now_ms: float
     ) -> TargetTracker | None:
@@ -240,6 +251,38 @@
             and self.reachable(tracker, request.sender, now_ms)
         ]
 
+    def _probed_target(
+        self, request: PlacementRequest, now_ms: float
+    ) -> TargetTracker | None:
+        """Return a target that this request probes above its limit, if one is due."""
+        if not self._concurrency.lowered or not request.idempotent:
+            return None
+        for limit in self._concurrency.lowered:
+            if not limit.probe_due:
+                continue
+            tracker = self._trackers.get(limit.listed.identity)
+            if tracker is not None and self._may_probe(tracker, request, now_ms):
+                return tracker
+        return None
+
+    def _may_probe(
+        self, tracker: TargetTracker, request: PlacementRequest, now_ms: float
+    ) -> bool:
+        learned = tracker.learned
+        if len(tracker.grants) != learned.limit or not learned.probe_due:
+            return False
+        local = tracker.listed.domain == request.domain
+        return (
+            tracker.ejection_state is EjectionState.HEALTHY
+            and (local or learned.probe_overdue)
+            and not tracker.is_isolated
+            and now_ms >= tracker.full_until_ms
+            and tracker.limit.allows(now_ms)
+            and tracker.listed.readiness is Readiness.READY
+            and tracker.listed.identity not in request.excluded
+            and self.reachable(tracker, request.sender, now_ms)
+        )
+
     def _cheapest(
         self,
         targets: list[TargetTracker],
--- a/src/crocusspindle/core/target_costs.py
+++ b/src/crocusspindle/core/target_costs.py
@@ -71,7 +71,7 @@
     tracker: TargetTracker, context: CostContext, cost_terms: Iterable[CostTerm]
 ) -> float:
     """Return the cost of sending a request to a target, in milliseconds."""
-    load = 1.0 + len(tracker.grants) / tracker.listed.slots
+    load = 1.0 + len(tracker.grants) / tracker.capacity
     cost = context.typical_ms * tracker.expected_slowness(context.now_ms) * load
     for cost_function in cost_terms:
         cost = cost_function(cost, tracker, context)
--- a/src/crocusspindle/core/target_tracker.py
+++ b/src/crocusspindle/core/target_tracker.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from crocusspindle.core.attempt_outcome import EJECTING_OUTCOMES, AttemptOutcome
+from crocusspindle.core.concurrency_limit import ConcurrencyLimit
 from crocusspindle.core.latency_sample import LatencySample
 from crocusspindle.core.listed_target import ListedTarget
 from crocusspindle.core.rate_limit import RateLimit
@@ -111,7 +112,8 @@
 class Grant:
     """Hold one placement whose attempt has not ended.
 
-    `slowness` is the expected ratio of its latency to the typical one.
+    `slowness` is the expected ratio of its latency to the typical one. `level` is its
+    concurrency level as ``ConcurrencyLimit.record_start`` returns it.
     `sender_lost_path` is True if its sender has lost its path to the service since.
     """
 
@@ -125,6 +127,7 @@
     min_suspicious_ms: float
     content: ContentDigest = NO_CONTENT
     slowness: float = 1.0
+    level: int = 0
     sender_lost_path: bool = False
 
     def age_nats(self, age_ms: float) -> float:
@@ -150,6 +153,19 @@
         """Return True if an outcome shows the typical latency of the route."""
         return outcome is AttemptOutcome.ANSWERED and self.slowness == 1.0
 
+    def shows_level(self, attempt: "TrackedAttempt") -> bool:
+        """Return True if an attempt's latency tells of the target's concurrency.
+
+        An abandoned attempt counts once it has taken longer than typical work: hedges
+        are sent where slots are free, and without the long work that they replace, the
+        lower levels would seem faster than they are.
+        """
+        if self.slowness != 1.0 or not self.level:
+            return False
+        if attempt.outcome is AttemptOutcome.ABANDONED:
+            return attempt.slowness > 1.0
+        return attempt.outcome is AttemptOutcome.ANSWERED
+
 
 @dataclass(frozen=True, slots=True)
 class TrackedAttempt:
@@ -207,8 +223,20 @@
     isolated_grant: GrantId | None = None
     limit: RateLimit = field(default_factory=RateLimit)
     may_have_restarted_ms: float | None = None
+    learned: ConcurrencyLimit = field(init=False)
     _before_ejection: _BeforeEjection | None = None
 
+    def __post_init__(self) -> None:
+        """Start without evidence about the concurrency."""
+        self.learned = ConcurrencyLimit(self.listed)
+
+    def update_listed(self, entry: ListedTarget, now_ms: float) -> None:
+        """Apply a new entry; another start or number of slots is learned anew."""
+        previous = self.listed
+        self.listed = entry
+        if (entry.started_ms, entry.slots) != (previous.started_ms, previous.slots):
+            self.learned = ConcurrencyLimit(entry, now_ms)
+
     @property
     def is_isolated(self) -> bool:
         """Return True while an isolated request runs, which may crash the target."""
@@ -224,9 +252,14 @@
     def concurrency_limit(self) -> int:
         """Return how many requests the target may run at once."""
         if self.ejection_state is not EjectionState.TRIAL:
-            return self.listed.slots
+            return self.learned.allowed
         # Each answer is evidence for the target and admits one more request at a time.
-        return min(self.listed.slots, 1 + self.trial_answers)
+        return min(self.learned.allowed, 1 + self.trial_answers)
+
+    @property
+    def capacity(self) -> int:
+        """Return how many requests the target runs at once when it is healthy."""
+        return self.learned.limit
 
     def suspicion_nats(self, now_ms: float) -> float:
         """Return the evidence of a hang from the ages of the running work."""
@@ -367,7 +400,7 @@
             self._add_failure_evidence(result.age_nats - 1.0, result, result.began_ms)
 
     def _record_shed(self, now_ms: float) -> None:
-        if len(self.grants) + 1 >= self.listed.slots:
+        if len(self.grants) + 1 >= self.capacity:
             self.full_until_ms = now_ms + SHED_PAUSE_MS
             return
         # It sheds work while it has idle slots, so it is not full.
