Send learned concurrency limits to the next placers

A successor would start with all listed slots and collapse again before it has learned. Each change has a log line; gateway_target_limits counts the targets below their slots.

--- a/src/crocusspindle/gateway/assembly.py
+++ b/src/crocusspindle/gateway/assembly.py
@@ -85,7 +85,7 @@
         rng,
     )
     crashes = CrashSharing(exchange, fleet_state, metrics)
-    placers = Placers(node, bounds, exchange, fleet_state, policies, crashes)
+    placers = Placers(node, bounds, exchange, fleet_state, policies, crashes, metrics)
     placing = Placing(exchange, placers, rng, crashes)
     admission = Admission(bounds, dialect, fleet_state)
     paths = Paths(placers, metrics, rng)
--- a/src/crocusspindle/gateway/instruments.py
+++ b/src/crocusspindle/gateway/instruments.py
@@ -120,6 +120,15 @@
     when_rising="Other hosts have lost their network to targets: see `handed_over_by` "
     "in the request lines.",
 )
+TARGET_LIMITS: Final = declare(
+    "gateway_target_limits",
+    InstrumentKind.GAUGE,
+    unit="targets",
+    meaning="Targets of the services that this node places for whose learned "
+    "concurrency limit is below their listed slots.",
+    when_rising="Targets answer fewer requests per second when all their slots are "
+    "taken: see `target concurrency changed` in the log.",
+)
 LOG_DROPPED: Final = declare(
     "log_dropped",
     InstrumentKind.GAUGE,
--- a/src/crocusspindle/gateway/placers.py
+++ b/src/crocusspindle/gateway/placers.py
@@ -30,6 +30,7 @@
 from crocusspindle.gateway.crash_sharing import CrashSharing
 from crocusspindle.gateway.exchange import Address, Exchange
 from crocusspindle.gateway.fleet_state import FleetState
+from crocusspindle.gateway.limit_sharing import LimitSharing
 from crocusspindle.gateway.messages import (
     ATTEMPT_OUTCOMES,
     Done,
@@ -43,6 +44,7 @@
     ReachingAsk,
     RefusedAnswer,
     RepeatsNote,
+    TargetLimitNote,
 )
 from crocusspindle.gateway.placer_ranks import PlacerRanks
 from crocusspindle.gateway.reload import LiveBounds
@@ -58,6 +60,7 @@
 )
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
+from crocusspindle.metrics import Metrics
 
 PROCESS_INTERVAL_S: Final = 0.02
 """Interval at which queues are processed while requests wait."""
@@ -85,6 +88,7 @@
         fleet_state: FleetState,
         policies: Policies,
         crashes: CrashSharing,
+        metrics: Metrics,
     ) -> None:
         self._bounds = bounds
         self._exchange = exchange
@@ -93,6 +97,7 @@
         self._crashes = crashes
         self.ranks = PlacerRanks(node, exchange, fleet_state)
         self._retry_sharing = RetrySharing(node, bounds, self.ranks)
+        self._limit_sharing = LimitSharing(self.ranks, metrics)
         self._placers: dict[ServiceId, ServicePlacer] = {}
         self.targets: dict[TargetIdentity, ListedTarget] = {}
         self._targets_digest = 0
@@ -111,6 +116,7 @@
         self._exchange.handle(EjectedNote, self._ejected_note)
         self._exchange.handle(RepeatsNote, self._repeats_note)
         self._exchange.handle(PacedNote, self._paced_note)
+        self._exchange.handle(TargetLimitNote, self._target_limit_note)
         self._exchange.handle(LeavingNote, self._leaving_note)
         self._exchange.handle(ReachingAsk, self._reaching_ask)
         self._fleet_state.add_listener(self._apply_fleet_state)
@@ -307,6 +313,9 @@
                 limit_per_s=report.limit_per_s,
             )
 
+    async def _target_limit_note(self, note: TargetLimitNote, sender: Address) -> None:
+        self._limit_sharing.receive(note, self._placer(ServiceId(note.service)))
+
     async def _paced_note(self, note: PacedNote, sender: Address) -> None:
         placer = self._placer(ServiceId(note.service))
         for report in unpacked_limits(note.limits, now_ms()):
@@ -386,6 +395,7 @@
         limited_attempts = packed_limits(placer.limits.attempts(), now_ms())
         if limited_attempts:
             self.ranks.notify_others(service, PacedNote(service, limited_attempts))
+        self._limit_sharing.publish(service, placer)
         for change in placer.changes():
             ejected = change.standing is EjectionState.EJECTED
             left_ms = round(max(0.0, change.until_ms - now_ms()))
--- a/src/crocusspindle_standins/virtual/fleet.py
+++ b/src/crocusspindle_standins/virtual/fleet.py
@@ -85,6 +85,7 @@
             self.fleet_state,
             ALL_POLICIES,
             self.crashes,
+            metrics,
         )
         self.membership = Membership(
             address,
--- a/tests/gateway/test_placing_backoffs.py
+++ b/tests/gateway/test_placing_backoffs.py
@@ -100,9 +100,11 @@
 async def placing(exchange):
     fleet_state = FleetState(parse_configuration)
     node = view_entry(0).node
-    crashes = CrashSharing(exchange, fleet_state, Metrics(node.host, node.domain))
+    metrics = Metrics(node.host, node.domain)
+    crashes = CrashSharing(exchange, fleet_state, metrics)
+    bounds = LiveBounds(Bounds())
     placers = Placers(
-        node, LiveBounds(Bounds()), exchange, fleet_state, ALL_POLICIES, crashes
+        node, bounds, exchange, fleet_state, ALL_POLICIES, crashes, metrics
     )
     made = Placing(exchange, placers, random.Random(1), crashes)
     fleet_state.add_listener(placers._apply_fleet_state)
--- a/tests/gateway/test_process_start.py
+++ b/tests/gateway/test_process_start.py
@@ -50,7 +50,9 @@
     exchange = Exchange((node.ip, node.peer_port), rng, metrics)
     crashes = CrashSharing(exchange, fleet_state, metrics)
     bounds = LiveBounds(Bounds())
-    placers = Placers(node, bounds, exchange, fleet_state, ALL_POLICIES, crashes)
+    placers = Placers(
+        node, bounds, exchange, fleet_state, ALL_POLICIES, crashes, metrics
+    )
     placing = Placing(exchange, placers, rng, crashes)
     exchange.handle(PlaceAsk, placers._place_ask)
     fleet_state.add_listener(placers._apply_fleet_state)
