--- a/src/crocusspindle/gateway/instruments.py
+++ b/src/crocusspindle/gateway/instruments.py
@@ -166,7 +166,7 @@
     unit="bytes",
     meaning="Request bodies that this node has read and not yet sent, and responses "
     "that it has read and their callers have not yet taken (without "
-    "`limits.memory_mb` until they are handed to the connection).",
+    "`memory_mb` until they are handed to the connection).",
     when_rising="Callers read their responses slowly, or targets read requests slowly; "
     "see `gateway_memory_measures`.",
 )
@@ -181,6 +181,15 @@
     when_rising="One customer's callers read slowly: see `memory measure begins` in "
     "the log, with the customer that holds most. On all hosts: more hosts or memory.",
 )
+TARGET_LIMITS: Final = declare(
+    "gateway_target_limits",
+    InstrumentKind.GAUGE,
+    unit="targets",
+    meaning="Targets of the services that this node places for whose learned "
+    "concurrency limit is below their listed slots.",
+    when_rising="Targets answer fewer requests per second when all their slots are "
+    "taken: see `target concurrency changed` in the log.",
+)
 LOG_DROPPED: Final = declare(
     "log_dropped",
     InstrumentKind.GAUGE,
