--- a/src/crocusspindle/core/host_choice.py
+++ b/src/crocusspindle/core/host_choice.py
@@ -5,6 +5,7 @@
 fraction of the answers that list it.
 """
 
+import math
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Final
@@ -42,6 +43,16 @@
     left: int = LEFT_MAX
 
 
+def caller_capacity(capacity: float) -> float:
+    """Return the capacity of a host for callers, from that for roles.
+
+    The square root: in proportion, two hosts of twenty times the capacity of the others
+    would take two thirds of the callers of a domain of twenty hosts, and one that loses
+    its paths or its power would fail a third of them.
+    """
+    return math.sqrt(capacity)
+
+
 class HostChoice:
     """Choose hosts for callers from one list of open hosts."""
 
--- a/src/crocusspindle/gateway/ports.py
+++ b/src/crocusspindle/gateway/ports.py
@@ -11,7 +11,7 @@
 from crocusspindle.clock import now_ms
 from crocusspindle.core.capacity_left import LEFT_MAX
 from crocusspindle.core.configuration import CallerLimits
-from crocusspindle.core.host_choice import HostChoice, OpenHost
+from crocusspindle.core.host_choice import HostChoice, OpenHost, caller_capacity
 from crocusspindle.gateway import instruments
 from crocusspindle.gateway.caller_port import CallerServer
 from crocusspindle.gateway.dialect import Dialect
@@ -152,7 +152,9 @@
     def _open_hosts(self, left: Mapping[str, int]) -> list[OpenHost]:
         view = self._fleet_state.view.content
         nodes = [] if view is None else [entry.node for entry in view.entries]
-        capacities = {node.caller_address: node.capacity for node in nodes}
+        capacities = {
+            node.caller_address: caller_capacity(node.capacity) for node in nodes
+        }
         # A host that has just joined may be open before the view names it.
         mean = fmean(capacities.values()) if capacities else 1.0
         return [
--- a/tests/core/test_host_choice.py
+++ b/tests/core/test_host_choice.py
@@ -6,7 +6,12 @@
 import pytest
 
 from crocusspindle.core.capacity_left import LEFT_MAX, LEFT_MIN
-from crocusspindle.core.host_choice import MAX_ADDRESSES, HostChoice, OpenHost
+from crocusspindle.core.host_choice import (
+    MAX_ADDRESSES,
+    HostChoice,
+    OpenHost,
+    caller_capacity,
+)
 
 CALLERS = [f"10.7.{number // 250}.{number % 250}" for number in range(500)]
 
@@ -172,3 +177,17 @@
     """Guards against two loaded domains that swap their callers."""
     choice = HostChoice([*hosts("a", 20, 1), *hosts("b", 20, 1)])
     assert all(address.startswith("a") for address in listed(choice, "a"))
+
+
+def test_no_large_host_takes_a_quarter_of_a_domain_of_small_ones():
+    """Guards against the loss of one host that fails a third of a domain's callers."""
+    hosts = [
+        OpenHost(f"10.0.0.{number}:80", "a", caller_capacity(200 if number < 2 else 10))
+        for number in range(21)
+    ]
+    choice = HostChoice(hosts)
+    share = 0.0
+    for caller in range(2_000):
+        listed = choice.addresses("a", f"10.9.{caller // 250}.{caller % 250}")
+        share += (hosts[0].address in listed) / len(listed) / 2_000
+    assert 3 / 21 < share < 0.25
