Count a probe's body among those a target holds

A probe above a learned limit was granted without the check of the bodies that the target's running requests hold: with five bodies of 10 MB running, a probe of 40 MB was granted (90 of at most 64 MB). It now needs room like any other request. The new test failed before and passes.

--- a/src/crocusspindle/core/target_choice.py
+++ b/src/crocusspindle/core/target_choice.py
@@ -283,6 +283,7 @@
             and tracker.limit.allows(now_ms)
             and tracker.listed.readiness is Readiness.READY
             and tracker.listed.identity not in request.excluded
+            and tracker.has_room(request.body_bytes)
             and self.reachable(tracker, request.sender, now_ms)
         )
 
--- a/tests/core/test_bodies_at_targets.py
+++ b/tests/core/test_bodies_at_targets.py
@@ -1,8 +1,11 @@
 """Tests of long request bodies that run at one target at once."""
 
+from dataclasses import replace
+
 import pytest
 
 from crocusspindle.core.attempt_outcome import AttemptOutcome
+from crocusspindle.core.concurrency_limit import MIN_PROBE_INTERVAL
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
 from crocusspindle.core.placement_request import (
     PlacementGranted,
@@ -17,6 +20,7 @@
 SENDER = HostId("n0")
 TARGET = TargetIdentity("t0")
 MB = 1 << 20
+REQUEST = PlacementRequest(SENDER, DomainId("a"), "up", False, 0, 800.0, 2_000.0)
 
 
 @pytest.fixture
@@ -31,10 +35,7 @@
 
 def ask(placer, body_bytes):
     """Request the target."""
-    request = PlacementRequest(
-        SENDER, DomainId("a"), "up", False, 0, 800.0, 2_000.0, body_bytes=body_bytes
-    )
-    return placer.request_placement(request, 0.0)
+    return placer.request_placement(replace(REQUEST, body_bytes=body_bytes), 0.0)
 
 
 @pytest.mark.parametrize(
@@ -67,3 +68,17 @@
     assert isinstance(ask(placer, 0), QueuedRequest | PlacementGranted)
     placer.ended(TARGET, first.grant, AttemptOutcome.ANSWERED, SENDER, 10.0, 10.0)
     assert isinstance(waiting.settled, PlacementGranted)
+
+
+def test_a_probe_above_the_learned_limit_needs_memory_as_well(placer):
+    """Guards against a probe whose body exceeds what a target may hold."""
+    placer.receive_limits([(TARGET, 5)], 0.0)
+    probe = replace(REQUEST, idempotent=True, body_bytes=40 * MB)
+    for _ in range(6 * MIN_PROBE_INTERVAL):
+        granted = ask(placer, 0)
+        placer.ended(TARGET, granted.grant, AttemptOutcome.ANSWERED, SENDER, 10.0, 0.0)
+    for _ in range(5):
+        assert isinstance(ask(placer, 10 * MB), PlacementGranted)
+    assert not isinstance(placer.request_placement(probe, 0.0), PlacementGranted)
+    probe = replace(probe, body_bytes=0)
+    assert isinstance(placer.request_placement(probe, 0.0), PlacementGranted)
