Avoid divisions by zero in the evidence for concurrency limits

Senders report whole milliseconds, so a target that answers within half of one had ratios of 0, and the evaluation divided by the mean ratio. The evidence of a lowered limit decays while no probes arrive; after some 31 hours the squares of its weights were 0 and the evaluation divided by them. Either error ended the task that processes the queues, which stops the host; its successor would meet the same answers.

Latencies below a millisecond count as one, as the typical latency already did. Evidence of a weight below 1e-6 counts as none, so a limit without probes ends after about 73 minutes instead of staying in force until the error.

Both new tests failed with ZeroDivisionError before, and pass.

--- a/src/crocusspindle/core/concurrency_limit.py
+++ b/src/crocusspindle/core/concurrency_limit.py
@@ -119,6 +119,10 @@
 SUSPECT_ERRORS: Final = 0.5
 """Standard errors of less throughput that count as some evidence of a loss."""
 
+NEGLIGIBLE_WEIGHT: Final = 1e-6
+"""Weight below which evidence counts as none. A limit without probes ends after about
+73 minutes; after some 31 hours, the squares of its weights would be 0."""
+
 UNCOUNTED: Final = 0
 
 
@@ -241,7 +245,7 @@
 
     def loss_in_errors(self, min_loss: float = 0.0, share: float = 1.0) -> float:
         """Return by how many errors the higher level has less throughput."""
-        if not self.weight:
+        if self.weight < NEGLIGIBLE_WEIGHT:
             return -math.inf
         return loss_in_errors(
             self.lower_level,
--- a/src/crocusspindle/core/service_placer.py
+++ b/src/crocusspindle/core/service_placer.py
@@ -472,7 +472,8 @@
             return TrackedAttempt(
                 outcome, sender, began_ms, now_ms, 1.0, 0.0, unreached_nats, may_eject
             )
-        slowness = latency_ms / max(1.0, grant.sample.typical_ms)
+        # Senders report whole milliseconds: 0 stands for less than one.
+        slowness = max(1.0, latency_ms) / max(1.0, grant.sample.typical_ms)
         age_nats = grant.age_nats(latency_ms)
         if not self._policies.has(Policy.HANG_EVIDENCE):
             age_nats = 0.0
--- a/tests/core/test_concurrency_limit.py
+++ b/tests/core/test_concurrency_limit.py
@@ -28,9 +28,12 @@
     LimitChange,
 )
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
+from crocusspindle.core.placement_request import PlacementGranted, PlacementRequest
 from crocusspindle.core.policies import ALL_POLICIES, Policies
+from crocusspindle.core.retry_budget import RetryBudget
+from crocusspindle.core.service_placer import ServicePlacer
 from crocusspindle.core.target_tracker import TargetTracker
-from crocusspindle.ids import DomainId, ServiceId
+from crocusspindle.ids import DomainId, HostId, ServiceId
 
 WITHOUT_LIMITS = Policies.without(["learned-limits"])
 THREEFOLD = Slowdown(3.0, 6)
@@ -277,6 +280,51 @@
     assert not tracker.learned.steps
 
 
+def test_answers_within_less_than_a_millisecond_can_be_compared():
+    """Guards against a division by zero: latencies arrive in whole milliseconds."""
+    # The work runs longer here than its latency says, and so seems to hang.
+    policies = Policies.without(["hung-ejection"])
+    placer = ServicePlacer(0.7, RetryBudget(0.2, 58.0, 10_000.0), policies)
+    placer.set_targets([listed("0")], 0.0)
+    request = PlacementRequest(
+        HostId("e"), DomainId("a"), "r", True, 1, 800.0, math.inf
+    )
+    running = []
+    for step in range(1_500):
+        now_ms = 4.0 * step
+        # Three and four requests run by turns.
+        while len(running) < 3 + step % 2:
+            granted = placer.request_placement(request, now_ms)
+            assert isinstance(granted, PlacementGranted)
+            running.append(granted.grant)
+        placer.ended(
+            TargetIdentity("0"),
+            running.pop(0),
+            AttemptOutcome.ANSWERED,
+            HostId("e"),
+            0.0,
+            now_ms,
+        )
+        placer.process_due(now_ms)
+    assert placer.lowered_limits() == {}
+
+
+def test_a_limit_ends_once_its_evidence_has_decayed():
+    """Guards against a division by zero, and a limit that outlives its evidence.
+
+    A service without requests gets no probes that would raise the limit.
+    """
+    answers = Answers(1)
+    for _ in range(10):
+        answers.add_block(0, SLOW_WHEN_FULL, 20)
+        answers.end_block()
+    assert answers.limit_of(0) == 3
+    for _ in range(3 * 24 * 60):
+        answers.now_ms += 59_000.0
+        answers.end_block()
+    assert answers.limit_of(0) == 4
+
+
 def test_at_most_one_request_in_32_is_a_probe():
     """Guards against slow answers to probes of targets that stay slow."""
     limit = ConcurrencyLimit(listed("0"))
