Bound the customers counted during an overload

The counts of requests, grants and refusals by customer grew for as long as an overload lasted, with up to 520,000 customers on a host of 152 MB. At most 1,024 are counted now; beyond it, the half with the most grants is kept. Totals still cover all of them.

--- a/src/crocusspindle/core/overload_watch.py
+++ b/src/crocusspindle/core/overload_watch.py
@@ -3,6 +3,7 @@
 import math
 from collections import Counter
 from dataclasses import dataclass
+from heapq import nlargest
 from typing import Final
 
 from crocusspindle.core.placement_request import PlacementRequest
@@ -14,6 +15,10 @@
 
 CUSTOMERS_REPORTED: Final = 5
 
+MAX_CUSTOMERS: Final = 1_024
+"""Customers counted at once. Beyond it, half are kept, those with the most grants: a
+service may have 520,000 customers, and an overload may last for hours."""
+
 
 @dataclass(frozen=True, slots=True)
 class CustomerUse:
@@ -51,6 +56,8 @@
         self._requests: Counter[CustomerId] = Counter()
         self._granted: Counter[CustomerId] = Counter()
         self._refused: Counter[CustomerId] = Counter()
+        # Of all customers, also those that are no longer counted.
+        self._totals = [0, 0, 0]
 
     @property
     def is_overloaded(self) -> bool:
@@ -60,21 +67,40 @@
     def record_request(self, request: PlacementRequest) -> None:
         """Count a first attempt."""
         if self.is_overloaded:
-            self._requests[request.customer] += 1
+            self._count(self._requests, request.customer)
 
     def record_grant(self, request: PlacementRequest) -> None:
         """Count a first attempt that got a slot."""
         if self.is_overloaded and not request.retry:
-            self._granted[request.customer] += 1
+            self._count(self._granted, request.customer)
 
     def record_refusal(self, request: PlacementRequest, now_ms: float) -> None:
         """Count a request that was refused as full."""
         if not self.is_overloaded:
             self._began_ms = now_ms
-            self._requests[request.customer] += 1
+            self._count(self._requests, request.customer)
             self._changes.append(OverloadChange(True))
         self._refused_ms = now_ms
-        self._refused[request.customer] += 1
+        self._count(self._refused, request.customer)
+
+    @property
+    def _counts(self) -> tuple[Counter[CustomerId], ...]:
+        return self._requests, self._granted, self._refused
+
+    def _count(self, counts: Counter[CustomerId], customer: CustomerId) -> None:
+        counts[customer] += 1
+        for column, other in enumerate(self._counts):
+            self._totals[column] += other is counts
+        if len(counts) > MAX_CUSTOMERS:
+            self._drop_small_customers()
+
+    def _drop_small_customers(self) -> None:
+        customers: set[CustomerId] = set().union(*self._counts)
+        kept = nlargest(MAX_CUSTOMERS // 2, customers, key=self._granted.__getitem__)
+        for counts in self._counts:
+            remaining = {key: counts[key] for key in kept if key in counts}
+            counts.clear()
+            counts.update(remaining)
 
     def end_if_over(self, now_ms: float) -> None:
         """End the overload if no request was refused for `ENDS_AFTER_MS`."""
@@ -84,9 +110,7 @@
             OverloadChange(
                 False,
                 self._refused_ms - self._began_ms,
-                self._requests.total(),
-                self._granted.total(),
-                self._refused.total(),
+                *self._totals,
                 tuple(
                     CustomerUse(
                         customer,
@@ -101,7 +125,8 @@
             )
         )
         self._began_ms = math.nan
-        for counts in (self._requests, self._granted, self._refused):
+        self._totals = [0, 0, 0]
+        for counts in self._counts:
             counts.clear()
 
     def changes(self) -> list[OverloadChange]:
--- a/tests/core/test_customer_shares.py
+++ b/tests/core/test_customer_shares.py
@@ -5,6 +5,7 @@
 """
 
 import random
+import tracemalloc
 from dataclasses import replace
 
 import pytest
@@ -16,7 +17,7 @@
     Tally,
 )
 from crocusspindle.core.latency_sample import LatencySample
-from crocusspindle.core.overload_watch import OverloadWatch
+from crocusspindle.core.overload_watch import CustomerUse, OverloadWatch
 from crocusspindle.core.placement_queue import Capacity, PlacementQueue
 from crocusspindle.core.placement_request import (
     PlacementRefused,
@@ -232,3 +233,24 @@
     assert (ended.lasted_ms, ended.granted, ended.refused) == (1_500.0, 3, 2)
     assert ended.largest[0].customer == "large"
     assert not watch.is_overloaded and not watch.changes()
+
+
+def test_a_long_overload_by_many_customers_takes_bounded_memory():
+    """Guards against counts of each customer for as long as an overload lasts."""
+    watch = OverloadWatch()
+    large = waiting_request("large")
+    watch.record_refusal(large, 0.0)
+    tracemalloc.start()
+    for number in range(20_000):
+        small = waiting_request(str(number))
+        for request in (small, large):
+            watch.record_request(request)
+            watch.record_grant(request)
+        watch.record_refusal(small, float(number))
+    held_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    watch.end_if_over(30_000.0)
+    _, ended = watch.changes()
+    assert held_bytes < 1_000_000
+    assert (ended.requests, ended.granted, ended.refused) == (40_001, 40_000, 20_001)
+    assert ended.largest[0] == CustomerUse(CustomerId("large"), 20_001, 20_000, 1)
