Bound the state of a queue that is never empty

Three structures of the placement queue grew with the customers or requests seen, or cost a pass over all of them for each request:

- FairQueue: idle flows were dropped above twice the heads, and stale heads above twice the flows.
The placer never calls peek, which drops heads, so both grew together with each new customer until the queue was empty.
Both bounds now follow the customers with queued requests.
Idle flows with used credit are kept up to 128, those that used most: the virtual time stands still while all served customers have credit left.
- WaitQueue: refused and served requests stayed in the order by time until their objective had passed, 6 s of them.
They are dropped once they are the majority.
- ServiceLoad: with more than 1,024 customers active within 2.3 s, each request of a new one took a pass over all of them.
The threshold doubles with those that remain.

20,000 customers of one request each beside one waiting request held 13.8 MB before and less than 1 MB now; 6,000 new customers at 625/s took 42.8 million calls before and less than 0.36 million now. Both new tests failed before.

--- a/src/crocusspindle/core/fair_queue.py
+++ b/src/crocusspindle/core/fair_queue.py
@@ -9,7 +9,7 @@
 from bisect import bisect_left, insort
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from heapq import heapify, heappop, heappush
+from heapq import heapify, heappop, heappush, nlargest
 from typing import Final, Generic, TypeVar
 
 from crocusspindle.ids import CustomerId
@@ -33,12 +33,12 @@
 service."""
 
 _MAX_STALE_HEADS: Final = 256
-"""Heads left behind by requests that were served out of turn, before they are
-dropped."""
+"""Heads left behind by requests that were served out of turn or removed, before they
+are dropped."""
 
 _MAX_IDLE_FLOWS: Final = 256
-"""Above about this number of flows, idle ones with their full credit are dropped, so
-that memory is proportional to the queue."""
+"""Above about this number of idle flows, they are dropped, except for half as many that
+have used most of their credit, so that memory is proportional to the queue."""
 
 
 @dataclass(slots=True)
@@ -90,6 +90,7 @@
             flow.start_tag = max(flow.start_tag, earliest)
             heappush(self._heads, (flow.start_tag, self._sequence, customer))
         insort(flow.items, item)
+        self._drop_stale_heads_if_many()
         self._entries[request] = (customer, item)
 
     def pop(self) -> Item:
@@ -113,11 +114,12 @@
         if flow.items:
             self._sequence += 1
             heappush(self._heads, (flow.start_tag, self._sequence, customer))
-        if len(self._heads) > _MAX_STALE_HEADS + 2 * len(self._flows):
-            self._drop_stale_heads()
         self._update_if_idle(flow)
+        self._drop_stale_heads_if_many()
 
-    def _drop_stale_heads(self) -> None:
+    def _drop_stale_heads_if_many(self) -> None:
+        if len(self._heads) <= _MAX_STALE_HEADS + 2 * self._queued_customers:
+            return
         self._heads = [
             (flow.start_tag, flow.items[0][1], customer)
             for customer, flow in self._flows.items()
@@ -210,8 +212,8 @@
         flow = self._flows.get(customer)
         effective = self._effective_weight(weight)
         if flow is None:
-            if len(self._flows) > _MAX_IDLE_FLOWS + 2 * len(self._heads):
-                self._sweep()
+            if len(self._flows) > _MAX_IDLE_FLOWS + 2 * self._queued_customers:
+                self._drop_idle_flows()
             start_tag = self._virtual_time - _IDLE_CREDIT / effective
             flow = self._flows[customer] = _Flow(weight, effective, start_tag)
         elif flow.items:
@@ -231,14 +233,31 @@
             self._queued_customers -= 1
             self._queued_weight -= flow.configured_weight
 
-    def _sweep(self) -> None:
+    def _drop_idle_flows(self) -> None:
+        # The virtual time stands still while all that are served have credit left, so
+        # that their flows would be kept for as long as the queue lasts.
+        charged = [
+            customer
+            for customer, flow in self._flows.items()
+            if not flow.items and self._used_credit(flow) > 0.0
+        ]
+        kept = set(
+            nlargest(
+                _MAX_IDLE_FLOWS // 2,
+                charged,
+                key=lambda customer: self._used_credit(self._flows[customer]),
+            )
+        )
         self._flows = {
             customer: flow
             for customer, flow in self._flows.items()
-            if flow.items
-            or flow.start_tag > self._virtual_time - _IDLE_CREDIT / flow.weight
+            if flow.items or customer in kept
         }
 
+    def _used_credit(self, flow: _Flow[Item]) -> float:
+        used = (flow.start_tag - self._virtual_time) * flow.weight
+        return used + _IDLE_CREDIT
+
     def _reset(self) -> None:
         # No customer waits while the queue is empty, so past use is not charged.
         self._flows.clear()
--- a/src/crocusspindle/core/service_load.py
+++ b/src/crocusspindle/core/service_load.py
@@ -14,8 +14,8 @@
 """Time after which a new placer trusts the rate of all requests together."""
 
 MAX_CUSTOMERS: Final = 1_024
-"""Customers whose rates are kept. Beyond it, those without recent requests are
-dropped."""
+"""Customers whose rates are kept. Beyond it, and beyond twice as many as had recent
+requests the last time, those without are dropped."""
 
 FORGOTTEN_PER_MS: Final = 1e-4
 """A customer below this rate, one request in ten seconds, may be dropped."""
@@ -47,6 +47,7 @@
         self._by_customer: dict[tuple[int, CustomerId], _CustomerLoad] = {}
         self._active_weights: dict[int, float] = {}
         self._active_counted_ms = -math.inf
+        self._max_customers = MAX_CUSTOMERS
         self.mean_latency_ms = math.nan
 
     def record_arrival(
@@ -69,13 +70,15 @@
         self._by_priority[priority].record(now_ms)
 
     def _drop_idle_customers(self, now_ms: float) -> None:
-        if len(self._by_customer) < MAX_CUSTOMERS:
+        if len(self._by_customer) < self._max_customers:
             return
         self._by_customer = {
             key: load
             for key, load in self._by_customer.items()
             if load.rate.per_ms(now_ms) > FORGOTTEN_PER_MS
         }
+        # With more active customers than that, each new one would take another pass.
+        self._max_customers = max(MAX_CUSTOMERS, 2 * len(self._by_customer))
 
     def active_weight(self, priority: int, now_ms: float) -> float:
         """Return the weights together of the active customers of a priority."""
--- a/src/crocusspindle/core/wait_queue.py
+++ b/src/crocusspindle/core/wait_queue.py
@@ -6,14 +6,19 @@
 """
 
 from collections.abc import Iterator
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from itertools import count
+from typing import Final
 
 from crocusspindle.core.fair_queue import FairQueue
 from crocusspindle.core.placement_request import QueuedRequest
 from crocusspindle.core.priority_shares import PriorityShares
 from crocusspindle.ids import CustomerId
 
+_MAX_LEFT_BEHIND: Final = 256
+"""Requests that are no longer queued but still in the order by time, before they are
+dropped from it. Under overload, most requests are refused at once."""
+
 
 class WaitQueue:
     """Hold queued requests, and yield them in the order in which they get slots."""
@@ -37,6 +42,8 @@
         heappush(
             self._becomes_late, (entry.on_time_until_ms, next(self._numbers), entry)
         )
+        if len(self._becomes_late) > _MAX_LEFT_BEHIND + 2 * len(self._on_time):
+            self._drop_left_behind()
         fair = self._fair.setdefault(request.priority, FairQueue())
         fair.push(
             id(entry),
@@ -45,6 +52,12 @@
             entry.on_time_until_ms,
         )
 
+    def _drop_left_behind(self) -> None:
+        self._becomes_late = [
+            item for item in self._becomes_late if id(item[2]) in self._on_time
+        ]
+        heapify(self._becomes_late)
+
     def remove(self, entry: QueuedRequest) -> None:
         """Drop a request that is not served, whether or not it is queued."""
         self._late.pop(id(entry), None)
--- a/tests/core/test_placement_components.py
+++ b/tests/core/test_placement_components.py
@@ -1,5 +1,12 @@
 """Check the components of placing one by one."""
 
+import math
+import sys
+import tracemalloc
+from dataclasses import replace
+from types import FrameType
+from typing import Any
+
 import pytest
 
 from crocusspindle.core.gray_onset_rate import GrayOnsetRate
@@ -12,7 +19,7 @@
 from crocusspindle.core.unreached_share import UnreachedShare
 from crocusspindle.core.wait_queue import WaitQueue
 from crocusspindle.errors import InvalidInputError
-from crocusspindle.ids import DomainId, HostId
+from crocusspindle.ids import CustomerId, DomainId, HostId
 
 
 def sample_of(latencies_ms: list[float]) -> LatencySample:
@@ -44,6 +51,45 @@
     assert queue.ahead_of(next_one, 200.0) == 1
 
 
+def test_a_queue_that_is_never_empty_keeps_no_more_than_it_holds():
+    """Guards against memory and time for each customer that ever had one request."""
+    queue = WaitQueue()
+    lasting = queued(9, math.inf)
+    queue.add(lasting)
+    tracemalloc.start()
+    for number in range(20_000):
+        entry = queued(9, 6_000.0 + number)
+        entry.request = replace(entry.request, customer=CustomerId(str(number)))
+        queue.add(entry)
+        # Half are refused.
+        if number % 2:
+            queue.remove(entry)
+        else:
+            queue.take(entry, float(number))
+    held_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert list(queue.in_order(20_000.0)) == [lasting]
+    assert held_bytes < 1_000_000
+
+
+def test_the_rates_of_many_customers_are_bounded_in_memory_and_time():
+    """Guards against a pass over all customers for each request of a new one."""
+    load = ServiceLoad(0.0)
+    calls = 0
+
+    def count(frame: FrameType, event: str, argument: Any) -> None:
+        nonlocal calls
+        calls += event in ("call", "c_call")
+
+    sys.setprofile(count)
+    try:
+        for number in range(6_000):
+            load.record_arrival(number * 1.6, 1, CustomerId(str(number)))
+    finally:
+        sys.setprofile(None)
+    assert calls <= 60 * 6_000
+
+
 def test_a_hedge_starts_while_it_can_still_be_in_time():
     work = sample_of([100.0 + step for step in range(100)])
     assert hedge_after_ms(work, 600.0) == pytest.approx(195.0, abs=2.0)
