--- a/src/crocusspindle/core/overload_watch.py
+++ b/src/crocusspindle/core/overload_watch.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass
 from heapq import nlargest
 from typing import Final
@@ -46,6 +47,25 @@
     largest: tuple[CustomerUse, ...] = ()
 
 
+class _Counts:
+    """Count by customer; ``total`` includes customers that are no longer counted."""
+
+    __slots__ = ("by_customer", "total")
+
+    def __init__(self) -> None:
+        self.total = 0
+        self.by_customer: Counter[CustomerId] = Counter()
+
+    def add(self, customer: CustomerId) -> None:
+        self.total += 1
+        self.by_customer[customer] += 1
+
+    def keep(self, customers: Iterable[CustomerId]) -> None:
+        self.by_customer = Counter(
+            {key: self.by_customer[key] for key in customers if key in self.by_customer}
+        )
+
+
 class OverloadWatch:
     """Count by customer while requests of a service are refused as full."""
 
@@ -53,11 +73,9 @@
         self._began_ms = math.nan
         self._refused_ms = -math.inf
         self._changes: list[OverloadChange] = []
-        self._requests: Counter[CustomerId] = Counter()
-        self._granted: Counter[CustomerId] = Counter()
-        self._refused: Counter[CustomerId] = Counter()
-        # Of all customers, also those that are no longer counted.
-        self._totals = [0, 0, 0]
+        self._requests = _Counts()
+        self._granted = _Counts()
+        self._refused = _Counts()
 
     @property
     def is_overloaded(self) -> bool:
@@ -83,24 +101,18 @@
         self._refused_ms = now_ms
         self._count(self._refused, request.customer)
 
-    @property
-    def _counts(self) -> tuple[Counter[CustomerId], ...]:
-        return self._requests, self._granted, self._refused
-
-    def _count(self, counts: Counter[CustomerId], customer: CustomerId) -> None:
-        counts[customer] += 1
-        for column, other in enumerate(self._counts):
-            self._totals[column] += other is counts
-        if len(counts) > MAX_CUSTOMERS:
+    def _count(self, counts: _Counts, customer: CustomerId) -> None:
+        counts.add(customer)
+        if len(counts.by_customer) > MAX_CUSTOMERS:
             self._drop_small_customers()
 
     def _drop_small_customers(self) -> None:
-        customers: set[CustomerId] = set().union(*self._counts)
-        kept = nlargest(MAX_CUSTOMERS // 2, customers, key=self._granted.__getitem__)
-        for counts in self._counts:
-            remaining = {key: counts[key] for key in kept if key in counts}
-            counts.clear()
-            counts.update(remaining)
+        all_counts = (self._requests, self._granted, self._refused)
+        customers = {key for counts in all_counts for key in counts.by_customer}
+        granted = self._granted.by_customer
+        kept = nlargest(MAX_CUSTOMERS // 2, customers, key=granted.__getitem__)
+        for counts in all_counts:
+            counts.keep(kept)
 
     def end_if_over(self, now_ms: float) -> None:
         """End the overload if no request was refused for `ENDS_AFTER_MS`."""
@@ -110,24 +122,26 @@
             OverloadChange(
                 False,
                 self._refused_ms - self._began_ms,
-                *self._totals,
+                self._requests.total,
+                self._granted.total,
+                self._refused.total,
                 tuple(
                     CustomerUse(
                         customer,
-                        self._requests[customer],
+                        self._requests.by_customer[customer],
                         granted,
-                        self._refused[customer],
+                        self._refused.by_customer[customer],
                     )
-                    for customer, granted in self._granted.most_common(
+                    for customer, granted in self._granted.by_customer.most_common(
                         CUSTOMERS_REPORTED
                     )
                 ),
             )
         )
         self._began_ms = math.nan
-        self._totals = [0, 0, 0]
-        for counts in self._counts:
-            counts.clear()
+        self._requests = _Counts()
+        self._granted = _Counts()
+        self._refused = _Counts()
 
     def changes(self) -> list[OverloadChange]:
         """Return the changes since the last call."""
