Answer the last queued request when an arrival starts it

After a placement request, the waiters of requests that had got slots were woken only if requests were still queued. The last one got its slot but was answered by the next regular pass, up to 20 ms later (100 ms if it had just been queued), while the slot idled. Waiters are woken whenever there are any.

The new test failed with a time-out before and passes.

--- a/src/crocusspindle/gateway/placers.py
+++ b/src/crocusspindle/gateway/placers.py
@@ -289,7 +289,7 @@
         for report in unpacked_limits(message.limits, at_ms):
             self._apply_limit(placer, report)
         decision = placer.request_placement(placement_request, at_ms)
-        if placer.queued:
+        if self._waiters:
             # Requests that were queued before may have got slots.
             self._wake_settled()
         self._retry_sharing.publish_if_due(ServiceId(message.service))
--- a/tests/gateway/test_process_start.py
+++ b/tests/gateway/test_process_start.py
@@ -175,3 +175,26 @@
         placing_alone(fleet_state).place(SERVICE, make_request()), 0.1
     )
     assert isinstance(placement, PlacementRefused) and placement.reason == "no-target"
+
+
+async def test_the_last_queued_request_is_answered_with_the_arrival_that_starts_it():
+    """Guards against a granted slot that idles until the queue is processed again."""
+    fleet_state = FleetState(parse_configuration)
+    placing = placing_alone(fleet_state)
+    fleet_state.update_targets([TARGET], StoreVersion(1, 1), now_ms())
+    fleet_state.notify()
+    placer = placing._placers._placer(SERVICE)
+    await placing._placers.cancel_tasks()  # which process the queue regularly
+    for _ in range(TARGET.slots):
+        await placing.place(SERVICE, make_request())
+    queued = asyncio.create_task(placing.place(SERVICE, make_request()))
+    await asyncio.sleep(0.01)
+    assert placer.queued
+    for tracker in placer.trackers().values():
+        for grant in tracker.grants.values():
+            grant.until_ms = 0.0
+    placer._refreshed_ms = -math.inf
+    await placing.place(SERVICE, make_request())
+    assert not placer.queued
+    placement = await asyncio.wait_for(queued, 1.0)
+    assert isinstance(placement, Placement)
