--- a/src/crocusspindle/core/concurrency_limit.py
+++ b/src/crocusspindle/core/concurrency_limit.py
@@ -223,11 +223,6 @@
         self.lower.scale(factor, variance_factor)
         self.upper.scale(factor, variance_factor)
 
-    def limit_weight(self, max_weight: float) -> None:
-        """Reduce the weight to at most a maximum."""
-        if self.weight > max_weight:
-            self.forget(max_weight / self.weight)
-
     def merge(self, other: "StepEvidence", max_weight: float) -> None:
         """Add another target's evidence, with at most a given weight."""
         if not other.weight:
@@ -600,10 +595,6 @@
         return prior.get(source, own)
 
 
-def _still_holds(evidence: StepEvidence) -> bool:
-    return evidence.loss_in_errors(share=PROBE_SHARE) >= KEEP_ERRORS
-
-
 class HoldBacks:
     """Bound how many targets of a service hold back a slot.
 
