Spread the retry times of priorities that get no capacity

Three faults in what a refusal computes:

- While higher priorities sent more than the capacity, the expected wait of the others was infinite, and all of them were told to return after exactly 30 s, also after a burst of two seconds.
The excess is now at most the second over which the rates are taken to last, and the spacing that of the reserved part.
- A customer with an infinite rate (which YAML can express) had an infinite weight, and the position of its request could not be computed (ValueError).
It counts as unlimited.
The threshold doubles with those that remain.

--- a/src/crocusspindle/core/placement_queue.py
+++ b/src/crocusspindle/core/placement_queue.py
@@ -240,10 +240,12 @@
         self.overload.record_refusal(waiting.request, now_ms)
         request = waiting.request
         priority = request.priority
-        rate_per_ms = max(
-            self._left_per_ms(priority, capacity_per_ms, now_ms),
-            capacity_per_ms / RESERVED_EVERY,
-        )
+        left_per_ms = self._left_per_ms(priority, capacity_per_ms, now_ms)
+        reserved_per_ms = capacity_per_ms / RESERVED_EVERY
+        if left_per_ms < reserved_per_ms:
+            # Higher priorities leave almost nothing now, which need not last.
+            excess_ms = min(excess_ms, FORECAST_MS)
+        rate_per_ms = max(left_per_ms, reserved_per_ms)
         rate_per_ms *= self._queue.share_of(priority, request.customer)
         spacing_ms = 1.0 / rate_per_ms if rate_per_ms > 0.0 else 0.0
         at_ms = self._retry_times.next_for(
--- a/src/crocusspindle/core/retry_times.py
+++ b/src/crocusspindle/core/retry_times.py
@@ -10,7 +10,8 @@
 longer forecast would hold."""
 
 _MAX_CUSTOMERS: Final = 4_096
-"""Past retry times are dropped once those of this many customers are kept."""
+"""Past retry times are dropped once those of this many customers are kept, and of
+twice as many as remained the last time."""
 
 
 class RetryTimes:
@@ -24,6 +25,7 @@
     def __init__(self, generator: random.Random) -> None:
         self._random = generator
         self._next_ms: dict[CustomerId, float] = {}
+        self._max_customers = _MAX_CUSTOMERS
 
     def next_for(
         self,
@@ -42,9 +44,10 @@
         spacing_ms *= self._random.uniform(0.5, 1.5)
         planned_ms = max(earliest_ms, self._next_ms.get(customer, 0.0) + spacing_ms)
         planned_ms = min(planned_ms, now_ms + _MAX_RETRY_DELAY_MS)
-        if len(self._next_ms) >= _MAX_CUSTOMERS:
+        if len(self._next_ms) >= self._max_customers:
             self._next_ms = {
                 key: value for key, value in self._next_ms.items() if value > now_ms
             }
+            self._max_customers = max(_MAX_CUSTOMERS, 2 * len(self._next_ms))
         self._next_ms[customer] = planned_ms
         return max(planned_ms, now_ms)
--- a/src/crocusspindle/core/wait_queue.py
+++ b/src/crocusspindle/core/wait_queue.py
@@ -5,6 +5,7 @@
 one customer by the time up to which they can be on time.
 """
 
+import math
 from collections.abc import Iterator
 from heapq import heapify, heappop, heappush
 from itertools import count
@@ -147,4 +148,4 @@
     gets no more than a small one, and its rate, by which small customers lose as large
     a part of their requests as the one that fills the service.
     """
-    return rate_per_s**0.5 if rate_per_s > 0 else 1.0
+    return rate_per_s**0.5 if 0.0 < rate_per_s < math.inf else 1.0
--- a/tests/core/test_customer_shares.py
+++ b/tests/core/test_customer_shares.py
@@ -4,9 +4,13 @@
 a second, and the latency objective is 0.8 s where nothing else is said.
 """
 
+import math
 import random
+import sys
 import tracemalloc
 from dataclasses import replace
+from types import FrameType
+from typing import Any
 
 import pytest
 
@@ -26,6 +30,8 @@
 )
 from crocusspindle.core.policies import ALL_POLICIES
 from crocusspindle.core.priority_shares import PriorityShares
+from crocusspindle.core.retry_times import RetryTimes
+from crocusspindle.core.wait_queue import queue_weight
 from crocusspindle.ids import CustomerId, DomainId, HostId
 
 SMALL = RouteLoad("small", True, 4.0, 200.0, 0.3, 800.0, 3_000.0)
@@ -200,6 +206,27 @@
     assert 500.0 < delays_ms[-1] - delays_ms[0] < 2_000.0
 
 
+def test_callers_that_higher_priorities_displace_return_spread_within_seconds():
+    """Guards against one retry time for all, the longest, after an urgent burst."""
+    capacity = Capacity.of_slots(4.0, 200.0)
+    queue = PlacementQueue(ALL_POLICIES, -2_000.0)
+    for step in range(200):
+        queue.record_arrival(waiting_request("urgent", 0), 5.0 * step - 1_000.0)
+    refusals = [
+        queue.enqueue(waiting_request("a", 2), LatencySample(200.0), capacity, 0.0)
+        for _ in range(10)
+    ]
+    delays_ms = [refused.retry_after_ms for refused in refusals]
+    assert delays_ms == sorted(set(delays_ms))
+    # Ten requests at an eighth of 20 a second.
+    assert delays_ms[0] < 2_000.0 and delays_ms[-1] < 8_000.0
+
+
+def test_a_customer_with_an_infinite_rate_counts_as_unlimited():
+    """Guards against a weight with which no order can be computed."""
+    assert queue_weight(math.inf) == queue_weight(math.nan) == queue_weight(0.0) == 1.0
+
+
 def test_at_most_one_grant_in_eight_goes_to_a_starved_priority():
     """Guards against a lower priority that takes what a higher one needs."""
     shares = PriorityShares()
@@ -254,3 +281,22 @@
     assert held_bytes < 1_000_000
     assert (ended.requests, ended.granted, ended.refused) == (40_001, 40_000, 20_001)
     assert ended.largest[0] == CustomerUse(CustomerId("large"), 20_001, 20_000, 1)
+
+
+def test_retry_times_of_many_customers_cost_little():
+    """Guards against a pass over all customers for each refusal."""
+    times = RetryTimes(random.Random(1))
+    calls = 0
+
+    def count(frame: FrameType, event: str, argument: Any) -> None:
+        nonlocal calls
+        calls += event == "call"
+
+    sys.setprofile(count)
+    try:
+        for number in range(12_000):
+            times.next_for(CustomerId(str(number)), number * 1.6, 30_000.0, 0.0)
+    finally:
+        sys.setprofile(None)
+    # The method itself, a random number and few passes, which are one call each.
+    assert calls <= 2 * 12_000 + 10
