--- a/src/crocusspindle/core/concurrency_limit.py
+++ b/src/crocusspindle/core/concurrency_limit.py
@@ -119,6 +119,10 @@
 SUSPECT_ERRORS: Final = 0.5
 """Standard errors of less throughput that count as some evidence of a loss."""
 
+NEGLIGIBLE_WEIGHT: Final = 1e-6
+"""Weight below which evidence counts as none. A limit without probes ends after about
+73 minutes; after some 31 hours, the squares of its weights would be 0."""
+
 UNCOUNTED: Final = 0
 
 
@@ -219,11 +223,6 @@
         self.lower.scale(factor, variance_factor)
         self.upper.scale(factor, variance_factor)
 
-    def limit_weight(self, max_weight: float) -> None:
-        """Reduce the weight to at most a maximum."""
-        if self.weight > max_weight:
-            self.forget(max_weight / self.weight)
-
     def merge(self, other: "StepEvidence", max_weight: float) -> None:
         """Add another target's evidence, with at most a given weight."""
         if not other.weight:
@@ -241,7 +240,7 @@
 
     def loss_in_errors(self, min_loss: float = 0.0, share: float = 1.0) -> float:
         """Return by how many errors the higher level has less throughput."""
-        if not self.weight:
+        if self.weight < NEGLIGIBLE_WEIGHT:
             return -math.inf
         return loss_in_errors(
             self.lower_level,
@@ -596,10 +595,6 @@
         return prior.get(source, own)
 
 
-def _still_holds(evidence: StepEvidence) -> bool:
-    return evidence.loss_in_errors(share=PROBE_SHARE) >= KEEP_ERRORS
-
-
 class HoldBacks:
     """Bound how many targets of a service hold back a slot.
 
--- a/src/crocusspindle/core/overload_watch.py
+++ b/src/crocusspindle/core/overload_watch.py
@@ -2,7 +2,9 @@
 
 import math
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass
+from heapq import nlargest
 from typing import Final
 
 from crocusspindle.core.placement_request import PlacementRequest
@@ -14,6 +16,10 @@
 
 CUSTOMERS_REPORTED: Final = 5
 
+MAX_CUSTOMERS: Final = 1_024
+"""Customers counted at once. Beyond it, half are kept, those with the most grants: a
+service may have 520,000 customers, and an overload may last for hours."""
+
 
 @dataclass(frozen=True, slots=True)
 class CustomerUse:
@@ -41,6 +47,25 @@
     largest: tuple[CustomerUse, ...] = ()
 
 
+class _Counts:
+    """Count by customer; ``total`` includes customers that are no longer counted."""
+
+    __slots__ = ("by_customer", "total")
+
+    def __init__(self) -> None:
+        self.total = 0
+        self.by_customer: Counter[CustomerId] = Counter()
+
+    def add(self, customer: CustomerId) -> None:
+        self.total += 1
+        self.by_customer[customer] += 1
+
+    def keep(self, customers: Iterable[CustomerId]) -> None:
+        self.by_customer = Counter(
+            {key: self.by_customer[key] for key in customers if key in self.by_customer}
+        )
+
+
 class OverloadWatch:
     """Count by customer while requests of a service are refused as full."""
 
@@ -48,9 +73,9 @@
         self._began_ms = math.nan
         self._refused_ms = -math.inf
         self._changes: list[OverloadChange] = []
-        self._requests: Counter[CustomerId] = Counter()
-        self._granted: Counter[CustomerId] = Counter()
-        self._refused: Counter[CustomerId] = Counter()
+        self._requests = _Counts()
+        self._granted = _Counts()
+        self._refused = _Counts()
 
     @property
     def is_overloaded(self) -> bool:
@@ -60,21 +85,34 @@
     def record_request(self, request: PlacementRequest) -> None:
         """Count a first attempt."""
         if self.is_overloaded:
-            self._requests[request.customer] += 1
+            self._count(self._requests, request.customer)
 
     def record_grant(self, request: PlacementRequest) -> None:
         """Count a first attempt that got a slot."""
         if self.is_overloaded and not request.retry:
-            self._granted[request.customer] += 1
+            self._count(self._granted, request.customer)
 
     def record_refusal(self, request: PlacementRequest, now_ms: float) -> None:
         """Count a request that was refused as full."""
         if not self.is_overloaded:
             self._began_ms = now_ms
-            self._requests[request.customer] += 1
+            self._count(self._requests, request.customer)
             self._changes.append(OverloadChange(True))
         self._refused_ms = now_ms
-        self._refused[request.customer] += 1
+        self._count(self._refused, request.customer)
+
+    def _count(self, counts: _Counts, customer: CustomerId) -> None:
+        counts.add(customer)
+        if len(counts.by_customer) > MAX_CUSTOMERS:
+            self._drop_small_customers()
+
+    def _drop_small_customers(self) -> None:
+        all_counts = (self._requests, self._granted, self._refused)
+        customers = {key for counts in all_counts for key in counts.by_customer}
+        granted = self._granted.by_customer
+        kept = nlargest(MAX_CUSTOMERS // 2, customers, key=granted.__getitem__)
+        for counts in all_counts:
+            counts.keep(kept)
 
     def end_if_over(self, now_ms: float) -> None:
         """End the overload if no request was refused for `ENDS_AFTER_MS`."""
@@ -84,25 +122,26 @@
             OverloadChange(
                 False,
                 self._refused_ms - self._began_ms,
-                self._requests.total(),
-                self._granted.total(),
-                self._refused.total(),
+                self._requests.total,
+                self._granted.total,
+                self._refused.total,
                 tuple(
                     CustomerUse(
                         customer,
-                        self._requests[customer],
+                        self._requests.by_customer[customer],
                         granted,
-                        self._refused[customer],
+                        self._refused.by_customer[customer],
                     )
-                    for customer, granted in self._granted.most_common(
+                    for customer, granted in self._granted.by_customer.most_common(
                         CUSTOMERS_REPORTED
                     )
                 ),
             )
         )
         self._began_ms = math.nan
-        for counts in (self._requests, self._granted, self._refused):
-            counts.clear()
+        self._requests = _Counts()
+        self._granted = _Counts()
+        self._refused = _Counts()
 
     def changes(self) -> list[OverloadChange]:
         """Return the changes since the last call."""
--- a/src/crocusspindle/core/wait_queue.py
+++ b/src/crocusspindle/core/wait_queue.py
@@ -5,15 +5,21 @@
 one customer by the time up to which they can be on time.
 """
 
+import math
 from collections.abc import Iterator
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from itertools import count
+from typing import Final
 
 from crocusspindle.core.fair_queue import FairQueue
 from crocusspindle.core.placement_request import QueuedRequest
 from crocusspindle.core.priority_shares import PriorityShares
 from crocusspindle.ids import CustomerId
 
+_MAX_LEFT_BEHIND: Final = 256
+"""Requests that are no longer queued but still in the order by time, before they are
+dropped from it. Under overload, most requests are refused at once."""
+
 
 class WaitQueue:
     """Hold queued requests, and yield them in the order in which they get slots."""
@@ -37,6 +43,8 @@
         heappush(
             self._becomes_late, (entry.on_time_until_ms, next(self._numbers), entry)
         )
+        if len(self._becomes_late) > _MAX_LEFT_BEHIND + 2 * len(self._on_time):
+            self._drop_left_behind()
         fair = self._fair.setdefault(request.priority, FairQueue())
         fair.push(
             id(entry),
@@ -45,6 +53,12 @@
             entry.on_time_until_ms,
         )
 
+    def _drop_left_behind(self) -> None:
+        self._becomes_late = [
+            item for item in self._becomes_late if id(item[2]) in self._on_time
+        ]
+        heapify(self._becomes_late)
+
     def remove(self, entry: QueuedRequest) -> None:
         """Drop a request that is not served, whether or not it is queued."""
         self._late.pop(id(entry), None)
@@ -134,4 +148,4 @@
     gets no more than a small one, and its rate, by which small customers lose as large
     a part of their requests as the one that fills the service.
     """
-    return rate_per_s**0.5 if rate_per_s > 0 else 1.0
+    return rate_per_s**0.5 if 0.0 < rate_per_s < math.inf else 1.0
