Free a pipelined result that arrives as its caller leaves

Cause: if a pipelined request's task ended in the same turn of the event loop in which its handler was cancelled, the handler had already removed the task from the connection's list and never got its result. The bytes of that response stayed counted, so that a host with a memory bound would fill with bodies that do not exist.

Change: the handler frees the task's result when it is cancelled.

Measured: test_a_result_that_arrives_as_the_caller_leaves_is_released failed before the change and passes with it.

--- a/src/crocusspindle/gateway/caller_port.py
+++ b/src/crocusspindle/gateway/caller_port.py
@@ -16,7 +16,7 @@
 
 from crocusspindle.caller_connections import CallerConnection, create_request
 from crocusspindle.core.configuration import CallerLimits
-from crocusspindle.gateway.entry import Entry, ProcessedRequest
+from crocusspindle.gateway.entry import Entry, ProcessedRequest, release_result
 
 Limits = Callable[[], CallerLimits]
 
@@ -85,7 +85,7 @@
         self.record_header_received()
         for _, task in self._started_early.values():
             task.cancel()
-            task.add_done_callback(_release_result)
+            task.add_done_callback(release_result)
         self._started_early.clear()
         super().connection_lost(exc)
 
@@ -176,11 +176,6 @@
         return response
 
 
-def _release_result(task: asyncio.Task[ProcessedRequest]) -> None:
-    if not task.cancelled() and task.exception() is None:
-        task.result().release()
-
-
 def _is_plain_get(message: Any) -> bool:
     if not isinstance(message, RawRequestMessage) or message.method != "GET":
         return False
--- a/src/crocusspindle/gateway/entry.py
+++ b/src/crocusspindle/gateway/entry.py
@@ -149,7 +149,13 @@
         started: asyncio.Task[ProcessedRequest] | None = None,
     ) -> web.StreamResponse:
         """Respond to one request, which may have been started early."""
-        processed = await (self._process(request) if started is None else started)
+        try:
+            processed = await (self._process(request) if started is None else started)
+        except asyncio.CancelledError:
+            if started is not None:
+                # Its result may have arrived in the same turn of the event loop.
+                started.add_done_callback(release_result)
+            raise
         self.running += 1
         try:
             response = await self._respond(request, processed)
@@ -334,6 +340,12 @@
         )
 
 
+def release_result(task: asyncio.Task[ProcessedRequest]) -> None:
+    """Free the result of a request that was started early for a caller that left."""
+    if not task.cancelled() and task.exception() is None:
+        task.result().release()
+
+
 def _refusal_of_leaving_node(context: RequestContext | None) -> Refusal:
     # An attempt may have begun between the decision to refuse and its effect.
     may_have_run = context is not None and not context.certainly_not_run
--- a/tests/gateway/test_entry.py
+++ b/tests/gateway/test_entry.py
@@ -1,6 +1,7 @@
 """Tests of requests that wait while their node stops."""
 
 import asyncio
+from contextlib import suppress
 from types import SimpleNamespace
 
 import pytest
@@ -106,3 +107,21 @@
     async with asyncio.timeout(1):
         processed = await task
     assert processed.refusal is not None and processed.refusal.status != NOT_RUN
+
+
+async def test_a_result_that_arrives_as_the_caller_leaves_is_released(entry):
+    """Guards against held memory that is never released: a host would fill with it."""
+    released = []
+
+    async def process():
+        await asyncio.sleep(0.01)
+        return SimpleNamespace(release=lambda: released.append(True))
+
+    started = asyncio.create_task(process())
+    handling = asyncio.create_task(entry.handle(None, started))
+    # Before the handler waits, so that it is cancelled before it has the result.
+    started.add_done_callback(lambda _: handling.cancel())
+    with suppress(asyncio.CancelledError):
+        await handling
+    await asyncio.sleep(0)
+    assert handling.cancelled() and released == [True]
--- a/tests/gateway/test_held_memory.py
+++ b/tests/gateway/test_held_memory.py
@@ -8,8 +8,7 @@
 
 from crocusspindle.clock import now_ms
 from crocusspindle.core.memory_bound import LARGE_BODY_BYTES, HeldKind, MemoryBound
-from crocusspindle.gateway.caller_port import _release_result
-from crocusspindle.gateway.entry import ProcessedRequest
+from crocusspindle.gateway.entry import ProcessedRequest, release_result
 from crocusspindle.gateway.held_memory import HeldBytes, HeldMemory
 from crocusspindle.gateway.responses import HeldResponse, send_target_response
 from crocusspindle.gateway.target_client import OutgoingRequest, TargetClient
@@ -143,7 +142,7 @@
 
     task = asyncio.create_task(process())
     await task
-    task.add_done_callback(_release_result)
+    task.add_done_callback(release_result)
     await asyncio.sleep(0)
     assert memory.bound.held_bytes == 0
 
