Free the bytes of a dropped response that waits for its turn

Cause: a response that is dropped at the memory bound was no longer counted, but its parts were freed only when its target or its caller went on. A pipelined response that waited behind others kept up to 1 MB each, eight on a connection, that nothing counted.

Change: dropping a response frees its parts at once. Reading goes on as before, so that the drop does not look like a failure of the target.

Measured: test_a_response_dropped_while_it_waits_frees_its_memory failed before the change and passes with it.

--- a/src/crocusspindle/gateway/response_body.py
+++ b/src/crocusspindle/gateway/response_body.py
@@ -43,6 +43,8 @@
         self._arrived = asyncio.Event()
         self._failure: Exception | None = None
         self._reading: asyncio.Task[None] | None = None
+        # Reading goes on: closed here, the target would seem to have failed.
+        held.on_drop = self._parts.clear
 
     @property
     def size(self) -> int:
@@ -153,6 +155,7 @@
         if not self.is_complete:
             self._response.close()
         self._parts.clear()
+        self.held.on_drop = None
         self.held.release()
 
 
--- a/tests/gateway/test_held_memory.py
+++ b/tests/gateway/test_held_memory.py
@@ -168,3 +168,16 @@
     waiting = HeldBytes(memory, None, HeldKind.REQUEST, "r2")
     waiting.resize(LARGE_BODY_BYTES + 1)
     assert not await memory.may_read_body(waiting, now_ms() + 50.0)
+
+
+async def test_a_response_dropped_while_it_waits_frees_its_memory(memory, target):
+    """Guards against dropped bodies that stay in memory but are not counted.
+
+    A pipelined response waits for those ahead of it.
+    """
+    result = await ask(memory, target)
+    filling = HeldBytes(memory, None, HeldKind.REQUEST, "r2")
+    filling.resize(10 * MB)
+    assert result.target_response.content.held.is_dropped
+    assert result.target_response.body == b""
+    filling.release()
