Send appended message fields only to peers that understand them

Between real processes of both versions, a loaded host's pings, requests for tokens with a priority and placement requests with a customer got no response from the previous version, and a reader's states and a keeper's tokens none from the new one to a previous one. Leaving out fields at their defaults helps an idle host without customers only.

Ruled out: sending both forms of each request (twice the datagrams), and a field that names the version (the previous version would drop it, too).

Change: a high bit in the numbers of requests shows that their sender ignores unknown fields, and a frame type of its own that a responder does. Only such peers get appended fields. The first request to each peer goes without them, and again after one that got no response.

Measured: the new tests of test_exchange.py, six cases, failed before the change.

--- a/src/crocusspindle/gateway/exchange.py
+++ b/src/crocusspindle/gateway/exchange.py
@@ -21,8 +21,18 @@
 RESPONSE: Final = 1
 BUSY: Final = 2
 NOTIFICATION: Final = 3
+CURRENT_RESPONSE: Final = 4
+"""A response with a `CURRENT_NUMBERS` number. It may have appended fields."""
+
 BUSY_NAME: Final = "Busy"
 
+CURRENT_NUMBERS: Final = 1 << 48
+"""Set in the numbers of requests from versions that ignore unknown trailing fields.
+Earlier versions count from 40 random bits, and drop messages with such fields."""
+
+CURRENT_PEERS_KEPT: Final = 8_192
+"""Peers known to be of such a version: all nodes of the largest fleet."""
+
 RESEND_S: Final = 0.04
 """Ten times the longest latency between failure domains: a lost datagram is sent again
 before a caller notices."""
@@ -49,6 +59,9 @@
     A request is sent again until its response arrives, and is handled once: the
     response is kept for later copies. While the handler runs, a copy gets a busy
     signal, which shows the sender that the peer is up.
+
+    Fields that were appended to messages are sent only to peers that have shown by a
+    request or a response that they understand them.
     """
 
     name: ClassVar[str] = "exchange"
@@ -59,7 +72,8 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._handlers: dict[type[Any], Handler] = {}
         self._late_handlers: dict[type[Any], LateHandler] = {}
-        self._last_request = rng.getrandbits(40)
+        self._last_request = rng.getrandbits(40) | CURRENT_NUMBERS
+        self._current_peers: dict[Address, None] = {}
         self._pending: dict[int, _PendingRequest] = {}
         self._responses: dict[tuple[Address, int], _SentResponse | None] = {}
 
@@ -113,7 +127,8 @@
             return await self._request_self(content, limit_s)
         self._last_request += 1
         number = self._last_request
-        data = encode_datagram([REQUEST, number, *pack(content)])
+        parts = pack(content, with_appended=to in self._current_peers)
+        data = encode_datagram([REQUEST, number, *parts])
         loop = asyncio.get_running_loop()
         pending = _PendingRequest(loop.create_future(), loop.time())
         self._pending[number] = pending
@@ -123,6 +138,8 @@
                 self._send(to, data, type(content))
                 if await _wait_until_done(pending.response, RESEND_S):
                     return pending.response.result()
+            # A process of an earlier version may have taken its place.
+            self._current_peers.pop(to, None)
             return None
         finally:
             del self._pending[number]
@@ -151,13 +168,24 @@
             content = unpack(parts[2:])
         except (PeerError, TypeError, IndexError, KeyError):
             return
-        if frame_type == RESPONSE:
+        self._record_version(frame_type, number, sender)
+        if frame_type in (RESPONSE, CURRENT_RESPONSE):
             self._receive_response(number, content, sender)
         elif frame_type == NOTIFICATION:
             self.spawn(self._call(content, sender))
         elif frame_type == REQUEST:
             self._receive_request(number, content, sender)
 
+    def _record_version(self, frame_type: Any, number: Any, sender: Address) -> None:
+        if frame_type == REQUEST and not _is_current(number):
+            self._current_peers.pop(sender, None)
+            return
+        if frame_type not in (REQUEST, CURRENT_RESPONSE):
+            return
+        self._current_peers[sender] = None
+        if len(self._current_peers) > CURRENT_PEERS_KEPT:
+            del self._current_peers[next(iter(self._current_peers))]
+
     def _receive_busy(self, number: int) -> None:
         pending = self._pending.get(number)
         if pending is not None:
@@ -199,7 +227,10 @@
         if response is None:
             self._responses.pop(key, None)
             return
-        data = encode_datagram([RESPONSE, number, *pack(response)])
+        is_current = _is_current(number)
+        frame_type = CURRENT_RESPONSE if is_current else RESPONSE
+        parts = pack(response, with_appended=is_current)
+        data = encode_datagram([frame_type, number, *parts])
         now_s = asyncio.get_running_loop().time()
         self._responses[key] = _SentResponse(data, type(response), now_s)
         self._send(sender, data, type(response))
@@ -229,6 +260,10 @@
         self.last_received_s = last_received_s
 
 
+def _is_current(number: Any) -> bool:
+    return isinstance(number, int) and number & CURRENT_NUMBERS != 0
+
+
 async def _wait_until_done(future: asyncio.Future[Any], wait_s: float) -> bool:
     await asyncio.wait((future,), timeout=wait_s)
     return future.done()
--- a/src/crocusspindle/gateway/messages.py
+++ b/src/crocusspindle/gateway/messages.py
@@ -23,11 +23,16 @@
 _CODES: Final[dict[type[Any], int]] = {}
 _FIELDS: Final[dict[type[Any], tuple[str, ...]]] = {}
 _DEFAULTS: Final[dict[type[Any], tuple[Any, ...]]] = {}
+_APPENDED: Final[dict[type[Any], int]] = {}
 Kind = TypeVar("Kind", bound=type[Any])
 
 
-def message(code: int) -> Callable[[Kind], Kind]:
-    """Register a message type under its number on the wire."""
+def message(code: int, appended: int = 0) -> Callable[[Kind], Kind]:
+    """Register a message type under its number on the wire.
+
+    ``appended`` counts its last fields that versions up to 1f26318 don't know. These
+    versions drop messages with more fields than they know.
+    """
 
     def add(message_type: Kind) -> Kind:
         if code in _BY_CODE:
@@ -35,6 +40,7 @@
         _BY_CODE[code] = message_type
         _CODES[message_type] = code
         _FIELDS[message_type] = tuple(entry.name for entry in fields(message_type))
+        _APPENDED[message_type] = appended
         _DEFAULTS[message_type] = tuple(
             entry.default
             for entry in reversed(fields(message_type))
@@ -45,17 +51,20 @@
     return add
 
 
-def pack(content: Any) -> list[Any]:
+def pack(content: Any, with_appended: bool = True) -> list[Any]:
     """Convert a message to a list that msgpack can encode.
 
     Trailing fields at their defaults are left out: versions without these fields may
-    refuse longer messages, and `unpack` restores the defaults.
+    refuse longer messages, and `unpack` restores the defaults. The ``appended`` fields
+    are left out for a receiver that may be of such a version.
     """
     message_type = type(content)
     parts = [
         _CODES[message_type],
         *(getattr(content, name) for name in _FIELDS[message_type]),
     ]
+    if not with_appended:
+        return parts[: len(parts) - _APPENDED[message_type]]
     for default in _DEFAULTS[message_type]:
         if parts[-1] != default:
             break
@@ -99,7 +108,7 @@
     node: tuple[Any, ...]
 
 
-@message(2)
+@message(2, appended=2)
 @dataclass(frozen=True, slots=True)
 class Ping:
     """Request a reader's state; serves as the node's heartbeat.
@@ -117,7 +126,7 @@
     capacity_digest: int = 0
 
 
-@message(23)
+@message(23, appended=2)
 @dataclass(frozen=True, slots=True)
 class State:
     """Report the newest state, with documents only where the receiver's differ.
@@ -192,7 +201,7 @@
         )
 
 
-@message(4)
+@message(4, appended=1)
 @dataclass(frozen=True, slots=True)
 class PlaceAsk:
     """Request a target from a service's placer.
@@ -326,7 +335,7 @@
     records: Sequence[Sequence[Any]]
 
 
-@message(9)
+@message(9, appended=1)
 @dataclass(frozen=True, slots=True)
 class SpendAsk:
     """Request a token from a customer's quota keeper."""
@@ -336,7 +345,7 @@
     priority: int = LOWEST_PRIORITY
 
 
-@message(10)
+@message(10, appended=1)
 @dataclass(frozen=True, slots=True)
 class SpendAnswer:
     """Grant a token that is valid after a wait.
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import random
+from dataclasses import fields
 
 import pytest
 
-from crocusspindle.gateway.exchange import Exchange
+from crocusspindle.core.configuration import LOWEST_PRIORITY
+from crocusspindle.gateway.exchange import REQUEST, RESPONSE, Exchange
 from crocusspindle.gateway.messages import (
     Done,
     Hello,
     NotMineAnswer,
+    Ping,
+    PlaceAsk,
     SpendAnswer,
     SpendAsk,
     decode_datagram,
@@ -161,3 +165,111 @@
     lengths = server.lengths
     assert len(lengths) > 1
     assert sum(length > 5_000 for length in lengths) == 1
+
+
+PREVIOUS_FIELDS = {Ping: 4, SpendAsk: 2, SpendAnswer: 1, PlaceAsk: 13}
+"""Number of fields in version 1f26318, which drops messages with more."""
+
+
+class PreviousVersion(asyncio.DatagramProtocol):
+    """Exchange messages as version 1f26318 does."""
+
+    def __init__(self, response=None):
+        self.response = response
+        self.received = asyncio.Queue()
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def datagram_received(self, data, addr):
+        frame_type, number, *parts = decode_datagram(data)
+        if frame_type not in (REQUEST, RESPONSE):
+            return
+        content = unpack(parts)
+        if len(parts) - 1 > PREVIOUS_FIELDS[type(content)]:
+            return
+        self.received.put_nowait(content)
+        if frame_type == REQUEST:
+            self.send(addr, RESPONSE, number, self.response)
+
+    def send(self, to, frame_type, number, content):
+        """Send a message with all fields that the version knows."""
+        names = [f.name for f in fields(content)][: PREVIOUS_FIELDS[type(content)]]
+        parts = [pack(content)[0], *(getattr(content, name) for name in names)]
+        self.transport.sendto(encode_datagram([frame_type, number, *parts]), to)
+
+
+@pytest.fixture
+async def previous():
+    loop, (port,) = asyncio.get_running_loop(), free_ports(1)
+    transport, protocol = await loop.create_datagram_endpoint(
+        PreviousVersion, ("127.0.0.1", port)
+    )
+    protocol.address = ("127.0.0.1", port)
+    yield protocol
+    transport.close()
+
+
+PLACE_FIELDS = ("s", "r", True, 1, 800, 900, 0, False, False, False, "c", [], [])
+
+
+@pytest.mark.parametrize(
+    "asked",
+    [
+        Ping("0000", (1, 2, 3, 4, 5), True, False, 3, 9),
+        SpendAsk("club", 10.0, 2),
+        PlaceAsk(*PLACE_FIELDS, "club"),
+    ],
+)
+async def test_previous_version_understands_requests(pair, previous, asked):
+    """Guards against a rolling upgrade in which nodes that remain seem silent.
+
+    No host would get the fleet's state from them, or a token or target.
+    """
+    previous.response = SpendAnswer(0.0)
+    for _ in range(2):
+        response = await pair[0].request(previous.address, asked, 0.1, 0.1)
+        assert response == SpendAnswer(0.0)
+        assert type(previous.received.get_nowait()) is type(asked)
+
+
+async def test_previous_version_understands_responses(pair, previous):
+    """Guards against tokens that are spent for a node that can't read the answer."""
+
+    async def spend(message, sender):
+        return SpendAnswer(0.0, 77)
+
+    pair[0].handle(SpendAsk, spend)
+    previous.send(address(pair[0]), REQUEST, 5, SpendAsk("club", 10.0))
+    async with asyncio.timeout(1):
+        assert await previous.received.get() == SpendAnswer(0.0)
+
+
+async def test_appended_fields_reach_a_peer_that_has_shown_its_version(pair):
+    """Guards against fields that are left out although both nodes know them."""
+    client, server = pair
+    seen = []
+
+    async def spend(message, sender):
+        seen.append(message.priority)
+        return SpendAnswer(0.0, 77)
+
+    server.handle(SpendAsk, spend)
+    for _ in range(2):
+        response = await client.request(
+            address(server), SpendAsk("club", 10.0, 2), 0.5, 0.5
+        )
+        assert response == SpendAnswer(0.0, 77)
+    assert seen == [LOWEST_PRIORITY, 2]
+
+
+async def test_peer_that_goes_back_to_the_previous_version_is_understood(
+    pair, previous
+):
+    """Guards against a peer that stays silent after its version was taken back."""
+    previous.response = SpendAnswer(0.0)
+    pair[0]._current_peers[previous.address] = None
+    asked = SpendAsk("club", 10.0, 2)
+    assert await pair[0].request(previous.address, asked, 0.1, 0.1) is None
+    response = await pair[0].request(previous.address, asked, 0.1, 0.1)
+    assert response == SpendAnswer(0.0)
