Let callers of a starting fleet wait for keepers while a late response helps

Callers with deadlines near their objective wait as before.

A host samples its load every 250 instead of 100 ms, and an answer of the discovery is kept until the list or the loads change instead of hashing each host for each answer.

What it changes on the deployment is not measured yet.

--- a/src/crocusspindle/core/host_choice.py
+++ b/src/crocusspindle/core/host_choice.py
@@ -18,6 +18,9 @@
 """With fewer hosts than this in the caller's domain, those of all domains are listed;
 a caller with one address has none when that host ends."""
 
+MAX_ANSWERS: Final = 1_024
+"""Callers whose answers are kept, up to 600 bytes each."""
+
 MAX_OVER_MEAN: Final = 2.0
 """A host counts with at most this multiple of the mean fraction of capacity left. In a
 loaded fleet, the one host that is idle would otherwise get many times its share."""
@@ -61,6 +64,8 @@
         for host in hosts:
             self._by_domain.setdefault(host.domain, []).append(host)
         self._shares: dict[str, dict[str, float]] = {}
+        # Callers ask again every few seconds, and each answer takes a hash a host.
+        self._answers: dict[tuple[str, str], list[str]] = {}
 
     def addresses(self, domain: str, caller: str) -> list[str]:
         """Return the addresses for a caller in a domain, in text order.
@@ -69,6 +74,14 @@
         capacity left changes, and of two hosts in its domain the one with twice the
         capacity left is listed for twice as many callers.
         """
+        answer = self._answers.get((domain, caller))
+        if answer is None:
+            if len(self._answers) >= MAX_ANSWERS:
+                self._answers.clear()
+            answer = self._answers[domain, caller] = self._choose(domain, caller)
+        return answer
+
+    def _choose(self, domain: str, caller: str) -> list[str]:
         if domain not in self._by_domain:
             domain = ""
         shares = self._shares.get(domain)
--- a/src/crocusspindle/gateway/entry.py
+++ b/src/crocusspindle/gateway/entry.py
@@ -42,7 +42,9 @@
 
 KEEPER_WAIT_FRACTION: Final = 0.5
 """Fraction of the latency objective that a request may wait for a quota keeper that is
-about to start. Typical requests still complete within the other half."""
+about to start. Typical requests still complete within the other half. One whose
+deadline is later may wait until a latency objective before it: its caller gets a late
+response instead of none."""
 
 LEAVING_RETRY_MS: Final = 100.0
 """Callers may retry soon: another node accepts the request."""
@@ -258,7 +260,10 @@
 
     async def _spend(self, context: RequestContext, customer: CustomerRule) -> Admitted:
         wait_limit_ms = context.route.aim_ms * MAX_TOKEN_WAIT_FRACTION
-        wait_until_ms = context.began_ms + context.route.aim_ms * KEEPER_WAIT_FRACTION
+        wait_until_ms = max(
+            context.began_ms + context.route.aim_ms * KEEPER_WAIT_FRACTION,
+            context.deadline_ms - context.route.aim_ms,
+        )
         priority = min(context.priority, LOWEST_PRIORITY)
         asked_ms = now_ms()
         try:
--- a/src/crocusspindle/gateway/host_load.py
+++ b/src/crocusspindle/gateway/host_load.py
@@ -17,7 +17,9 @@
 from crocusspindle.log_lines import Logger, log_state_change
 from crocusspindle.metrics import Metrics
 
-SAMPLE_INTERVAL_MS: Final = 100.0
+SAMPLE_INTERVAL_MS: Final = 250.0
+"""Each sample wakes an idle process."""
+
 PERIOD_MS: Final = 1_000.0
 """The load is measured over this. Collections of garbage and single large requests are
 shorter, waves of load longer."""
--- a/tests/gateway/test_entry.py
+++ b/tests/gateway/test_entry.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from crocusspindle.core.spend_result import Admitted
 from crocusspindle.gateway.entry import Entry, ProcessedRequest
 from crocusspindle.gateway.request_context import RequestContext
 from crocusspindle.platform.dialect import dialect
@@ -125,3 +126,23 @@
         await handling
     await asyncio.sleep(0)
     assert handling.cancelled() and released == [True]
+
+
+@pytest.mark.parametrize(("deadline_ms", "longest_ms"), [(900.0, 400.0), (4e3, 3.2e3)])
+async def test_callers_of_a_starting_fleet_wait_while_a_late_response_helps(
+    entry, deadline_ms, longest_ms
+):
+    """Guards against refusals of all callers until the first keepers have started."""
+    waited = []
+
+    async def spend(customer, wait_limit_ms, wait_until_ms, priority):
+        waited.append(wait_until_ms)
+        return Admitted()
+
+    entry._quota = SimpleNamespace(spend=spend)
+    route = SimpleNamespace(aim_ms=800.0)
+    context = SimpleNamespace(
+        route=route, began_ms=0.0, deadline_ms=deadline_ms, priority=1
+    )
+    await entry._spend(context, None)
+    assert waited == [longest_ms]
