--- a/tests/core/test_concurrency_limit.py
+++ b/tests/core/test_concurrency_limit.py
@@ -98,7 +98,7 @@
     scenario = loaded(0.85, 3, slowdown=slowdown, length_ms=120_000.0)
     on_time, _, _ = run(scenario, seed)
     without, _, _ = run(scenario, seed, WITHOUT_LIMITS)
-    assert on_time >= 0.95
+    assert on_time >= 0.97
     assert on_time >= without + 0.3
 
 
@@ -143,7 +143,7 @@
         at_ms for at_ms, change in changes if change.limit == 4 and at_ms >= 40_000.0
     ]
     assert len(limited) == 6
-    assert sorted(raised_ms)[2] <= 70_000.0
+    assert sorted(raised_ms)[2] <= 60_000.0
     assert len(simulation.placer.lowered_limits()) <= 1
 
 
@@ -161,7 +161,7 @@
     tallies = successor.run().values()
     on_time = sum(tally.on_time for tally in tallies)
     count = sum(tally.request_count for tally in tallies)
-    assert on_time >= 0.96 * count
+    assert on_time >= 0.97 * count
 
 
 def test_a_received_limit_expires_unless_answers_confirm_it():
