Give the context of a test of returned tokens its deadline

The entry reads the deadline of a request for how long it may wait for a keeper. Run: the file's tests pass.

--- a/tests/gateway/test_quota_return.py
+++ b/tests/gateway/test_quota_return.py
@@ -136,6 +136,7 @@
         priority=12,
         began_ms=now_ms(),
         route=SimpleNamespace(aim_ms=800.0),
+        deadline_ms=now_ms() + 2_000.0,
         certainly_not_arrived=not arrived,
         token_returned=False,
     )
