Log and count why each attempt is made

An entry's line did not say whether an attempt was the request's first, one after an attempt that reached no target, or a retry, and no metric counted retries by service. The hypotheses on retries beyond the budget could not be told apart by logs. `kind` in `sends` and the metric `gateway_placed` say it; their sums over all hosts are what the targets get, whatever a placer has counted. The client for targets is now passed to the attempt runner. No decision changes.

--- a/src/crocusspindle/core/placement_request.py
+++ b/src/crocusspindle/core/placement_request.py
@@ -1,6 +1,7 @@
 """Define placement requests and the decisions of a service's placer on them."""
 
 from dataclasses import dataclass
+from enum import Enum
 
 from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.listed_target import ListedTarget, TargetIdentity
@@ -16,6 +17,26 @@
 )
 
 
+class AttemptKind(Enum):
+    """State why an attempt is made; the values are the names used in logs.
+
+    - ``FIRST``: the first attempt of a request.
+    - ``AGAIN``: the next one after attempts none of which reached a target.
+    - ``RETRY``: the next one after an attempt that may have reached a target.
+    - ``HEDGE``: a retry whose previous attempt still runs.
+    """
+
+    FIRST = "first"
+    AGAIN = "again"
+    RETRY = "retry"
+    HEDGE = "hedge"
+
+    @property
+    def is_retry(self) -> bool:
+        """Return True if an attempt counts against the retry budget."""
+        return self in (AttemptKind.RETRY, AttemptKind.HEDGE)
+
+
 @dataclass(frozen=True, slots=True)
 class PlacementRequest:
     """Request a target for one attempt.
--- a/src/crocusspindle/gateway/assembly.py
+++ b/src/crocusspindle/gateway/assembly.py
@@ -33,6 +33,7 @@
 from crocusspindle.gateway.quota import Quota
 from crocusspindle.gateway.reload import LiveBounds, Reload
 from crocusspindle.gateway.settings import GatewaySettings
+from crocusspindle.gateway.target_client import TargetClient
 from crocusspindle.ids import Incarnation
 from crocusspindle.kernel import Kernel
 from crocusspindle.metrics import Metrics
@@ -111,8 +112,9 @@
         metrics,
         rng,
     )
+    client = TargetClient(dialect, placing.record_signals, placing.may_send)
     attempt_runner = AttemptRunner(
-        node, dialect, placing, paths, hand_over, policies, metrics, rng
+        node, client, placing, paths, hand_over, policies, metrics, rng
     )
     entry = Entry(
         admission,
--- a/src/crocusspindle/gateway/attempt_runner.py
+++ b/src/crocusspindle/gateway/attempt_runner.py
@@ -7,12 +7,11 @@
 from crocusspindle.clock import now_ms
 from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.configuration import LOWEST_PRIORITY, choose_service
-from crocusspindle.core.placement_request import PlacementRequest
+from crocusspindle.core.placement_request import AttemptKind, PlacementRequest
 from crocusspindle.core.policies import Policies, Policy
 from crocusspindle.core.target_signals import NO_SIGNALS
 from crocusspindle.core.view import NodeAddress
 from crocusspindle.gateway import instruments
-from crocusspindle.gateway.dialect import Dialect
 from crocusspindle.gateway.hand_over import NO_PATH_RETRY_MS, HandOver
 from crocusspindle.gateway.paths import Paths
 from crocusspindle.gateway.placing import Placement, Placing
@@ -37,7 +36,7 @@
     def __init__(
         self,
         node: NodeAddress,
-        dialect: Dialect,
+        client: TargetClient,
         placing: Placing,
         paths: Paths,
         hand_over: HandOver,
@@ -52,7 +51,7 @@
         self._hands_over = policies.has(Policy.HAND_OVER)
         self._metrics = metrics
         self._rng = rng
-        self._client = TargetClient(dialect, placing.record_signals, placing.may_send)
+        self._client = client
 
     async def start(self) -> None:
         """Open the client for targets."""
@@ -69,23 +68,23 @@
         one, did not run the request.
         """
         service = choose_service(context.route.weighted_services, self._rng.random())
-        handed_over = context.handed_over
-        retry = handed_over is not None and handed_over.has_arrived
         last_result: AttemptResult | None = None
         while True:
             if self._hands_over and self._paths.is_lost(service):
                 return await self._send_elsewhere(context, service, last_result)
+            kind = _next_kind(context)
             placement = await self._request_placement(
-                context, service, retry, last_result
+                context, service, kind, last_result
             )
             if isinstance(placement, AttemptResult):
                 return placement
             if last_result is not None:
                 last_result.discard()
-            last_result = await self._attempt_with_hedge(context, placement, service)
+            last_result = await self._attempt_with_hedge(
+                context, placement, service, kind
+            )
             if not self._should_retry(context, last_result):
                 return last_result
-            retry = context.arrived_attempts > 0
 
     async def _send_elsewhere(
         self,
@@ -105,9 +104,8 @@
         self,
         context: RequestContext,
         service: ServiceId,
-        retry: bool,
+        kind: AttemptKind,
         last_result: AttemptResult | None,
-        hedge: bool = False,
     ) -> Placement | AttemptResult:
         placement_request = PlacementRequest(
             sender=self._node.host,
@@ -117,8 +115,8 @@
             priority=min(context.priority, LOWEST_PRIORITY),
             aim_ms=max(0.0, context.route.aim_ms - (now_ms() - context.began_ms)),
             deadline_ms=context.deadline_ms,
-            retry=retry,
-            hedge=hedge,
+            retry=kind.is_retry,
+            hedge=kind is AttemptKind.HEDGE,
             counted=context.handed_over is not None and context.handed_over.was_placed,
             body_bytes=context.body_bytes,
             content=context.content,
@@ -127,6 +125,7 @@
         )
         placement = await self._placing.place(service, placement_request)
         if isinstance(placement, Placement):
+            self._metrics.add(instruments.PLACED, service=service, kind=kind.value)
             return placement
         if last_result is not None and last_result.outcome.may_have_run:
             return last_result
@@ -149,10 +148,14 @@
         )
 
     async def _attempt_with_hedge(
-        self, context: RequestContext, placement: Placement, service: ServiceId
+        self,
+        context: RequestContext,
+        placement: Placement,
+        service: ServiceId,
+        kind: AttemptKind,
     ) -> AttemptResult:
         """Send; hedge to a second target if an idempotent request gets no response."""
-        first = asyncio.create_task(self._attempt(context, placement))
+        first = asyncio.create_task(self._attempt(context, placement, kind))
         second: asyncio.Task[AttemptResult] | None = None
         chosen: AttemptResult | None = None
         try:
@@ -195,13 +198,13 @@
             return asyncio.create_task(self._hedge_elsewhere(context, service))
         try:
             placement = await self._request_placement(
-                context, service, True, None, hedge=True
+                context, service, AttemptKind.HEDGE, None
             )
         except Refusal:
             return None
         if isinstance(placement, AttemptResult):
             return None
-        return asyncio.create_task(self._attempt(context, placement))
+        return asyncio.create_task(self._attempt(context, placement, AttemptKind.HEDGE))
 
     async def _hedge_elsewhere(
         self, context: RequestContext, service: ServiceId
@@ -213,7 +216,7 @@
             return AttemptResult(AttemptOutcome.SHED, 0.0, detail=refusal.reason)
 
     async def _attempt(
-        self, context: RequestContext, placement: Placement
+        self, context: RequestContext, placement: Placement, kind: AttemptKind
     ) -> AttemptResult:
         began_ms = now_ms()
         context.tried_targets.add(placement.target.identity)
@@ -249,6 +252,7 @@
                     "target": placement.target.identity,
                     "domain": placement.target.domain,
                     "placer": placement.placer,
+                    "kind": kind.value,
                     "ending": outcome.value,
                     "after_ms": round(began_ms - context.began_ms),
                     "latency_ms": round(latency_ms),
@@ -262,6 +266,15 @@
             self._metrics.add(instruments.ATTEMPTS, ending=outcome.value)
 
 
+def _next_kind(context: RequestContext) -> AttemptKind:
+    if context.arrived_attempts > 0:
+        return AttemptKind.RETRY
+    was_placed = context.handed_over is not None and context.handed_over.was_placed
+    if context.attempt_records or was_placed:
+        return AttemptKind.AGAIN
+    return AttemptKind.FIRST
+
+
 async def _first_answered(
     first: asyncio.Task[AttemptResult], second: asyncio.Task[AttemptResult]
 ) -> AttemptResult:
--- a/src/crocusspindle/gateway/instruments.py
+++ b/src/crocusspindle/gateway/instruments.py
@@ -51,6 +51,17 @@
     when_rising="`broken` and `error`: gray targets; `unreached` and `silent`: network "
     "paths or hung targets; `shed`: targets at capacity.",
 )
+PLACED: Final = declare(
+    "gateway_placed",
+    InstrumentKind.COUNTER,
+    unit="sendings",
+    labels=("service", "kind"),
+    meaning="Attempts that got a target, by kind: `first` of a request, `again` after "
+    "attempts that reached no target, `retry` or `hedge` after one that may have. The "
+    "sum over all hosts is what the service's targets get.",
+    when_rising="`retry` and `hedge` count against the service's retry budget: see "
+    "`gateway_sendings` for the outcomes before. `again`: connections fail.",
+)
 CRASHES: Final = declare(
     "gateway_target_crashes",
     InstrumentKind.COUNTER,
