--- a/src/crocusspindle_standins/virtual/network.py
+++ b/src/crocusspindle_standins/virtual/network.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Final
 
@@ -42,6 +43,8 @@
         self._loop = loop
         self.links: dict[str, Link] = {}
         self.cut_off: set[str] = set()
+        self.is_cut: Callable[[str, str], bool] = lambda sender, receiver: False
+        self.delays_s: Callable[[str], float] = lambda receiver: 0.0
         self._protocols: dict[Address, asyncio.DatagramProtocol] = {}
 
     def open(
@@ -58,11 +61,14 @@
     def send(self, sender: Address, receiver: Address, data: bytes) -> None:
         """Send a datagram over both hosts' links.
 
-        It is dropped if it is too long, if a host is cut off, or if a link's backlog is
-        too long.
+        It is dropped if it is too long, if a host is cut off, if ``is_cut`` says so for
+        both hosts, or if a link's backlog is too long. The receiver handles it
+        ``delays_s`` late.
         """
         if len(data) > DATAGRAM_MAX_BYTES or {sender[0], receiver[0]} & self.cut_off:
             return
+        if self.is_cut(sender[0], receiver[0]):
+            return
         now_s = self._loop.time()
         uplink, downlink = self.links[sender[0]], self.links[receiver[0]]
         if uplink.uplink_free_s > now_s + MAX_BACKLOG_S:
@@ -80,9 +86,8 @@
         downlink.downlink_free_s = max(
             arrival_s, downlink.downlink_free_s
         ) + downlink.transmission_s(len(data))
-        self._loop.call_at(
-            downlink.downlink_free_s, self._deliver, sender, receiver, data
-        )
+        handled_s = downlink.downlink_free_s + self.delays_s(receiver[0])
+        self._loop.call_at(handled_s, self._deliver, sender, receiver, data)
 
     def _deliver(self, sender: Address, receiver: Address, data: bytes) -> None:
         protocol = self._protocols.get(receiver)
