Count a request once, wherever it is placed next

After an attempt that reached no target the next placement said neither that it was a retry nor that the request had been counted: its placer counted one more request, and allowed more retries for it. On code before this, the three cases of the new test fail ([False, False, False] in place of [False, True, True]).

--- a/src/crocusspindle/gateway/attempt_runner.py
+++ b/src/crocusspindle/gateway/attempt_runner.py
@@ -117,7 +117,7 @@
             deadline_ms=context.deadline_ms,
             retry=kind.is_retry,
             hedge=kind is AttemptKind.HEDGE,
-            counted=context.handed_over is not None and context.handed_over.was_placed,
+            counted=kind is not AttemptKind.FIRST,
             body_bytes=context.body_bytes,
             content=context.content,
             excluded=frozenset(context.tried_targets),
--- /dev/null
+++ b/tests/gateway/test_attempt_runner.py
@@ -0,0 +1,121 @@
+"""Tests of how the attempts of one request are counted."""
+
+import random
+from types import SimpleNamespace
+
+import pytest
+from multidict import CIMultiDict
+
+from crocusspindle.clock import now_ms
+from crocusspindle.core.attempt_outcome import AttemptOutcome
+from crocusspindle.core.configuration import RequestKind, RouteRule, WeightedService
+from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
+from crocusspindle.core.policies import Policies
+from crocusspindle.gateway.attempt_runner import AttemptRunner
+from crocusspindle.gateway.hand_over_headers import HandedOver
+from crocusspindle.gateway.placing import Placement
+from crocusspindle.gateway.request_context import RequestContext
+from crocusspindle.gateway.target_client import AttemptResult, OutgoingRequest
+from crocusspindle.ids import NO_CONTENT, DomainId, HostId, ServiceId
+
+SERVICE = ServiceId("books")
+ROUTE = RouteRule(
+    "orders",
+    "host.example",
+    "/",
+    RequestKind.UNSAFE,
+    (WeightedService(SERVICE, 1.0),),
+    4_000.0,
+    1_000.0,
+    2,
+)
+
+
+class Placing:
+    """Grant a target to each placement request, and record the requests."""
+
+    def __init__(self):
+        self.asked = []
+
+    async def place(self, service, request):
+        self.asked.append(request)
+        target = ListedTarget(
+            TargetIdentity(f"t{len(self.asked)}"),
+            service,
+            "10.9.0.1:80",
+            DomainId("a"),
+            2,
+            Readiness.READY,
+        )
+        return Placement(service, target, 1_000.0)
+
+    def list_fields(self):
+        return {}
+
+    def report_outcome(self, *outcome):
+        pass
+
+    def return_unsent(self, placement):
+        pass
+
+
+class Client:
+    """End attempts as told."""
+
+    def __init__(self, outcomes):
+        self.outcomes = list(outcomes)
+
+    async def send(self, target, outgoing, deadline_ms):
+        return AttemptResult(self.outcomes.pop(0), 0.0)
+
+
+async def attempts(outcomes, handed_over=None):
+    """Send one request; return its placement requests and the kinds of attempts."""
+    placing = Placing()
+    runner = AttemptRunner(
+        SimpleNamespace(host=HostId("n0"), domain=DomainId("a")),
+        Client(outcomes),
+        placing,
+        SimpleNamespace(is_lost=lambda service: False, record=lambda *outcome: None),
+        None,
+        Policies(),
+        SimpleNamespace(add=lambda *_, **__: None),
+        random.Random(1),
+    )
+    began_ms = now_ms()
+    context = RequestContext(
+        "r",
+        ROUTE,
+        None,
+        OutgoingRequest("r", "POST", "/", CIMultiDict(), b""),
+        NO_CONTENT,
+        began_ms,
+        began_ms + 4_000.0,
+        handed_over=handed_over,
+    )
+    await runner.send(context)
+    return placing.asked, [record["kind"] for record in context.attempt_records]
+
+
+@pytest.mark.parametrize(
+    "outcome",
+    [AttemptOutcome.UNREACHED, AttemptOutcome.CLOSED, AttemptOutcome.WITHHELD],
+)
+async def test_a_request_whose_attempts_reach_no_target_is_counted_once(outcome):
+    """Guards against lost connections that add to what the service may retry."""
+    asked, kinds = await attempts([outcome, outcome, AttemptOutcome.ANSWERED])
+    assert [request.counted for request in asked] == [False, True, True]
+    assert not any(request.retry for request in asked)
+    assert kinds == ["first", "again", "again"]
+
+
+async def test_an_attempt_after_one_that_was_refused_is_a_retry():
+    asked, kinds = await attempts([AttemptOutcome.SHED, AttemptOutcome.ANSWERED])
+    assert [request.retry for request in asked] == [False, True]
+    assert kinds == ["first", "retry"]
+
+
+async def test_a_request_that_another_node_placed_is_not_counted_again():
+    mark = HandedOver("10.1.0.1", 0.0, 1, was_placed=True, arrived_attempts=0)
+    asked, kinds = await attempts([AttemptOutcome.ANSWERED], mark)
+    assert asked[0].counted and kinds == ["again"]
