Keep the retry budget by accounts of the hosts that send

Callers of a failing service got retries beyond its budget whenever two placers did not know of each other's: a placer took itself to know all counts since it had been among the first three by its own view, whether or not a note had come, and spent what all hosts had left unused; a successor took one fresh note of anybody for the knowledge of all; each new placer that knew it knew nothing used a tenth more. A retry was counted when it was asked for and left the window while it still waited.

A host knows what it has sent. It now keeps an account of its requests and retries, which gives it its part of the budget, and reports it with each placement request. Placers send each other no counts any more; a new one learns an account with the first request of its host. A retry counts as of its grant, and not at all if it is refused.

--- a/src/crocusspindle/core/fallback_choice.py
+++ b/src/crocusspindle/core/fallback_choice.py
@@ -10,7 +10,7 @@
     """Avoid targets that failed here recently or that a placer ejected.
 
     Made for a node that is cut off from its peers but not from targets. It serves by
-    its own counts rather than refuse, and without retries, since no placer counts them.
+    its own counts rather than refuse.
     """
 
     def __init__(self, rng: random.Random) -> None:
--- a/src/crocusspindle/core/placement_request.py
+++ b/src/crocusspindle/core/placement_request.py
@@ -5,6 +5,7 @@
 
 from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.listed_target import ListedTarget, TargetIdentity
+from crocusspindle.core.retry_account import RetryReport
 from crocusspindle.core.target_tracker import EjectionState
 from crocusspindle.ids import (
     NO_CONTENT,
@@ -45,10 +46,11 @@
     at the placer by its IP address, since messages do not name their sender.
 
     `aim_ms` is what is left of the route's latency objective. A `hedge` is a retry
-    whose first attempt still runs. A `counted` request may already be in the retry
-    budget: a placer got it before, and may be slow rather than lost. A `trial` is
-    a held request's next attempt. `weight` is the customer's weight in fair queueing:
-    its rate, or 0 if it has none.
+    whose first attempt still runs. A `counted` request was placed before, or may have
+    been: a placer that got it did not respond. A `trial` is a held request's next
+    attempt. `weight` is the customer's weight in fair queueing: its rate, or 0 if it
+    has none. `retries` is the sender's account of retries, which counts this one; None
+    if its version has none.
     """
 
     sender: HostId
@@ -67,6 +69,7 @@
     excluded: frozenset[TargetIdentity] = frozenset()
     customer: CustomerId = NO_CUSTOMER
     weight: float = 0.0
+    retries: RetryReport | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/crocusspindle/core/service_placer.py
+++ b/src/crocusspindle/core/service_placer.py
@@ -40,7 +40,7 @@
     QueuedRequest,
 )
 from crocusspindle.core.policies import ALL_POLICIES, Policies, Policy
-from crocusspindle.core.retry_budget import RetryBudget
+from crocusspindle.core.retry_budget import Reporter, RetryBudget
 from crocusspindle.core.route_latencies import RouteLatencies
 from crocusspindle.core.target_choice import TargetChoice
 from crocusspindle.core.target_limits import TargetLimits
@@ -198,11 +198,14 @@
         """Grant a target for an attempt, queue the request, or refuse it at once."""
         if placement_request.hedge and not self._may_hedge(placement_request, now_ms):
             return PlacementRefused("full", self._typical_ms(placement_request))
+        reporter = self._record_retry_report(placement_request, now_ms)
         if placement_request.retry:
-            if not self._retry_budget.retry(now_ms, placement_request.priority):
+            if not self._retry_budget.retry(
+                now_ms, placement_request.priority, reporter
+            ):
                 return PlacementRefused("repeats", self._typical_ms(placement_request))
         else:
-            if not placement_request.counted:
+            if reporter is None and not placement_request.counted:
                 self._retry_budget.request(now_ms)
             self._queue.record_arrival(placement_request, now_ms)
         self._refresh_if_due(now_ms)
@@ -214,10 +217,21 @@
                 self._queue.record_immediate_grant(placement_request, now_ms)
             return placed
         if placement_request.hedge:
-            self._retry_budget.give_back()
+            self._retry_budget.give_back(reporter)
             return PlacementRefused("full", self._typical_ms(placement_request))
         return self._enqueue(placement_request, now_ms)
 
+    def _record_retry_report(
+        self, placement_request: PlacementRequest, now_ms: float
+    ) -> Reporter | None:
+        """Return the process whose report was recorded, None without a report."""
+        report = placement_request.retries
+        if report is None:
+            return None
+        reporter = (placement_request.sender, report.process)
+        self._retry_budget.record_report(reporter, report, now_ms)
+        return reporter
+
     def _may_hedge(self, placement_request: PlacementRequest, now_ms: float) -> bool:
         if self._crashes.isolation(placement_request.content) is not Isolation.NONE:
             return False
--- a/src/crocusspindle/gateway/assembly.py
+++ b/src/crocusspindle/gateway/assembly.py
@@ -97,7 +97,7 @@
     )
     crashes = CrashSharing(exchange, fleet_state, metrics)
     placers = Placers(node, bounds, exchange, fleet_state, policies, crashes, metrics)
-    placing = Placing(exchange, placers, rng, crashes)
+    placing = Placing(exchange, placers, rng, crashes, bounds)
     memory = HeldMemory(_memory_bound(settings), metrics)
     admission = Admission(bounds, dialect, fleet_state, memory)
     paths = Paths(placers, metrics, rng)
--- a/src/crocusspindle/gateway/messages.py
+++ b/src/crocusspindle/gateway/messages.py
@@ -201,7 +201,7 @@
         )
 
 
-@message(4, appended=1)
+@message(4, appended=4)
 @dataclass(frozen=True, slots=True)
 class PlaceAsk:
     """Request a target from a service's placer.
@@ -210,6 +210,8 @@
     placer may have counted the request before. ``limits`` are those that targets
     reported to the sender: target, requests per second, and the age (ms) of the request
     whose response reported it. ``customer`` is empty for a request without one.
+    ``retries_allowed``, ``retries_used`` and ``retries_process`` are the sender's
+    `RetryReport`, the first in hundredths; it is negative if the sender has none.
     """
 
     service: str
@@ -226,6 +228,9 @@
     excluded: list[str]
     limits: Sequence[tuple[str, float | None, int]]
     customer: str = ""
+    retries_allowed: int = -1
+    retries_used: int = 0
+    retries_process: int = 0
 
 
 @message(5)
@@ -320,21 +325,6 @@
     left_ms: float
 
 
-@message(17)
-@dataclass(frozen=True, slots=True)
-class RepeatsNote:
-    """Report the counted retries of a service to its other placers; hedges count too.
-
-    ``known_ms`` is how long the sender has made or received all placements. Each record
-    holds its origin, its number and its time slices: age of the end (ms), requests and
-    retries.
-    """
-
-    service: str
-    known_ms: int
-    records: Sequence[Sequence[Any]]
-
-
 @message(9, appended=1)
 @dataclass(frozen=True, slots=True)
 class SpendAsk:
--- a/src/crocusspindle/gateway/placer_ranks.py
+++ b/src/crocusspindle/gateway/placer_ranks.py
@@ -1,9 +1,7 @@
 """Rank the placers of a service by the view in force, and notify them."""
 
-from collections import deque
 from typing import Any, Final
 
-from crocusspindle.clock import now_ms
 from crocusspindle.core.view import NodeAddress, View
 from crocusspindle.gateway.exchange import Address, Exchange
 from crocusspindle.gateway.fleet_state import FleetState
@@ -13,9 +11,6 @@
 """Members by rank that are tried before a node chooses a target locally. If that many
 are lost at once, most of the fleet is lost."""
 
-VIEWS_KEPT: Final = 16
-"""Recent views, from which a new placer finds since when others have notified it."""
-
 
 class PlacerRanks:
     """Rank the members as placers of each service."""
@@ -28,20 +23,17 @@
         self._fleet_state = fleet_state
         self._ranked: dict[ServiceId, list[HostId]] = {}
         self._view_version = -1
-        self._views: deque[tuple[float, View | None]] = deque(maxlen=VIEWS_KEPT)
         self._members: dict[str, NodeAddress] = {}
 
-    def update_view(self) -> bool:
-        """Update to the view in force; return True if it has changed."""
+    def update_view(self) -> None:
+        """Update to the view in force."""
         state = self._fleet_state.view
         if state.version == self._view_version:
-            return False
+            return
         self._view_version = state.version
         self._ranked.clear()
-        self._views.append((now_ms(), state.content))
         entries = () if state.content is None else state.content.entries
         self._members = {entry.node.ip: entry.node for entry in entries}
-        return True
 
     def ranked(self, service: ServiceId) -> list[HostId]:
         """Return the members by rank."""
@@ -57,15 +49,6 @@
         host = self._node.host
         return ranked.index(host) if host in ranked else len(ranked)
 
-    def notified_since_ms(self, service: ServiceId) -> float:
-        """Return the time since which a service's placers have notified this node."""
-        since_ms = now_ms()
-        for from_ms, view in reversed(self._views):
-            if self._node.host not in _ranked(view, service)[:MAX_PLACERS]:
-                break
-            since_ms = from_ms
-        return since_ms
-
     def notify_others(self, service: ServiceId, note: Any) -> None:
         """Notify the other members that place for a service or succeed its placer."""
         for host in self.ranked(service)[:MAX_PLACERS]:
@@ -88,6 +71,11 @@
         """Return the member with an IP address."""
         return self._members.get(ip)
 
+    @property
+    def member_count(self) -> int:
+        """Return the number of members of the view in force."""
+        return len(self._members)
+
     def is_member(self, ip: str) -> bool:
         """Return True if a member of the view in force has an IP address."""
         return ip in self._members
--- a/src/crocusspindle/gateway/placers.py
+++ b/src/crocusspindle/gateway/placers.py
@@ -25,6 +25,7 @@
 )
 from crocusspindle.core.policies import Policies
 from crocusspindle.core.rate_limit import LimitReport
+from crocusspindle.core.retry_account import RetryReport
 from crocusspindle.core.service_placer import ServicePlacer
 from crocusspindle.core.store_version import StoreVersion
 from crocusspindle.core.target_tracker import EjectionState
@@ -46,13 +47,12 @@
     ReachingAnswer,
     ReachingAsk,
     RefusedAnswer,
-    RepeatsNote,
     TargetLimitNote,
 )
 from crocusspindle.gateway.placer_ranks import PlacerRanks
 from crocusspindle.gateway.reload import LiveBounds
 from crocusspindle.gateway.reported_limits import packed_limits, unpacked_limits
-from crocusspindle.gateway.retry_sharing import RetrySharing
+from crocusspindle.gateway.retry_budgets import RetryBudgets
 from crocusspindle.ids import (
     ContentDigest,
     CustomerId,
@@ -100,7 +100,7 @@
         self._policies = policies
         self._crashes = crashes
         self.ranks = PlacerRanks(node, exchange, fleet_state)
-        self._retry_sharing = RetrySharing(node, bounds, self.ranks)
+        self._retry_budgets = RetryBudgets(bounds)
         self._limit_sharing = LimitSharing(self.ranks, metrics)
         self._placers: dict[ServiceId, ServicePlacer] = {}
         self.targets: dict[TargetIdentity, ListedTarget] = {}
@@ -118,7 +118,6 @@
         self._exchange.handle(PlaceAsk, self._place_ask)
         self._exchange.handle(EndedNote, self._ended_note)
         self._exchange.handle(EjectedNote, self._ejected_note)
-        self._exchange.handle(RepeatsNote, self._repeats_note)
         self._exchange.handle(PacedNote, self._paced_note)
         self._exchange.handle(TargetLimitNote, self._target_limit_note)
         self._exchange.handle(LeavingNote, self._leaving_note)
@@ -148,8 +147,7 @@
             for service, placer in self._placers.items():
                 self._limit_cold_targets(service, placer)
         self._configuration_version = state.configuration.version
-        if self.ranks.update_view():
-            self._retry_sharing.update_ranks()
+        self.ranks.update_view()
 
     def _apply_targets(self) -> None:
         listed = self._fleet_state.targets.content or ()
@@ -199,7 +197,7 @@
     def _placer(self, service: ServiceId) -> ServicePlacer:
         placer = self._placers.get(service)
         if placer is None:
-            budget = self._retry_sharing.budget(service)
+            budget = self._retry_budgets.budget(service)
             floor_share = self._bounds.current.floor_share
             placer = ServicePlacer(
                 floor_share,
@@ -255,9 +253,6 @@
         # Listeners may be notified only after the other tables have been read as well.
         self._apply_fleet_state()
 
-    async def _repeats_note(self, note: RepeatsNote, sender: Address) -> None:
-        self._retry_sharing.receive(note)
-
     async def _place_ask(
         self, message: PlaceAsk, sender: Address
     ) -> PlaceAnswer | RefusedAnswer:
@@ -284,6 +279,7 @@
             excluded=frozenset(TargetIdentity(name) for name in message.excluded),
             customer=CustomerId(message.customer),
             weight=self._weight_of(CustomerId(message.customer)),
+            retries=_retry_report(message),
         )
         placer = self._placer(ServiceId(message.service))
         for report in unpacked_limits(message.limits, at_ms):
@@ -292,9 +288,8 @@
         if self._waiters:
             # Requests that were queued before may have got slots.
             self._wake_settled()
-        self._retry_sharing.publish_if_due(ServiceId(message.service))
         if isinstance(decision, PlacementRefused) and decision.reason == "repeats":
-            self._retry_sharing.log_bound(ServiceId(message.service))
+            self._retry_budgets.log_bound(ServiceId(message.service))
         if isinstance(decision, QueuedRequest):
             decision = await self._wait_for_placement(placer, decision)
         self._publish_changes(ServiceId(message.service), placer)
@@ -466,5 +461,15 @@
         self.on_ejected(target, until_ms)
 
 
+def _retry_report(message: PlaceAsk) -> RetryReport | None:
+    if message.retries_allowed < 0:
+        return None
+    return RetryReport(
+        message.retries_allowed / 100.0,
+        message.retries_used,
+        process=message.retries_process,
+    )
+
+
 def _ignore(target: TargetIdentity, until_ms: float) -> None:
     """Ignore an ejection sent by another placer."""
--- a/src/crocusspindle/gateway/placing.py
+++ b/src/crocusspindle/gateway/placing.py
@@ -11,6 +11,7 @@
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
 from crocusspindle.core.placement_request import PlacementRefused, PlacementRequest
 from crocusspindle.core.rate_limit import LimitReport
+from crocusspindle.core.retry_account import RetryReport
 from crocusspindle.core.target_backoffs import TargetBackoffs
 from crocusspindle.core.target_signals import TargetSignals
 from crocusspindle.core.target_tracker import EJECTION_MS
@@ -26,7 +27,9 @@
 )
 from crocusspindle.gateway.placer_ranks import MAX_PLACERS
 from crocusspindle.gateway.placers import Placers
+from crocusspindle.gateway.reload import LiveBounds
 from crocusspindle.gateway.reported_limits import ReportedLimits, packed_limits
+from crocusspindle.gateway.retry_budgets import RetryAccounts
 from crocusspindle.ids import ContentDigest, GrantId, HostId, ServiceId
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
@@ -65,6 +68,7 @@
         placers: Placers,
         rng: random.Random,
         crashes: CrashSharing,
+        bounds: LiveBounds,
     ) -> None:
         self._exchange = exchange
         self._placers = placers
@@ -72,6 +76,7 @@
         self._fallback = FallbackChoice(rng)
         self._limits = ReportedLimits()
         self._backoffs = TargetBackoffs()
+        self._retries = RetryAccounts(bounds, rng.getrandbits(16))
         self._suspect_until_ms: dict[HostId, float] = {}
         self._log = Logger("placing")
 
@@ -124,6 +129,22 @@
     ) -> Placement | PlacementRefused:
         """Return a target for a request, from a placer or chosen locally."""
         await self._placers.wait_until_listed()
+        account = self._retries.account(service)
+        if not placement_request.retry:
+            if not placement_request.counted:
+                account.request(now_ms())
+            return await self._place_usable(service, placement_request)
+        decision: Placement | PlacementRefused | None = None
+        account.begin_retry()
+        try:
+            decision = await self._place_usable(service, placement_request)
+            return decision
+        finally:
+            account.end_retry(isinstance(decision, Placement), now_ms())
+
+    async def _place_usable(
+        self, service: ServiceId, placement_request: PlacementRequest
+    ) -> Placement | PlacementRefused:
         returned: frozenset[TargetIdentity] = frozenset()
         while True:
             backed_off = self._backoffs.active(self._placers.targets, service, now_ms())
@@ -228,6 +249,7 @@
         if to is None:
             return None
         left_ms = placement_request.deadline_ms - now_ms()
+        retries = self._retry_report(service)
         message = PlaceAsk(
             service,
             placement_request.route,
@@ -243,6 +265,9 @@
             list(placement_request.excluded),
             packed_limits(self._limits_of(service), now_ms()),
             placement_request.customer,
+            int(retries.allowed * 100.0),
+            retries.used,
+            retries.process,
         )
         response = await self._exchange.request(
             to, message, PEER_SILENT_S, left_ms / 1e3
@@ -263,6 +288,10 @@
             return None
         return Placement(service, target, response.hedge_after_ms, grant, host, to)
 
+    def _retry_report(self, service: ServiceId) -> RetryReport:
+        hosts = self._placers.ranks.member_count
+        return self._retries.account(service).report(hosts, now_ms())
+
     def _limits_of(self, service: ServiceId) -> list[LimitReport]:
         return [
             report
@@ -275,6 +304,7 @@
         self, service: ServiceId, placement_request: PlacementRequest
     ) -> Placement | PlacementRefused:
         if placement_request.retry:
+            # Others may have used what this node's account has left.
             return PlacementRefused("repeats", EJECTION_MS)
         if self._crashes.needs_isolation(placement_request.content):
             # What else a target runs, or who else runs this request, is unknown here.
--- a/src/crocusspindle_standins/virtual/traffic.py
+++ b/src/crocusspindle_standins/virtual/traffic.py
@@ -19,6 +19,7 @@
 from crocusspindle.gateway.hand_over import HandOver
 from crocusspindle.gateway.paths import Paths
 from crocusspindle.gateway.placing import Placing
+from crocusspindle.gateway.reload import LiveBounds
 from crocusspindle.gateway.request_context import RequestContext
 from crocusspindle.gateway.responses import Refusal
 from crocusspindle.gateway.settings import Bounds
@@ -220,7 +221,9 @@
     async def _runner_of(self, node: Node) -> AttemptRunner:
         rng = random.Random(self._rng.random())
         metrics = Metrics(node.address.host, node.address.domain)
-        placing = Placing(node.exchange, node.placers, rng, node.crashes)
+        placing = Placing(
+            node.exchange, node.placers, rng, node.crashes, LiveBounds(Bounds())
+        )
         runner = AttemptRunner(
             node.address,
             cast(TargetClient, _VirtualClient(self.targets, placing)),
--- a/tests/gateway/test_retry_budget_in_fleets.py
+++ b/tests/gateway/test_retry_budget_in_fleets.py
@@ -6,6 +6,8 @@
 import logbook
 import pytest
 
+from crocusspindle.clock import now_ms
+from crocusspindle.gateway.placer_ranks import MAX_PLACERS
 from crocusspindle.gateway.settings import Bounds
 from crocusspindle.ids import ServiceId
 from crocusspindle_standins.virtual.fleet import HostSize, VirtualFleet
@@ -31,6 +33,18 @@
         self.callers = Callers(self.fleet, seed)
         self.rng = random.Random(f"disturbances {seed}")
         self._refused_share = refused_share
+        self._refused_until_ms = 0.0
+
+    @property
+    def is_refusing(self) -> bool:
+        """Return True while targets refuse requests."""
+        return now_ms() < self._refused_until_ms
+
+    def placers(self) -> list[str]:
+        """Return the hosts that place, by the view of one member."""
+        node = next(iter(self.fleet.nodes.values()))
+        ranked = node.placers.ranks.ranked(SERVICE)[:MAX_PLACERS]
+        return [name for name in ranked if name in self.fleet.nodes]
 
     async def play(self, disturb) -> None:
         """Start the fleet, send requests, and disturb it while targets refuse."""
@@ -38,6 +52,7 @@
         await asyncio.sleep(6.0)
         sending = asyncio.create_task(self.callers.send(LOAD, CALM_S + REFUSED_S))
         await asyncio.sleep(CALM_S)
+        self._refused_until_ms = now_ms() + REFUSED_S * 1e3
         self.callers.targets.refused_share[SERVICE] = self._refused_share
         disturbing = asyncio.create_task(disturb(self))
         await sending
@@ -83,7 +98,45 @@
     play.fleet.network.is_cut = lambda one, other: False
 
 
+async def restart_placers(play: Play) -> None:
+    """Kill and start the hosts that place, one view after the other."""
+    while play.is_refusing:
+        names = [name for name in play.placers() if play.rng.random() < 0.5]
+        for name in names:
+            await play.callers.kill(name)
+        await asyncio.sleep(play.rng.uniform(0.1, 0.5))
+        for name in names:
+            await play.fleet.start(name)
+        await asyncio.sleep(play.rng.uniform(0.1, 0.5))
+
+
+async def slow_placers(play: Play) -> None:
+    """Let the hosts that place handle messages too late, by turns."""
+    network = play.fleet.network
+    while play.is_refusing:
+        nodes = play.fleet.nodes
+        drawn = (name for name in play.placers() if play.rng.random() < 0.6)
+        slow = {nodes[name].address.ip for name in drawn}
+        network.delays_s = lambda ip, slow=slow: 0.25 if ip in slow else 0.0
+        await asyncio.sleep(0.5)
+    network.delays_s = lambda ip: 0.0
+
+
+async def lose_datagrams(play: Play) -> None:
+    """Lose four in ten datagrams."""
+    play.fleet.network.is_cut = lambda one, other: play.rng.random() < 0.4
+    while play.is_refusing:
+        await asyncio.sleep(0.5)
+    play.fleet.network.is_cut = lambda one, other: False
+
+
 @pytest.mark.parametrize("seed", range(2))
 def test_placers_that_do_not_hear_each_other_share_one_budget(run_play, seed):
     """Guards against two placers that each spend what all hosts have left unused."""
     run_play(cut_domains, seed)
+
+
+@pytest.mark.parametrize("disturb", [restart_placers, slow_placers, lose_datagrams])
+def test_retries_stay_within_the_budget_while_hosts_change_placers(run_play, disturb):
+    """Guards against placers that allow what hosts have used through others."""
+    run_play(disturb, seed=1)
