Count what a taker sent before it refused a handed over request

A node that takes a request, has an attempt refused by a target and then loses its path or leaves refuses the request; the sender hands it to the next node, whose first attempt counted as the request's first though it was the second to arrive. A refusal now says how many attempts arrived, and the next node's attempt is a retry. Found in reading; without the change the new test sees [0, 0, 0] in place of [0, 1, 1]. A node of an earlier version says nothing and counts as before.

--- a/src/crocusspindle/gateway/entry.py
+++ b/src/crocusspindle/gateway/entry.py
@@ -22,7 +22,7 @@
 from crocusspindle.gateway.dialect import Dialect
 from crocusspindle.gateway.fleet_state import UNCONFIRMED_AGE_MS, FleetState
 from crocusspindle.gateway.hand_over import HandOver
-from crocusspindle.gateway.hand_over_headers import REFUSED, HandedOver
+from crocusspindle.gateway.hand_over_headers import HandedOver, refusal_headers
 from crocusspindle.gateway.quota import NO_KEEPER_RETRY_MS, Quota
 from crocusspindle.gateway.request_context import RequestContext
 from crocusspindle.gateway.responses import (
@@ -255,7 +255,8 @@
         self._log_refusal(processed, refusal)
         response = refusal_response(refusal, processed.request_id, self._dialect)
         if self._hand_over.is_taken(request):
-            response.headers[REFUSED] = refusal.reason
+            arrived = 0 if context is None else context.arrived_attempts
+            response.headers.update(refusal_headers(refusal.reason, arrived))
         return response
 
     async def _spend(self, context: RequestContext, customer: CustomerRule) -> Admitted:
--- a/src/crocusspindle/gateway/hand_over.py
+++ b/src/crocusspindle/gateway/hand_over.py
@@ -19,7 +19,12 @@
 from crocusspindle.gateway.dialect import Dialect
 from crocusspindle.gateway.exchange import Exchange
 from crocusspindle.gateway.fleet_state import FleetState
-from crocusspindle.gateway.hand_over_headers import REFUSED, HandedOver
+from crocusspindle.gateway.hand_over_headers import (
+    ATTEMPTS,
+    REFUSED,
+    HandedOver,
+    arrived_attempts,
+)
 from crocusspindle.gateway.membership import Membership
 from crocusspindle.gateway.messages import ReachingAnswer, ReachingAsk
 from crocusspindle.gateway.placers import Placers
@@ -242,10 +247,11 @@
     ) -> AttemptResult | Refusal:
         assert self._session is not None
         outgoing = context.outgoing
+        headers = self._headers(context)
         response = await self._session.request(
             outgoing.method,
             URL(f"http://{address}{outgoing.raw_path}", encoded=True),
-            headers=self._headers(context),
+            headers=headers,
             data=outgoing.body,
             allow_redirects=False,
             read_bufsize=outgoing.memory.process.read_buffer_bytes,
@@ -255,6 +261,9 @@
             content = await read_prefix(response, outgoing.memory)
             if reason is not None:
                 content.close()
+                # What the other node sent before it refused reached targets as well.
+                new = arrived_attempts(response.headers) - int(headers[ATTEMPTS])
+                context.arrived_attempts += max(0, new)
                 return _refusal(response, reason)
             result = TargetResponse(
                 response.status, forwarded(response.headers), content
--- a/src/crocusspindle/gateway/hand_over_headers.py
+++ b/src/crocusspindle/gateway/hand_over_headers.py
@@ -17,6 +17,17 @@
 """Reason of a refusal by the node that took a request, in place of its response."""
 
 
+def refusal_headers(reason: str, arrived_attempts: int) -> dict[str, str]:
+    """Return the headers of a refusal by the node that took a request."""
+    return {REFUSED: reason, ATTEMPTS: str(arrived_attempts)}
+
+
+def arrived_attempts(refusal_headers: Mapping[str, str]) -> int:
+    """Return how many attempts a refusal counts, 0 from a node that does not say so."""
+    count = refusal_headers.get(ATTEMPTS, "")
+    return int(count) if count.isdecimal() else 0
+
+
 @dataclass(frozen=True, slots=True)
 class HandedOver:
     """Describe a request that another node handed over.
--- a/tests/gateway/test_hand_over_client.py
+++ b/tests/gateway/test_hand_over_client.py
@@ -10,7 +10,11 @@
 from crocusspindle.clock import now_ms
 from crocusspindle.core.policies import Policies
 from crocusspindle.gateway.hand_over import HandOver
-from crocusspindle.gateway.hand_over_headers import ATTEMPTS, REFUSED, HandedOver
+from crocusspindle.gateway.hand_over_headers import (
+    ATTEMPTS,
+    HandedOver,
+    refusal_headers,
+)
 from crocusspindle.gateway.request_context import RequestContext
 from crocusspindle.gateway.responses import Refusal
 from crocusspindle.gateway.target_client import OutgoingRequest
@@ -23,6 +27,7 @@
     "answers": lambda: web.Response(text="whole"),
     "fails": lambda: web.Response(status=500, text="the target's"),
     "has no path": lambda: refusal(503, "no-path"),
+    "lost its path": lambda: refusal(503, "no-path", attempts=1),
     "leaves": lambda: refusal(503, "leaving"),
     "leaves at work": lambda: refusal(502, "leaving"),
     "is over rate": lambda: refusal(429, "rate"),
@@ -30,8 +35,8 @@
 }
 
 
-def refusal(status, reason):
-    headers = {REFUSED: reason, "Retry-After": "0.250"}
+def refusal(status, reason, attempts=0):
+    headers = {**refusal_headers(reason, attempts), "Retry-After": "0.250"}
     return web.Response(status=status, headers=headers)
 
 
@@ -142,6 +147,13 @@
     assert takers.marks[0].arrived_attempts == 1
 
 
+async def test_what_a_taker_sent_before_it_refused_counts_for_the_next():
+    """Guards against attempts of two takers of which only one counts as a retry."""
+    takers = Takers(["lost its path", "has no path", "answers"])
+    await send((), takers=takers)
+    assert [mark.arrived_attempts for mark in takers.marks] == [0, 1, 1]
+
+
 async def test_a_mark_of_an_older_version_has_no_count():
     mark = HandedOver("own", 5.0, 1, True, 2)
     headers = mark.headers()
