Give placers no fixed part of the retry budget

A request whose sender has not heard of its placer, or has lost a message to it, carries no report, and a placer without any report allowed a tenth of the fixed part for it. The fixed part now belongs to the hosts alone, whose parts take the largest view of the last window, so that they do not grow while members are missing for a moment.

Both new tests of parts fail before.

--- a/src/crocusspindle/core/retry_account.py
+++ b/src/crocusspindle/core/retry_account.py
@@ -8,7 +8,7 @@
 """Fraction of the ratio in use. The rest covers retries whose request was counted at
 the edge of another window."""
 
-EXTRA_FRACTION: Final = 0.7
+EXTRA_FRACTION: Final = 0.8
 """Fraction of the fixed allowance in use. The rest covers accounts that two placers
 hold for a moment, and hosts whose views have different numbers of members."""
 
@@ -51,7 +51,7 @@
     ) -> None:
         self._ratio = ratio
         self._extra = extra
-        self._window_ms = window_ms
+        self.window_ms = window_ms
         self._began_ms = began_ms
         self._process = process
         self._requests: deque[float] = deque()
@@ -85,13 +85,13 @@
 
     def report(self, hosts: int, now_ms: float) -> RetryReport:
         """Return the part of one of so many hosts, with the retries that wait."""
-        since_ms = now_ms - self._window_ms
+        since_ms = now_ms - self.window_ms
         for times in (self._requests, self._retries):
             while times and times[0] <= since_ms:
                 times.popleft()
         if self._began_ms is None:
             self._began_ms = now_ms
-        age = (now_ms - self._began_ms) / self._window_ms
+        age = (now_ms - self._began_ms) / self.window_ms
         grown = min(1.0, max(START_FRACTION, age))
         extra = EXTRA_FRACTION * self._extra * grown / max(1, hosts)
         of_requests = RATIO_FRACTION * self._ratio * len(self._requests)
--- a/src/crocusspindle/core/retry_budget.py
+++ b/src/crocusspindle/core/retry_budget.py
@@ -8,10 +8,14 @@
 from crocusspindle.core.retry_account import RetryAccount, RetryReport
 from crocusspindle.ids import HostId
 
-LENT_MS: Final = 1_000.0
+LENT_MS: Final = 700.0
 """Time after a host's report for which others may use what it has left. When it turns
 to another placer, that one lends it too."""
 
+LENT_FRACTION: Final = 0.5
+"""Fraction of what a host has left that others may use. What it has lent it may still
+use itself, through another placer."""
+
 FREE_FRACTION: Final = 0.5
 """Fraction of the bound that all priorities may use. The rest may be reserved for
 higher priorities that retry."""
@@ -24,11 +28,6 @@
 """A host, and a number that differs for each of its processes."""
 
 
-LENT_FRACTION: Final = 0.5
-"""Fraction of what a host has left that others may use. What it has lent it may still
-use itself, through another placer."""
-
-
 class RetryBudget:
     """Pool the retry accounts of the hosts that ask one placer.
 
@@ -39,15 +38,15 @@
     Each host reports its account with its requests. A retry is allowed while the hosts
     that have reported just before have any left together, so that those with many
     failures use what others don't need. What a host has used beyond its own part counts
-    for a whole window. A new placer knows an account as soon as its
-    host asks, and placers that don't know of each other pool different hosts.
+    for a whole window. A new placer knows an account as soon as its host asks, and
+    placers that don't know of each other pool different hosts.
 
     First come, first served, the retries of a large route of a low priority would leave
     none for a small one of a high priority. A priority therefore leaves what the higher
     ones still need in a window if they go on as in the last second, up to half of the
     bound. A successor learns of the priorities from its own retries.
 
-    Hosts of versions that report nothing share one account, which is kept here from
+    Hosts whose messages have no report share one account, which is kept here from
     ``began_ms`` on, or from its first request.
     """
 
--- a/src/crocusspindle/gateway/placer_ranks.py
+++ b/src/crocusspindle/gateway/placer_ranks.py
@@ -1,7 +1,9 @@
 """Rank the placers of a service by the view in force, and notify them."""
 
+from collections import deque
 from typing import Any, Final
 
+from crocusspindle.clock import now_ms
 from crocusspindle.core.view import NodeAddress, View
 from crocusspindle.gateway.exchange import Address, Exchange
 from crocusspindle.gateway.fleet_state import FleetState
@@ -11,6 +13,9 @@
 """Members by rank that are tried before a node chooses a target locally. If that many
 are lost at once, most of the fleet is lost."""
 
+VIEWS_KEPT: Final = 64
+"""Recent views whose numbers of members are kept."""
+
 
 class PlacerRanks:
     """Rank the members as placers of each service."""
@@ -24,6 +29,8 @@
         self._ranked: dict[ServiceId, list[HostId]] = {}
         self._view_version = -1
         self._members: dict[str, NodeAddress] = {}
+        # When recent views ceased to be in force, and their numbers of members.
+        self._previous: deque[tuple[float, int]] = deque(maxlen=VIEWS_KEPT)
 
     def update_view(self) -> None:
         """Update to the view in force."""
@@ -32,6 +39,7 @@
             return
         self._view_version = state.version
         self._ranked.clear()
+        self._previous.append((now_ms(), len(self._members)))
         entries = () if state.content is None else state.content.entries
         self._members = {entry.node.ip: entry.node for entry in entries}
 
@@ -71,10 +79,12 @@
         """Return the member with an IP address."""
         return self._members.get(ip)
 
-    @property
-    def member_count(self) -> int:
-        """Return the number of members of the view in force."""
-        return len(self._members)
+    def max_members(self, since_ms: float) -> int:
+        """Return the number of members of the largest view in force since a time."""
+        while self._previous and self._previous[0][0] <= since_ms:
+            self._previous.popleft()
+        counts = (count for _, count in self._previous)
+        return max(len(self._members), max(counts, default=0))
 
     def is_member(self, ip: str) -> bool:
         """Return True if a member of the view in force has an IP address."""
--- a/src/crocusspindle/gateway/placing.py
+++ b/src/crocusspindle/gateway/placing.py
@@ -289,8 +289,10 @@
         return Placement(service, target, response.hedge_after_ms, grant, host, to)
 
     def _retry_report(self, service: ServiceId) -> RetryReport:
-        hosts = self._placers.ranks.member_count
-        return self._retries.account(service).report(hosts, now_ms())
+        account = self._retries.account(service)
+        # Hosts that have left the view since may have used their parts.
+        hosts = self._placers.ranks.max_members(now_ms() - account.window_ms)
+        return account.report(hosts, now_ms())
 
     def _limits_of(self, service: ServiceId) -> list[LimitReport]:
         return [
--- a/src/crocusspindle/gateway/retry_budgets.py
+++ b/src/crocusspindle/gateway/retry_budgets.py
@@ -55,9 +55,8 @@
         budget = self._budgets.get(service)
         if budget is None:
             bounds = self._bounds.current
-            budget = RetryBudget(
-                bounds.budget_ratio, bounds.budget_extra, bounds.budget_window_ms
-            )
+            # The fixed part belongs to the hosts' accounts.
+            budget = RetryBudget(bounds.budget_ratio, 0.0, bounds.budget_window_ms)
             self._budgets[service] = budget
         return budget
 
--- a/tests/core/test_retries_across_placers.py
+++ b/tests/core/test_retries_across_placers.py
@@ -5,15 +5,25 @@
 
 import random
 from bisect import bisect_left
+from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 
+from crocusspindle import clock
 from crocusspindle.core.placement_request import PlacementRequest
 from crocusspindle.core.retry_account import RetryAccount
 from crocusspindle.core.retry_budget import RetryBudget
 from crocusspindle.core.service_placer import ServicePlacer
-from crocusspindle.ids import DomainId, HostId
-
+from crocusspindle.core.view import View, ViewEntry
+from crocusspindle.gateway.placer_ranks import PlacerRanks
+from crocusspindle.gateway.reload import LiveBounds
+from crocusspindle.gateway.retry_budgets import RetryBudgets
+from crocusspindle.gateway.settings import Bounds
+from crocusspindle.ids import DomainId, HostId, ServiceId
+from tests.gateway.test_fleet_state import view_entry
+
+SERVICE = ServiceId("books")
 RATIO = 0.2
 EXTRA = 218.0
 WINDOW_MS = 10_000.0
@@ -35,13 +45,15 @@
         self.placer_of = lambda host, now_ms: 0
         self.requests: list[float] = []
         self.retries: list[float] = []
+        self.unreported_share = 0.0
         self._step_ms = 1e3 / rate_per_s
         self.now_ms = WINDOW_MS
 
     @staticmethod
     def new_budget() -> RetryBudget:
         """Return the budget of a placer that knows nothing."""
-        return RetryBudget(RATIO, EXTRA, WINDOW_MS)
+        # The fixed part belongs to the hosts' accounts.
+        return RetryBudget(RATIO, 0.0, WINDOW_MS)
 
     @staticmethod
     def new_account(process: int, began_ms: float) -> RetryAccount:
@@ -71,10 +83,10 @@
         for attempt in range(1 + retries_wanted):
             if attempt:
                 account.begin_retry()
-            report = account.report(HOSTS, self.now_ms)
-            reporter = (HostId(f"h{host}"), report.process)
-            budget.record_report(reporter, report, self.now_ms)
+            reporter = self._report(host, budget)
             if not attempt:
+                if reporter is None:
+                    budget.request(self.now_ms)
                 continue
             allowed = budget.retry(self.now_ms, reporter=reporter)
             account.end_retry(allowed, self.now_ms)
@@ -82,6 +94,14 @@
                 break
             self.retries.append(self.now_ms)
 
+    def _report(self, host: int, budget: RetryBudget):
+        if self.unreported_share and self.rng.random() < self.unreported_share:
+            return None
+        report = self.accounts[host].report(HOSTS, self.now_ms)
+        reporter = (HostId(f"h{host}"), report.process)
+        budget.record_report(reporter, report, self.now_ms)
+        return reporter
+
     def assert_within_bound(self, min_used: float = MIN_USED) -> None:
         """Check all windows, each with the requests of the window that has most."""
         excess, bound = max(map(self._excess, self.retries))
@@ -171,6 +191,18 @@
         for host in range(number % 4, HOSTS, 20):
             fleet.restart(host)
         fleet.pass_time(0.25, RETRIES_WANTED)
+    # A fifth of the hosts restarts every second and has hardly any part.
+    fleet.assert_within_bound(min_used=0.6)
+
+
+@pytest.mark.parametrize("placers", [1, 3])
+def test_requests_without_a_report_keep_within_the_bound(placers):
+    """Guards against requests that count for their host and for their placer."""
+    fleet = Fleet(placers)
+    fleet.unreported_share = 0.3
+    fleet.placer_of = lambda host, now_ms: int(now_ms / 700.0 + host) % placers
+    fleet.pass_time(CALM_S, 0)
+    fleet.pass_time(15.0, RETRIES_WANTED)
     fleet.assert_within_bound()
 
 
@@ -217,3 +249,28 @@
     for now_ms in range(100):
         placer.request_placement(placement_request, float(now_ms))
     assert not budget.retry(100.0)
+
+
+def test_a_placer_has_no_fixed_part_of_its_own():
+    """Guards against a fixed part for each of many placers, besides those of hosts."""
+    budget = RetryBudgets(LiveBounds(Bounds(budget_extra=EXTRA))).budget(SERVICE)
+    assert not budget.retry(clock.now_ms())
+
+
+def test_hosts_of_a_view_that_has_shrunk_keep_their_parts():
+    """Guards against fixed parts that grow as members leave the view for a moment."""
+    state = SimpleNamespace(view=SimpleNamespace(version=1, content=view(4)))
+    ranks = PlacerRanks(view_entry(0).node, None, state)
+    ranks.update_view()
+    state.view = SimpleNamespace(version=2, content=view(1))
+    ranks.update_view()
+    assert ranks.max_members(clock.now_ms() - WINDOW_MS) == 4
+    assert ranks.max_members(clock.now_ms() + 1.0) == 1
+
+
+def view(members: int) -> View:
+    nodes = (
+        replace(view_entry(number).node, ip=f"10.1.0.{number}")
+        for number in range(members)
+    )
+    return View(1, tuple(ViewEntry(node, 1) for node in nodes))
