Forget requests and reports that have left the window as new ones come

An account without a placer, and a budget whose service retries nothing, forgot nothing until their next report or retry. Found in reading the diff; the bounds are unchanged.

--- a/src/crocusspindle/core/retry_account.py
+++ b/src/crocusspindle/core/retry_account.py
@@ -62,6 +62,7 @@
         """Count a caller's request."""
         if self._began_ms is None:
             self._began_ms = now_ms
+        self._forget(now_ms)
         self._requests.append(now_ms)
 
     def begin_retry(self) -> None:
@@ -85,10 +86,7 @@
 
     def report(self, hosts: int, now_ms: float) -> RetryReport:
         """Return the part of one of so many hosts, with the retries that wait."""
-        since_ms = now_ms - self.window_ms
-        for times in (self._requests, self._retries):
-            while times and times[0] <= since_ms:
-                times.popleft()
+        self._forget(now_ms)
         if self._began_ms is None:
             self._began_ms = now_ms
         age = (now_ms - self._began_ms) / self.window_ms
@@ -97,3 +95,9 @@
         of_requests = RATIO_FRACTION * self._ratio * len(self._requests)
         used = len(self._retries) + self._pending
         return RetryReport(of_requests + extra, used, of_requests, self._process)
+
+    def _forget(self, now_ms: float) -> None:
+        since_ms = now_ms - self.window_ms
+        for times in (self._requests, self._retries):
+            while times and times[0] <= since_ms:
+                times.popleft()
--- a/src/crocusspindle/core/retry_budget.py
+++ b/src/crocusspindle/core/retry_budget.py
@@ -72,6 +72,7 @@
         self, reporter: Reporter, report: RetryReport, now_ms: float
     ) -> None:
         """Record the account of a host, as of now."""
+        self._forget(now_ms)
         self._reports.pop(reporter, None)
         self._reports[reporter] = (now_ms, report)
 
