Let a fleet that has just started retry as much as before

Twelve requests want some ten retries; right after the start the three accounts together allowed fewer than five where a new placer allowed a tenth of the fixed part, five. A process now starts with a quarter of its part. That the refused post lacked a retry is concluded from this arithmetic: its reason was not printed.

--- a/src/crocusspindle/core/retry_account.py
+++ b/src/crocusspindle/core/retry_account.py
@@ -12,7 +12,7 @@
 """Fraction of the fixed allowance in use. The rest covers accounts that two placers
 hold for a moment, and hosts whose views have different numbers of members."""
 
-START_FRACTION: Final = 0.1
+START_FRACTION: Final = 0.25
 """Fraction of the fixed allowance in use from the start of a process."""
 
 
--- a/tests/core/test_retries_across_placers.py
+++ b/tests/core/test_retries_across_placers.py
@@ -216,6 +216,26 @@
     assert len(fleet.retries) == 10 * 20
 
 
+def test_a_fleet_that_has_just_started_retries_a_tenth_of_the_fixed_part():
+    """Guards against refused requests in the first second of a small fleet."""
+    extra, hosts = 50.0, 3
+    budget = RetryBudget(RATIO, 0.0, WINDOW_MS)
+    accounts = [
+        RetryAccount(RATIO, extra, WINDOW_MS, 0.0, host) for host in range(hosts)
+    ]
+    retries = 0
+    for number in range(12):
+        now_ms, account = 20.0 * number, accounts[number % hosts]
+        account.begin_retry()
+        report = account.report(hosts, now_ms)
+        reporter = (HostId("h"), report.process)
+        budget.record_report(reporter, report, now_ms)
+        allowed = budget.retry(now_ms, reporter=reporter)
+        account.end_retry(allowed, now_ms)
+        retries += allowed
+    assert retries >= 0.1 * extra
+
+
 def test_a_retry_counts_when_its_target_is_granted():
     """Guards against retries that wait, and are sent beside those of a later window."""
     account = RetryAccount(RATIO, 0.0, WINDOW_MS, 0.0)
