Give the connections of a test of cancelled requests time on busy machines

Change: the test's requests give a connection 5 s. A connection that never opens, or breaks, still fails the test; the session without a limit of its own has one now.

--- a/tests/product/test_shielded_connector.py
+++ b/tests/product/test_shielded_connector.py
@@ -15,6 +15,8 @@
 ROUNDS = 60
 REQUESTS = 60
 LONGEST_S = 0.02
+CONNECT_TIMEOUT = aiohttp.ClientTimeout(sock_connect=5.0)
+"""Longer than the product's, which a connection on a busy machine exceeds by itself."""
 
 
 async def respond(request):
@@ -49,7 +51,8 @@
 
 
 async def fetch(session, port):
-    async with session.get(f"http://127.0.0.1:{port}/") as response:
+    url = f"http://127.0.0.1:{port}/"
+    async with session.get(url, timeout=CONNECT_TIMEOUT) as response:
         return await response.text()
 
 
