Leave a request with the peer that holds it when three busy signals are lost

What callers saw: on links that lose datagrams, requests of a busy service were refused for the retry budget, or came late by 90 ms for each placer that was passed over.

Cause: a request that waits in a placer's queue sends a copy every 40 ms and gets a busy signal for each. 90 ms of silence, three copies, made the sender take the placer for down, also after it had shown that it is up. At a tenth of all datagrams lost this ends one in six waits of a second. The request then queues at the next placer, and for 1.5 s all others of its host do. The first placer's grant comes late and holds a slot until it is returned; two placers fill the same slots, and what targets refuse costs retries. Ruled out: loss of the first copies, which are as many as before.

Change: once a peer has sent a busy signal, a silence of 200 ms means that it is down. Quota keepers that hold a request get the same.

--- a/src/crocusspindle/gateway/exchange.py
+++ b/src/crocusspindle/gateway/exchange.py
@@ -37,6 +37,10 @@
 """Ten times the longest latency between failure domains: a lost datagram is sent again
 before a caller notices."""
 
+BUSY_SILENT_S: Final = 0.2
+"""Shortest silence after which a peer that has sent a busy signal counts as down. A
+long wait takes many signals, so that a lossy link loses several in a row."""
+
 LARGE_BYTES: Final = 1_400
 """A response above this fills more than one packet and may queue for long on a narrow
 link. Sent again for each copy of its request, it would saturate the link, so a copy
@@ -119,7 +123,8 @@
         Parameters
         ----------
         silent_s
-            How long the peer may be silent. A busy signal ends a silence.
+            How long the peer may be silent. A busy signal ends a silence, and the next
+            one may last for `BUSY_SILENT_S`.
         limit_s
             How long to wait for the response in total.
         """
@@ -134,7 +139,7 @@
         self._pending[number] = pending
         deadline_s = loop.time() + limit_s
         try:
-            while loop.time() < min(deadline_s, pending.last_received_s + silent_s):
+            while loop.time() < min(deadline_s, pending.silent_until_s(silent_s)):
                 self._send(to, data, type(content))
                 if await _wait_until_done(pending.response, RESEND_S):
                     return pending.response.result()
@@ -189,7 +194,7 @@
     def _receive_busy(self, number: int) -> None:
         pending = self._pending.get(number)
         if pending is not None:
-            pending.last_received_s = asyncio.get_running_loop().time()
+            pending.busy_s = asyncio.get_running_loop().time()
 
     def _receive_response(self, number: int, content: Any, sender: Address) -> None:
         pending = self._pending.get(number)
@@ -255,9 +260,16 @@
 class _PendingRequest:
     """Hold a request until its response arrives."""
 
-    def __init__(self, response: asyncio.Future[Any], last_received_s: float) -> None:
+    def __init__(self, response: asyncio.Future[Any], began_s: float) -> None:
         self.response = response
-        self.last_received_s = last_received_s
+        self.busy_s: float | None = None
+        self._began_s = began_s
+
+    def silent_until_s(self, silent_s: float) -> float:
+        """Return when the peer counts as silent unless it is heard before."""
+        if self.busy_s is None:
+            return self._began_s + silent_s
+        return self.busy_s + max(silent_s, BUSY_SILENT_S)
 
 
 def _is_current(number: Any) -> bool:
