--- a/src/crocusspindle_standins/virtual/traffic.py
+++ b/src/crocusspindle_standins/virtual/traffic.py
@@ -15,6 +15,7 @@
 from crocusspindle.core.configuration import RequestKind, RouteRule, WeightedService
 from crocusspindle.core.listed_target import ListedTarget, TargetIdentity
 from crocusspindle.core.policies import Policies, Policy
+from crocusspindle.core.target_signals import NO_SIGNALS, TargetSignals
 from crocusspindle.gateway.attempt_runner import AttemptRunner
 from crocusspindle.gateway.hand_over import HandOver
 from crocusspindle.gateway.paths import Paths
@@ -70,14 +71,25 @@
         self.sent_ms: dict[ServiceId, list[float]] = defaultdict(list)
         self.repeated_ms: dict[ServiceId, list[float]] = defaultdict(list)
         self.outcomes: Counter[str] = Counter()
+        self.at_target_ms: dict[TargetIdentity, list[float]] = defaultdict(list)
         self._arrived: set[str] = set()
 
-    def arrived(self, service: ServiceId, request_id: str) -> None:
+    def arrived(self, target: ListedTarget, request_id: str) -> None:
         """Record that an attempt of a request reaches a target."""
+        self.at_target_ms[target.identity].append(now_ms())
         if request_id in self._arrived:
-            self.repeated_ms[service].append(now_ms())
+            self.repeated_ms[target.service].append(now_ms())
         self._arrived.add(request_id)
 
+    def max_at_targets(self, since_ms: float, length_ms: float) -> int:
+        """Return the most arrivals at one target in a window that begins later."""
+        return max(
+            _count(times_ms, start_ms, length_ms)
+            for times_ms in self.at_target_ms.values()
+            for start_ms in [since_ms, *times_ms]
+            if start_ms >= since_ms
+        )
+
     def max_excess(self, service: ServiceId, bounds: Bounds) -> float:
         """Return by how many repeated arrivals the worst window exceeds the budget.
 
@@ -106,7 +118,8 @@
     """Run requests for their work time on targets with limited slots.
 
     ``refused_share`` is the share of requests that a target refuses, by service, and
-    ``lost_share`` that of connections that time out.
+    ``lost_share`` that of connections that time out. ``limit_per_s`` is the rate limit
+    that each target of a service reports.
     """
 
     def __init__(self, arrivals: Arrivals, rng: random.Random) -> None:
@@ -115,6 +128,7 @@
         self._running: Counter[TargetIdentity] = Counter()
         self.refused_share: dict[ServiceId, float] = defaultdict(float)
         self.lost_share: dict[ServiceId, float] = defaultdict(float)
+        self.limit_per_s: dict[ServiceId, float] = {}
         self.work_ms = 210.0
 
     async def run(
@@ -130,7 +144,7 @@
         await asyncio.sleep(CONNECT_S)
         if not may_send(target):
             return AttemptOutcome.WITHHELD
-        self._arrivals.arrived(target.service, request_id)
+        self._arrivals.arrived(target, request_id)
         refuses = self._rng.random() < self.refused_share[target.service]
         if refuses or self._running[target.identity] >= target.slots:
             await asyncio.sleep(SHED_S)
@@ -161,7 +175,11 @@
                 )
         except TimeoutError:
             outcome = AttemptOutcome.SILENT
-        return AttemptResult(outcome, now_ms() - began_ms)
+        signals = NO_SIGNALS
+        if outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.SHED):
+            limit_per_s = self._targets.limit_per_s.get(target.service)
+            signals = TargetSignals(limit_per_s=limit_per_s)
+        return AttemptResult(outcome, now_ms() - began_ms, signals=signals)
 
 
 class _WorkingPaths(Paths):
