Send a busy signal at once for a request that waits

Cause: the first busy signal went out for the second copy of a request. A held request had two copies, not three, to show that its peer is up, and moved to the next placer when both were lost: at 20 % of datagrams lost one in eight does, by arithmetic.

Change: a request whose handler waits gets a busy signal after the handler's first step.

The test fails before: two copies are lost, and the request leaves its peer.

--- a/src/crocusspindle/gateway/exchange.py
+++ b/src/crocusspindle/gateway/exchange.py
@@ -61,8 +61,8 @@
     """Send typed messages to nodes and dispatch received ones to their handlers.
 
     A request is sent again until its response arrives, and is handled once: the
-    response is kept for later copies. While the handler runs, a copy gets a busy
-    signal, which shows the sender that the peer is up.
+    response is kept for later copies. While the handler waits, the request and each
+    copy get a busy signal, which shows the sender that the peer is up.
 
     Fields that were appended to messages are sent only to peers that have shown by a
     request or a response that they understand them.
@@ -214,17 +214,26 @@
         while len(self._responses) > RESPONSES_KEPT:
             del self._responses[next(iter(self._responses))]
         self.spawn(self._respond(key, content))
+        # Called after the first step of the handler's task.
+        asyncio.get_running_loop().call_soon(self._signal_if_held, key)
+
+    def _signal_if_held(self, key: tuple[Address, int]) -> None:
+        if key in self._responses and self._responses[key] is None:
+            self._send_busy(key)
+
+    def _send_busy(self, key: tuple[Address, int]) -> None:
+        sender, number = key
+        self._send(sender, encode_datagram([BUSY, number]), None)
 
     def _respond_to_copy(
         self, key: tuple[Address, int], sent_response: "_SentResponse | None"
     ) -> None:
-        sender, number = key
         now_s = asyncio.get_running_loop().time()
         if sent_response is None or sent_response.may_be_in_flight(now_s):
-            self._send(sender, encode_datagram([BUSY, number]), None)
+            self._send_busy(key)
             return
         sent_response.sent_at_s = now_s
-        self._send(sender, sent_response.data, sent_response.message_type)
+        self._send(key[0], sent_response.data, sent_response.message_type)
 
     async def _respond(self, key: tuple[Address, int], content: Any) -> None:
         sender, number = key
--- a/tests/gateway/test_held_requests.py
+++ b/tests/gateway/test_held_requests.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from crocusspindle.gateway.exchange import Exchange
+from crocusspindle.gateway.exchange import RESEND_S, Exchange
 from crocusspindle.gateway.messages import SpendAnswer, SpendAsk
 from crocusspindle.metrics import Metrics
 from crocusspindle_standins.virtual.loop import VirtualLoop, run
@@ -72,6 +72,24 @@
     play(act)
 
 
+def test_request_stays_with_a_peer_that_gets_no_copy_of_it(play):
+    """Guards against a sender that takes a peer for down when two copies are lost."""
+
+    async def act(network, client, server):
+        async def hold(message, sender):
+            await asyncio.sleep(HELD_S)
+            return SpendAnswer(1.0)
+
+        server.handle(SpendAsk, hold)
+        loop = asyncio.get_running_loop()
+        loop.call_later(RESEND_S / 2, network.cut_off.add, SERVER[0])
+        loop.call_later(RESEND_S * 2.5, network.cut_off.discard, SERVER[0])
+        response = await client.request(SERVER, SpendAsk("club", 10.0), SILENT_S, 3.0)
+        assert response == SpendAnswer(1.0)
+
+    play(act)
+
+
 def test_request_leaves_a_peer_that_dies_while_it_holds_it(play):
     """Guards against a request that waits for its deadline at a host that is down."""
 
