Wait for the responses of all slow callers before their slots are checked

Cause: the test looked at the held bytes as soon as no target ran a request. That is so too before the last requests have reached a target. Ruled out: slots kept for slow callers.

Change: both must hold at one moment within the same second. The bound and the time are as before.

--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -167,6 +167,11 @@
     return all(target.in_flight == 0 for target in fleet.targets)
 
 
+async def has_free_targets_and_holds(fleet, least_bytes):
+    """Return True if targets are free while the gateway holds their responses."""
+    return await has_free_targets(fleet) and await held_bytes(fleet) > least_bytes
+
+
 @pytest.mark.parametrize("memory_mb", [120, 200])
 async def test_slow_readers_leave_memory_slots_and_other_callers_alone(
     tmp_path, memory_mb
@@ -195,8 +200,8 @@
         for target in fleet.targets:
             target.long_bytes = 3_000_000
         async with slow_callers(fleet, 12):
-            await until(has_free_targets, fleet, for_s=1.0)
-            assert await held_bytes(fleet) > 12 * 2_500_000
+            # Targets are also free before the last requests arrive.
+            await until(has_free_targets_and_holds, fleet, 12 * 2_500_000, for_s=1.0)
 
 
 async def test_a_ready_response_is_delivered_after_the_deadline(tmp_path):
