Fill a quota from when the host of a removed keeper started again

What callers saw: after a planned stop beside an outage of the store, a small customer well within its quota got 429.

Cause: a keeper that stops while the store is away leaves no view that moves its customers first. The view that removes it comes when its host runs a new process. Its successor asks that process for a release, gets 0 tokens, and takes the moment of the answer for that until which the old process may have spent: the bucket opens empty.

Change: a process that has had no part in keeping a customer reports for how long it has run. No process of its host can have spent a token since, so the successor's bucket fills from then on, or from when it got the role. A process that may have kept the customer reports nothing, as its tokens say what is left. Older versions report nothing and ignore the field.

The test of the successor fails without the field: 0 of 3 requests are admitted.

--- a/src/crocusspindle/core/assignment_history.py
+++ b/src/crocusspindle/core/assignment_history.py
@@ -60,9 +60,16 @@
         self._incarnation = incarnation
         self._views: deque[SeenView] = deque(maxlen=VIEWS_KEPT)
         self._ranks: dict[str, AssignmentRank | None] = {}
+        self._received = 0
+
+    @property
+    def is_complete(self) -> bool:
+        """Return True if all views that this process has received are kept."""
+        return self._received == len(self._views)
 
     def update_view(self, view: View, now_ms: float) -> None:
         """Add a newer view."""
+        self._received += 1
         self._views.append(SeenView(view, now_ms))
         self._ranks.clear()
 
--- a/src/crocusspindle/core/quota_keeper.py
+++ b/src/crocusspindle/core/quota_keeper.py
@@ -72,6 +72,7 @@
     successor_since_ms: float = math.nan
     previous_released_ms: float = math.nan
     barred_to_view: int = -1
+    untouched: bool = True
     released_at_ms: dict[ViewEntryKey, float] = field(default_factory=dict)
 
     def close(self) -> None:
@@ -190,6 +191,7 @@
             tenure = self._history.last_tenure(customer, account.barred_to_view)
             account.successor_since_ms = now_ms if tenure is None else tenure.since_ms
             account.tokens = 0.0
+            account.untouched = False
         done = account.released_at_ms.keys() | self.expired_entry_keys(now_ms)
         waiting = [entry for entry in rank.removed_members if entry.key not in done]
         timed_out = now_ms - account.successor_since_ms > self._fence_ms
@@ -333,6 +335,7 @@
     def _open(
         self, account: _Account, customer: CustomerId, rule: CustomerRule, now_ms: float
     ) -> None:
+        account.untouched = False
         tenure = self._history.last_tenure(customer, account.barred_to_view)
         if tenure is None:
             account.bucket.open(account.tokens, rule, now_ms)
@@ -376,14 +379,22 @@
         account.tokens = max(0.0, remaining)
 
     def record_release(
-        self, customer: CustomerId, releaser: ViewEntryKey, tokens: float, now_ms: float
+        self,
+        customer: CustomerId,
+        releaser: ViewEntryKey,
+        tokens: float,
+        now_ms: float,
+        unspent_ms: float = 0.0,
     ) -> None:
-        """Record that a node released the customer, with the tokens left."""
+        """Record that a node released the customer, with the tokens left.
+
+        It has spent none of the customer's tokens for the last ``unspent_ms``.
+        """
         account = self._account(customer)
         if releaser in self._fenced_since_ms:
-            account.released_at_ms[releaser] = now_ms
+            account.released_at_ms[releaser] = now_ms - unspent_ms
         else:
-            account.previous_released_ms = now_ms
+            account.previous_released_ms = now_ms - unspent_ms
         if not account.opened:
             account.tokens = max(account.tokens, tokens)
 
@@ -404,6 +415,21 @@
         account.tokens = 0.0
         return tokens
 
+    def unspent_ms(self, customer: CustomerId, now_ms: float) -> float:
+        """Return for how long no process of this host can have spent a token.
+
+        The previous process had ended when this one started. What is left of this
+        host's tokens after that is handed over in a release instead, so that a process
+        that may have kept the customer returns 0.
+        """
+        account = self._account(customer)
+        may_have_kept = (
+            not account.untouched
+            or not self._history.is_complete
+            or self._history.last_tenure(customer, -1) is not None
+        )
+        return 0.0 if may_have_kept else max(0.0, now_ms - self._began_ms)
+
     def _fill_unopened(
         self, account: _Account, customer: CustomerId, now_ms: float
     ) -> None:
--- a/src/crocusspindle/gateway/messages.py
+++ b/src/crocusspindle/gateway/messages.py
@@ -371,12 +371,16 @@
     view_number: int
 
 
-@message(13)
+@message(13, appended=1)
 @dataclass(frozen=True, slots=True)
 class ReleaseAnswer:
-    """Hand over the remaining tokens."""
+    """Hand over the remaining tokens.
+
+    No process of the sender's host has spent a token for the last ``unspent_ms``.
+    """
 
     tokens: float
+    unspent_ms: int = 0
 
 
 @message(15)
--- a/src/crocusspindle/gateway/quota.py
+++ b/src/crocusspindle/gateway/quota.py
@@ -231,21 +231,24 @@
         )
         if not isinstance(response, ReleaseAnswer):
             return
-        self._keeper.record_release(customer, entry.key, response.tokens, now_ms())
+        self._keeper.record_release(
+            customer, entry.key, response.tokens, now_ms(), response.unspent_ms
+        )
         log_state_change(
             self._log,
             "quota handed over",
             customer=customer,
             by=entry.node.host,
             tokens=round(response.tokens, 1),
+            unspent_ms=response.unspent_ms,
         )
 
     async def _release_ask(self, message: ReleaseAsk, sender: Address) -> ReleaseAnswer:
-        tokens = self._keeper.release(
-            CustomerId(message.customer), message.view_number, now_ms()
-        )
+        customer, at_ms = CustomerId(message.customer), now_ms()
+        unspent_ms = self._keeper.unspent_ms(customer, at_ms)
+        tokens = self._keeper.release(customer, message.view_number, at_ms)
         self._wake_settled()
-        return ReleaseAnswer(tokens)
+        return ReleaseAnswer(tokens, int(unspent_ms))
 
     async def spend(
         self,
--- a/tests/core/quota_simulation.py
+++ b/tests/core/quota_simulation.py
@@ -75,8 +75,11 @@
             host = pending.node.host
             if host in self._cut or name in self._cut:
                 continue
+            unspent_ms = self.keepers[host].unspent_ms(CLUB, now_ms)
             tokens = self.keepers[host].release(CLUB, number, now_ms)
-            self.keepers[name].record_release(CLUB, pending.key, tokens, now_ms)
+            self.keepers[name].record_release(
+                CLUB, pending.key, tokens, now_ms, unspent_ms
+            )
 
 
 def assert_within_bound(run_at: list[float]) -> None:
--- a/tests/core/test_quota_keeper.py
+++ b/tests/core/test_quota_keeper.py
@@ -120,6 +120,40 @@
     assert admitted(successor, 0.0, 9) == 3
 
 
+def test_the_successor_of_a_removed_keeper_fills_since_its_host_restarted():
+    """Guards against a refusal within the quota after a keeper's restart.
+
+    The store was away when the keeper stopped, so that the view removes it only after
+    its host runs a new process, which knows nothing of the customer.
+    """
+    first, second = by_rank("a", "b")
+    view = next_view(None, present("a", "b"))
+    successor = keeper(second, view, 0.0)
+    restarted = new_keeper(node(first, "2"), began_ms=1_000.0)
+    restarted.set_view(view, 1_100.0, 1_100.0)
+    later = next_view(view, present(second))
+    successor.set_view(later, 1_500.0, 1_500.0)
+    (pending,) = successor.pending_releases(CLUB, 1_500.0)
+    unspent_ms = restarted.unspent_ms(CLUB, 1_800.0)
+    assert unspent_ms == 800.0
+    tokens = restarted.release(CLUB, later.number, 1_800.0)
+    successor.record_release(CLUB, pending.key, tokens, 1_800.0, unspent_ms)
+    assert admitted(successor, 1_800.0, 9) == 3
+
+
+def test_a_process_that_has_kept_a_customer_hands_over_tokens_only():
+    """Guards against tokens that are handed over and counted once more as unspent."""
+    first, second = by_rank("a", "b")
+    view = next_view(None, present(second))
+    previous_keeper = new_keeper(node(second), began_ms=0.0)
+    previous_keeper.set_view(view, 100.0, 100.0)
+    assert previous_keeper.unspent_ms(CLUB, 600.0) == 0.0
+    assert admitted(previous_keeper, 600.0, 9) == 5
+    later = next_view(view, present(first, second))
+    previous_keeper.release(CLUB, later.number, 700.0)
+    assert previous_keeper.unspent_ms(CLUB, 900.0) == 0.0
+
+
 def test_a_release_counts_for_one_membership_period_only():
     """A keeper is removed, releases, joins again, and is removed again when cut off.
 
