Leave a request its wait for a token when its keeper changes

What callers saw: a small customer well within its quota got 429 just after a planned stop beside a restored store.

Cause: the keeper g0 stopped, and its successor g3 waited for releases when g0's new process took the customer over again. The request had been at g3 for 185 ms, all of them in g3's requests for releases; none were in a queue for a token. Its host took them off the 100 ms for which a request may wait for a token, and asked g0 with a wait limit of 0. g0 begins without tokens, the next one was due in 49.4 ms, and it refused.

Ruled out: tokens that were spent. The customer sends 2.5 requests/s of 20. That a successor of a process which ended without a release begins without tokens is by design: it can't know what was spent.

Change: a node that is no longer the keeper reports for how long the request waited for a token, and only that counts. Versions that report nothing count as before, and ignore the field.

Measured: by two tests, which name the new field and so can't run on the code before.

--- a/src/crocusspindle/gateway/messages.py
+++ b/src/crocusspindle/gateway/messages.py
@@ -356,10 +356,16 @@
     token: int
 
 
-@message(11)
+@message(11, appended=1)
 @dataclass(frozen=True, slots=True)
 class NotMineAnswer:
-    """Report that this node is not the customer's quota keeper, or not yet."""
+    """Report that this node is not the customer's quota keeper, or not yet.
+
+    The request has waited for a token for ``waited_ms``, without the time in which
+    this node requested releases; -1 if that is unknown.
+    """
+
+    waited_ms: int = -1
 
 
 @message(12)
--- a/src/crocusspindle/gateway/quota.py
+++ b/src/crocusspindle/gateway/quota.py
@@ -138,13 +138,14 @@
         if isinstance(decision, NotKept) and self._keeper.ranks_first(customer):
             await self._collect_releases(customer)
             decision = self._spend_here(message)
+        began_ms = now_ms()
         if isinstance(decision, WaitingSpend):
             decision = await self._wait_for_token(customer, decision)
         if isinstance(decision, Admitted):
             return SpendAnswer(0.0, decision.token)
         if isinstance(decision, OverRate):
             return RefusedAnswer("rate", round(decision.retry_after_ms, 1))
-        return NotMineAnswer()
+        return NotMineAnswer(round(now_ms() - began_ms))
 
     def _spend_here(self, message: SpendAsk) -> SpendResult | WaitingSpend:
         decision = self._keeper.spend(
@@ -290,7 +291,10 @@
                 return OverRate(response.retry_after_ms)
             if isinstance(response, NotMineAnswer):
                 # The keeper changed while the request waited there.
-                wait_limit_ms = max(0.0, wait_limit_ms - (now_ms() - asked_ms))
+                waited_ms: float = response.waited_ms
+                if waited_ms < 0:
+                    waited_ms = now_ms() - asked_ms
+                wait_limit_ms = max(0.0, wait_limit_ms - waited_ms)
         return self._spend_reserve(rule)
 
     async def _ask_keeper(self, to: Address, message: SpendAsk) -> Any | None:
--- a/tests/gateway/test_quota_return.py
+++ b/tests/gateway/test_quota_return.py
@@ -51,11 +51,11 @@
         return await self.answer
 
 
-def make_quota(exchange, metrics=None) -> Quota:
+def make_quota(exchange, metrics=None, node=None) -> Quota:
     fleet_state = make_fleet_state()
     fleet_state.started_ms = now_ms() - STARTUP_PERIOD_MS
     fleet_state.update_view(View(4, (view_entry(0), view_entry(1))), now_ms())
-    node = view_entry(0).node
+    node = node or view_entry(0).node
     metrics = metrics or Metrics(node.host, node.domain)
     bounds = LiveBounds(Bounds())
     rng = random.Random(1)
@@ -102,6 +102,44 @@
     assert first == 150 and second <= 50
 
 
+async def test_a_wait_for_a_change_of_keepers_leaves_the_wait_for_a_token():
+    """Guards against a refusal within the quota just after a keeper has changed.
+
+    The new keeper may begin without tokens, and the next one is due in milliseconds.
+    """
+
+    class Changing(KeeperExchange):
+        async def request(self, to, message, *_):
+            self.asked.append(message)
+            if len(self.asked) > 1:
+                return SpendAnswer(0.0, 7)
+            await asyncio.sleep(0.2)
+            return NotMineAnswer(waited_ms=30)
+
+    exchange = Changing()
+    assert isinstance(await make_quota(exchange).spend(RULE, 150.0, 0.0), SpentToken)
+    assert [message.wait_limit_ms for message in exchange.asked] == [150, 120]
+
+
+async def test_a_keeper_reports_only_the_wait_for_a_token():
+    """Guards against requests for releases that count as a wait for a token."""
+
+    class Silent(KeeperExchange):
+        async def request(self, to, message, *_):
+            await asyncio.sleep(0.1)
+
+    entries = (view_entry(0), view_entry(1))
+    first = View(4, entries).ranked(CLUB)[0]
+    removed, own = sorted(entries, key=lambda entry: entry.node.host != first)
+    quota = make_quota(Silent(), node=own.node)
+    quota._fleet_state.update_view(View(5, (own,), (removed,)), now_ms())
+    quota._apply_fleet_state()
+    began_ms = now_ms()
+    response = await quota._spend_ask(SpendAsk(CLUB, 500, 0), ("10.0.0.9", 1))
+    assert now_ms() - began_ms >= 99.0
+    assert response == NotMineAnswer(waited_ms=0)
+
+
 async def test_unconfirmed_return_is_counted():
     """Guards against tokens lost to a keeper without a trace in the metrics."""
     metrics = Metrics("g", "a")
