Place without a placer only at targets that are known to have no limit

What callers would see: targets that report a rate limit are overloaded by hosts cut off from their service's placers.

Cause: a host without a placer chooses a target by itself, and leaves out those whose limit it knows from its own responses. A target that it hasn't used in the last 10 s counted as one without a limit. Each of twelve hosts so sends each limited target a request every 10 s, which nobody counts: absence of news taken for knowledge, as in the retry budget.

Change: where any target of the service reports a limit, the host uses only those that have answered it without one in the last 10 s. A report that is older than a response without a limit no longer replaces it.

--- a/src/crocusspindle/gateway/placing.py
+++ b/src/crocusspindle/gateway/placing.py
@@ -312,13 +312,14 @@
             # What else a target runs, or who else runs this request, is unknown here.
             return PlacementRefused("suspect", EJECTION_MS)
         # How much other nodes send to a rate-limited or cold target is unknown here.
-        limited = {report.target for report in self._limits_of(service)}
+        # Where one target reports a limit, others that this node hasn't used may, too.
+        some_limited = bool(self._limits_of(service))
         unlimited = [
             listed
             for listed in self._placers.targets_of(service)
-            if listed.identity not in limited
-            and listed.identity not in placement_request.excluded
+            if listed.identity not in placement_request.excluded
             and not self._placers.may_be_cold(listed)
+            and not (some_limited and not self._is_unlimited(listed))
         ]
         target = self._fallback.choose(unlimited, now_ms())
         if target is None:
@@ -326,6 +327,9 @@
         self._fallback.began(target.identity)
         return Placement(service, target, FALLBACK_HEDGE_MS)
 
+    def _is_unlimited(self, target: ListedTarget) -> bool:
+        return self._limits.is_unlimited(target.identity, now_ms())
+
     async def report_crash(
         self, placement: Placement, content: ContentDigest, latency_ms: float
     ) -> None:
--- a/src/crocusspindle/gateway/reported_limits.py
+++ b/src/crocusspindle/gateway/reported_limits.py
@@ -1,5 +1,6 @@
 """Store the rate limits that targets have reported to this node."""
 
+import math
 from collections.abc import Iterable
 from typing import Final
 
@@ -9,6 +10,9 @@
 RETENTION_MS: Final = 10_000.0
 """A target that still has a limit and gets requests reports it again within this."""
 
+KEPT_UNLIMITED: Final = 5_000
+"""Targets without a limit that are kept; the one recorded first is dropped first."""
+
 
 class ReportedLimits:
     """Hold limits for placers that may not know them.
@@ -19,16 +23,28 @@
 
     def __init__(self) -> None:
         self._reports: dict[TargetIdentity, LimitReport] = {}
+        self._unlimited_ms: dict[TargetIdentity, float] = {}
 
     def record(self, report: LimitReport) -> None:
         """Record the limit that a target's response reported, or that it had none."""
         previous = self._reports.get(report.target)
         if previous is not None and previous.sent_ms > report.sent_ms:
             return
-        if report.limit_per_s is None:
-            self._reports.pop(report.target, None)
-        else:
+        if self._unlimited_ms.get(report.target, -math.inf) > report.sent_ms:
+            return
+        self._unlimited_ms.pop(report.target, None)
+        if report.limit_per_s is not None:
             self._reports[report.target] = report
+            return
+        self._reports.pop(report.target, None)
+        self._unlimited_ms[report.target] = report.sent_ms
+        if len(self._unlimited_ms) > KEPT_UNLIMITED:
+            del self._unlimited_ms[next(iter(self._unlimited_ms))]
+
+    def is_unlimited(self, target: TargetIdentity, now_ms: float) -> bool:
+        """Return True if a target reported no limit within the retention time."""
+        sent_ms = self._unlimited_ms.get(target)
+        return sent_ms is not None and sent_ms > now_ms - RETENTION_MS
 
     def recent(self, now_ms: float) -> list[LimitReport]:
         """Return the limits reported within the retention time."""
--- a/tests/gateway/test_placing_backoffs.py
+++ b/tests/gateway/test_placing_backoffs.py
@@ -7,6 +7,7 @@
 import pytest
 
 from crocusspindle.clock import now_ms
+from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
 from crocusspindle.core.placement_request import PlacementRefused, PlacementRequest
 from crocusspindle.core.policies import ALL_POLICIES
@@ -27,7 +28,7 @@
 from crocusspindle.gateway.placing import Placement, Placing
 from crocusspindle.gateway.reload import LiveBounds
 from crocusspindle.gateway.settings import Bounds
-from crocusspindle.ids import DomainId, ServiceId
+from crocusspindle.ids import ContentDigest, DomainId, ServiceId
 from crocusspindle.metrics import Metrics
 from crocusspindle.platform.documents import parse_configuration
 from tests.gateway.test_fleet_state import view_entry
@@ -159,6 +160,24 @@
         assert isinstance(placement, Placement) and placement.target == TARGETS[1]
 
 
+async def test_a_node_that_places_by_itself_avoids_targets_it_has_not_used(placing):
+    """Guards against nodes that each send a limited target its first request."""
+    placing._placers.ranks._ranked[SERVICE] = []
+    placement = await place(placing)
+    placing.report_outcome(
+        placement, ContentDigest(""), AttemptOutcome.ANSWERED, 1.0, 2.0
+    )
+    refused = await place(placing)
+    assert isinstance(refused, PlacementRefused) and refused.reason == "no-target"
+    other = next(target for target in TARGETS if target != placement.target)
+    unlimited = replace(placement, target=other)
+    placing.report_outcome(
+        unlimited, ContentDigest(""), AttemptOutcome.ANSWERED, 1.0, None
+    )
+    placement = await place(placing)
+    assert isinstance(placement, Placement) and placement.target == other
+
+
 async def test_a_backoff_that_ends_while_a_request_is_queued_does_not_count(
     exchange, placing
 ):
--- a/tests/gateway/test_reported_limits.py
+++ b/tests/gateway/test_reported_limits.py
@@ -30,6 +30,19 @@
     assert limits.recent(RETENTION_MS + 1.0) == []
 
 
+def test_only_a_recent_response_without_a_limit_shows_that_there_is_none():
+    """Guards against targets that count as unlimited because nothing is known."""
+    limits = ReportedLimits()
+    assert not limits.is_unlimited(TARGET, 100.0)
+    limits.record(LimitReport(TARGET, None, 100.0))
+    assert limits.is_unlimited(TARGET, 100.0)
+    assert not limits.is_unlimited(TARGET, 100.0 + RETENTION_MS)
+    limits.record(LimitReport(TARGET, 1.5, 50.0))
+    assert limits.is_unlimited(TARGET, 100.0) and limits.recent(100.0) == []
+    limits.record(LimitReport(TARGET, 1.5, 150.0))
+    assert not limits.is_unlimited(TARGET, 150.0)
+
+
 def test_limits_are_sent_with_their_ages():
     reports = [LimitReport(TARGET, 1.5, 100.0)]
     assert unpacked_limits(packed_limits(reports, 300.0), 1_300.0) == [
