Divide the rate of a limited target among placers that may not hear each other

What callers would see: targets that report a rate limit, and cold ones, get more than they can take while hosts don't hear each other, and refuse or fail what is beyond it.

Cause: a placer counts its own requests to a limited target and those that the other placers report. From one that it doesn't hear no report comes, and it took that for no requests. Class: a bound on a sum, kept by whoever believes to know the sum, as the retry budget before.

Change: while a limit is in force, a host that places contacts the other two of the first three by rank every 150 ms, and uses 1 / (1 + those not heard) of each rate. Shares of placers that don't hear each other sum up to 1 at most. A host that begins to place trusts no contact of before, and begins without tokens unless it is the first; one that is not among the first three gets no share. A log line tells each change of the share.

--- a/src/crocusspindle/core/rate_limit.py
+++ b/src/crocusspindle/core/rate_limit.py
@@ -36,10 +36,12 @@
 
     An overloaded target reports how many requests per second it accepts from all hosts
     together. Requests beyond that limit overload it further. A cold target tolerates
-    the rate that its service's rule names; the lower limit applies.
+    the rate that its service's rule names; the lower limit applies. This host may use a
+    share of it.
     """
 
     def __init__(self) -> None:
+        self._share = 1.0
         self._reported_per_ms = math.inf
         self._cold_per_ms = math.inf
         self._cold_until_ms = -math.inf
@@ -131,12 +133,29 @@
             self._cold_per_ms = math.inf
             self._update_rate()
 
+    def set_share(self, share: float, now_ms: float) -> None:
+        """Set the share of the rate that this host may use, from 0 to 1."""
+        if share == self._share:
+            return
+        if self.is_active:
+            self._fill(now_ms)
+        self._share = share
+        self._tokens = min(self._tokens, self._burst)
+
+    def empty(self, now_ms: float) -> None:
+        """Begin without tokens: other hosts may have sent requests just before."""
+        if self.is_active:
+            self._fill(now_ms)
+        self._tokens = min(self._tokens, 0.0)
+
     def allows(self, now_ms: float) -> bool:
         """Return True if the limit admits one more request now."""
         if self._per_ms < math.inf:
             self.end_due_limit(now_ms)
         if self._per_ms == math.inf:
             return True
+        if self._share == 0.0:
+            return False
         self._fill(now_ms)
         return self._tokens >= 1.0
 
@@ -148,13 +167,17 @@
 
     def sustained_concurrency(self, typical_ms: float) -> float:
         """Return the concurrency that the limit sustains at a typical latency."""
-        return self._per_ms * typical_ms
+        return self._shared_per_ms * typical_ms
+
+    @property
+    def _shared_per_ms(self) -> float:
+        return self._per_ms if self._share == 1.0 else self._per_ms * self._share
 
     @property
     def _burst(self) -> float:
-        return max(1.0, self._per_ms * 1e3 * BURST_S)
+        return max(1.0, self._shared_per_ms * 1e3 * BURST_S)
 
     def _fill(self, now_ms: float) -> None:
-        earned = max(0.0, now_ms - self._filled_at_ms) * self._per_ms
+        earned = max(0.0, now_ms - self._filled_at_ms) * self._shared_per_ms
         self._tokens = min(self._burst, self._tokens + earned)
         self._filled_at_ms = max(self._filled_at_ms, now_ms)
--- a/src/crocusspindle/core/target_limits.py
+++ b/src/crocusspindle/core/target_limits.py
@@ -49,6 +49,21 @@
         until_ms = since_ms + self._rule.warm_up_ms
         return tracker.limit.limit_while_cold(per_s, until_ms, now_ms)
 
+    @property
+    def are_active(self) -> bool:
+        """Return True while a limit of any target is in force."""
+        return any(tracker.limit.is_active for tracker in self._trackers.values())
+
+    def set_share(self, share: float, now_ms: float) -> None:
+        """Set the share of each limit that this placer may use, from 0 to 1."""
+        for tracker in self._trackers.values():
+            tracker.limit.set_share(share, now_ms)
+
+    def empty(self, now_ms: float) -> None:
+        """Begin without tokens: another placer may have sent requests just before."""
+        for tracker in self._trackers.values():
+            tracker.limit.empty(now_ms)
+
     def record_ejection(
         self, tracker: TargetTracker, outcome: AttemptOutcome, now_ms: float
     ) -> None:
--- a/src/crocusspindle/gateway/placer_ranks.py
+++ b/src/crocusspindle/gateway/placer_ranks.py
@@ -51,12 +51,22 @@
             self._ranked[service] = ranked
         return ranked
 
+    def placers(self, service: ServiceId) -> list[HostId]:
+        """Return the members that place for a service or succeed its placer."""
+        return self.ranked(service)[:MAX_PLACERS]
+
+    def others(self, service: ServiceId) -> list[tuple[HostId, Address]]:
+        """Return the other members that place for a service, with their addresses."""
+        return [
+            (host, to)
+            for host in self.placers(service)
+            if host != self._node.host and (to := self.address(host)) is not None
+        ]
+
     def notify_others(self, service: ServiceId, note: Any) -> None:
         """Notify the other members that place for a service or succeed its placer."""
-        for host in self.ranked(service)[:MAX_PLACERS]:
-            to = self.address(host)
-            if host != self._node.host and to is not None:
-                self._exchange.notify(to, note)
+        for _, to in self.others(service):
+            self._exchange.notify(to, note)
 
     def address(self, host: HostId) -> Address | None:
         """Return the address of a member for datagrams."""
--- a/src/crocusspindle/gateway/placers.py
+++ b/src/crocusspindle/gateway/placers.py
@@ -50,6 +50,7 @@
     TargetLimitNote,
 )
 from crocusspindle.gateway.placer_ranks import PlacerRanks
+from crocusspindle.gateway.rate_sharing import RateSharing
 from crocusspindle.gateway.reload import LiveBounds
 from crocusspindle.gateway.reported_limits import packed_limits, unpacked_limits
 from crocusspindle.gateway.retry_budgets import RetryBudgets
@@ -102,6 +103,7 @@
         self.ranks = PlacerRanks(node, exchange, fleet_state)
         self._retry_budgets = RetryBudgets(bounds)
         self._limit_sharing = LimitSharing(self.ranks, metrics)
+        self._rate_sharing = RateSharing(node.host, self.ranks, exchange, self.spawn)
         self._placers: dict[ServiceId, ServicePlacer] = {}
         self.targets: dict[TargetIdentity, ListedTarget] = {}
         self._targets_digest = 0
@@ -284,6 +286,7 @@
         placer = self._placer(ServiceId(message.service))
         for report in unpacked_limits(message.limits, at_ms):
             self._apply_limit(placer, report)
+        self._rate_sharing.record_request(ServiceId(message.service), placer)
         decision = placer.request_placement(placement_request, at_ms)
         if self._waiters:
             # Requests that were queued before may have got slots.
@@ -330,10 +333,11 @@
     async def _target_limit_note(self, note: TargetLimitNote, sender: Address) -> None:
         self._limit_sharing.receive(note, self._placer(ServiceId(note.service)))
 
-    async def _paced_note(self, note: PacedNote, sender: Address) -> None:
+    async def _paced_note(self, note: PacedNote, sender: Address) -> Done:
         placer = self._placer(ServiceId(note.service))
         for report in unpacked_limits(note.limits, now_ms()):
             placer.limits.count_attempt(report, now_ms())
+        return Done()
 
     async def _wait_for_placement(
         self, placer: ServicePlacer, queued: QueuedRequest
@@ -362,6 +366,7 @@
                 PROCESS_INTERVAL_S if self._waiters else IDLE_PROCESS_INTERVAL_S
             )
             for service, placer in self._placers.items():
+                self._rate_sharing.update(service, placer)
                 placer.process_due(now_ms())
                 self._publish_changes(service, placer)
             self._wake_settled()
--- a/tests/core/test_rate_limit.py
+++ b/tests/core/test_rate_limit.py
@@ -133,3 +133,41 @@
     limit = limited(1.0)
     limit.limit_while_cold(4.0, 10_000.0, 0.0)
     assert len(sent_in(limit, 9_000)) <= 10
+
+
+@pytest.mark.parametrize("share", [0.5, 1.0 / 3.0])
+def test_a_host_uses_only_its_share_of_a_rate(share):
+    """Guards against hosts that each use the whole rate of a target."""
+    limit = limited(20.0)
+    limit.set_share(share, 0.0)
+    assert share * 600.0 - 2.0 <= len(sent_in(limit, 30_000)) <= share * 610.0
+
+
+def test_a_share_applies_to_what_is_earned_from_then_on():
+    limit = limited(1.0)
+    limit.set_share(0.5, 500.0)
+    assert not limit.allows(1_400.0)
+    assert limit.allows(1_500.0)
+
+
+def test_a_host_without_a_share_sends_nothing_to_a_limited_target():
+    limit = limited(20.0)
+    limit.set_share(0.0, 1_000.0)
+    assert sent_in(limit, 30_000) == []
+    limit.set_share(1.0, 30_000.0)
+    assert limit.allows(30_100.0)
+
+
+def test_a_host_that_begins_to_place_begins_without_tokens():
+    """Guards against a burst after that of the placer before."""
+    limit = limited(1.0)
+    limit.empty(5_000.0)
+    assert not limit.allows(5_900.0)
+    assert limit.allows(6_000.0)
+
+
+def test_a_target_without_a_limit_admits_whatever_the_share_is():
+    limit = RateLimit()
+    limit.set_share(0.0, 0.0)
+    limit.empty(0.0)
+    assert limit.allows(0.0)
