Check the grace period of expired entries in virtual time

Cause: the test looks too early on a busy machine. After a pause of its process the test's own timer and the reader's next call are due together, and the test looks before the reader's response is applied.

The three tests that look just after a grace period run in virtual time now, with the same times and bounds. No machine delays them.

--- a/tests/gateway/test_platform_reader.py
+++ b/tests/gateway/test_platform_reader.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+from contextlib import asynccontextmanager
 
 import pytest
 
@@ -22,6 +23,7 @@
     Table,
 )
 from crocusspindle.platform.table_store import TableStore
+from crocusspindle_standins.virtual.loop import VirtualLoop, VirtualTime, run
 
 
 def entry(service: str = "books") -> bytes:
@@ -99,8 +101,9 @@
         pass
 
 
-@pytest.fixture
-async def reader_of_store(monkeypatch):
+@asynccontextmanager
+async def reading(monkeypatch):
+    """Read a store with short intervals."""
     for name, value in (
         ("POLL_INTERVAL_S", 0.02),
         ("OUTAGE_AFTER_MS", 150.0),
@@ -121,6 +124,29 @@
     await platform_reader.cancel_tasks()
 
 
+@pytest.fixture
+async def reader_of_store(monkeypatch):
+    async with reading(monkeypatch) as store_and_state:
+        yield store_and_state
+
+
+@pytest.fixture
+def in_virtual_time(monkeypatch):
+    """Return a function that runs a check where a busy machine can't delay it."""
+
+    def run_check(check):
+        loop = VirtualLoop()
+        monkeypatch.setattr("crocusspindle.clock.time", VirtualTime(loop))
+
+        async def read_and_check():
+            async with reading(monkeypatch) as (store, fleet_state):
+                await check(store, fleet_state)
+
+        run(loop, read_and_check())
+
+    return run_check
+
+
 def listed(fleet_state) -> list[str]:
     return [target.identity for target in fleet_state.targets.content]
 
@@ -134,23 +160,28 @@
     assert listed(fleet_state) == ["t1"]
 
 
-async def test_entries_that_expire_during_an_outage_get_a_grace_period(reader_of_store):
+def test_entries_that_expire_during_an_outage_get_a_grace_period(
+    in_virtual_time,
+):
     """The store is unreachable, targets can't renew their entries, and all expire.
 
     Without a grace period the service would have no targets when the store is back.
     Targets that renew within the period stay listed; the others are dropped.
     """
-    store, fleet_state = reader_of_store
-    store.unreachable = True
-    await asyncio.sleep(0.3)
-    expired, store.rows = store.rows, {}
-    store.removed = list(expired)
-    store.unreachable = False
-    await asyncio.sleep(0.15)
-    assert listed(fleet_state) == ["t1", "t2"]
-    store.rows["t1"] = expired["t1"]
-    await asyncio.sleep(0.5)
-    assert listed(fleet_state) == ["t1"]
+
+    async def check(store, fleet_state):
+        store.unreachable = True
+        await asyncio.sleep(0.3)
+        expired, store.rows = store.rows, {}
+        store.removed = list(expired)
+        store.unreachable = False
+        await asyncio.sleep(0.15)
+        assert listed(fleet_state) == ["t1", "t2"]
+        store.rows["t1"] = expired["t1"]
+        await asyncio.sleep(0.5)
+        assert listed(fleet_state) == ["t1"]
+
+    in_virtual_time(check)
 
 
 async def test_lost_history_is_replaced_by_a_full_read(reader_of_store):
@@ -204,24 +235,27 @@
     assert listed(fleet_state) == ["t1"]
 
 
-async def test_entries_not_renewed_after_an_outage_are_dropped_without_a_new_version(
-    reader_of_store,
+def test_entries_not_renewed_after_an_outage_are_dropped_without_a_new_version(
+    in_virtual_time,
 ):
     """The store is back without an entry, and nothing else changes after that.
 
     The version of the list is the same at the end of the grace period.
     """
-    store, fleet_state = reader_of_store
-    store.unreachable = True
-    await asyncio.sleep(0.3)
-    del store.rows["t2"]
-    store.removed = ["t2"]
-    store.frozen = True
-    store.unreachable = False
-    await asyncio.sleep(0.1)
-    assert listed(fleet_state) == ["t1", "t2"]
-    await asyncio.sleep(0.5)
-    assert listed(fleet_state) == ["t1"]
+
+    async def check(store, fleet_state):
+        store.unreachable = True
+        await asyncio.sleep(0.3)
+        del store.rows["t2"]
+        store.removed = ["t2"]
+        store.frozen = True
+        store.unreachable = False
+        await asyncio.sleep(0.1)
+        assert listed(fleet_state) == ["t1", "t2"]
+        await asyncio.sleep(0.5)
+        assert listed(fleet_state) == ["t1"]
+
+    in_virtual_time(check)
 
 
 async def test_reader_that_was_cut_off_restores_no_target(reader_of_store):
@@ -250,31 +284,34 @@
     assert all(names == ["t1"] for names in after_peers)
 
 
-async def test_second_reader_gives_expired_entries_the_same_grace_period(
-    reader_of_store,
+def test_second_reader_gives_expired_entries_the_same_grace_period(
+    in_virtual_time,
 ):
     """No node reached the store, and another reader regains it a moment sooner.
 
     The list that it publishes still holds the expired entries. A reader that concluded
     that there was no outage would drop them all at its first read.
     """
-    store, fleet_state = reader_of_store
-    store.unreachable = True
-    await asyncio.sleep(0.3)
-    expired, store.rows = store.rows, {}
-    store.removed = list(expired)
-
-    async def apply_first_readers_list():
-        in_force = fleet_state.targets.content
-        fleet_state.update_targets(in_force, at(store.version), now_ms())
-        fleet_state.store_regained_at_ms = now_ms()
 
-    store.platform_reader.query_peers = apply_first_readers_list
-    store.unreachable = False
-    await asyncio.sleep(0.15)
-    assert listed(fleet_state) == ["t1", "t2"]
-    await asyncio.sleep(0.5)
-    assert listed(fleet_state) == []
+    async def check(store, fleet_state):
+        store.unreachable = True
+        await asyncio.sleep(0.3)
+        expired, store.rows = store.rows, {}
+        store.removed = list(expired)
+
+        async def apply_first_readers_list():
+            in_force = fleet_state.targets.content
+            fleet_state.update_targets(in_force, at(store.version), now_ms())
+            fleet_state.store_regained_at_ms = now_ms()
+
+        store.platform_reader.query_peers = apply_first_readers_list
+        store.unreachable = False
+        await asyncio.sleep(0.15)
+        assert listed(fleet_state) == ["t1", "t2"]
+        await asyncio.sleep(0.5)
+        assert listed(fleet_state) == []
+
+    in_virtual_time(check)
 
 
 async def test_target_without_an_entry_in_a_peers_list_is_dropped(reader_of_store):
