End a stopped process before the teardown of its event loop

The line "stopped" came in time, up to 1.6 s before the end.

Cause: between that line and its exit the process closed its event loop, which starts two threads to shut executors down that were never used, and waits until each runs. On a busy machine a new thread waits for a processor.

Ruled out: threads with work (both pool threads are idle) and tasks that don't end (none but those of idle connections).

Change: the gateway's process exits as soon as all services have stopped. A failed service still ends it as before.

--- a/src/crocusspindle/gateway/__main__.py
+++ b/src/crocusspindle/gateway/__main__.py
@@ -13,7 +13,7 @@
 def main(arguments: list[str]) -> int:
     """Serve with the settings that the first argument or the environment names.
 
-    Return the exit status of the process.
+    End the process after a planned stop; otherwise return its exit status.
     """
     # By default SIGHUP ends a process that has not installed its handler yet.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
@@ -35,16 +35,19 @@
     )
 
     try:
-        serve(arguments[0] if arguments else None, began_ms)
+        serve(arguments[0] if arguments else None, began_ms, _exit_at_once)
     except (CrocusspindleError, OSError) as error:
         print(f"crocusspindle: {error}", file=sys.stderr)
         return 1
     return 0
 
 
-if __name__ == "__main__":
-    status = main(sys.argv[1:])
+def _exit_at_once(status: int = 0) -> None:
+    # All connections are closed. The teardown of the event loop, which starts threads,
+    # and of the interpreter would only delay the next start of the host's process.
     sys.stderr.flush()
-    # All connections are closed. The teardown of the interpreter would only delay the
-    # next start of the host's process.
     os._exit(status)
+
+
+if __name__ == "__main__":
+    _exit_at_once(main(sys.argv[1:]))
--- a/src/crocusspindle/gateway/serve.py
+++ b/src/crocusspindle/gateway/serve.py
@@ -1,6 +1,7 @@
 """Run a node that serves on the platform until it is stopped."""
 
 import os
+from collections.abc import Callable
 from typing import Final
 
 from crocusspindle import kernel
@@ -17,13 +18,17 @@
 them."""
 
 
-def serve(path: str | None, began_ms: float) -> None:
+def serve(
+    path: str | None, began_ms: float, on_stopped: Callable[[], None] | None = None
+) -> None:
     """Serve until a signal stops it; raise ``SettingsError`` with all findings.
 
     Parameters
     ----------
     began_ms
         Start of this process (ms). A small host takes seconds to load its modules.
+    on_stopped
+        Called when all services have stopped without a failure.
     """
     settings_path = settings_file.settings_path(path)
     policies = Policies.from_names(os.environ.get(WITHOUT_ENV, ""))
@@ -33,5 +38,6 @@
     kernel.run(
         lambda: assembly.build(
             settings_path, read, platform_dialect, lines, policies, began_ms
-        )
+        ),
+        on_stopped,
     )
--- a/src/crocusspindle/kernel.py
+++ b/src/crocusspindle/kernel.py
@@ -209,10 +209,14 @@
             self.loop.remove_signal_handler(number)
 
 
-def run(build: Callable[[], Kernel]) -> None:
+def run(
+    build: Callable[[], Kernel], on_stopped: Callable[[], None] | None = None
+) -> None:
     """Build a kernel inside the event loop and run it until it is stopped.
 
-    SIGTERM or SIGINT starts a planned stop; a second one stops at once.
+    SIGTERM or SIGINT starts a planned stop; a second one stops at once. ``on_stopped``
+    is called when all services have stopped without a failure, and may end the process
+    before the event loop is closed.
     """
 
     async def serve() -> None:
@@ -220,6 +224,8 @@
         runner = _KernelRunner(kernel=kernel)
         await entrypoint.start_services(runner)
         await kernel.run()
+        if on_stopped is not None:
+            on_stopped()
 
     entrypoint = aiomisc.entrypoint(
         loop_factory=uvloop.new_event_loop, log_config=False, catch_signals=()
--- a/tests/product/test_kernel.py
+++ b/tests/product/test_kernel.py
@@ -125,3 +125,27 @@
 
     kernel_module.run(lambda: make_kernel(Signals("a", events)))
     assert events == ["start a", "drain a", "stop a"]
+
+
+def test_the_end_of_all_services_is_reported_before_the_loop_is_closed():
+    """Guards against a stopped process that waits for threads on a busy machine."""
+    events = []
+
+    def record_stopped():
+        assert asyncio.get_running_loop().is_running()
+        events.append("stopped")
+
+    class Stopping(Recorder):
+        async def start(self):
+            await super().start()
+            os.kill(os.getpid(), signal.SIGTERM)
+
+    kernel_module.run(lambda: make_kernel(Stopping("a", events)), record_stopped)
+    assert events == ["start a", "drain a", "stop a", "stopped"]
+
+
+def test_a_failed_service_is_not_reported_as_a_planned_stop():
+    """Guards against an exit status of 0 after a failure."""
+    kernel = make_kernel(Recorder("a", [], fails=True))
+    with pytest.raises(KernelError, match="did not start"):
+        kernel_module.run(lambda: kernel, lambda: pytest.fail("reported"))
