--- a/tests/core/test_placing_limits.py
+++ b/tests/core/test_placing_limits.py
@@ -168,3 +168,19 @@
         assert not isinstance(
             placer.request_placement(request, at_ms), PlacementGranted
         )
+
+
+def test_a_placer_without_a_share_of_all_rates_names_a_time_to_return():
+    """Guards against callers that are told never to come back.
+
+    Limits last, while another placer is heard again or a new view comes in a moment.
+    """
+    load = LoadSimulation(3, [4.0] * 3, requests_per_s=4.0)
+    load.run(5_000)
+    load.placer.limits.set_share(0.0, 5_000.0)
+    request = PlacementRequest(
+        SENDER, DomainId("a"), "pages", True, 1, AIM_MS, 5_000.0 + DEADLINE_MS
+    )
+    refusals = [load.placer.request_placement(request, 5_000.0) for _ in range(20)]
+    assert all(isinstance(refused, PlacementRefused) for refused in refusals)
+    assert max(refused.retry_after_ms for refused in refusals) <= 1_500.0
