Let the stand-in callers reuse idle connections for less than the idle timeout

Cause, as far as shown: the stand-in fleet's session reuses connections that have been idle for up to 15 s, the library's default, and the gateways close them after 15 s by their configuration. Connections that only a busy moment needed are reused after about that time; the gateway may close one as the next request is sent.

The platform's callers reuse connections for four fifths of the timeout, and so does the session now. No check or bound is changed.

--- a/src/crocusspindle_standins/on_platform/fleet.py
+++ b/src/crocusspindle_standins/on_platform/fleet.py
@@ -28,6 +28,11 @@
 HOST: Final = "hall.example"
 START_TIMEOUT_S: Final = 20.0
 HEARTBEAT_S: Final = 0.5
+IDLE_TIMEOUT_S: Final = 15
+REUSE_FRACTION: Final = 0.8
+"""Part of the idle timeout for which callers reuse a connection. Later, the gateway may
+close it just as a request is sent."""
+
 OK: Final = 200
 
 
@@ -51,7 +56,7 @@
             "pages": {**route, "prefix": "/pages/", "kind": "safe"},
             "orders": {**route, "prefix": "/orders/", "kind": "unsafe"},
         },
-        "limits": {"body_bytes": 3_000_000, "idle_timeout_s": 15},
+        "limits": {"body_bytes": 3_000_000, "idle_timeout_s": IDLE_TIMEOUT_S},
         "tenants": {"club": {"api_keys": [KEY], "per_s": 500, "burst": 500}},
         **changes,
     }
@@ -119,7 +124,10 @@
 
     async def start(self, gateways: int = 3, targets: int = 4) -> None:
         """Start everything and wait until all gateways are ready."""
-        self.session = single_attempt_session()
+        connector = aiohttp.TCPConnector(
+            keepalive_timeout=REUSE_FRACTION * IDLE_TIMEOUT_S
+        )
+        self.session = single_attempt_session(connector=connector)
         self.runner = web.AppRunner(self.store.app())
         await self.runner.setup()
         site = web.TCPSite(self.runner, "127.0.0.1", 0)
