--- a/src/crocusspindle/core/placement_queue.py
+++ b/src/crocusspindle/core/placement_queue.py
@@ -243,7 +243,8 @@
         left_per_ms = self._left_per_ms(priority, capacity_per_ms, now_ms)
         reserved_per_ms = capacity_per_ms / RESERVED_EVERY
         if left_per_ms <= reserved_per_ms:
-            # Higher priorities leave almost nothing now, which need not last.
+            # Almost nothing is left now, by higher priorities or without a share of
+            # any rate limit, which need not last.
             excess_ms = min(excess_ms, FORECAST_MS)
         rate_per_ms = max(left_per_ms, reserved_per_ms)
         rate_per_ms *= self._queue.share_of(priority, request.customer)
--- a/src/crocusspindle/gateway/messages.py
+++ b/src/crocusspindle/gateway/messages.py
@@ -283,7 +283,7 @@
     """Report to other placers that targets with a rate limit got a request each.
 
     ``limits`` has the same entries as in `PlaceAsk`; a cold target that reported no
-    limit has None.
+    limit has None. Without entries, it only asks whether the receiver responds.
     """
 
     service: str
