Check the rows of other writers at one border, one by one

Cause: an entry was checked in one place and encoded in another, and only the first could fail. `parse_target` accepted every text and number that Python holds; msgpack can't carry all of them, so `FleetState.update_targets` raised in the task that follows the table, and a failed task ends the process. Whoever took over read the same row. The same on related paths: rows of the fleet's own table (view, registrations, crash records) were decoded without any check; a configuration whose sections are lists, or whose numbers aren't finite, raised what nobody caught; a datagram with values of other types failed in its handler, which ended the process as well; so did a peer's state with a malformed document.

Change: values get their types and bounds where they are read (`typed_values.py`), by what everything behind needs: encodable texts, ranges of whole numbers, finite numbers, ports. Each row is applied by itself; one that can't be used is logged with its key and reason (`row rejected`), counted (`gateway_rejected_rows`), and costs no other row. A target is encoded once by itself before it is listed. Messages are checked against the types of their fields, and a handler that fails costs its message (`gateway_rejected_messages`). `parse_target` raises `MalformedError` in place of returning None, so that the reason is known; its tests check for that.

--- a/src/crocusspindle/errors.py
+++ b/src/crocusspindle/errors.py
@@ -33,6 +33,10 @@
         self.findings = tuple(findings)
 
 
+class MalformedError(CrocusspindleError, ValueError):
+    """Report a value of another program that can't be read or isn't usable."""
+
+
 class SettingsError(InvalidInputError):
     """Report settings that cannot be used."""
 
--- a/src/crocusspindle/gateway/crash_sharing.py
+++ b/src/crocusspindle/gateway/crash_sharing.py
@@ -13,7 +13,7 @@
 from crocusspindle.gateway.exchange import Address, Exchange
 from crocusspindle.gateway.fleet_state import FleetState
 from crocusspindle.gateway.messages import CrashNote, Done
-from crocusspindle.gateway.packed_documents import packed_record, unpacked_record
+from crocusspindle.gateway.packed_documents import packed_record, unpacked_records
 from crocusspindle.gateway.placer_ranks import PlacerRanks
 from crocusspindle.ids import ContentDigest, ServiceId
 from crocusspindle.kernel import Service
@@ -47,7 +47,7 @@
         self._exchange.handle(CrashNote, self._crash_note)
 
     async def _crash_note(self, note: CrashNote, sender: Address) -> Done:
-        received = [unpacked_record(parts) for parts in note.records]
+        received = unpacked_records(note.records)
         for record in self._fleet_state.merge_crashes(received):
             self._log_record("crash record heard", record, told_by=sender[0])
         return Done()
--- a/src/crocusspindle/gateway/document_deltas.py
+++ b/src/crocusspindle/gateway/document_deltas.py
@@ -5,6 +5,9 @@
 
 import zstandard
 
+from crocusspindle.errors import MalformedError
+from crocusspindle.typed_values import as_sequence
+
 ENCODINGS_KEPT: Final = 8
 """Encodings kept as delta bases. Peers ping twice a second and lists change a few times
 a second at most, so a peer holds one of the last few; others get the full document."""
@@ -49,8 +52,13 @@
         return delta
 
     def apply_delta(self, delta: Delta) -> bytes | None:
-        """Return the newer encoding; None if the base is missing or differs here."""
-        base, data = delta
+        """Return the newer encoding; None if the base is missing or differs here.
+
+        Raise ``MalformedError`` if it is no delta.
+        """
+        base, data = as_sequence(delta, 2)
+        if not (isinstance(base, int) and isinstance(data, bytes)):
+            raise MalformedError("delta without a key and bytes")
         if base != NO_BASE and base not in self._encodings:
             return None
         try:
--- a/src/crocusspindle/gateway/exchange.py
+++ b/src/crocusspindle/gateway/exchange.py
@@ -15,6 +15,7 @@
     unpack,
 )
 from crocusspindle.kernel import Service
+from crocusspindle.log_lines import Logger, log_state_change
 from crocusspindle.metrics import Metrics
 
 REQUEST: Final = 0
@@ -25,6 +26,7 @@
 """A response with a `CURRENT_NUMBERS` number. It may have appended fields."""
 
 BUSY_NAME: Final = "Busy"
+UNREADABLE_NAME: Final = "unreadable"
 
 CURRENT_NUMBERS: Final = 1 << 48
 """Set in the numbers of requests from versions that ignore unknown trailing fields.
@@ -80,6 +82,7 @@
         self._current_peers: dict[Address, None] = {}
         self._pending: dict[int, _PendingRequest] = {}
         self._responses: dict[tuple[Address, int], _SentResponse | None] = {}
+        self._log = Logger("exchange")
 
     def handle(self, message_type: type[Any], handler: Handler) -> None:
         """Call a handler for each message of a type.
@@ -167,11 +170,14 @@
         try:
             parts = decode_datagram(data)
             frame_type, number = parts[0], parts[1]
+            if not isinstance(number, int):
+                raise PeerError("a frame without a number")
             if frame_type == BUSY:
                 self._receive_busy(number)
                 return
             content = unpack(parts[2:])
         except (PeerError, TypeError, IndexError, KeyError):
+            self._metrics.add(instruments.REJECTED_MESSAGES, type=UNREADABLE_NAME)
             return
         self._record_version(frame_type, number, sender)
         if frame_type in (RESPONSE, CURRENT_RESPONSE):
@@ -251,7 +257,24 @@
 
     async def _call(self, content: Any, sender: Address) -> Any | None:
         handler = self._handlers.get(type(content))
-        return None if handler is None else await handler(content, sender)
+        if handler is None:
+            return None
+        try:
+            return await handler(content, sender)
+        except Exception as error:
+            # One message must not end the process, nor that of the next receiver.
+            self._reject(type(content).__name__, sender, error)
+            return None
+
+    def _reject(self, name: str, sender: Address, error: Exception) -> None:
+        self._metrics.add(instruments.REJECTED_MESSAGES, type=name)
+        log_state_change(
+            self._log,
+            "message rejected",
+            type=name,
+            sender=sender[0],
+            reason=repr(error),
+        )
 
 
 @dataclass(slots=True)
--- a/src/crocusspindle/gateway/fleet_state.py
+++ b/src/crocusspindle/gateway/fleet_state.py
@@ -5,9 +5,7 @@
 import zlib
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from contextlib import suppress
-from typing import Any, ClassVar, Final, NamedTuple
-
-import msgpack
+from typing import ClassVar, Final, NamedTuple
 
 from crocusspindle.clock import now_ms, wall_ms
 from crocusspindle.core.configuration import Configuration
@@ -22,11 +20,13 @@
 from crocusspindle.gateway.document_deltas import Delta, DocumentEncodings
 from crocusspindle.gateway.messages import State
 from crocusspindle.gateway.packed_documents import (
+    encode_document,
     packed_record,
     packed_steps,
     packed_targets,
     packed_view,
-    unpacked_record,
+    unpacked_open_nodes,
+    unpacked_records,
     unpacked_steps,
     unpacked_targets,
     unpacked_view,
@@ -34,6 +34,7 @@
 from crocusspindle.ids import DomainId
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
+from crocusspindle.typed_values import as_sequence, as_text, as_whole, decode_msgpack
 
 FIRST_READ_TIMEOUT_MS: Final = 1_000.0
 """How long after the start requests wait for the first configuration and the first list
@@ -81,7 +82,8 @@
     one when they were read.
     ``store_era`` is the newest era of the store that this node has heard of, and
     ``era_began_ms`` when it learned of it, if it knew another one before.
-    ``stale_responses`` counts those of the store that were dropped.
+    ``stale_responses`` counts those of the store that were dropped, and
+    ``rejected_rows`` the rows that this node has read and can't use.
     ``ended_evacuations`` has the era in which the evacuation of a domain ended.
     ``capacity_left`` has the eighths of capacity left by caller address, for the open
     nodes that have less than `LEFT_MAX`.
@@ -96,6 +98,7 @@
         self.store_era = UNKNOWN_ERA
         self.era_began_ms = -math.inf
         self.stale_responses = 0
+        self.rejected_rows = 0
         self.configuration: VersionedState[Configuration, int] = VersionedState(-1)
         self.targets: VersionedState[tuple[ListedTarget, ...], StoreVersion] = (
             VersionedState(NO_VERSION)
@@ -204,7 +207,7 @@
     ) -> None:
         """Apply the list of targets as of a version of the store."""
         ordered = tuple(sorted(listed, key=lambda entry: entry.identity))
-        encoding = _encode(packed_targets(ordered))
+        encoding = encode_document(packed_targets(ordered))
         digest = encoding_digest(encoding)
         if version < self.targets.version:
             return
@@ -228,7 +231,9 @@
     def update_view(self, view: View, confirmed_at_ms: float) -> None:
         """Apply a view of the members if it is newer."""
         if self.view.update(view, view.number, confirmed_at_ms):
-            self._encodings["view"].update(view.number, _encode(packed_view(view)))
+            self._encodings["view"].update(
+                view.number, encode_document(packed_view(view))
+            )
             log_state_change(
                 self._log,
                 "view in force",
@@ -269,7 +274,7 @@
     def update_open_nodes(self, open_nodes: Sequence[tuple[str, str]]) -> None:
         """Apply the list of nodes that accept new callers."""
         self.open_nodes = [(address, domain) for address, domain in open_nodes]
-        encoding = _encode(self.open_nodes)
+        encoding = encode_document(self.open_nodes)
         self.open_digest = encoding_digest(encoding)
         self._encodings["open"].update(self.open_digest, encoding)
         if self.capacity_digest != NO_DIGEST:
@@ -307,7 +312,7 @@
     def refresh_crash_encoding(self) -> None:
         """Encode the shared crash records again after a possible change."""
         shared = self.crashes.shared()
-        encoding = _encode([packed_record(record) for record in shared])
+        encoding = encode_document([packed_record(record) for record in shared])
         self.crash_digest = encoding_digest(encoding) if shared else NO_DIGEST
         self._encodings["crashes"].update(self.crash_digest, encoding)
 
@@ -316,13 +321,14 @@
 
         Return False if a delta could not be applied because its base is not held, or
         differs here. With a ``sent_ms`` of minus infinity the state confirms nothing.
+        Raise ``MalformedError`` if it holds a document that can't be read.
         """
         self.advance_era(state.store_era)
         # Before the configuration, with which a node that has just started begins to
         # serve.
         self.update_evacuated(
-            map(DomainId, state.evacuated),
-            StoreVersion(*state.evacuated_version),
+            [DomainId(as_text(domain)) for domain in state.evacuated],
+            _store_version(state.evacuated_version),
             sent_ms - state.configuration_age_ms,
         )
         configuration = self._apply_delta("configuration", state.configuration)
@@ -336,17 +342,16 @@
         targets = self._apply_targets(state, sent_ms)
         view = self._apply_delta("view", state.view)
         if view is not None:
-            content = unpacked_view(msgpack.unpackb(view))
+            content = unpacked_view(decode_msgpack(view))
             self.update_view(content, sent_ms - state.view_age_ms)
         self.view.confirm(state.view_number, sent_ms - state.view_age_ms)
         open_nodes = self._apply_delta("open", state.open_nodes)
         if open_nodes is not None:
-            self.update_open_nodes(msgpack.unpackb(open_nodes))
+            self.update_open_nodes(unpacked_open_nodes(decode_msgpack(open_nodes)))
         self._apply_capacity_left(state)
         crashes = self._apply_delta("crashes", state.crashes)
         if crashes is not None:
-            records = msgpack.unpackb(crashes)
-            self.merge_crashes([unpacked_record(parts) for parts in records])
+            self.merge_crashes(unpacked_records(decode_msgpack(crashes)))
         if state.store_regained_age_ms < UNCONFIRMED_AGE_MS:
             regained_at_ms = sent_ms - state.store_regained_age_ms
             self.store_regained_at_ms = max(self.store_regained_at_ms, regained_at_ms)
@@ -385,10 +390,10 @@
 
     def _apply_targets(self, state: State, sent_ms: float) -> bytes | None:
         confirmed_at_ms = sent_ms - state.targets_age_ms
-        version = StoreVersion(*state.targets_version)
+        version = _store_version(state.targets_version)
         encoding = self._apply_delta("targets", state.targets)
         if encoding is not None:
-            listed = unpacked_targets(msgpack.unpackb(encoding))
+            listed = unpacked_targets(decode_msgpack(encoding))
             self.update_targets(listed, version, confirmed_at_ms)
         elif state.targets_digest == self.targets_digest:
             content = self.targets.content or ()
@@ -478,10 +483,10 @@
     """Ignore a restore of the store; the default."""
 
 
-def _age_field_ms(age_ms: float) -> int:
-    return int(min(age_ms + 1, UNCONFIRMED_AGE_MS))
+def _store_version(parts: Sequence[int]) -> StoreVersion:
+    era, number = as_sequence(parts, 2)
+    return StoreVersion(as_whole(era, NO_VERSION.era), as_whole(number, -1))
 
 
-def _encode(content: Any) -> bytes:
-    encoding: bytes = msgpack.packb(content)
-    return encoding
+def _age_field_ms(age_ms: float) -> int:
+    return int(min(age_ms + 1, UNCONFIRMED_AGE_MS))
--- a/src/crocusspindle/gateway/held_requests.py
+++ b/src/crocusspindle/gateway/held_requests.py
@@ -2,7 +2,7 @@
 
 import json
 from collections.abc import AsyncIterator, Mapping
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import replace
 from typing import Any
 
@@ -12,6 +12,7 @@
 from crocusspindle.errors import (
     Finding,
     InvalidInputError,
+    MalformedError,
     PlatformUnavailableError,
 )
 from crocusspindle.gateway.assembly import platform_of
@@ -20,6 +21,7 @@
 from crocusspindle.ids import ContentDigest
 from crocusspindle.platform import settings_file, table_store
 from crocusspindle.platform.fleet_platform import FleetPlatform, StoredRow, Table
+from crocusspindle.typed_values import decode_json
 
 # Importing `table_store` registers its platform.
 __all__ = ["free_request", "held_requests", "open_platform", "table_store"]
@@ -83,6 +85,7 @@
     records: dict[ContentDigest, tuple[StoredRow, CrashRecord]] = {}
     for row in changes.rows:
         if row.value is not None and row.key.startswith(CRASH_PREFIX):
-            record = unpacked_record(json.loads(row.value))
-            records[record.content] = (row, record)
+            with suppress(MalformedError):
+                record = unpacked_record(decode_json(row.value))
+                records[record.content] = (row, record)
     return records
--- a/src/crocusspindle/gateway/instruments.py
+++ b/src/crocusspindle/gateway/instruments.py
@@ -123,6 +123,23 @@
     when_rising="The store answers with old state, or was restored without naming a "
     "newer era: see `store lost` in the log.",
 )
+REJECTED_ROWS: Final = declare(
+    "gateway_rejected_rows",
+    InstrumentKind.GAUGE,
+    unit="rows",
+    meaning="Rows of the store that this node has read and can't use.",
+    when_rising="Another program writes to these tables: see `row rejected` in the log "
+    "for the row and what is wrong with it. The other rows are in force.",
+)
+REJECTED_MESSAGES: Final = declare(
+    "gateway_rejected_messages",
+    InstrumentKind.COUNTER,
+    unit="datagrams",
+    labels=("type",),
+    meaning="Datagrams that this node could not read (`unreadable`) or use, by type.",
+    when_rising="Another program sends to the port between nodes, or nodes of versions "
+    "that don't understand each other: see `message rejected` in the log.",
+)
 LOST_PATHS: Final = declare(
     "gateway_lost_paths",
     InstrumentKind.GAUGE,
--- a/src/crocusspindle/gateway/membership.py
+++ b/src/crocusspindle/gateway/membership.py
@@ -4,6 +4,7 @@
 import math
 import random
 from collections.abc import Callable, Mapping, Sequence
+from contextlib import suppress
 from enum import Enum
 from typing import ClassVar, Final
 
@@ -15,7 +16,7 @@
 from crocusspindle.core.reader_choice import ReaderChoice
 from crocusspindle.core.rendezvous import order
 from crocusspindle.core.view import NodeAddress, ViewEntryKey
-from crocusspindle.errors import PlatformError
+from crocusspindle.errors import MalformedError, PlatformError
 from crocusspindle.gateway.exchange import Address, Exchange
 from crocusspindle.gateway.fleet_state import (
     NO_DIGEST,
@@ -292,7 +293,11 @@
         if not isinstance(state, State):
             self._suspect(reader, "silent")
             return ReaderResponse.NONE
-        self._fleet_state.apply_state(state, sent_ms)
+        try:
+            self._fleet_state.apply_state(state, sent_ms)
+        except MalformedError as error:
+            self._suspect(reader, f"malformed state: {error}")
+            return ReaderResponse.NONE
         if state.sender_unknown:
             self.introduce(to)
         if state.crash_digest != self._fleet_state.crash_digest:
@@ -410,7 +415,8 @@
         sent_ms, peek = now_ms(), Peek(self._fleet_state.held_keys())
         state = await self._exchange.request(to, peek, PEER_SILENT_S, PEER_LIMIT_S)
         if isinstance(state, State):
-            self._fleet_state.apply_state(state, sent_ms)
+            with suppress(MalformedError):
+                self._fleet_state.apply_state(state, sent_ms)
 
     async def _respond_to_peek(self, peek: Peek, sender: Address) -> State:
         return self._fleet_state.state_for(HeldKeys(*peek.held))
@@ -429,8 +435,10 @@
         # The transit time of a pushed state is unknown, so its documents are applied
         # but it confirms nothing.
         self._applying_push = True
-        applied = self._fleet_state.apply_state(state, -math.inf)
-        self._applying_push = False
+        try:
+            applied = self._fleet_state.apply_state(state, -math.inf)
+        finally:
+            self._applying_push = False
         if state.reaches_store:
             self._registration.retry_soon()
             if self._lost_pauses is not None:
--- a/src/crocusspindle/gateway/messages.py
+++ b/src/crocusspindle/gateway/messages.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import MISSING, dataclass, fields, replace
-from typing import Any, Final, TypeVar
+from itertools import chain
+from types import UnionType
+from typing import Any, Final, TypeVar, get_args, get_origin, get_type_hints
 
 import msgpack
 
@@ -24,6 +26,7 @@
 _FIELDS: Final[dict[type[Any], tuple[str, ...]]] = {}
 _DEFAULTS: Final[dict[type[Any], tuple[Any, ...]]] = {}
 _APPENDED: Final[dict[type[Any], int]] = {}
+_TYPES: Final[dict[type[Any], tuple[tuple[type[Any], ...], ...]]] = {}
 Kind = TypeVar("Kind", bound=type[Any])
 
 
@@ -41,6 +44,10 @@
         _CODES[message_type] = code
         _FIELDS[message_type] = tuple(entry.name for entry in fields(message_type))
         _APPENDED[message_type] = appended
+        _TYPES[message_type] = tuple(
+            _accepted_types(annotation)
+            for annotation in get_type_hints(message_type).values()
+        )
         _DEFAULTS[message_type] = tuple(
             entry.default
             for entry in reversed(fields(message_type))
@@ -80,10 +87,27 @@
     """
     try:
         message_type = _BY_CODE[parts[0]]
-        known_fields = len(_FIELDS[message_type])
-        return message_type(*parts[1 : 1 + known_fields])
+        types = _TYPES[message_type]
+        values = parts[1 : 1 + len(types)]
+        content = message_type(*values)
     except (TypeError, KeyError, IndexError) as error:
         raise PeerError(f"message cannot be decoded: {error!r}") from error
+    if not all(map(isinstance, values, types)):
+        raise PeerError(f"{message_type.__name__} has values of other types")
+    return content
+
+
+def _accepted_types(annotation: Any) -> tuple[type[Any], ...]:
+    """Return the types that msgpack decodes the values of a field to."""
+    if isinstance(annotation, UnionType):
+        accepted = map(_accepted_types, get_args(annotation))
+        return tuple(chain.from_iterable(accepted))
+    if annotation in (int, float):
+        return (int, float)
+    if get_origin(annotation) in (Sequence, list, tuple):
+        return (list, tuple)
+    assert isinstance(annotation, type)
+    return (annotation,)
 
 
 def encode_datagram(parts: list[Any]) -> bytes:
--- a/src/crocusspindle/gateway/packed_documents.py
+++ b/src/crocusspindle/gateway/packed_documents.py
@@ -1,18 +1,51 @@
-"""Convert the documents of the fleet's state to plain lists and back."""
+"""Convert the documents of the fleet's state to plain lists and back.
+
+Converting back raises ``MalformedError`` for lists of another shape or with values of
+other types.
+"""
 
 from collections.abc import Mapping, Sequence
 from dataclasses import astuple
 from typing import Any, Final
 
+import msgpack
+
 from crocusspindle.core.capacity_left import LEFT_MAX
 from crocusspindle.core.crash_record import Crash, CrashRecord
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
-from crocusspindle.core.view import NodeAddress, View, ViewEntry
+from crocusspindle.core.view import (
+    COUNT_BITS,
+    ERA_BITS,
+    NodeAddress,
+    View,
+    ViewEntry,
+)
+from crocusspindle.errors import MalformedError
 from crocusspindle.ids import ContentDigest, DomainId, HostId, Incarnation, ServiceId
+from crocusspindle.typed_values import (
+    as_flag,
+    as_number,
+    as_sequence,
+    as_text,
+    as_whole,
+)
 
 STEP_BITS: Final = 2
 STEPS_PER_BYTE: Final = 8 // STEP_BITS
 STEP_MASK: Final = (1 << STEP_BITS) - 1
+REQUIRED_TARGET_FIELDS: Final = 6
+NOT_COLD: Final[tuple[Any, ...]] = (False, 0)
+"""The last fields of a target, which nodes of earlier versions leave out."""
+
+MAX_PORT: Final = 65_535
+MAX_CAPACITY: Final = 1 << 32
+MAX_VIEW_NUMBER: Final = (1 << COUNT_BITS + ERA_BITS) - 1
+
+
+def encode_document(content: Any) -> bytes:
+    """Encode a packed document for peers."""
+    encoding: bytes = msgpack.packb(content)
+    return encoding
 
 
 def packed_targets(listed: Sequence[ListedTarget]) -> list[Any]:
@@ -32,20 +65,36 @@
     ]
 
 
-def unpacked_targets(parts: Sequence[Sequence[Any]]) -> list[ListedTarget]:
+def unpacked_targets(parts: Any) -> list[ListedTarget]:
     """Convert the output of `packed_targets` back."""
-    return [
-        ListedTarget(
+    return [_unpacked_target(as_sequence(entry)) for entry in as_sequence(parts)]
+
+
+def _unpacked_target(parts: Sequence[Any]) -> ListedTarget:
+    # A list may hold hundreds of targets and changes often, so types are checked only.
+    try:
+        identity, service, address, domain, slots, readiness, cold, started_ms = (
+            *parts,
+            *NOT_COLD[len(parts) - REQUIRED_TARGET_FIELDS :],
+        )
+        target = ListedTarget(
             TargetIdentity(identity),
             ServiceId(service),
             address,
             DomainId(domain),
             slots,
             Readiness(readiness),
-            *cold_state,
+            cold,
+            started_ms,
         )
-        for identity, service, address, domain, slots, readiness, *cold_state in parts
-    ]
+    except ValueError as error:
+        raise MalformedError(f"target {error}") from error
+    texts = (identity, service, address, domain)
+    if not all(isinstance(text, str) for text in texts):
+        raise MalformedError("target without text")
+    if not (isinstance(slots, int) and isinstance(started_ms, int)):
+        raise MalformedError("target without whole numbers")
+    return target
 
 
 def packed_record(record: CrashRecord) -> list[Any]:
@@ -60,38 +109,47 @@
     ]
 
 
-def unpacked_record(parts: Sequence[Any]) -> CrashRecord:
+def unpacked_record(parts: Any) -> CrashRecord:
     """Convert the output of `packed_record` back."""
-    content, generation, crashes, trials, last_ms, was_shared = parts
+    content, generation, crashes, trials, last_ms, was_shared = as_sequence(parts, 6)
     return CrashRecord(
-        ContentDigest(content),
-        generation,
-        frozenset(
-            Crash(TargetIdentity(target), at_ms, alone)
-            for target, at_ms, alone in crashes
-        ),
-        trials,
-        last_ms,
-        was_shared,
+        ContentDigest(as_text(content)),
+        as_whole(generation),
+        frozenset(map(_unpacked_crash, as_sequence(crashes))),
+        as_whole(trials),
+        as_number(last_ms),
+        as_flag(was_shared),
     )
 
 
+def _unpacked_crash(parts: Any) -> Crash:
+    target, at_ms, alone = as_sequence(parts, 3)
+    return Crash(TargetIdentity(as_text(target)), as_number(at_ms), as_flag(alone))
+
+
+def unpacked_records(parts: Any) -> list[CrashRecord]:
+    """Convert a list of packed crash records back."""
+    return [unpacked_record(record) for record in as_sequence(parts)]
+
+
 def packed_node(node: NodeAddress) -> tuple[Any, ...]:
     """Convert a node to a plain tuple."""
     return astuple(node)
 
 
-def unpacked_node(parts: Sequence[Any]) -> NodeAddress:
+def unpacked_node(parts: Any) -> NodeAddress:
     """Convert the output of `packed_node` back."""
-    host, incarnation, ip, port, domain, caller_address, capacity = parts
+    host, incarnation, ip, port, domain, caller_address, capacity = as_sequence(
+        parts, 7
+    )
     return NodeAddress(
-        HostId(host),
-        Incarnation(incarnation),
-        ip,
-        port,
-        DomainId(domain),
-        caller_address,
-        capacity,
+        HostId(as_text(host)),
+        Incarnation(as_text(incarnation)),
+        as_text(ip),
+        as_whole(port, 1, MAX_PORT),
+        DomainId(as_text(domain)),
+        as_text(caller_address),
+        as_whole(capacity, 1, MAX_CAPACITY),
     )
 
 
@@ -104,14 +162,32 @@
     ]
 
 
-def unpacked_view(parts: Sequence[Any]) -> View:
+def unpacked_view(parts: Any) -> View:
     """Convert the output of `packed_view` back."""
-    number, entries, fenced = parts
-    return View(number, _view_entries(entries), _view_entries(fenced))
+    number, entries, fenced = as_sequence(parts, 3)
+    return View(
+        as_whole(number, most=MAX_VIEW_NUMBER),
+        _view_entries(entries),
+        _view_entries(fenced),
+    )
+
+
+def _view_entries(packed: Any) -> tuple[ViewEntry, ...]:
+    return tuple(_view_entry(as_sequence(entry)) for entry in as_sequence(packed))
+
+
+def _view_entry(parts: Sequence[Any]) -> ViewEntry:
+    *node, joined = parts or (None,)
+    return ViewEntry(unpacked_node(node), as_whole(joined, most=MAX_VIEW_NUMBER))
+
+
+def unpacked_open_nodes(parts: Any) -> list[tuple[str, str]]:
+    """Return the caller addresses and failure domains of open nodes."""
+    return [_open_node(*as_sequence(entry, 2)) for entry in as_sequence(parts)]
 
 
-def _view_entries(packed: Sequence[Sequence[Any]]) -> tuple[ViewEntry, ...]:
-    return tuple(ViewEntry(unpacked_node(entry[:-1]), entry[-1]) for entry in packed)
+def _open_node(address: Any, domain: Any) -> tuple[str, str]:
+    return as_text(address), as_text(domain)
 
 
 def packed_steps(addresses: Sequence[str], left: Mapping[str, int]) -> bytes:
--- a/src/crocusspindle/gateway/platform_reader.py
+++ b/src/crocusspindle/gateway/platform_reader.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Awaitable, Callable, Collection, Mapping
 from enum import Enum
+from functools import partial
 from typing import ClassVar, Final
 
 from crocusspindle.clock import now_ms
@@ -24,13 +25,16 @@
 from crocusspindle.errors import PlatformError, PlatformUnavailableError
 from crocusspindle.gateway.fleet_state import FleetState
 from crocusspindle.gateway.packed_documents import (
+    encode_document,
     packed_node,
     packed_record,
+    packed_targets,
     packed_view,
     unpacked_node,
     unpacked_record,
     unpacked_view,
 )
+from crocusspindle.gateway.rejected_rows import RejectedRows
 from crocusspindle.gateway.store_probe import StoreProbe
 from crocusspindle.ids import ContentDigest, HostId
 from crocusspindle.kernel import Service
@@ -42,6 +46,7 @@
     StoredRow,
     Table,
 )
+from crocusspindle.typed_values import decode_json
 
 VIEW_PREFIX: Final = "view"
 HOST_PREFIX: Final = "host/"
@@ -130,6 +135,7 @@
         self._was_lost = False
         self._period = 0
         self._probe = StoreProbe(rng)
+        self._rejected_rows = RejectedRows(self._log)
         self._row_handlers: Mapping[Table, RowHandler] = {
             Table.CONFIGURATION: self._apply_configuration_rows,
             Table.TARGETS: self._apply_target_rows,
@@ -140,8 +146,8 @@
 
     async def start(self) -> None:
         """Start the loops; they are idle until reads are requested."""
-        for table, handle_rows in self._row_handlers.items():
-            self.spawn(self._follow(table, handle_rows))
+        for table in self._row_handlers:
+            self.spawn(self._follow(table))
 
     async def stop(self) -> None:
         """Close the connections to the platform."""
@@ -191,7 +197,7 @@
             log_state_change(self._log, "rests from reading", calls=self._calls)
         await self._requested.wait()
 
-    async def _follow(self, table: Table, handle_rows: RowHandler) -> None:
+    async def _follow(self, table: Table) -> None:
         while True:
             await self._wait_until_requested()
             self._adopt_era()
@@ -225,7 +231,7 @@
                 )
             if not await self._may_apply(table, changes, complete):
                 continue
-            await handle_rows(changes, complete, began_ms)
+            await self._apply_rows(table, changes, complete, began_ms)
             self._positions[table] = changes.version
             self._fleet_state.notify()
             if self._was_lost and not self.is_store_lost:
@@ -265,7 +271,7 @@
     async def _read_once(self, reason: ReadReason, tables: Collection[Table]) -> None:
         self._reset()
         log_state_change(self._log, "reads the platform once", reason=reason.value)
-        for table, handle_rows in self._row_handlers.items():
+        for table in self._row_handlers:
             began_ms = now_ms()
             if table not in tables:
                 continue
@@ -291,7 +297,7 @@
                 # A ping has started the loops meanwhile; they read from now on.
                 return
             if await self._may_apply(table, changes, complete=True):
-                await handle_rows(changes, True, began_ms)
+                await self._apply_rows(table, changes, True, began_ms)
         self._fleet_state.notify()
 
     async def _call_or_probe(self, table: Table) -> tuple[float, Changes, bool]:
@@ -382,6 +388,14 @@
             return
         self._target_list.adopt(self._fleet_state.targets.content or ())
 
+    async def _apply_rows(
+        self, table: Table, changes: Changes, complete: bool, began_ms: float
+    ) -> None:
+        if complete:
+            self._rejected_rows.clear(table)
+        await self._row_handlers[table](changes, complete, began_ms)
+        self._fleet_state.rejected_rows = len(self._rejected_rows)
+
     async def _apply_configuration_rows(
         self, changes: Changes, complete: bool, began_ms: float
     ) -> None:
@@ -440,35 +454,48 @@
         state.update_targets(self._target_list.targets, changes.version, began_ms)
 
     def _entry(self, row: StoredRow) -> Entry:
+        entry = self._rejected_rows.apply(Table.TARGETS, row, self._listed_target)
+        return entry or NoEntry.UNUSABLE
+
+    def _listed_target(self, row: StoredRow) -> Entry:
         if row.value is None:
             return NoEntry.REMOVED
-        return self._platform.parse_target(row.key, row.value) or NoEntry.UNUSABLE
+        target = self._platform.parse_target(row.key, row.value)
+        # A target that peers can't be told of would keep the whole list from them.
+        encode_document(packed_targets([target]))
+        return target
 
     async def _apply_fleet_rows(
         self, changes: Changes, complete: bool, began_ms: float
     ) -> None:
         for row in changes.rows:
-            if row.value is None:
-                self._view_keys.discard(row.key)
-                continue
-            if row.key.startswith(VIEW_PREFIX):
-                self._view_keys.add(row.key)
-                if row.key == view_key(self._era):
-                    self.view_row_version = row.version
-                self._fleet_state.update_view(
-                    unpacked_view(json.loads(row.value)), began_ms
-                )
-            elif row.key.startswith(HOST_PREFIX):
-                node = unpacked_node(json.loads(row.value))
-                self.nodes[node.host] = node
-                self.row_versions[node.host] = row.version
-            elif row.key.startswith(CRASH_PREFIX):
-                record = unpacked_record(json.loads(row.value))
-                self._written_crashes[record.content] = record
-                self._fleet_state.merge_crashes([record])
+            self._rejected_rows.apply(
+                Table.FLEET, row, partial(self._apply_fleet_row, began_ms=began_ms)
+            )
         state = self._fleet_state.view
         state.confirm(state.version, began_ms)
 
+    def _apply_fleet_row(self, row: StoredRow, began_ms: float) -> None:
+        if row.value is None:
+            self._view_keys.discard(row.key)
+        elif row.key.startswith(VIEW_PREFIX):
+            self._apply_view_row(row, row.value, began_ms)
+        elif row.key.startswith(HOST_PREFIX):
+            node = unpacked_node(decode_json(row.value))
+            self.nodes[node.host] = node
+            self.row_versions[node.host] = row.version
+        elif row.key.startswith(CRASH_PREFIX):
+            record = unpacked_record(decode_json(row.value))
+            self._written_crashes[record.content] = record
+            self._fleet_state.merge_crashes([record])
+
+    def _apply_view_row(self, row: StoredRow, value: bytes, began_ms: float) -> None:
+        self._view_keys.add(row.key)
+        if row.key == view_key(self._era):
+            # Known also for a row that can't be used, which the next view replaces.
+            self.view_row_version = row.version
+        self._fleet_state.update_view(unpacked_view(decode_json(value)), began_ms)
+
     async def write_view(self, view: View, row_version: StoreVersion) -> bool:
         """Replace the view of a row version; return False if another was first."""
         self._adopt_era()
@@ -503,7 +530,7 @@
         began_ms = now_ms()
         changes = await self._platform.read(Table.FLEET)
         self._adopt_era()
-        await self._apply_fleet_rows(changes, True, began_ms)
+        await self._apply_rows(Table.FLEET, changes, True, began_ms)
 
 
 def _ignore() -> None:
--- a/src/crocusspindle/gateway/ports.py
+++ b/src/crocusspindle/gateway/ports.py
@@ -174,6 +174,7 @@
         self._metrics.set(instruments.STORE_ERA, self._fleet_state.store_era)
         stale_responses = self._fleet_state.stale_responses
         self._metrics.set(instruments.STALE_RESPONSES, stale_responses)
+        self._metrics.set(instruments.REJECTED_ROWS, self._fleet_state.rejected_rows)
         return web.Response(body=self._metrics.render(), content_type="text/plain")
 
     async def drain(self) -> None:
--- a/src/crocusspindle/platform/fleet_platform.py
+++ b/src/crocusspindle/platform/fleet_platform.py
@@ -99,8 +99,11 @@
         Return None if the row evacuates none.
         """
 
-    def parse_target(self, key: str, value: bytes) -> ListedTarget | None:
-        """Parse an entry of the list of targets; None if it is not a usable target."""
+    def parse_target(self, key: str, value: bytes) -> ListedTarget:
+        """Parse an entry of the list of targets.
+
+        Raise ``MalformedError`` if it is not a usable target.
+        """
 
     async def close(self) -> None:
         """Release the connections."""
--- a/src/crocusspindle/platform/table_store.py
+++ b/src/crocusspindle/platform/table_store.py
@@ -3,7 +3,6 @@
 import asyncio
 import base64
 import binascii
-import json
 from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any, Final, Self
@@ -12,8 +11,17 @@
 
 from crocusspindle.core.configuration import Configuration
 from crocusspindle.core.listed_target import ListedTarget
-from crocusspindle.core.store_version import FIRST_ERA, UNKNOWN_ERA, StoreVersion
-from crocusspindle.errors import PlatformUnavailableError, PlatformUnknownError
+from crocusspindle.core.store_version import (
+    FIRST_ERA,
+    UNKNOWN_ERA,
+    StoreVersion,
+    absent_row,
+)
+from crocusspindle.errors import (
+    MalformedError,
+    PlatformUnavailableError,
+    PlatformUnknownError,
+)
 from crocusspindle.ids import DomainId
 from crocusspindle.platform import documents
 from crocusspindle.platform.fleet_platform import (
@@ -24,6 +32,13 @@
     register_form,
 )
 from crocusspindle.shielded_connector import ShieldedConnector
+from crocusspindle.typed_values import (
+    as_mapping,
+    as_sequence,
+    as_whole,
+    decode_json,
+    is_encodable,
+)
 
 HTTP_OK: Final = 200
 HTTP_GONE: Final = 410
@@ -45,27 +60,40 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreResponse:
-    """Hold a response of the store and the era in which it was given."""
+    """Hold a response of the store and the era in which it was given.
+
+    ``version`` is the newest version at the time of the response. A refused write has
+    no rows.
+    """
 
     status: int
-    document: Mapping[str, Any]
     era: int
+    version: StoreVersion
+    rows: Sequence[StoredRow]
+    has_more: bool
 
-    @property
-    def version(self) -> StoreVersion:
-        """Return the newest version at the time of the response."""
-        return StoreVersion(self.era, int(self.document["schema_version"]))
-
-    def rows(self) -> list[StoredRow]:
-        """Return the rows of the response."""
-        return [
-            StoredRow(
-                str(row["key"]),
-                StoreVersion(self.era, int(row.get("schema_version", 0))),
-                None if row.get("deleted") else _value(row.get("value")),
-            )
-            for row in self.document.get("rows", ())
-        ]
+    @classmethod
+    def from_bytes(cls, status: int, era: int, content: bytes) -> Self:
+        """Decode a response; raise ``MalformedError`` if it is none of the store's."""
+        document = as_mapping(decode_json(content))
+        number = as_whole(document.get("schema_version"))
+        rows = as_sequence(document.get("rows", ()))
+        return cls(
+            status,
+            era,
+            StoreVersion(era, number),
+            [_row(as_mapping(row), era) for row in rows],
+            bool(document.get("has_more")),
+        )
+
+
+def _row(row: Mapping[str, Any], era: int) -> StoredRow:
+    key = row.get("key")
+    if not isinstance(key, str) or not is_encodable(key):
+        raise MalformedError(f"row with the key {key!r}")
+    number = as_whole(row.get("schema_version", 0))
+    value = None if row.get("deleted") else _value(row.get("value"))
+    return StoredRow(key, StoreVersion(era, number), value)
 
 
 @register_form("table")
@@ -126,10 +154,12 @@
             raise HistoryLostError(f"{method} {path}: history is gone")
         if status not in (HTTP_OK, HTTP_CONFLICT):
             raise PlatformUnavailableError(f"{method} {path}: status {status}")
+        if status == HTTP_CONFLICT:
+            return StoreResponse(status, era, absent_row(era), (), False)
         try:
-            return StoreResponse(status, json.loads(text), era)
-        except ValueError as error:
-            raise error_type(f"{method} {path}: response is not JSON") from error
+            return StoreResponse.from_bytes(status, era, text)
+        except MalformedError as error:
+            raise error_type(f"{method} {path}: response {error}") from error
 
     def _era_of(self, response: aiohttp.ClientResponse) -> int:
         text = response.headers.get(ERA_HEADER, "")
@@ -148,16 +178,15 @@
             response = await self._call(
                 "GET", "/-/rows-get", CALL_TIMEOUT_S, params=params
             )
-            page = response.rows()
-            rows += page
+            rows += response.rows
             # Later pages are read later; following from the first page's version
             # repeats the changes made between pages.
             version = response.version if version is None else version
             if version.era != response.era:
                 raise HistoryLostError("the store was restored between two pages")
-            if not response.document.get("has_more") or not page:
+            if not response.has_more or not response.rows:
                 return Changes(rows, version)
-            params["range_start"] = page[-1].key + "\0"
+            params["range_start"] = rows[-1].key + "\0"
 
     async def follow(
         self, table: Table, after: StoreVersion, wait_ms: float
@@ -172,7 +201,7 @@
         response = await self._call("GET", "/-/rows-feed", timeout_s, params=params)
         if response.era != after.era:
             raise HistoryLostError(f"version {after} is of another era")
-        return Changes(response.rows(), response.version)
+        return Changes(response.rows, response.version)
 
     async def put(
         self,
@@ -219,8 +248,8 @@
         domain = key.removeprefix(EVACUATION_PREFIX)
         return DomainId(domain) if domain and domain != key else None
 
-    def parse_target(self, key: str, value: bytes) -> ListedTarget | None:
-        """Parse an entry of the list of targets; None if it is not a usable target."""
+    def parse_target(self, key: str, value: bytes) -> ListedTarget:
+        """Parse an entry of the list of targets, or raise ``MalformedError``."""
         return documents.parse_target(key, value)
 
     async def close(self) -> None:
--- a/src/crocusspindle_standins/virtual/store.py
+++ b/src/crocusspindle_standins/virtual/store.py
@@ -214,7 +214,7 @@
         domain = key.removeprefix(EVACUATION_PREFIX)
         return DomainId(domain) if domain != key else None
 
-    def parse_target(self, key: str, value: bytes) -> ListedTarget | None:
+    def parse_target(self, key: str, value: bytes) -> ListedTarget:
         """Parse a target's row as ``target_row`` writes it."""
         service, address, domain, slots, readiness, started_ms = json.loads(value)
         return ListedTarget(
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -7,7 +7,7 @@
 
 from crocusspindle.core.configuration import RequestKind, choose_service
 from crocusspindle.core.listed_target import Readiness
-from crocusspindle.errors import InvalidInputError, SettingsError
+from crocusspindle.errors import InvalidInputError, MalformedError, SettingsError
 from crocusspindle.platform.documents import parse_configuration, parse_target
 from crocusspindle.platform.settings_file import translate
 
@@ -119,6 +119,12 @@
         {"status": {"state": "sleeping"}},
         {"status": None},
         {"information": []},
+        {"address": "10.0.0.9:\u00b2"},
+        {"address": "10.0.0.9:65536"},
+        {"address": "a b:80"},
+        {"information": {"service": "old", "zone": "a \ud83d", "slots": 2}},
+        {"information": {"service": "old", "zone": "a", "slots": 10**20}},
+        {"born": 10**20},
     ],
 )
 def test_malformed_entry_is_not_a_target(change):
@@ -126,7 +132,8 @@
 
     Partly parsed, such an entry would send callers' requests to a wrong address.
     """
-    assert parse_target("i-1", json.dumps({**TARGET, **change}).encode()) is None
+    with pytest.raises(MalformedError):
+        parse_target("i-1", json.dumps({**TARGET, **change}).encode())
 
 
 @pytest.mark.parametrize(
@@ -147,9 +154,10 @@
     assert (services["new"].warm_up_ms, services["new"].cold_per_s) == (3_000.0, 7.5)
 
 
-def test_undecodable_entry_is_not_a_target():
-    assert parse_target("i-1", b"\xff\x00") is None
-    assert parse_target("i-1", b"[]") is None
+@pytest.mark.parametrize("value", [b"\xff\x00", b"[]", b"[" * 2_000])
+def test_undecodable_entry_is_not_a_target(value):
+    with pytest.raises(MalformedError):
+        parse_target("i-1", value)
 
 
 def test_settings_match_the_platforms_file():
