--- a/tests/gateway/test_platform_reader.py
+++ b/tests/gateway/test_platform_reader.py
@@ -334,23 +334,26 @@
 
 
 @pytest.mark.parametrize("last", list(Table))
-async def test_return_of_the_store_is_reported_once_all_tables_are_read(
-    reader_of_store, monkeypatch, last
+def test_return_of_the_store_is_reported_once_all_tables_are_read(
+    in_virtual_time, monkeypatch, last
 ):
     """Guards against hosts that wait although a reader reaches the store again."""
     monkeypatch.setattr(module, "STORE_LOST_AFTER_MS", 100.0)
-    store, _ = reader_of_store
-    reports = []
-    store.platform_reader.on_store_regained = lambda: reports.append(now_ms())
-    store.unreachable = True
-    await asyncio.sleep(0.3)
-    store.unreachable_tables = frozenset({last})
-    store.unreachable = False
-    await asyncio.sleep(0.2)
-    assert not reports
-    store.unreachable_tables = frozenset()
-    await asyncio.sleep(0.2)
-    assert len(reports) == 1
+
+    async def check(store, fleet_state):
+        reports = []
+        store.platform_reader.on_store_regained = lambda: reports.append(now_ms())
+        store.unreachable = True
+        await asyncio.sleep(0.3)
+        store.unreachable_tables = frozenset({last})
+        store.unreachable = False
+        await asyncio.sleep(0.2)
+        assert not reports
+        store.unreachable_tables = frozenset()
+        await asyncio.sleep(0.2)
+        assert len(reports) == 1
+
+    in_virtual_time(check)
 
 
 async def test_reader_without_the_store_reports_it(reader_of_store):
