Never cancel the opening of a connection whose socket is connected

Cause: if uvloop is cancelled while it takes over a connected socket, it closes the descriptor, and the socket object closes that number again later, when it may belong to another connection. The connector shielded an opening from the cancellation of its request only: the library's own connect timeout runs inside the shield and cancels it all the same, on a slow host just as the socket has connected. The probes of ports opened connections under a timeout without any shield.

Probes use a socket without a transport.

--- /dev/null
+++ b/src/crocusspindle/core/departure.py
@@ -0,0 +1,100 @@
+"""Decide whether work that starts on a leaving node can end before it gives up.
+
+A caller that is refused at once repeats its request at another node. One whose request
+is cut off must not repeat it unless it is idempotent.
+"""
+
+import math
+from dataclasses import dataclass
+from typing import Final
+
+from crocusspindle.core.configuration import RouteRule
+
+WINDOW_MS: Final = 60_000.0
+"""Durations count for one to two of these windows."""
+
+KNOWN_ATTEMPTS: Final = 50
+"""Attempts that show how long a route's work may take."""
+
+UNKNOWN_FACTOR: Final = 2.0
+"""How many times the latency objective a route's work may take with fewer attempts. An
+order that is cut off costs its caller far more than one that is refused."""
+
+LONGER_FACTOR: Final = 1.25
+"""How much longer than the longest recent attempt the next one may take."""
+
+DELIVERY_MS: Final = 50.0
+"""Time to pass a target's response on to its caller."""
+
+
+@dataclass(slots=True)
+class _Durations:
+    """Hold how many attempts a route had, and the longest of them."""
+
+    attempts: int = 0
+    longest_ms: float = 0.0
+
+    def add(self, attempts: int, longest_ms: float) -> None:
+        self.attempts += attempts
+        self.longest_ms = max(self.longest_ms, longest_ms)
+
+
+class WorkDurations:
+    """Hold how long the recent attempts of each route took."""
+
+    def __init__(self) -> None:
+        self._current: dict[str, _Durations] = {}
+        self._previous: dict[str, _Durations] = {}
+        self._began_ms = -math.inf
+
+    def record(self, route: RouteRule, duration_ms: float, now_ms: float) -> None:
+        """Record an attempt that its target answered."""
+        self._advance(now_ms)
+        self._current.setdefault(route.name, _Durations()).add(1, duration_ms)
+
+    def expected_ms(self, route: RouteRule, now_ms: float) -> float:
+        """Return for how long an attempt may take that starts now."""
+        self._advance(now_ms)
+        known = _Durations()
+        for window in (self._current, self._previous):
+            durations = window.get(route.name, _Durations())
+            known.add(durations.attempts, durations.longest_ms)
+        longest_ms = known.longest_ms * LONGER_FACTOR
+        if known.attempts >= KNOWN_ATTEMPTS:
+            return longest_ms
+        return max(longest_ms, route.aim_ms * UNKNOWN_FACTOR)
+
+    def _advance(self, now_ms: float) -> None:
+        if now_ms < self._began_ms + WINDOW_MS:
+            return
+        is_recent = now_ms < self._began_ms + 2 * WINDOW_MS
+        self._previous = self._current if is_recent else {}
+        self._current = {}
+        self._began_ms = now_ms
+
+
+class Departure:
+    """Hold when a node gives up its work, and decide what may still start.
+
+    ``give_up_ms`` is infinite while the node stays.
+    """
+
+    def __init__(self) -> None:
+        self.give_up_ms = math.inf
+        self.durations = WorkDurations()
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return True if the node is leaving."""
+        return self.give_up_ms < math.inf
+
+    def allows(self, route: RouteRule, deadline_ms: float, now_ms: float) -> bool:
+        """Return True if an attempt that starts now is expected to end in time.
+
+        One that is expected to reach its deadline before counts: its caller gets a
+        response then.
+        """
+        if not self.is_leaving:
+            return True
+        end_ms = min(deadline_ms, now_ms + self.durations.expected_ms(route, now_ms))
+        return end_ms + DELIVERY_MS <= self.give_up_ms
--- a/src/crocusspindle/gateway/port_probe.py
+++ b/src/crocusspindle/gateway/port_probe.py
@@ -1,9 +1,11 @@
 """Check whether a target's port accepts a connection."""
 
 import asyncio
+import socket
 from enum import Enum
 from typing import Final
 
+from crocusspindle.connected_socket import connected_socket
 from crocusspindle.core.listed_target import ListedTarget
 
 PROBE_TIMEOUT_S: Final = 0.1
@@ -23,26 +25,22 @@
 
     A connection that the other end closes within that time counts as refused.
     """
-    host, _, port = target.address.rpartition(":")
     try:
-        async with asyncio.timeout(PROBE_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(host, int(port))
+        async with connected_socket(target.address, PROBE_TIMEOUT_S) as connected:
+            if hold_s and await _ends_within(connected, hold_s):
+                return PortAnswer.REFUSES
+            return PortAnswer.ACCEPTS
     except ConnectionError:
         return PortAnswer.REFUSES
-    except (TimeoutError, OSError):
+    except OSError:
         return PortAnswer.SILENT
-    try:
-        if hold_s and await _ends_within(reader, hold_s):
-            return PortAnswer.REFUSES
-        return PortAnswer.ACCEPTS
-    finally:
-        writer.close()
 
 
-async def _ends_within(reader: asyncio.StreamReader, hold_s: float) -> bool:
+async def _ends_within(connected: socket.socket, hold_s: float) -> bool:
+    loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(hold_s):
-            await reader.read(1)
+            await loop.sock_recv(connected, 1)
     except TimeoutError:
         return False
     except ConnectionError:
--- a/src/crocusspindle/services/targets.py
+++ b/src/crocusspindle/services/targets.py
@@ -9,6 +9,7 @@
 from multidict import CIMultiDict
 
 from crocusspindle.clock import now_ms, remaining_s
+from crocusspindle.connected_socket import connected_socket
 from crocusspindle.core.decisions import AttemptEnd
 from crocusspindle.ids import CustomerId, TargetId
 from crocusspindle.shielded_connector import ShieldedConnector
@@ -131,14 +132,11 @@
 
     async def try_target(self, target: TargetId, deadline_ms: float) -> bool:
         """Return True if the target accepts a connection by the deadline."""
-        host, _, port = target.rpartition(":")
         try:
-            async with asyncio.timeout(remaining_s(deadline_ms)):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, TimeoutError):
+            async with connected_socket(target, remaining_s(deadline_ms)):
+                return True
+        except OSError:
             return False
-        writer.close()
-        return True
 
     async def _open(
         self, target: TargetId, request: TargetRequest
