Start only work on a leaving node that is expected to end in time

Cause: a leaving node accepts connections until 0.62 of the grace period and gives up running requests at 0.88 of it, and nothing compared what is left with what a request needs.

Change: `core/departure.py` decides whether work that starts now is expected to end in time: by 1.1 times the longest of the route's answered attempts of the last one or two minutes, by twice the latency objective at least where fewer than 50 are known, or by the deadline if that comes first. It is asked when a request's head has been read, before each attempt, and 20 times a second of all that wait. What doesn't fit gets 503 `leaving` at once and does not run.

--- a/src/crocusspindle/core/departure.py
+++ b/src/crocusspindle/core/departure.py
@@ -20,7 +20,7 @@
 """How many times the latency objective a route's work may take with fewer attempts. An
 order that is cut off costs its caller far more than one that is refused."""
 
-LONGER_FACTOR: Final = 1.25
+LONGER_FACTOR: Final = 1.1
 """How much longer than the longest recent attempt the next one may take."""
 
 DELIVERY_MS: Final = 50.0
--- a/src/crocusspindle/gateway/admission.py
+++ b/src/crocusspindle/gateway/admission.py
@@ -9,6 +9,7 @@
 
 from crocusspindle.clock import now_ms
 from crocusspindle.core.configuration import Configuration, CustomerRule, RouteRule
+from crocusspindle.core.departure import Departure
 from crocusspindle.core.memory_bound import LARGE_BODY_BYTES
 from crocusspindle.core.request_content import content_digest
 from crocusspindle.gateway.dialect import Dialect
@@ -22,7 +23,11 @@
 )
 from crocusspindle.gateway.reload import LiveBounds
 from crocusspindle.gateway.request_context import BODY_BUFFER_BYTES, RequestContext
-from crocusspindle.gateway.responses import Refusal
+from crocusspindle.gateway.responses import (
+    LEAVING_REASON,
+    LEAVING_RETRY_MS,
+    Refusal,
+)
 from crocusspindle.gateway.target_client import OutgoingRequest
 from crocusspindle.services.targets import forwarded
 
@@ -53,8 +58,10 @@
         dialect: Dialect,
         fleet_state: FleetState,
         memory: HeldMemory,
+        departure: Departure,
     ) -> None:
         self._memory = memory
+        self._departure = departure
         self._bounds = bounds
         self._dialect = dialect
         self._fleet_state = fleet_state
@@ -86,6 +93,8 @@
             left_from_ms + time_left_ms,
             began_ms + route.timeout_ms - RESPONSE_MARGIN_MS,
         )
+        if not self._departure.allows(route, deadline_ms, now_ms()):
+            raise Refusal(503, LEAVING_REASON, LEAVING_RETRY_MS)
         memory = self._memory.request(
             customer.customer if customer is not None else None, request_id
         )
--- a/src/crocusspindle/gateway/assembly.py
+++ b/src/crocusspindle/gateway/assembly.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from crocusspindle.core.byte_rate_limiter import ByteRateLimiter
+from crocusspindle.core.departure import Departure
 from crocusspindle.core.memory_bound import MemoryBound, bound_bytes
 from crocusspindle.core.policies import Policies
 from crocusspindle.core.reader_choice import ReaderChoice
@@ -99,7 +100,8 @@
     placers = Placers(node, bounds, exchange, fleet_state, policies, crashes, metrics)
     placing = Placing(exchange, placers, rng, crashes, bounds)
     memory = HeldMemory(_memory_bound(settings), metrics)
-    admission = Admission(bounds, dialect, fleet_state, memory)
+    departure = Departure()
+    admission = Admission(bounds, dialect, fleet_state, memory, departure)
     paths = Paths(placers, metrics, rng)
     hand_over = HandOver(
         node,
@@ -114,7 +116,7 @@
     )
     client = TargetClient(dialect, placing.record_signals, placing.may_send)
     attempt_runner = AttemptRunner(
-        node, client, placing, paths, hand_over, policies, metrics, rng
+        node, client, placing, paths, hand_over, policies, metrics, rng, departure
     )
     entry = Entry(
         admission,
@@ -125,6 +127,7 @@
         quota,
         crashes,
         metrics,
+        departure,
     )
     ports = Ports(
         settings,
--- a/src/crocusspindle/gateway/attempt_runner.py
+++ b/src/crocusspindle/gateway/attempt_runner.py
@@ -7,6 +7,7 @@
 from crocusspindle.clock import now_ms
 from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.configuration import LOWEST_PRIORITY, choose_service
+from crocusspindle.core.departure import Departure
 from crocusspindle.core.placement_request import AttemptKind, PlacementRequest
 from crocusspindle.core.policies import Policies, Policy
 from crocusspindle.core.target_signals import NO_SIGNALS
@@ -16,7 +17,11 @@
 from crocusspindle.gateway.paths import Paths
 from crocusspindle.gateway.placing import Placement, Placing
 from crocusspindle.gateway.request_context import RequestContext
-from crocusspindle.gateway.responses import Refusal
+from crocusspindle.gateway.responses import (
+    LEAVING_REASON,
+    LEAVING_RETRY_MS,
+    Refusal,
+)
 from crocusspindle.gateway.target_client import AttemptResult, TargetClient
 from crocusspindle.ids import NO_CUSTOMER, ServiceId
 from crocusspindle.metrics import Metrics
@@ -43,8 +48,10 @@
         policies: Policies,
         metrics: Metrics,
         rng: random.Random,
+        departure: Departure,
     ) -> None:
         self._node = node
+        self._departure = departure
         self._placing = placing
         self._paths = paths
         self._hand_over = hand_over
@@ -70,6 +77,8 @@
         service = choose_service(context.route.weighted_services, self._rng.random())
         last_result: AttemptResult | None = None
         while True:
+            if not self._may_start(context):
+                return _last_or_refuse(last_result)
             if self._hands_over and self._paths.is_lost(service):
                 return await self._send_elsewhere(context, service, last_result)
             kind = _next_kind(context)
@@ -78,6 +87,10 @@
             )
             if isinstance(placement, AttemptResult):
                 return placement
+            if not self._may_start(context):
+                # It has waited for its target until too late.
+                self._placing.return_unsent(placement)
+                return _last_or_refuse(last_result)
             if last_result is not None:
                 last_result.discard()
             last_result = await self._attempt_with_hedge(
@@ -86,6 +99,9 @@
             if not self._should_retry(context, last_result):
                 return last_result
 
+    def _may_start(self, context: RequestContext) -> bool:
+        return self._departure.allows(context.route, context.deadline_ms, now_ms())
+
     async def _send_elsewhere(
         self,
         context: RequestContext,
@@ -183,6 +199,7 @@
     def _may_hedge(self, context: RequestContext, wait_ms: float) -> bool:
         return (
             now_ms() + wait_ms < context.deadline_ms
+            and self._may_start(context)
             and context.route.kind.idempotent
             and context.arrived_attempts == 0
             and context.route.attempts > 1
@@ -243,6 +260,8 @@
                     placement, context.content, outcome, latency_ms, signals.limit_per_s
                 )
             self._paths.record(placement.target, outcome, began_ms)
+            if outcome is AttemptOutcome.ANSWERED:
+                self._departure.durations.record(context.route, latency_ms, now_ms())
             context.running_attempts -= 1
             context.arrived_attempts += outcome.arrived
             context.may_have_run |= outcome.may_have_run
@@ -266,6 +285,15 @@
             self._metrics.add(instruments.ATTEMPTS, ending=outcome.value)
 
 
+def _last_or_refuse(last_result: AttemptResult | None) -> AttemptResult:
+    """Return the last attempt's result if it may have run, else raise ``Refusal``."""
+    if last_result is not None and last_result.outcome.may_have_run:
+        return last_result
+    if last_result is not None:
+        last_result.discard()
+    raise Refusal(503, LEAVING_REASON, LEAVING_RETRY_MS)
+
+
 def _next_kind(context: RequestContext) -> AttemptKind:
     if context.arrived_attempts > 0:
         return AttemptKind.RETRY
--- a/src/crocusspindle/gateway/entry.py
+++ b/src/crocusspindle/gateway/entry.py
@@ -13,6 +13,7 @@
     Configuration,
     CustomerRule,
 )
+from crocusspindle.core.departure import Departure
 from crocusspindle.core.spend_result import Admitted, OverRate
 from crocusspindle.core.versioned_state import VersionedState
 from crocusspindle.gateway import instruments
@@ -26,6 +27,8 @@
 from crocusspindle.gateway.quota import NO_KEEPER_RETRY_MS, Quota
 from crocusspindle.gateway.request_context import RequestContext
 from crocusspindle.gateway.responses import (
+    LEAVING_REASON,
+    LEAVING_RETRY_MS,
     HeldResponse,
     Refusal,
     refusal_response,
@@ -46,8 +49,8 @@
 deadline is later may wait until a latency objective before it: its caller gets a late
 response instead of none."""
 
-LEAVING_RETRY_MS: Final = 100.0
-"""Callers may retry soon: another node accepts the request."""
+REFUSAL_INTERVAL_S: Final = 0.05
+"""How often a leaving node looks for waiting requests that can't end in time."""
 
 
 @dataclass(slots=True)
@@ -92,7 +95,9 @@
         quota: Quota,
         crashes: CrashSharing,
         metrics: Metrics,
+        departure: Departure,
     ) -> None:
+        self._departure = departure
         self._crashes = crashes
         self._admission = admission
         self._dialect = dialect
@@ -102,7 +107,6 @@
         self._quota = quota
         self._metrics = metrics
         self._log = Logger("entry")
-        self.leaving = False
         self._gave_up = False
         self._refuses_waiting = False
         self._processing: dict[int, tuple[ProcessedRequest, asyncio.Timeout]] = {}
@@ -117,9 +121,20 @@
         """Close the client for targets."""
         await self._attempt_runner.stop()
 
+    @property
+    def leaving(self) -> bool:
+        """Return True if this node is leaving."""
+        return self._departure.is_leaving
+
+    def leave(self, give_up_ms: float) -> None:
+        """Start no work from now on that may not end before ``give_up_ms``."""
+        self._departure.give_up_ms = give_up_ms
+        self.spawn(self._refuse_late())
+
     def give_up(self) -> None:
         """Count requests that are cancelled from now on as given up by this node."""
-        self.leaving = self._gave_up = True
+        self._departure.give_up_ms = min(self._departure.give_up_ms, now_ms())
+        self._gave_up = True
 
     def refuse_waiting(self) -> None:
         """Refuse the requests that certainly have not run, and all from now on."""
@@ -128,6 +143,20 @@
             if processed.context is None or processed.context.certainly_not_run:
                 limit.reschedule(asyncio.get_running_loop().time())
 
+    async def _refuse_late(self) -> None:
+        while True:
+            for processed, limit in self._processing.values():
+                context = processed.context
+                if (
+                    context is not None
+                    and context.certainly_not_run
+                    and not self._departure.allows(
+                        context.route, context.deadline_ms, now_ms()
+                    )
+                ):
+                    limit.reschedule(asyncio.get_running_loop().time())
+            await asyncio.sleep(REFUSAL_INTERVAL_S)
+
     @property
     def _cancelled_outcome(self) -> str:
         return "given up" if self._gave_up else "caller left"
@@ -355,7 +384,7 @@
 def _refusal_of_leaving_node(context: RequestContext | None) -> Refusal:
     # An attempt may have begun between the decision to refuse and its effect.
     may_have_run = context is not None and not context.certainly_not_run
-    return Refusal(502 if may_have_run else 503, "leaving", LEAVING_RETRY_MS)
+    return Refusal(502 if may_have_run else 503, LEAVING_REASON, LEAVING_RETRY_MS)
 
 
 def _refusal_after(context: RequestContext, result: AttemptResult) -> Refusal:
--- a/src/crocusspindle/gateway/ports.py
+++ b/src/crocusspindle/gateway/ports.py
@@ -34,11 +34,14 @@
 
 ACCEPTING_FRACTION: Final = 0.62
 """Fraction of the grace period in which a leaving node accepts new connections. Callers
-that cached its address connect until then, and their requests still end in time."""
+that cached its address connect until then; what may not end in time is refused."""
 
-GIVE_UP_FRACTION: Final = 0.88
-"""Fraction of the grace period after which running requests are given up. The process
-needs the rest to exit by itself on a busy host."""
+EXIT_MS: Final = 300.0
+"""How long before the end of the grace period running requests are given up. The
+process exits by itself within this time on a busy host."""
+
+EXIT_FRACTION: Final = 0.12
+"""The same as a fraction of a short grace period."""
 
 REFUSALS_MS: Final = 100.0
 """How long before running requests are given up a leaving node refuses those that
@@ -181,13 +184,13 @@
         """Leave the fleet; answer callers until it is time to give up."""
         began_ms = now_ms()
         grace_ms = self._bounds.current.grace_ms
+        give_up_ms = began_ms + give_up_after_ms(grace_ms)
         self._membership.leave()
-        self._entry.leaving = True
+        self._entry.leave(give_up_ms)
         self._close_hand_over_port()
         await asyncio.sleep(grace_ms * ACCEPTING_FRACTION / 1e3)
         self._close_caller_port()
         self._log_connections("caller port closed")
-        give_up_ms = began_ms + grace_ms * GIVE_UP_FRACTION
         await close_connections(self._caller_server, give_up_ms - REFUSALS_MS)
         self._entry.refuse_waiting()
         await close_connections(self._caller_server, give_up_ms)
@@ -221,6 +224,11 @@
             server.close()
 
 
+def give_up_after_ms(grace_ms: float) -> float:
+    """Return how long after its SIGTERM a node gives up running requests."""
+    return grace_ms - min(EXIT_MS, grace_ms * EXIT_FRACTION)
+
+
 async def _listen(
     address: str, factory: Callable[[], web.RequestHandler]
 ) -> asyncio.Server:
--- a/src/crocusspindle/gateway/responses.py
+++ b/src/crocusspindle/gateway/responses.py
@@ -14,6 +14,10 @@
 from crocusspindle.gateway.target_client import TargetResponse
 
 RETRYABLE_STATUSES: Final = frozenset({429, 503})
+LEAVING_REASON: Final = "leaving"
+LEAVING_RETRY_MS: Final = 100.0
+"""Callers may retry soon: another node accepts the request."""
+
 CLOSING_STATUSES: Final = frozenset({400, 408, 413})
 """After these statuses the rest of the request may still be arriving."""
 
--- a/src/crocusspindle_standins/virtual/traffic.py
+++ b/src/crocusspindle_standins/virtual/traffic.py
@@ -13,6 +13,7 @@
 from crocusspindle.clock import now_ms, remaining_s
 from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.configuration import RequestKind, RouteRule, WeightedService
+from crocusspindle.core.departure import Departure
 from crocusspindle.core.listed_target import ListedTarget, TargetIdentity
 from crocusspindle.core.policies import Policies, Policy
 from crocusspindle.core.target_signals import NO_SIGNALS, TargetSignals
@@ -251,6 +252,7 @@
             Policies(frozenset({Policy.HAND_OVER})),
             metrics,
             rng,
+            Departure(),
         )
         await placing.start()
         self._runners[node] = runner
--- a/tests/gateway/test_attempt_runner.py
+++ b/tests/gateway/test_attempt_runner.py
@@ -9,6 +9,7 @@
 from crocusspindle.clock import now_ms
 from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.configuration import RequestKind, RouteRule, WeightedService
+from crocusspindle.core.departure import Departure
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
 from crocusspindle.core.policies import Policies
 from crocusspindle.gateway.attempt_runner import AttemptRunner
@@ -81,6 +82,7 @@
         Policies(),
         SimpleNamespace(add=lambda *_, **__: None),
         random.Random(1),
+        Departure(),
     )
     began_ms = now_ms()
     context = RequestContext(
