Drain on, whatever signals to stop arrive again

A second SIGTERM within the grace period ended a node's drain at once, and with it the requests that it was running: planned restarts may overlap, and each of them sends one. For `serve` only SIGKILL ends a drain now; for `node` a second signal still does, as its page says. A service that fails ends every drain, as before.

Found on the way to orders dropped late in the grace period. The test of a second SIGTERM fails on the code before (the connection is closed) and passes now.

--- a/src/crocusspindle/gateway/assembly.py
+++ b/src/crocusspindle/gateway/assembly.py
@@ -140,7 +140,8 @@
         lines,
         memory,
     )
-    kernel = Kernel(drain_ms=settings.bounds.grace_ms)
+    # Planned restarts may overlap; SIGKILL ends a process that must not drain.
+    kernel = Kernel(settings.bounds.grace_ms, second_stop_ends_drain=False)
     for service in (
         exchange,
         fleet_state,
--- a/src/crocusspindle/kernel.py
+++ b/src/crocusspindle/kernel.py
@@ -70,11 +70,14 @@
     """Start, drain and stop the services of one node.
 
     ``drain_ms`` bounds the drain of a planned stop; what it is when the drain begins
-    counts.
+    counts. A second request to stop ends the drain if ``second_stop_ends_drain``.
     """
 
-    def __init__(self, drain_ms: float = 20_000.0) -> None:
+    def __init__(
+        self, drain_ms: float = 20_000.0, second_stop_ends_drain: bool = True
+    ) -> None:
         self.drain_ms = drain_ms
+        self._second_stop_ends_drain = second_stop_ends_drain
         self._services: dict[str, Service] = {}
         self._started: list[Service] = []
         self._stop_requested = asyncio.Event()
@@ -154,8 +157,8 @@
         await asyncio.gather(*draining, stop_now, return_exceptions=True)
 
     def request_stop(self) -> None:
-        """Request a planned stop; a second call requests an immediate stop."""
-        if self._stop_requested.is_set():
+        """Request a planned stop; a second call may request an immediate stop."""
+        if self._stop_requested.is_set() and self._second_stop_ends_drain:
             self._stop_now.set()
         self._stop_requested.set()
 
@@ -190,7 +193,9 @@
         if self._failure is None:
             self._failure = KernelError(f"service {name} failed: {error!r}")
             self._failure.__cause__ = error
-        self.request_stop()
+        if self._stop_requested.is_set():
+            self._stop_now.set()
+        self._stop_requested.set()
 
 
 class _KernelRunner(aiomisc.Service):
@@ -214,7 +219,7 @@
 ) -> None:
     """Build a kernel inside the event loop and run it until it is stopped.
 
-    SIGTERM or SIGINT starts a planned stop; a second one stops at once. ``on_stopped``
+    SIGTERM or SIGINT requests a planned stop, as `Kernel.request_stop`. ``on_stopped``
     is called when all services have stopped without a failure, and may end the process
     before the event loop is closed.
     """
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -240,3 +240,16 @@
         *(call_late(gateway, SHORT_WORK_S, at_s) for at_s in times_s)
     )
     assert [outcome for outcome, _ in outcomes] == ["HTTP/1.1 200 OK"] * 3
+
+
+async def test_a_second_stop_signal_drops_no_request(fleet):
+    """Guards against requests that overlapping restarts cut off."""
+    gateway = fleet.gateways[0]
+    for target in fleet.targets:
+        target.work_s = LONG_WORK_S
+    running = asyncio.create_task(call_late(gateway, LONG_WORK_S, 0.0))
+    await asyncio.sleep(0.3)
+    for _ in range(2):
+        gateway.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.1)
+    assert (await running)[0] == "HTTP/1.1 200 OK"
--- a/tests/product/test_kernel.py
+++ b/tests/product/test_kernel.py
@@ -90,6 +90,40 @@
     assert events == ["start a", "stop a"]
 
 
+async def test_second_stop_request_leaves_the_drain_alone_where_restarts_overlap():
+    """Guards against requests that a second SIGTERM drops within the grace period."""
+    events = []
+    kernel = Kernel(60_000.0, second_stop_ends_drain=False)
+    kernel.add("a", Recorder("a", events, drain_s=0.1))
+    running = asyncio.create_task(kernel.run())
+    await asyncio.sleep(0)
+    kernel.request_stop()
+    await asyncio.sleep(0)
+    kernel.request_stop()
+    await asyncio.sleep(0.02)
+    assert not running.done()
+    await asyncio.wait_for(running, 5)
+
+
+async def test_a_service_that_fails_ends_every_drain():
+    """Guards against a node that waits for a service that has ended."""
+    events = []
+    service = Recorder("a", events, drain_s=60)
+    kernel = Kernel(60_000.0, second_stop_ends_drain=False)
+    kernel.add("a", service)
+    running = asyncio.create_task(kernel.run())
+    await asyncio.sleep(0)
+    kernel.request_stop()
+    await asyncio.sleep(0)
+
+    async def fail():
+        raise ValueError("broken loop")
+
+    service.spawn(fail())
+    with pytest.raises(KernelError, match=r"service a failed.*broken loop"):
+        await asyncio.wait_for(running, 5)
+
+
 @pytest.mark.parametrize(
     ("needs_a", "needs_b", "message"),
     [
