Give the test of a late body a route that lasts until its end

The route of this test has a timeout of 6 s now, and an objective by which the request still fits; what is checked is the same.

--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from crocusspindle_standins.on_platform.fleet import KEY, Fleet, Gateway
+from crocusspindle_standins.on_platform.fleet import KEY, Fleet, Gateway, configuration
 
 CLOSING_LIMIT_S = 0.2
 """A connection that is closed without a response must close within this time of its
@@ -96,9 +96,19 @@
     assert (await slow_call)[0] == 200
 
 
+def patient_configuration():
+    """Return a configuration whose routes time out after the port has closed."""
+    document = configuration(2)
+    for route in document["routes"].values():
+        route.update(timeout_s=6, target_latency_s=0.2)
+    return document
+
+
 async def test_a_body_that_arrives_as_the_port_closes_is_read(fleet):
     """Guards against a leaving process that drops the rest of a request's body."""
     gateway = fleet.gateways[0]
+    await fleet.configure(patient_configuration())
+    await asyncio.sleep(2.0)
     reader, writer = await connect(gateway)
     gateway.process.send_signal(signal.SIGTERM)
     await asyncio.sleep(0.1)
