--- a/src/crocusspindle_standins/on_platform/partitioned.py
+++ b/src/crocusspindle_standins/on_platform/partitioned.py
@@ -10,7 +10,8 @@
 import socket
 import sys
 import weakref
-from collections.abc import Collection
+from collections.abc import AsyncIterator, Collection
+from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from enum import Enum
 from importlib import import_module
@@ -126,7 +127,8 @@
     # The HTTP library opens its connections by this module.
     connector: Any = import_module("aiohappyeyeballs")
     connect = connector.start_connection
-    open_connection: Any = asyncio.open_connection
+    port_probe: Any = import_module("crocusspindle.gateway.port_probe")
+    connected_socket = port_probe.connected_socket
     watching: list[asyncio.Task[None]] = []
 
     async def start_connection(addr_infos: Any, **options: Any) -> Any:
@@ -139,13 +141,15 @@
         partition.connected(sock, address)
         return sock
 
-    async def open_checked(host: str, port: int) -> Any:
-        await partition.check(f"{host}:{port}")
-        reader, writer = await open_connection(host, port)
-        cut = partition.cut()
-        if cut and cut.mode is CutMode.BREAKS and f"{host}:{port}" in cut.addresses:
-            writer.transport.abort()
-        return reader, writer
+    @asynccontextmanager
+    async def checked_socket(address: str, timeout_s: float) -> AsyncIterator[Any]:
+        async with asyncio.timeout(timeout_s):
+            await partition.check(address)
+        async with connected_socket(address, timeout_s) as connected:
+            cut = partition.cut()
+            if cut and cut.mode is CutMode.BREAKS and address in cut.addresses:
+                connected.shutdown(socket.SHUT_RDWR)
+            yield connected
 
     handler = strict_connector.StrictResponseHandler
     receive = handler.data_received
@@ -157,7 +161,7 @@
 
     connector.start_connection = start_connection
     handler.data_received = data_received  # type: ignore[method-assign]  # a stand-in
-    asyncio.open_connection = open_checked  # type: ignore[assignment]  # as above
+    port_probe.connected_socket = checked_socket
 
 
 def main(arguments: list[str]) -> int:
