--- a/src/crocusspindle/platform/documents.py
+++ b/src/crocusspindle/platform/documents.py
@@ -167,8 +167,8 @@
     such an entry raises ``MalformedError``.
     """
     entry = as_mapping(decode_json(value))
-    information = as_mapping(_field(entry, "information", as_mapping))
-    status = as_mapping(_field(entry, "status", as_mapping))
+    information = _field(entry, "information", as_mapping)
+    status = _field(entry, "status", as_mapping)
     return ListedTarget(
         identity=TargetIdentity(as_text(key)),
         service=ServiceId(_field(information, "service", as_text)),
