Refuse less of what a leaving node knows little of

The rule of refused too much where a node had fewer than 50 answered attempts of a route: it took twice the latency objective for such work.

--- a/src/crocusspindle/core/departure.py
+++ b/src/crocusspindle/core/departure.py
@@ -14,14 +14,17 @@
 """Durations count for one to two of these windows."""
 
 KNOWN_ATTEMPTS: Final = 50
-"""Attempts that show how long a route's work may take."""
+"""Attempts whose longest shows how long a route's work may take."""
 
-UNKNOWN_FACTOR: Final = 2.0
-"""How many times the latency objective a route's work may take with fewer attempts. An
-order that is cut off costs its caller far more than one that is refused."""
+KNOWN_FACTOR: Final = 1.1
+"""How much longer than the longest of them the next attempt may take."""
 
-LONGER_FACTOR: Final = 1.1
-"""How much longer than the longest recent attempt the next one may take."""
+FEW_ATTEMPTS: Final = 10
+"""Attempts that show little more than that a route's work keeps its objective."""
+
+FEW_FACTOR: Final = 1.5
+"""How much longer than the longest of fewer than `KNOWN_ATTEMPTS` the next may take,
+and than the latency objective if there are less than `FEW_ATTEMPTS`."""
 
 DELIVERY_MS: Final = 50.0
 """Time to pass a target's response on to its caller."""
@@ -59,10 +62,10 @@
         for window in (self._current, self._previous):
             durations = window.get(route.name, _Durations())
             known.add(durations.attempts, durations.longest_ms)
-        longest_ms = known.longest_ms * LONGER_FACTOR
         if known.attempts >= KNOWN_ATTEMPTS:
-            return longest_ms
-        return max(longest_ms, route.aim_ms * UNKNOWN_FACTOR)
+            return known.longest_ms * KNOWN_FACTOR
+        aim_factor = FEW_FACTOR if known.attempts < FEW_ATTEMPTS else 1.0
+        return max(known.longest_ms * FEW_FACTOR, route.aim_ms * aim_factor)
 
     def _advance(self, now_ms: float) -> None:
         if now_ms < self._began_ms + WINDOW_MS:
