Log a line when a process has loaded its modules

A process that ended in its start left nothing, so that an end by a signal, by its settings and by a port could not be told apart. With the line, one that ends without "started" or "stopped" behind it ended after its modules were loaded, and one without any line ended in the interpreter.

--- a/src/crocusspindle/gateway/serve.py
+++ b/src/crocusspindle/gateway/serve.py
@@ -5,9 +5,11 @@
 from typing import Final
 
 from crocusspindle import kernel
+from crocusspindle.clock import now_ms
 from crocusspindle.core.policies import Policies
 from crocusspindle.gateway import assembly
 from crocusspindle.gateway.line_log import set_up_lines
+from crocusspindle.log_lines import Logger, log_state_change
 from crocusspindle.platform import dialect, settings_file, table_store
 
 # Importing `table_store` registers its platform.
@@ -33,6 +35,8 @@
     settings_path = settings_file.settings_path(path)
     policies = Policies.from_names(os.environ.get(WITHOUT_ENV, ""))
     lines = set_up_lines()
+    loading_ms = round(now_ms() - began_ms)
+    log_state_change(Logger("serve"), "starting", loading_ms=loading_ms)
     platform_dialect = dialect.dialect()
     read = settings_file.read_settings
     kernel.run(
