Ignore SIGHUP from the first statement of a process to its last

What callers saw: a settings change sends SIGHUP, and a process that was just being started, or that was about to end, ended by the signal. Its port stayed closed until the next start.

Cause: signals had their default action outside the steady state. The handler was set once `python -m` had imported the package, the standard modules `signal` and `enum` among others, and was removed when the service that reloads stopped.

A stopping node keeps a handler that does nothing.

--- a/src/crocusspindle/gateway/__main__.py
+++ b/src/crocusspindle/gateway/__main__.py
@@ -6,17 +6,16 @@
 """
 
 import os
-import signal
 import sys
 
+import crocusspindle.gateway.start  # noqa: F401 - first, to ignore SIGHUP
+
 
 def main(arguments: list[str]) -> int:
     """Serve with the settings that the first argument or the environment names.
 
     End the process after a planned stop; otherwise return its exit status.
     """
-    # By default SIGHUP ends a process that has not installed its handler yet.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Without the first, uvloop opens an io_uring descriptor at import. Without the
     # others, the HTTP library loads all TLS authorities twice at import.
     os.environ.update(
@@ -49,5 +48,10 @@
     os._exit(status)
 
 
-if __name__ == "__main__":
+def run() -> None:
+    """Serve, and end the process."""
     _exit_at_once(main(sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    run()
--- a/src/crocusspindle/gateway/reload.py
+++ b/src/crocusspindle/gateway/reload.py
@@ -57,8 +57,8 @@
         self.spawn(self._watch())
 
     async def stop(self) -> None:
-        """Remove the signal handler."""
-        asyncio.get_running_loop().remove_signal_handler(signal.SIGHUP)
+        """Ignore the signal from now on; without a handler it would end the process."""
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, _ignore_signal)
 
     def _file_time_ns(self) -> int:
         try:
@@ -88,3 +88,7 @@
         self._bounds.current = settings.bounds
         self._kernel.drain_ms = settings.bounds.grace_ms
         log_state_change(self._log, "settings read again", changed=changed)
+
+
+def _ignore_signal() -> None:
+    """Do nothing."""
--- /dev/null
+++ b/tests/gateway/test_starting_processes.py
@@ -0,0 +1,73 @@
+"""Tests of gateway processes that start while something they need is not ready."""
+
+import asyncio
+import os
+import shlex
+import signal
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from crocusspindle_standins.on_platform.fleet import Fleet
+
+ROOT = Path(__file__).parents[2]
+DEPLOY_FILE = ROOT / "deploy" / "system.toml"
+BUILT = "target/deps"
+REACHED_STATUS = 7
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    started = Fleet(tmp_path)
+    try:
+        await started.start()
+        yield started
+    finally:
+        await started.stop()
+
+
+def deployed_command() -> list[str]:
+    """Return the command of the deploy file, on the sources of this checkout."""
+    role = tomllib.loads(DEPLOY_FILE.read_text())["roles"]["gateway"]
+    program, *arguments = shlex.split(role["run"])
+    assert program == "python3"
+    source = str(ROOT / "src")
+    return [sys.executable, *(word.replace(BUILT, source) for word in arguments)]
+
+
+@pytest.mark.parametrize("module", ["crocusspindle", "enum", "signal"])
+def test_a_signal_to_reload_before_any_import_does_not_end_the_process(
+    tmp_path, module
+):
+    """Guards against a settings change that kills a node in the first of its start.
+
+    The stand-in of the module sends the signal to its own process.
+    """
+    stand_in = tmp_path / f"{module}.py"
+    stand_in.write_text(
+        "import _signal, os\n"
+        "os.kill(os.getpid(), _signal.SIGHUP)\n"
+        f"os._exit({REACHED_STATUS})\n"
+    )
+    ended = subprocess.run(
+        deployed_command(),
+        env={**os.environ, "PYTHONPATH": f"{tmp_path}:{ROOT / 'src'}"},
+        capture_output=True,
+        timeout=20,
+        check=False,
+    )
+    assert ended.returncode == REACHED_STATUS
+
+
+async def test_a_signal_to_reload_until_the_end_does_not_end_the_process(fleet):
+    """Guards against a settings change that kills a node that is stopping."""
+    gateway = fleet.gateways[0]
+    gateway.process.send_signal(signal.SIGTERM)
+    async with asyncio.timeout(10):
+        while gateway.process.returncode is None:
+            gateway.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0)
+    assert gateway.process.returncode == 0
