Wait for settings that are being written when a process starts

What callers saw: a process whose settings file was half written at its start ended with status 1, again and again until the file was whole, and logged nothing but the finding.

Cause: a condition that passes was taken for final. A reload ignored an invalid file; a start ended over it. Besides, a file that was valid and incomplete was kept if the rest came within the resolution of file times.

Change: one source of settings for start and reload.

--- a/src/crocusspindle/gateway/assembly.py
+++ b/src/crocusspindle/gateway/assembly.py
@@ -3,8 +3,6 @@
 import math
 import random
 import secrets
-from collections.abc import Callable
-from pathlib import Path
 
 from crocusspindle.core.byte_rate_limiter import ByteRateLimiter
 from crocusspindle.core.departure import Departure
@@ -34,6 +32,7 @@
 from crocusspindle.gateway.quota import Quota
 from crocusspindle.gateway.reload import LiveBounds, Reload
 from crocusspindle.gateway.settings import GatewaySettings
+from crocusspindle.gateway.settings_source import SettingsSource
 from crocusspindle.gateway.target_client import TargetClient
 from crocusspindle.ids import Incarnation
 from crocusspindle.kernel import Kernel
@@ -58,15 +57,14 @@
 
 
 def build(
-    path: Path,
-    read: Callable[[Path], GatewaySettings],
+    source: SettingsSource,
+    settings: GatewaySettings,
     dialect: Dialect,
     lines: LineHandler,
     policies: Policies,
     began_ms: float,
 ) -> Kernel:
-    """Build a node's services; raise ``SettingsError`` with all findings."""
-    settings = read(path)
+    """Build a node's services; raise ``SettingsError`` for an unknown platform."""
     rng = random.Random(secrets.randbits(64))
     node = NodeAddress(
         settings.host,
@@ -157,7 +155,7 @@
         hand_over,
         entry,
         ports,
-        Reload(path, settings, bounds, read, kernel),
+        Reload(source, settings, bounds, kernel),
     ):
         kernel.add(service.name, service)
     return kernel
--- a/src/crocusspindle/gateway/reload.py
+++ b/src/crocusspindle/gateway/reload.py
@@ -2,12 +2,11 @@
 
 import asyncio
 import signal
-from collections.abc import Callable
-from pathlib import Path
 from typing import ClassVar, Final
 
 from crocusspindle.errors import SettingsError
 from crocusspindle.gateway.settings import Bounds, GatewaySettings
+from crocusspindle.gateway.settings_source import SettingsSource
 from crocusspindle.kernel import Kernel, Service
 from crocusspindle.log_lines import Logger, log_state_change
 
@@ -36,18 +35,15 @@
 
     def __init__(
         self,
-        path: Path,
+        source: SettingsSource,
         settings: GatewaySettings,
         bounds: LiveBounds,
-        read: Callable[[Path], GatewaySettings],
         kernel: Kernel,
     ) -> None:
-        self._path = path
+        self._source = source
         self._settings = settings
         self._bounds = bounds
-        self._read = read
         self._kernel = kernel
-        self._changed_ns = self._file_time_ns()
         self._log = Logger("reload")
 
     async def start(self) -> None:
@@ -60,22 +56,19 @@
         """Ignore the signal from now on; without a handler it would end the process."""
         asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, _ignore_signal)
 
-    def _file_time_ns(self) -> int:
-        try:
-            return self._path.stat().st_mtime_ns
-        except OSError:
-            return 0
-
     async def _watch(self) -> None:
         while True:
             await asyncio.sleep(FILE_CHECK_INTERVAL_S)
-            if self._file_time_ns() != self._changed_ns:
+            if self._source.has_changed:
                 self._reload()
 
     def _reload(self) -> None:
-        self._changed_ns = self._file_time_ns()
+        wait_s = self._source.unsettled_s
+        if wait_s > 0.0:
+            asyncio.get_running_loop().call_later(wait_s, self._reload)
+            return
         try:
-            settings = self._read(self._path)
+            settings = self._source.read()
         except SettingsError as error:
             log_state_change(self._log, "settings refused", findings=str(error))
             return
--- a/src/crocusspindle/gateway/serve.py
+++ b/src/crocusspindle/gateway/serve.py
@@ -9,6 +9,7 @@
 from crocusspindle.core.policies import Policies
 from crocusspindle.gateway import assembly
 from crocusspindle.gateway.line_log import set_up_lines
+from crocusspindle.gateway.settings_source import START_WAIT_MS, SettingsSource
 from crocusspindle.log_lines import Logger, log_state_change
 from crocusspindle.platform import dialect, settings_file, table_store
 
@@ -38,10 +39,11 @@
     loading_ms = round(now_ms() - began_ms)
     log_state_change(Logger("serve"), "starting", loading_ms=loading_ms)
     platform_dialect = dialect.dialect()
-    read = settings_file.read_settings
+    source = SettingsSource(settings_path, settings_file.read_settings)
+    settings = source.wait_until_valid(now_ms() + START_WAIT_MS)
     kernel.run(
         lambda: assembly.build(
-            settings_path, read, platform_dialect, lines, policies, began_ms
+            source, settings, platform_dialect, lines, policies, began_ms
         ),
         on_stopped,
     )
--- a/tests/gateway/test_starting_processes.py
+++ b/tests/gateway/test_starting_processes.py
@@ -71,3 +71,27 @@
             gateway.process.send_signal(signal.SIGHUP)
             await asyncio.sleep(0)
     assert gateway.process.returncode == 0
+
+
+async def restart(fleet: Fleet, gateway) -> None:
+    """Kill a gateway's process and start the next."""
+    if gateway.process.returncode is None:
+        gateway.process.kill()
+    await gateway.process.wait()
+    await fleet.run(gateway)
+
+
+@pytest.mark.parametrize("share", [0.0, 0.3, 0.9])
+async def test_a_process_waits_for_settings_that_are_being_written(fleet, share):
+    """Guards against a start that fails as its settings file is half written."""
+    gateway = fleet.gateways[0]
+    content = gateway.settings.read_text()
+    gateway.settings.write_text(content[: int(len(content) * share)])
+    await restart(fleet, gateway)
+    async with asyncio.timeout(10):
+        while "waiting for valid settings" not in gateway.log():
+            assert gateway.process.returncode is None
+            await asyncio.sleep(0.05)
+    gateway.settings.write_text(content)
+    await fleet.until_ready()
+    assert gateway.process.returncode is None
