Wait for ports that another process holds when a process starts

What callers saw: a process whose port was still held, by the process before it or by another, ended with status 1 until the port was free.

--- a/src/crocusspindle/gateway/exchange.py
+++ b/src/crocusspindle/gateway/exchange.py
@@ -14,6 +14,7 @@
     pack,
     unpack,
 )
+from crocusspindle.gateway.open_ports import open_when_free
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
 from crocusspindle.metrics import Metrics
@@ -102,10 +103,15 @@
 
     async def start(self) -> None:
         """Open the socket."""
+        ip, port = self._address
+        self._transport = await open_when_free(self._open, f"{ip}:{port}")
+
+    async def _open(self) -> asyncio.DatagramTransport:
         loop = asyncio.get_running_loop()
-        self._transport, _ = await loop.create_datagram_endpoint(
+        transport, _ = await loop.create_datagram_endpoint(
             lambda: _Protocol(self._receive), local_addr=self._address
         )
+        return transport
 
     async def stop(self) -> None:
         """Close the socket."""
--- a/src/crocusspindle/gateway/ports.py
+++ b/src/crocusspindle/gateway/ports.py
@@ -20,6 +20,7 @@
 from crocusspindle.gateway.held_memory import HeldMemory
 from crocusspindle.gateway.line_log import LineHandler
 from crocusspindle.gateway.membership import Membership
+from crocusspindle.gateway.open_ports import open_when_free
 from crocusspindle.gateway.reload import LiveBounds
 from crocusspindle.gateway.settings import GatewaySettings
 from crocusspindle.kernel import Service
@@ -87,6 +88,7 @@
         self._caller_server = CallerServer(entry, self._limits, read_buffer_bytes)
         self._choice = HostChoice([])
         self._choice_key: tuple[Any, ...] = ()
+        self._all_open = False
 
     async def start(self) -> None:
         """Open all ports."""
@@ -105,6 +107,7 @@
         ):
             server = web.Server(handler, access_log=None)
             self._other_servers.append(await _listen(address, server))
+        self._all_open = True
         self._membership.is_ready = self._is_ready
 
     def _limits(self) -> CallerLimits:
@@ -114,7 +117,8 @@
     def _is_ready(self) -> bool:
         age_ms = self._fleet_state.configuration.age_ms(now_ms())
         return (
-            not self._membership.leaving
+            self._all_open
+            and not self._membership.leaving
             and self._fleet_state.configuration.content is not None
             and self._fleet_state.targets.content is not None
             and self._fleet_state.view.content is not None
@@ -234,7 +238,9 @@
 ) -> asyncio.Server:
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
-    return await loop.create_server(factory, host, int(port), backlog=BACKLOG)
+    return await open_when_free(
+        lambda: loop.create_server(factory, host, int(port), backlog=BACKLOG), address
+    )
 
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
--- a/tests/gateway/test_starting_processes.py
+++ b/tests/gateway/test_starting_processes.py
@@ -4,6 +4,7 @@
 import os
 import shlex
 import signal
+import socket
 import subprocess
 import sys
 import tomllib
@@ -95,3 +96,42 @@
     gateway.settings.write_text(content)
     await fleet.until_ready()
     assert gateway.process.returncode is None
+
+
+PORT_KINDS = ("caller", "readiness", "directory", "peers", "datagrams", "metrics")
+
+
+def taken_address(gateway, kind: str) -> tuple[int, int]:
+    """Return the type and the port of one of a gateway's sockets."""
+    front, ready, directory = gateway.ports
+    port = {
+        "caller": front,
+        "readiness": ready,
+        "directory": directory,
+        "peers": 7340,
+        "datagrams": 7340,
+        "metrics": 9464,
+    }[kind]
+    kind_of_socket = socket.SOCK_DGRAM if kind == "datagrams" else socket.SOCK_STREAM
+    return kind_of_socket, port
+
+
+@pytest.mark.parametrize("kind", PORT_KINDS)
+async def test_a_process_waits_for_a_port_that_another_holds(fleet, kind):
+    """Guards against a start that fails while the process before it still ends."""
+    gateway = fleet.gateways[0]
+    gateway.process.kill()
+    await gateway.process.wait()
+    kind_of_socket, port = taken_address(gateway, kind)
+    with socket.socket(socket.AF_INET, kind_of_socket) as holder:
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind((gateway.ip, port))
+        if kind_of_socket == socket.SOCK_STREAM:
+            holder.listen()
+        await fleet.run(gateway)
+        async with asyncio.timeout(10):
+            while "waiting for a port" not in gateway.log():
+                assert gateway.process.returncode is None
+                await asyncio.sleep(0.05)
+    await fleet.until_ready()
+    assert gateway.process.returncode is None
