Read what has arrived before a timer closes its connection

What callers saw: requests that had waited in a leaving process's sockets ended with a reset, and so did requests on kept connections whose idle timeout ended while the process stood still. A response that had arrived from a target as the drain ended was lost.

Cause: a process closed by what it had read, not by what had arrived. The event loop runs due timers before it reads, so that after a pause in the middle of reading (a host without processor time) a timer closes connections on which requests have waited for the whole pause, more than the 0.2 s allowed. A connection that is accepted in one turn of the loop is read only two turns later, and those that the kernel has set up but the process has not accepted are reset with the port.

Change: before a port, an idle connection or a drain ends, the event loop takes some turns to accept and read; only what is idle before and after is closed. A listener takes the connections that wait in the kernel as it closes. The same for the port of hand-overs, for timeouts of idle and of new connections, and for 'node'.

--- a/src/crocusspindle/caller_connections.py
+++ b/src/crocusspindle/caller_connections.py
@@ -12,8 +12,12 @@
 from aiohttp.http_parser import RawRequestMessage
 
 from crocusspindle.clock import now_ms
+from crocusspindle.pending_reads import call_after_reads, read_arrived
 
 CLOSE_POLL_S: Final = 0.02
+RESPONSE_TURNS: Final = 24
+"""Turns of the event loop that read a target's response and send it to its caller."""
+
 HEAD_PART_WAIT_S: Final = 0.5
 """How long a leaving node waits for the rest of a request's head. A caller whose
 request was not read completely can send it to another node."""
@@ -46,8 +50,9 @@
         """Return True if a response that starts now closes the connection."""
         return self.is_leaving and not self._messages
 
-    def close_if_idle(self) -> None:
-        """Close the connection unless it holds a request or the start of one."""
+    @property
+    def is_idle(self) -> bool:
+        """Return True unless the connection holds a request or the start of one."""
         # The library's task waits on this future while it has no complete request.
         is_waiting = self._waiter is not None and not self._waiter.done()
         now_s = asyncio.get_running_loop().time()
@@ -55,8 +60,19 @@
             self._head_began_s is not None
             and now_s - self._head_began_s < HEAD_PART_WAIT_S
         )
-        if is_waiting and not has_new_head:
-            self.force_close()
+        return is_waiting and not has_new_head
+
+    def close_without_request(self) -> None:
+        """Close the connection unless a request was read, or is read now."""
+        call_after_reads(self._close_without_request)
+
+    def _close_without_request(self) -> None:
+        has_request = bool(self._messages) or self._current_request is not None
+        if not has_request and self.transport is not None:
+            self.transport.close()
+
+    def _process_keepalive(self) -> None:
+        call_after_reads(super()._process_keepalive)
 
 
 class ConnectionRequest(web.BaseRequest):
@@ -88,13 +104,27 @@
 async def close_connections(server: web.Server, until_ms: float) -> None:
     """Close each connection once it holds no request; return by a deadline."""
     while True:
-        for connection in server.connections:
-            assert isinstance(connection, CallerConnection)
-            connection.close_if_idle()
+        idle = [connection for connection in _connections(server) if connection.is_idle]
+        await read_arrived()
+        for connection in idle:
+            if connection.is_idle:
+                connection.force_close()
         # A connection accepted as the port closed is listed only after the next turn.
         await asyncio.sleep(CLOSE_POLL_S)
-        if not server.connections or now_ms() >= until_ms:
+        if not server.connections:
             return
+        if now_ms() >= until_ms:
+            # Responses that have arrived are still sent.
+            await read_arrived(RESPONSE_TURNS)
+            return
+
+
+def _connections(server: web.Server) -> list[CallerConnection]:
+    connections = []
+    for connection in server.connections:
+        assert isinstance(connection, CallerConnection)
+        connections.append(connection)
+    return connections
 
 
 def abort_connections(server: web.Server) -> None:
--- a/src/crocusspindle/gateway/caller_port.py
+++ b/src/crocusspindle/gateway/caller_port.py
@@ -78,7 +78,7 @@
         super().connection_made(transport)
         wait_s = max(self._limits.header_timeout_ms, self._limits.idle_timeout_ms) / 1e3
         loop = asyncio.get_running_loop()
-        self._first_request_timer = loop.call_later(wait_s, transport.close)
+        self._first_request_timer = loop.call_later(wait_s, self.close_without_request)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the timer and the requests started early."""
--- a/src/crocusspindle/gateway/ports.py
+++ b/src/crocusspindle/gateway/ports.py
@@ -19,15 +19,14 @@
 from crocusspindle.gateway.fleet_state import FleetState
 from crocusspindle.gateway.held_memory import HeldMemory
 from crocusspindle.gateway.line_log import LineHandler
+from crocusspindle.gateway.listener import Listener
 from crocusspindle.gateway.membership import Membership
-from crocusspindle.gateway.open_ports import open_when_free
 from crocusspindle.gateway.reload import LiveBounds
 from crocusspindle.gateway.settings import GatewaySettings
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
 from crocusspindle.metrics import Metrics
 
-BACKLOG: Final = 512
 WHERE_VALID_S: Final = 2.0
 """Callers cache the addresses of nodes this long, some three times as long, and only
 then avoid a node that leaves. A shorter time would cost each caller a request a
@@ -81,9 +80,9 @@
         self._entry = entry
         self._metrics = metrics
         self._log = Logger("ports")
-        self._caller_listener: asyncio.Server | None = None
-        self._hand_over_listener: asyncio.Server | None = None
-        self._other_servers: list[asyncio.Server] = []
+        self._caller_listener: Listener | None = None
+        self._hand_over_listener: Listener | None = None
+        self._other_listeners: list[Listener] = []
         read_buffer_bytes = None if memory is None else memory.read_buffer_bytes
         self._caller_server = CallerServer(entry, self._limits, read_buffer_bytes)
         self._choice = HostChoice([])
@@ -93,11 +92,11 @@
     async def start(self) -> None:
         """Open all ports."""
         settings = self._settings
-        self._caller_listener = await _listen(
+        self._caller_listener = await Listener.open(
             settings.caller_address, self._caller_server
         )
         # The datagrams between nodes use the same port number.
-        self._hand_over_listener = await _listen(
+        self._hand_over_listener = await Listener.open(
             f"{settings.ip}:{settings.peer_port}", self._caller_server
         )
         for address, handler in (
@@ -106,7 +105,7 @@
             (f"{settings.ip}:{settings.metrics_port}", self._scrape),
         ):
             server = web.Server(handler, access_log=None)
-            self._other_servers.append(await _listen(address, server))
+            self._other_listeners.append(await Listener.open(address, server))
         self._all_open = True
         self._membership.is_ready = self._is_ready
 
@@ -191,9 +190,9 @@
         give_up_ms = began_ms + give_up_after_ms(grace_ms)
         self._membership.leave()
         self._entry.leave(give_up_ms)
-        self._close_hand_over_port()
+        await self._close_hand_over_port()
         await asyncio.sleep(grace_ms * ACCEPTING_FRACTION / 1e3)
-        self._close_caller_port()
+        await self._close_caller_port()
         self._log_connections("caller port closed")
         await close_connections(self._caller_server, give_up_ms - REFUSALS_MS)
         self._entry.refuse_waiting()
@@ -208,24 +207,25 @@
             connections=len(self._caller_server.connections),
         )
 
-    def _close_hand_over_port(self) -> None:
+    async def _close_hand_over_port(self) -> None:
         if self._hand_over_listener is not None:
-            self._hand_over_listener.close()
+            await self._hand_over_listener.accept_and_close()
             self._hand_over_listener = None
 
-    def _close_caller_port(self) -> None:
+    async def _close_caller_port(self) -> None:
         if self._caller_listener is not None:
-            self._caller_listener.close()
+            await self._caller_listener.accept_and_close()
             self._caller_listener = None
 
     async def stop(self) -> None:
-        """Close all ports."""
-        self._close_caller_port()
-        self._close_hand_over_port()
+        """Close all ports and connections at once."""
+        for listener in (self._caller_listener, self._hand_over_listener):
+            if listener is not None:
+                listener.close()
         self._entry.give_up()
         abort_connections(self._caller_server)
-        for server in self._other_servers:
-            server.close()
+        for listener in self._other_listeners:
+            listener.close()
 
 
 def give_up_after_ms(grace_ms: float) -> float:
@@ -233,14 +233,4 @@
     return grace_ms - min(EXIT_MS, grace_ms * EXIT_FRACTION)
 
 
-async def _listen(
-    address: str, factory: Callable[[], web.RequestHandler]
-) -> asyncio.Server:
-    host, _, port = address.rpartition(":")
-    loop = asyncio.get_running_loop()
-    return await open_when_free(
-        lambda: loop.create_server(factory, host, int(port), backlog=BACKLOG), address
-    )
-
-
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
--- a/src/crocusspindle/services/caller_server.py
+++ b/src/crocusspindle/services/caller_server.py
@@ -42,7 +42,7 @@
         super().connection_made(transport)
         loop = asyncio.get_running_loop()
         self._first_request_timer = loop.call_later(
-            self._slow_sender_s, transport.close
+            self._slow_sender_s, self.close_without_request
         )
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/src/crocusspindle/services/ports.py
+++ b/src/crocusspindle/services/ports.py
@@ -26,6 +26,7 @@
 from crocusspindle.errors import PeerError
 from crocusspindle.ids import CustomerId, MemberId, OperationKey, TargetId, TicketNumber
 from crocusspindle.kernel import Service
+from crocusspindle.pending_reads import read_arrived
 from crocusspindle.services import error_responses
 from crocusspindle.services.caller_server import CallerServer
 from crocusspindle.services.control import ControlService
@@ -305,6 +306,7 @@
         self._server.leaving = True
         await asyncio.sleep(self._where_max_age_ms / 1e3)
         await self._until_idle()
+        await read_arrived()
         self._close_port()
         # The kernel bounds the drain.
         await close_connections(self._server, math.inf)
@@ -322,6 +324,7 @@
 
     async def stop(self) -> None:
         """Close the port, and each connection once its running request has ended."""
+        await read_arrived()
         self._close_port()
         if self._server is None:
             return
@@ -380,6 +383,7 @@
         """Close the port, and each connection once its running request has ended."""
         self._leaving = True
         if self._listener is not None:
+            await read_arrived()
             self._listener.close()
             self._listener = None
         if self._runner is None:
--- a/tests/gateway/test_ports.py
+++ b/tests/gateway/test_ports.py
@@ -11,6 +11,7 @@
 from crocusspindle.core.configuration import CallerLimits
 from crocusspindle.gateway.caller_port import CallerServer
 from crocusspindle.gateway.dialect import Dialect
+from crocusspindle.gateway.listener import Listener
 from crocusspindle.gateway.ports import ACCEPTING_FRACTION, Ports, give_up_after_ms
 
 GRACE_MS = 1_000.0
@@ -49,8 +50,8 @@
 class Node:
     """Hold ports with one listener, and act at the moment the listener closes."""
 
-    def __init__(self) -> None:
-        self.entry = SlowEntry()
+    def __init__(self, entry: SlowEntry | None = None) -> None:
+        self.entry = entry or SlowEntry()
         self.server = CallerServer(self.entry, CallerLimits)
         self.bounds = SimpleNamespace(current=SimpleNamespace(grace_ms=GRACE_MS))
         membership = SimpleNamespace(leave=lambda: None)
@@ -69,15 +70,16 @@
         self.at_close = lambda: None
 
     async def start(self) -> None:
-        loop = asyncio.get_running_loop()
-        listener = await loop.create_server(self.server, "127.0.0.1", 0)
-        self.port = listener.sockets[0].getsockname()[1]
+        listener = await Listener.open("127.0.0.1:0", self.server)
+        self.port = listener.port
+        close_port = listener.close
 
         def close() -> None:
-            listener.close()
+            close_port()
             self.at_close()
 
-        self.ports._caller_listener = SimpleNamespace(close=close)
+        listener.close = close
+        self.ports._caller_listener = listener
 
     async def connect(self):
         streams = await asyncio.open_connection("127.0.0.1", self.port)
