End the running requests when a service of a node fails

What callers would see: one failed loop ended a node at once, and all requests that it had read ended without a response, orders among them. One end of a process by itself so explains several lost requests.

Cause: the kernel drained after a request to stop only, and a failure during a drain ended it.

Change: the kernel of a gateway drains after a failure, too, within the grace period: it reports itself not ready, leaves the fleet and answers what it holds. The kernel of 'node' is as it was.

Evidence: test_a_failed_service_lets_the_others_end_their_work fails on (the option is new) and passes now. That a failed service was the users' case is not shown.

--- a/src/crocusspindle/gateway/assembly.py
+++ b/src/crocusspindle/gateway/assembly.py
@@ -139,7 +139,11 @@
         memory,
     )
     # Planned restarts may overlap; SIGKILL ends a process that must not drain.
-    kernel = Kernel(settings.bounds.grace_ms, second_stop_ends_drain=False)
+    kernel = Kernel(
+        settings.bounds.grace_ms,
+        second_stop_ends_drain=False,
+        drains_after_failure=True,
+    )
     for service in (
         exchange,
         fleet_state,
--- a/src/crocusspindle/kernel.py
+++ b/src/crocusspindle/kernel.py
@@ -70,14 +70,19 @@
     """Start, drain and stop the services of one node.
 
     ``drain_ms`` bounds the drain of a planned stop; what it is when the drain begins
-    counts. A second request to stop ends the drain if ``second_stop_ends_drain``.
+    counts. A second request to stop ends the drain if ``second_stop_ends_drain``. The
+    failure of a service stops the others, after a drain if ``drains_after_failure``.
     """
 
     def __init__(
-        self, drain_ms: float = 20_000.0, second_stop_ends_drain: bool = True
+        self,
+        drain_ms: float = 20_000.0,
+        second_stop_ends_drain: bool = True,
+        drains_after_failure: bool = False,
     ) -> None:
         self.drain_ms = drain_ms
         self._second_stop_ends_drain = second_stop_ends_drain
+        self._drains_after_failure = drains_after_failure
         self._services: dict[str, Service] = {}
         self._started: list[Service] = []
         self._stop_requested = asyncio.Event()
@@ -166,7 +171,7 @@
         """Serve until a stop is requested; raise ``KernelError`` on a failure."""
         await self.start()
         await self._stop_requested.wait()
-        if self._failure is None:
+        if self._failure is None or self._drains_after_failure:
             await self.drain()
         await self.stop()
         if self._failure is not None:
@@ -188,12 +193,13 @@
 
     def _service_failed(self, name: str, error: BaseException) -> None:
         # A node that continues without a failed task looks alive and serves nothing;
-        # once the process ends, the fleet detects a lost member.
+        # once the process ends, the fleet detects a lost member. A drain tells callers,
+        # and lets the services that work on end the requests that have been read.
         log_state_change(self._log, "service failed", service=name, error=repr(error))
         if self._failure is None:
             self._failure = KernelError(f"service {name} failed: {error!r}")
             self._failure.__cause__ = error
-        if self._stop_requested.is_set():
+        if self._stop_requested.is_set() and not self._drains_after_failure:
             self._stop_now.set()
         self._stop_requested.set()
 
--- a/tests/product/test_kernel.py
+++ b/tests/product/test_kernel.py
@@ -124,6 +124,29 @@
         await asyncio.wait_for(running, 5)
 
 
+@pytest.mark.parametrize("is_stopping", [False, True])
+async def test_a_failed_service_lets_the_others_end_their_work(is_stopping):
+    """Guards against a failure that drops the requests which the node has read."""
+    events = []
+    kernel = Kernel(60_000.0, drains_after_failure=True)
+    failing = Recorder("a", events)
+    kernel.add("a", failing)
+    kernel.add("b", Recorder("b", events, ("a",), drain_s=0.1))
+    running = asyncio.create_task(kernel.run())
+    await asyncio.sleep(0)
+    if is_stopping:
+        kernel.request_stop()
+        await asyncio.sleep(0)
+
+    async def fail():
+        raise ValueError("broken loop")
+
+    failing.spawn(fail())
+    with pytest.raises(KernelError, match=r"service a failed.*broken loop"):
+        await asyncio.wait_for(running, 5)
+    assert events[2:] == ["drain a", "drain b", "stop b", "stop a"]
+
+
 @pytest.mark.parametrize(
     ("needs_a", "needs_b", "message"),
     [
