--- a/tests/gateway/test_starting_processes.py
+++ b/tests/gateway/test_starting_processes.py
@@ -40,10 +40,13 @@
 
 
 @pytest.mark.parametrize("module", ["encodings", "enum", "signal", "crocusspindle"])
-def test_a_signal_to_reload_before_any_import_does_not_end_the_process(
-    tmp_path, module
+@pytest.mark.parametrize(
+    ("number", "status"), [(signal.SIGHUP, REACHED_STATUS), (signal.SIGTERM, 0)]
+)
+def test_a_signal_before_any_import_has_its_usual_effect(
+    tmp_path, module, number, status
 ):
-    """Guards against a settings change that kills a node in the first of its start.
+    """Guards against a signal that ends a node as a failure in the first of its start.
 
     The stand-in of the module sends the signal to its own process. The interpreter
     imports the first one itself, before it runs any program.
@@ -52,7 +55,7 @@
     stand_in = tmp_path / f"{module}.py"
     stand_in.write_text(
         "import posix\n"
-        f"posix.kill(posix.getpid(), {signal.SIGHUP.value})\n"
+        f"posix.kill(posix.getpid(), {number.value})\n"
         f"posix._exit({REACHED_STATUS})\n"
     )
     ended = subprocess.run(
@@ -62,7 +65,7 @@
         timeout=20,
         check=False,
     )
-    assert ended.returncode == REACHED_STATUS
+    assert ended.returncode == status
 
 
 async def test_a_signal_to_reload_until_the_end_does_not_end_the_process(fleet):
