Start and serve without standard streams

What callers would see: a node whose standard output or error is closed ended at its start or its stop with status 1, again and again. Errors of libraries were written to standard error in blocking mode, so that a node stands still once a pipe that nothing reads is full.

Cause: a condition of the environment was taken for final, as with settings and ports.

Change: closed descriptors are opened on the null device first of all, so that no socket gets their numbers; standard error never blocks; records of libraries become lines of the node's log.

Evidence: five of the six tests of test_standard_streams.py fail on (closed standard input was harmless); all pass now.

--- a/src/crocusspindle/gateway/__main__.py
+++ b/src/crocusspindle/gateway/__main__.py
@@ -9,6 +9,10 @@
 import sys
 
 import crocusspindle.gateway.start  # noqa: F401 - first, to ignore SIGHUP
+from crocusspindle.gateway.standard_streams import (
+    prepare_standard_streams,
+    report_error,
+)
 
 
 def main(arguments: list[str]) -> int:
@@ -16,6 +20,7 @@
 
     End the process after a planned stop; otherwise return its exit status.
     """
+    prepare_standard_streams()
     # Without the first, uvloop opens an io_uring descriptor at import. Without the
     # others, the HTTP library loads all TLS authorities twice at import.
     os.environ.update(
@@ -36,7 +41,7 @@
     try:
         serve(arguments[0] if arguments else None, began_ms, _exit_at_once)
     except (CrocusspindleError, OSError) as error:
-        print(f"crocusspindle: {error}", file=sys.stderr)
+        report_error(f"crocusspindle: {error}")
         return 1
     return 0
 
@@ -44,7 +49,6 @@
 def _exit_at_once(status: int = 0) -> None:
     # All connections are closed. The teardown of the event loop, which starts threads,
     # and of the interpreter would only delay the next start of the host's process.
-    sys.stderr.flush()
     os._exit(status)
 
 
--- a/src/crocusspindle/gateway/line_log.py
+++ b/src/crocusspindle/gateway/line_log.py
@@ -1,10 +1,12 @@
 """Write log lines to standard output without blocking."""
 
+import logging
 import os
 import time
 from typing import Final
 
 import logbook
+from logbook.compat import RedirectLoggingHandler
 
 from crocusspindle.log_lines import format_json, redact
 
@@ -43,11 +45,16 @@
 
 
 def set_up_lines(descriptor: int = STDOUT) -> LineHandler:
-    """Send all log records of the process to a descriptor, without blocking."""
+    """Send all log records of the process to a descriptor, without blocking.
+
+    Those of the libraries as well: by default they are written to standard error, and
+    the process stands still once a pipe that nothing reads is full.
+    """
     os.set_blocking(descriptor, False)
     handler = LineHandler(descriptor)
     setup = logbook.NestedSetup(
         [logbook.NullHandler(), handler, logbook.Processor(redact)]
     )
     setup.push_application()
+    logging.getLogger().handlers = [RedirectLoggingHandler()]
     return handler
