Drain to the end on a node that has no descriptors left

What callers saw: on a node whose descriptors are used up, a request to stop ended all running requests at once, without a response, instead of after the grace period.

Cause: a port that closes accepts the connections that wait, and the kernel refuses that without a free descriptor even if none waits. The error ended the drain, whose errors nobody looks at.

Change: any error of accepting ends the accepting; the port closes then.

--- a/src/crocusspindle/gateway/listener.py
+++ b/src/crocusspindle/gateway/listener.py
@@ -69,7 +69,8 @@
 
     def _accept_waiting(self) -> list[socket.socket]:
         waiting: list[socket.socket] = []
-        with suppress(BlockingIOError):
+        # None waits any more, or there is no descriptor left for it. The port closes.
+        with suppress(OSError):
             while True:
                 with suppress(ConnectionAbortedError):
                     waiting.append(self._socket.accept()[0])
