Refuse all that wait at the end of a drain, some of them a moment before

What callers saw: requests that waited for a target at a leaving node ended without a response, and so did those that ran, up to 0.1 s early.

Cause: late requests are refused ten times a second, and all that wait once, before the end. Where both meet within some turns of the event loop, the second one sets a timeout that has expired already while its request still ends. That raises an error, which ends the drain before the other requests are refused, or ends the entry's loop and with it the node. Turns are long on a busy host.

Change: a timeout is set once.

--- a/src/crocusspindle/gateway/entry.py
+++ b/src/crocusspindle/gateway/entry.py
@@ -141,7 +141,7 @@
         self._refuses_waiting = True
         for processed, limit in self._processing.values():
             if processed.context is None or processed.context.certainly_not_run:
-                limit.reschedule(asyncio.get_running_loop().time())
+                _end_at_once(limit)
 
     async def _refuse_late(self) -> None:
         while True:
@@ -154,7 +154,7 @@
                         context.route, context.deadline_ms, now_ms()
                     )
                 ):
-                    limit.reschedule(asyncio.get_running_loop().time())
+                    _end_at_once(limit)
             await asyncio.sleep(REFUSAL_INTERVAL_S)
 
     @property
@@ -375,6 +375,12 @@
         )
 
 
+def _end_at_once(limit: asyncio.Timeout) -> None:
+    # One that has expired, and whose request still ends, can't be set again.
+    if limit.when() is None:
+        limit.reschedule(asyncio.get_running_loop().time())
+
+
 def release_result(task: asyncio.Task[ProcessedRequest]) -> None:
     """Free the result of a request that was started early for a caller that left."""
     if not task.cancelled() and task.exception() is None:
--- a/tests/gateway/test_entry.py
+++ b/tests/gateway/test_entry.py
@@ -70,6 +70,25 @@
     assert entry.running == 0 and not entry._processing
 
 
+async def test_requests_that_are_refused_already_do_not_end_the_refusals(
+    entry, waiting
+):
+    """Guards against a drain that fails halfway, and drops the requests that run."""
+    waiting.context.route, waiting.context.deadline_ms = None, 0.0
+    entry._departure.allows = lambda route, deadline_ms, at_ms: False
+    tasks = [await start(entry) for _ in range(2)]
+    entry.leave(0.0)
+    # The refusals of late requests have taken effect, and the requests have not ended.
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert len(entry._processing) == len(tasks)
+    entry.refuse_waiting()
+    async with asyncio.timeout(1):
+        processed = await asyncio.gather(*tasks)
+    assert {one.refusal.status for one in processed} == {NOT_RUN}
+    await entry.cancel_tasks()
+
+
 async def test_a_request_that_arrives_while_waiting_ones_are_refused_is_too(entry):
     """Guards against a late request that waits until the process ends."""
     entry.refuse_waiting()
