End a start that waits when the process is asked to stop

What operators saw: a process that waited for a port did not end on SIGTERM, but waited on, up to ten seconds for each port, and then ended with status 1.

Cause: the kernel looked at a request to stop only after all services had started, which took no time before starts waited for ports.

Change: a request to stop, or a failed service, ends the start. What has started drains and stops: a port that is open already may hold requests.

Evidence: test_a_start_that_waits_ends_with_a_stop, test_a_stop_before_the_start_ends_a_start_that_waits and test_a_process_that_waits_for_a_port_ends_when_asked fail on (the last one with status 1) and pass now.

--- a/src/crocusspindle/kernel.py
+++ b/src/crocusspindle/kernel.py
@@ -87,6 +87,7 @@
         self._started: list[Service] = []
         self._stop_requested = asyncio.Event()
         self._stop_now = asyncio.Event()
+        self._start_limit: asyncio.Timeout | None = None
         self._failure: KernelError | None = None
         self._log = Logger("kernel")
 
@@ -125,16 +126,18 @@
         """Start the services in order; if one fails, stop it and those started."""
         for name in self.start_order():
             service = self._services[name]
+            self._started.append(service)
             try:
                 await service.start()
             except BaseException as error:
-                self._started.append(service)
+                if self._stop_requested.is_set() and not isinstance(error, Exception):
+                    # What has started may hold requests; it drains first.
+                    raise
                 await self._stop_started()
                 if isinstance(error, Exception):
                     message = f"service {name} did not start: {error}"
                     raise KernelError(message) from error
                 raise
-            self._started.append(service)
         log_state_change(self._log, "started", services=len(self._started))
 
     async def stop(self) -> None:
@@ -165,11 +168,28 @@
         """Request a planned stop; a second call may request an immediate stop."""
         if self._stop_requested.is_set() and self._second_stop_ends_drain:
             self._stop_now.set()
+        self._begin_stop()
+
+    def _begin_stop(self) -> None:
+        limit = self._start_limit
+        if limit is not None and not self._stop_requested.is_set():
+            limit.reschedule(asyncio.get_running_loop().time())
         self._stop_requested.set()
 
+    async def _start_until_stop(self) -> None:
+        """Start the services; a start may wait for long, and ends with a stop."""
+        limit = asyncio.timeout(0.0 if self._stop_requested.is_set() else None)
+        try:
+            async with limit as self._start_limit:
+                await self.start()
+        except TimeoutError:
+            log_state_change(self._log, "start ended", services=len(self._started))
+        finally:
+            self._start_limit = None
+
     async def run(self) -> None:
         """Serve until a stop is requested; raise ``KernelError`` on a failure."""
-        await self.start()
+        await self._start_until_stop()
         await self._stop_requested.wait()
         if self._failure is None or self._drains_after_failure:
             await self.drain()
@@ -201,7 +221,7 @@
             self._failure.__cause__ = error
         if self._stop_requested.is_set() and not self._drains_after_failure:
             self._stop_now.set()
-        self._stop_requested.set()
+        self._begin_stop()
 
 
 class _KernelRunner(aiomisc.Service):
--- a/tests/gateway/test_starting_processes.py
+++ b/tests/gateway/test_starting_processes.py
@@ -137,3 +137,21 @@
                 await asyncio.sleep(0.05)
     await fleet.until_ready()
     assert gateway.process.returncode is None
+
+
+async def test_a_process_that_waits_for_a_port_ends_when_asked(fleet):
+    """Guards against a planned stop that a waiting process does not obey."""
+    gateway = fleet.gateways[0]
+    gateway.process.kill()
+    await gateway.process.wait()
+    kind_of_socket, port = taken_address(gateway, "datagrams")
+    with socket.socket(socket.AF_INET, kind_of_socket) as holder:
+        holder.bind((gateway.ip, port))
+        await fleet.run(gateway)
+        async with asyncio.timeout(10):
+            while "waiting for a port" not in gateway.log():
+                await asyncio.sleep(0.05)
+        gateway.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(20):
+            await gateway.process.wait()
+    assert gateway.process.returncode == 0
--- a/tests/product/test_kernel.py
+++ b/tests/product/test_kernel.py
@@ -147,6 +147,50 @@
     assert events[2:] == ["drain a", "drain b", "stop b", "stop a"]
 
 
+@pytest.mark.parametrize("fails", [False, True])
+async def test_a_start_that_waits_ends_with_a_stop(fails):
+    """Guards against a process that waits for a port, and does not end on SIGTERM.
+
+    A port that it has opened already may hold requests, so it drains.
+    """
+    events = []
+    kernel = Kernel(1_000.0, second_stop_ends_drain=False, drains_after_failure=True)
+    started, waiting = Recorder("a", events), Recorder("b", events, ("a",))
+
+    async def wait_for_port():
+        await asyncio.Event().wait()
+
+    waiting.start = wait_for_port
+    for service in (started, waiting, Recorder("c", events, ("b",))):
+        kernel.add(service.name, service)
+    running = asyncio.create_task(kernel.run())
+    await asyncio.sleep(0)
+    if fails:
+        started.spawn(fail())
+        with pytest.raises(KernelError, match=r"service a failed.*broken loop"):
+            await asyncio.wait_for(running, 5)
+    else:
+        kernel.request_stop()
+        kernel.request_stop()
+        await asyncio.wait_for(running, 5)
+    assert events == ["start a", "drain a", "drain b", "stop b", "stop a"]
+
+
+async def fail():
+    raise ValueError("broken loop")
+
+
+async def test_a_stop_before_the_start_ends_a_start_that_waits():
+    """Guards against a process that does not end on an early SIGTERM."""
+    kernel = Kernel(1_000.0)
+    waiting = Recorder("a", [])
+    waiting.start = asyncio.Event().wait
+    kernel.add("a", waiting)
+    kernel.request_stop()
+    await asyncio.wait_for(kernel.run(), 5)
+    assert waiting.events == ["drain a", "stop a"]
+
+
 @pytest.mark.parametrize(
     ("needs_a", "needs_b", "message"),
     [
