Receive the datagrams of a pause before a peer counts as silent

What callers saw: after a pause of a node, all placers, keepers and nodes that it had asked counted as silent, though their responses had arrived. Requests went to other placers or were placed locally, and customers' tokens came from the reserve.

Change: before a peer counts as silent, the event loop takes some turns to read. A response ends the request, a busy signal prolongs it.

Evidence: both cases of test_what_arrived_in_a_pause_is_received fail before, in the event loop of the product, and pass now.

--- a/src/crocusspindle/gateway/exchange.py
+++ b/src/crocusspindle/gateway/exchange.py
@@ -18,6 +18,7 @@
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
 from crocusspindle.metrics import Metrics
+from crocusspindle.pending_reads import read_arrived
 
 REQUEST: Final = 0
 RESPONSE: Final = 1
@@ -147,10 +148,18 @@
         pending = _PendingRequest(loop.create_future(), loop.time())
         self._pending[number] = pending
         deadline_s = loop.time() + limit_s
+
+        def is_over() -> bool:
+            return loop.time() >= min(deadline_s, pending.silent_until_s(silent_s))
+
         try:
-            while loop.time() < min(deadline_s, pending.silent_until_s(silent_s)):
+            while not is_over():
                 self._send(to, data, type(content))
-                if await _wait_until_done(pending.response, RESEND_S):
+                await asyncio.wait((pending.response,), timeout=RESEND_S)
+                if not pending.response.done() and is_over():
+                    # This process may have been paused, and the peer not silent.
+                    await read_arrived()
+                if pending.response.done():
                     return pending.response.result()
             # A process of an earlier version may have taken its place.
             self._current_peers.pop(to, None)
@@ -314,11 +323,6 @@
     return isinstance(number, int) and number & CURRENT_NUMBERS != 0
 
 
-async def _wait_until_done(future: asyncio.Future[Any], wait_s: float) -> bool:
-    await asyncio.wait((future,), timeout=wait_s)
-    return future.done()
-
-
 class _Protocol(asyncio.DatagramProtocol):
     """Pass received datagrams to a function; ignore errors of sent ones."""
 
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import random
+import socket
 from dataclasses import fields
 
 import pytest
 
 from crocusspindle.core.configuration import LOWEST_PRIORITY
-from crocusspindle.gateway.exchange import REQUEST, RESPONSE, Exchange
+from crocusspindle.gateway.exchange import BUSY, REQUEST, RESPONSE, Exchange
 from crocusspindle.gateway.messages import (
     Done,
     Hello,
@@ -23,6 +24,12 @@
 )
 from crocusspindle.metrics import Metrics
 from crocusspindle_standins.processes import free_ports
+from tests.gateway.test_closings_after_pauses import (
+    PAUSE_S,
+    READ_BYTES,
+    pause_around,
+    run,
+)
 
 
 class LossyExchange(Exchange):
@@ -101,6 +108,42 @@
     assert loop.time() - began < 0.5
 
 
+@pytest.mark.parametrize("is_busy", [False, True], ids=["response", "busy"])
+def test_what_arrived_in_a_pause_is_received(is_busy):
+    """Guards against a busy node that takes a peer for silent which has responded."""
+    silent_s = 0.8 * PAUSE_S
+
+    async def scenario():
+        client = LossyExchange(("127.0.0.1", free_ports(1)[0]))
+        await client.start()
+        request, expected = SpendAsk("club", 10.0), SpendAnswer(1.0)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
+            peer.bind(("127.0.0.1", 0))
+            asking = asyncio.create_task(
+                client.request(peer.getsockname(), request, silent_s, 5.0)
+            )
+            number = 0
+
+            def respond() -> None:
+                nonlocal number
+                data, sender = peer.recvfrom(READ_BYTES)
+                number = decode_datagram(data)[1]
+                frame = [BUSY, number] if is_busy else response()
+                peer.sendto(encode_datagram(frame), sender)
+
+            def response() -> list:
+                return [RESPONSE, number, *pack(expected)]
+
+            await pause_around(0.0, respond)
+            if is_busy:
+                peer.sendto(encode_datagram(response()), client._address)
+            received = await asking
+        await client.stop()
+        return received == expected
+
+    assert run(scenario())
+
+
 async def test_response_to_an_abandoned_request_goes_to_the_late_handler(pair):
     """A caller disconnects during a request; the response may hold a slot."""
     client, server = pair
