Signal a process in a test without reaping it

`send_signal` polls the process first, and reaps it if it has just ended; the event loop then reports 255 ("Unknown child process pid").

--- a/tests/gateway/test_starting_processes.py
+++ b/tests/gateway/test_starting_processes.py
@@ -7,6 +7,7 @@
 import socket
 import subprocess
 import tomllib
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -71,7 +72,9 @@
     gateway.process.send_signal(signal.SIGTERM)
     async with asyncio.timeout(10):
         while gateway.process.returncode is None:
-            gateway.process.send_signal(signal.SIGHUP)
+            # `send_signal` may reap the process, and the event loop lose its status.
+            with suppress(ProcessLookupError):
+                os.kill(gateway.process.pid, signal.SIGHUP)
             await asyncio.sleep(0)
     assert gateway.process.returncode == 0
 
