Read settings once for many signals

Cause: each signal read and checked the whole file at once.

Change: a signal asks for a reading; one reading serves all that came before it, and the next is at least 0.1 s later. A file that was just changed is still left to settle first.

--- a/src/crocusspindle/gateway/reload.py
+++ b/src/crocusspindle/gateway/reload.py
@@ -13,6 +13,9 @@
 FILE_CHECK_INTERVAL_S: Final = 2.0
 """Interval of checks of the file, which may change without a signal."""
 
+MIN_INTERVAL_S: Final = 0.1
+"""Least time between two readings of the file."""
+
 
 class LiveBounds:
     """Hold the bounds in force."""
@@ -44,29 +47,50 @@
         self._settings = settings
         self._bounds = bounds
         self._kernel = kernel
+        self._timer: asyncio.TimerHandle | None = None
+        self._next_s = 0.0
         self._log = Logger("reload")
 
     async def start(self) -> None:
         """Install the signal handler and watch the file."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGHUP, self.request)
         self.spawn(self._watch())
 
+    def request(self) -> None:
+        """Read the settings soon, once for all requests until then.
+
+        Signals that come faster than settings are read would take all processor time.
+        """
+        if self._timer is None:
+            wait_s = max(self._next_s - asyncio.get_running_loop().time(), 0.0)
+            self._read_after(wait_s)
+
+    def _read_after(self, wait_s: float) -> None:
+        self._timer = asyncio.get_running_loop().call_later(wait_s, self._read_settled)
+
+    def _read_settled(self) -> None:
+        wait_s = self._source.unsettled_s
+        if wait_s > 0.0:
+            self._read_after(wait_s)
+            return
+        self._timer = None
+        self._next_s = asyncio.get_running_loop().time() + MIN_INTERVAL_S
+        self._reload()
+
     async def stop(self) -> None:
         """Ignore the signal from now on; without a handler it would end the process."""
+        if self._timer is not None:
+            self._timer.cancel()
         asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, _ignore_signal)
 
     async def _watch(self) -> None:
         while True:
             await asyncio.sleep(FILE_CHECK_INTERVAL_S)
             if self._source.has_changed:
-                self._reload()
+                self.request()
 
     def _reload(self) -> None:
-        wait_s = self._source.unsettled_s
-        if wait_s > 0.0:
-            asyncio.get_running_loop().call_later(wait_s, self._reload)
-            return
         try:
             settings = self._source.read()
         except SettingsError as error:
