--- a/tests/gateway/test_starting_processes.py
+++ b/tests/gateway/test_starting_processes.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tomllib
 from contextlib import suppress
 from pathlib import Path
@@ -40,6 +41,26 @@
     return words
 
 
+def test_a_build_that_can_not_load_the_library_uses_the_interpreter(tmp_path):
+    """Guards against processes that replace themselves at each start, or never start.
+
+    Some hosts name a shared library that is not there.
+    """
+    stand_in = tmp_path / "python3"
+    stand_in.write_text(
+        "#!/bin/sh\n"
+        f'case "$2" in *LIBDIR*) echo {tmp_path}/libpython.so;; '
+        f'*) exec {sys.executable} "$@";; esac\n'
+    )
+    stand_in.chmod(0o755)
+    subprocess.run(
+        ["sh", ROOT / "deploy" / "build_start", tmp_path / "bin"],
+        env={**os.environ, "PATH": f"{tmp_path}:{os.environ['PATH']}"},
+        check=True,
+    )
+    assert (tmp_path / "bin" / "python3").is_symlink()
+
+
 @pytest.mark.parametrize("module", ["encodings", "enum", "signal", "crocusspindle"])
 def test_a_signal_to_reload_before_any_import_does_not_end_the_process(
     tmp_path, module
