Report bounds that are no table as a finding

What callers would see: settings whose `bounds` are no table ended a running node within two seconds, with "service reload failed", and a start at once.

Cause: the value was read as a table, and the error is no SettingsError, which readers of settings expect.

A file that is cut can't hold such a value in the order of the platform's fields.

--- a/src/crocusspindle/platform/settings_file.py
+++ b/src/crocusspindle/platform/settings_file.py
@@ -86,8 +86,11 @@
     return default
 
 
-def _bounds(entries: Mapping[str, Any], source: str, findings: list[Finding]) -> Bounds:
+def _bounds(entries: Any, source: str, findings: list[Finding]) -> Bounds:
     defaults = Bounds()
+    if not isinstance(entries, Mapping):
+        findings.append(Finding(source, "bounds", "must be a table"))
+        return defaults
 
     def number(name: str, default: float, scale: float = 1.0) -> float:
         value = entries.get(name)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -195,6 +195,13 @@
         translate({**SETTINGS, "limits": limits}, "file")
 
 
+@pytest.mark.parametrize("bounds", [3, "", []])
+def test_bounds_that_are_no_table_are_a_finding(bounds):
+    """Guards against a node that ends as its settings are changed."""
+    with pytest.raises(SettingsError, match="bounds: must be a table"):
+        translate({**SETTINGS, "bounds": bounds}, "file")
+
+
 def test_invalid_settings_report_all_findings():
     bad = {**SETTINGS, "node": 3, "internal_ports": [], "bounds": {"grace_s": "x"}}
     with pytest.raises(SettingsError) as failed:
