Serve without standard streams

What operators would see: a node that was started without a standard output ended at once with status 1, and one without a standard error ended with an AttributeError of a library, without a line.

Cause: a number of a missing stream is no error that a start expects. Had it gone on, a socket would have got that number, and the log lines with it.

Change: missing streams are opened as the null device before anything else.

Evidence: test_a_process_serves_without_standard_streams times out on, as its process ends, and passes now.

--- a/src/crocusspindle/gateway/__main__.py
+++ b/src/crocusspindle/gateway/__main__.py
@@ -7,15 +7,19 @@
 
 import os
 import sys
+from typing import Final
 
 import crocusspindle.gateway.start  # noqa: F401 - first, to ignore SIGHUP
 
+STDERR: Final = 2
+
 
 def main(arguments: list[str]) -> int:
     """Serve with the settings that the first argument or the environment names.
 
     End the process after a planned stop; otherwise return its exit status.
     """
+    _open_missing_streams()
     # Without the first, uvloop opens an io_uring descriptor at import. Without the
     # others, the HTTP library loads all TLS authorities twice at import.
     os.environ.update(
@@ -41,6 +45,16 @@
     return 0
 
 
+def _open_missing_streams() -> None:
+    # A socket would get the number of a missing stream, and log lines with it.
+    while (descriptor := os.open(os.devnull, os.O_RDWR)) <= STDERR:
+        pass
+    os.close(descriptor)
+    if sys.stderr is None:
+        # The library of the entry point asks it whether it is a terminal.
+        sys.stderr = os.fdopen(STDERR, "w", closefd=False)
+
+
 def _exit_at_once(status: int = 0) -> None:
     # All connections are closed. The teardown of the event loop, which starts threads,
     # and of the interpreter would only delay the next start of the host's process.
--- a/tests/gateway/test_starting_processes.py
+++ b/tests/gateway/test_starting_processes.py
@@ -179,3 +179,29 @@
         async with asyncio.timeout(20):
             await gateway.process.wait()
     assert gateway.process.returncode == 0
+
+
+async def test_a_process_serves_without_standard_streams(fleet):
+    """Guards against a node that ends, or logs into a caller's connection."""
+    gateway = fleet.gateways[0]
+    gateway.process.kill()
+    await gateway.process.wait()
+    gateway.process = await asyncio.create_subprocess_exec(
+        "sh",
+        "-c",
+        'exec "$@" <&- >&- 2>&-',
+        "sh",
+        sys.executable,
+        "-m",
+        fleet.program,
+        gateway.settings,
+        env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
+    )
+    await fleet.until_ready()
+    descriptors = Path(f"/proc/{gateway.process.pid}/fd")
+    for number in range(3):
+        assert (descriptors / str(number)).readlink() == Path(os.devnull)
+    gateway.process.send_signal(signal.SIGTERM)
+    async with asyncio.timeout(20):
+        await gateway.process.wait()
+    assert gateway.process.returncode == 0
