Read the settings once for many signals

What callers would see: signals that come faster than a process reads its settings leave it no time for anything else: each one that is queued reads the file once.

Cause: the event loop calls the handler for each signal that it has queued.

Change: a signal makes one read due; those until then change nothing.

--- a/src/crocusspindle/gateway/reload.py
+++ b/src/crocusspindle/gateway/reload.py
@@ -44,6 +44,7 @@
         self._settings = settings
         self._bounds = bounds
         self._kernel = kernel
+        self._is_due = False
         self._log = Logger("reload")
 
     async def start(self) -> None:
@@ -63,10 +64,17 @@
                 self._reload()
 
     def _reload(self) -> None:
+        # Signals may come faster than the file can be read.
+        if not self._is_due:
+            self._is_due = True
+            asyncio.get_running_loop().call_soon(self._read)
+
+    def _read(self) -> None:
         wait_s = self._source.unsettled_s
         if wait_s > 0.0:
-            asyncio.get_running_loop().call_later(wait_s, self._reload)
+            asyncio.get_running_loop().call_later(wait_s, self._read)
             return
+        self._is_due = False
         try:
             settings = self._source.read()
         except SettingsError as error:
