Log a drain that fails

A service whose drain raised an error ended it without a line, and the process ended early with its requests, with status 0.

Evidence: test_a_drain_that_fails_is_logged finds no line before, and one with the service and its error now.

--- a/src/crocusspindle/kernel.py
+++ b/src/crocusspindle/kernel.py
@@ -149,7 +149,7 @@
 
     async def drain(self) -> None:
         """Drain all services, until the bound or an immediate stop."""
-        draining = [asyncio.create_task(service.drain()) for service in self._started]
+        draining = [asyncio.create_task(self._drain(one)) for one in self._started]
         if not draining:
             return
         log_state_change(self._log, "draining", drain_ms=self.drain_ms)
@@ -164,6 +164,14 @@
             task.cancel()
         await asyncio.gather(*draining, stop_now, return_exceptions=True)
 
+    async def _drain(self, service: Service) -> None:
+        try:
+            await service.drain()
+        except Exception as error:
+            log_state_change(
+                self._log, "drain failed", service=service.name, error=repr(error)
+            )
+
     def request_stop(self) -> None:
         """Request a planned stop; a second call may request an immediate stop."""
         if self._stop_requested.is_set() and self._second_stop_ends_drain:
--- a/tests/product/test_kernel.py
+++ b/tests/product/test_kernel.py
@@ -2,6 +2,7 @@
 import os
 import signal
 
+import logbook
 import pytest
 
 from crocusspindle import kernel as kernel_module
@@ -180,6 +181,18 @@
     raise ValueError("broken loop")
 
 
+async def test_a_drain_that_fails_is_logged():
+    """Guards against lost requests that leave no line."""
+    kernel = make_kernel(Recorder("a", []))
+    kernel.get("a", Recorder).drain = fail
+    with logbook.TestHandler() as lines:
+        await kernel.start()
+        await kernel.drain()
+        await kernel.stop()
+    (record,) = [line for line in lines.records if line.message == "drain failed"]
+    assert record.extra["service"] == "a" and "broken loop" in record.extra["error"]
+
+
 async def test_a_stop_before_the_start_ends_a_start_that_waits():
     """Guards against a process that does not end on an early SIGTERM."""
     kernel = Kernel(1_000.0)
