Use a connection that has opened during a pause

What callers saw: after a pause of a node of 0.3 s, all attempts whose connection was opening counted as unreached, though their targets had accepted. Two of them are enough to take a service's paths for lost.

Change: at its timeout, an opening gets some turns to end.

--- a/src/crocusspindle/shielded_connector.py
+++ b/src/crocusspindle/shielded_connector.py
@@ -2,13 +2,18 @@
 
 import asyncio
 import socket
-from typing import Any
+from typing import Any, Final
 from weakref import WeakKeyDictionary
 
 import aiohttp
 from aiohappyeyeballs import AddrInfoType
 from aiohttp.client_proto import ResponseHandler
 
+from crocusspindle.pending_reads import read_arrived
+
+OPENING_TURNS: Final = 8
+"""Turns of the event loop that take over a connected socket."""
+
 Connection = tuple[asyncio.Transport, ResponseHandler]
 
 
@@ -45,11 +50,14 @@
         options["timeout"] = aiohttp.ClientTimeout(sock_connect=None)
         opening = asyncio.create_task(super()._wrap_create_connection(*args, **options))
         try:
-            done, _ = await asyncio.wait((opening,), timeout=limits.sock_connect)
+            await asyncio.wait((opening,), timeout=limits.sock_connect)
+            if not opening.done():
+                # This process may have been paused while the connection opened.
+                await read_arrived(OPENING_TURNS)
         except asyncio.CancelledError:
             self._abandon(opening)
             raise
-        if not done:
+        if not opening.done():
             self._abandon(opening)
             raise TimeoutError
         return opening.result()
--- a/tests/product/test_shielded_connector.py
+++ b/tests/product/test_shielded_connector.py
@@ -13,6 +13,7 @@
 
 from crocusspindle.gateway.strict_connector import single_use_session
 from crocusspindle.shielded_connector import ShieldedConnector
+from tests.gateway.test_closings_after_pauses import PAUSE_S, Pause, run
 
 ROUNDS = 60
 REQUESTS = 60
@@ -173,3 +174,41 @@
 def test_an_opening_that_nobody_answers_is_closed_when_it_is_left(by_timeout):
     """Guards against descriptors that a host without paths collects for minutes."""
     assert uvloop.run(abandon_connecting(by_timeout)) == 0
+
+
+class PausingConnector(ShieldedConnector):
+    """Let the event loop stand still as soon as a connection begins to open."""
+
+    def __init__(self, pause) -> None:
+        super().__init__(force_close=True)
+        self._pause = pause
+
+    def _create_socket(self, address):
+        self._pause()
+        return super()._create_socket(address)
+
+
+def test_a_connection_that_opened_in_a_pause_is_used():
+    """Guards against a busy node that takes targets which it reaches for unreached."""
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        listening = await loop.create_server(web.Server(respond), "127.0.0.1", 0)
+        port = listening.sockets[0].getsockname()[1]
+        ours, loops = socket.socketpair()
+        pause, _ = await loop.connect_accepted_socket(
+            lambda: Pause(lambda: None), loops
+        )
+        connector = PausingConnector(lambda: ours.send(b"now"))
+        timeout = aiohttp.ClientTimeout(sock_connect=PAUSE_S / 2)
+        async with (
+            aiohttp.ClientSession(connector=connector, timeout=timeout) as client,
+            client.get(f"http://127.0.0.1:{port}/") as response,
+        ):
+            text = await response.text()
+        pause.close()
+        ours.close()
+        listening.close()
+        return text
+
+    assert run(scenario()) == "whole"
