--- a/tests/gateway/test_reload.py
+++ b/tests/gateway/test_reload.py
@@ -1,15 +1,20 @@
 """Tests of settings that are read again while the node runs."""
 
 import asyncio
+import os
+import signal
 from types import SimpleNamespace
 
 import pytest
 
 from crocusspindle.gateway.reload import MIN_INTERVAL_S, LiveBounds, Reload
 from crocusspindle.gateway.settings import Bounds
+from crocusspindle.platform.settings_file import translate
+from tests.platform.test_documents import SETTINGS as VALID_SETTINGS
 
 SETTINGS = SimpleNamespace(bounds=Bounds())
 SIGNALS = 50
+QUEUED_SIGNALS = 100
 READ_LIMIT_S = 10
 
 
@@ -72,3 +77,42 @@
     assert source.reads == 0
     source.unsettled_s = 0.0
     await until_read(source, 1)
+
+
+class SignalledSource:
+    """Count how often the settings are read."""
+
+    has_changed = False
+    unsettled_s = 0.0
+
+    def __init__(self) -> None:
+        self.reads = 0
+        self.read_again = asyncio.Event()
+
+    def read(self):
+        """Return the settings."""
+        self.reads += 1
+        self.read_again.set()
+        return translate(VALID_SETTINGS, "file")
+
+
+async def test_signals_that_are_queued_are_one_reading():
+    """Guards against a node that does nothing but read its settings."""
+    source = SignalledSource()
+    settings = translate(VALID_SETTINGS, "file")
+    reload = Reload(source, settings, LiveBounds(Bounds()), SimpleNamespace())
+    await reload.start()
+    for _ in range(QUEUED_SIGNALS):
+        os.kill(os.getpid(), signal.SIGHUP)
+    async with asyncio.timeout(5):
+        await source.read_again.wait()
+    for _ in range(QUEUED_SIGNALS):
+        await asyncio.sleep(0)
+    assert source.reads == 1
+    source.read_again.clear()
+    os.kill(os.getpid(), signal.SIGHUP)
+    async with asyncio.timeout(5):
+        await source.read_again.wait()
+    await reload.stop()
+    await reload.cancel_tasks()
+    asyncio.get_running_loop().remove_signal_handler(signal.SIGHUP)
--- a/tests/gateway/test_starting_processes.py
+++ b/tests/gateway/test_starting_processes.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tomllib
 from contextlib import suppress
 from pathlib import Path
@@ -40,6 +41,26 @@
     return words
 
 
+def test_a_build_that_can_not_load_the_library_uses_the_interpreter(tmp_path):
+    """Guards against processes that replace themselves at each start, or never start.
+
+    Some hosts name a shared library that is not there.
+    """
+    stand_in = tmp_path / "python3"
+    stand_in.write_text(
+        "#!/bin/sh\n"
+        f'case "$2" in *LIBDIR*) echo {tmp_path}/libpython.so;; '
+        f'*) exec {sys.executable} "$@";; esac\n'
+    )
+    stand_in.chmod(0o755)
+    subprocess.run(
+        ["sh", ROOT / "deploy" / "build_start", tmp_path / "bin"],
+        env={**os.environ, "PATH": f"{tmp_path}:{os.environ['PATH']}"},
+        check=True,
+    )
+    assert (tmp_path / "bin" / "python3").is_symlink()
+
+
 @pytest.mark.parametrize("module", ["encodings", "enum", "signal", "crocusspindle"])
 @pytest.mark.parametrize(
     ("number", "status"), [(signal.SIGHUP, REACHED_STATUS), (signal.SIGTERM, 0)]
@@ -161,3 +182,29 @@
         async with asyncio.timeout(20):
             await gateway.process.wait()
     assert gateway.process.returncode == 0
+
+
+async def test_a_process_serves_without_standard_streams(fleet):
+    """Guards against a node that ends, or logs into a caller's connection."""
+    gateway = fleet.gateways[0]
+    gateway.process.kill()
+    await gateway.process.wait()
+    gateway.process = await asyncio.create_subprocess_exec(
+        "sh",
+        "-c",
+        'exec "$@" <&- >&- 2>&-',
+        "sh",
+        sys.executable,
+        "-m",
+        fleet.program,
+        gateway.settings,
+        env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
+    )
+    await fleet.until_ready()
+    descriptors = Path(f"/proc/{gateway.process.pid}/fd")
+    for number in range(3):
+        assert (descriptors / str(number)).readlink() == Path(os.devnull)
+    gateway.process.send_signal(signal.SIGTERM)
+    async with asyncio.timeout(20):
+        await gateway.process.wait()
+    assert gateway.process.returncode == 0
