Report bounds that are no time or share as findings

A grace period of nan, inf or below zero passed the reading of settings; a stop would have ended at once, or never. Three of the four cases of test_a_bound_that_is_no_time_is_a_finding are new findings.

--- a/src/crocusspindle/platform/settings_file.py
+++ b/src/crocusspindle/platform/settings_file.py
@@ -96,8 +96,10 @@
         value = entries.get(name)
         if value is None:
             return default
-        if isinstance(value, bool) or not isinstance(value, int | float):
-            findings.append(Finding(source, f"bounds.{name}", "must be a number"))
+        is_number = isinstance(value, int | float) and not isinstance(value, bool)
+        if not is_number or not math.isfinite(value) or value < 0:
+            message = "must be a finite number of at least 0"
+            findings.append(Finding(source, f"bounds.{name}", message))
             return default
         return float(value) * scale
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -202,6 +202,13 @@
         translate({**SETTINGS, "bounds": bounds}, "file")
 
 
+@pytest.mark.parametrize("grace_s", [math.nan, math.inf, -1, True])
+def test_a_bound_that_is_no_time_is_a_finding(grace_s):
+    """Guards against a stop that ends at once, or never."""
+    with pytest.raises(SettingsError, match=r"bounds\.grace_s"):
+        translate({**SETTINGS, "bounds": {"grace_s": grace_s}}, "file")
+
+
 def test_invalid_settings_report_all_findings():
     bad = {**SETTINGS, "node": 3, "internal_ports": [], "bounds": {"grace_s": "x"}}
     with pytest.raises(SettingsError) as failed:
