Start the soak's gateways by the deploy file's command

Cause: the soak ran 'python -m', so that it played neither the start program nor the start file, and a signal in a start met other code than on the platform.

Change: deployed_command of test_starting_processes.py moves to on_platform/deployed.py. The soak's fleet uses it, with the partitioned stand-in in place of start.py; the stand-in's first statement is that of start.py. The command runs with the libraries of the interpreter that runs the soak.

--- a/src/crocusspindle_standins/on_platform/fleet.py
+++ b/src/crocusspindle_standins/on_platform/fleet.py
@@ -6,7 +6,7 @@
 import signal
 import sys
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -15,12 +15,12 @@
 import aiohttp
 from aiohttp import web
 
+from crocusspindle_standins.on_platform.deployed import deployed_environment
 from crocusspindle_standins.on_platform.store import TableStore
 from crocusspindle_standins.on_platform.target import TABLE, PlatformTarget
 from crocusspindle_standins.processes import free_ports
 from crocusspindle_standins.single_attempt import single_attempt_session
 
-SOURCE: Final = Path(__file__).resolve().parents[2]
 KEY: Final = "key-of-the-club"
 GUEST_KEY: Final = "key-of-the-guest"
 """Key that configurations of a test may hold and withdraw."""
@@ -102,14 +102,15 @@
 
     ``memory_mb`` is the memory of each gateway's host by its settings, if they name it.
     ``writes_entries`` is False while targets must not write to the store.
-    ``program`` is the module that each gateway's process runs. ``sent_through`` has the
-    gateway's name for each request id.
+    ``command`` starts each gateway's process; by default, this interpreter runs the
+    module ``program``. ``sent_through`` has the gateway's name for each request id.
     """
 
     folder: Path
     store: TableStore = field(default_factory=TableStore)
     make_target: Callable[[str, str, str], PlatformTarget] = PlatformTarget
     program: str = "crocusspindle.gateway"
+    command: Sequence[str] = ()
     memory_mb: float | None = None
     store_address: str = ""
     targets: list[PlatformTarget] = field(default_factory=list)
@@ -206,16 +207,14 @@
 
     async def run(self, gateway: Gateway) -> None:
         """Start a gateway's process."""
-        environment = {**os.environ, "PYTHONPATH": str(SOURCE)}
+        command = self.command or (sys.executable, "-m", self.program)
         with gateway.settings.with_suffix(".log").open("ab") as log:
             gateway.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                self.program,
+                *command,
                 gateway.settings,
                 stdout=log,
                 stderr=log,
-                env=environment,
+                env=deployed_environment(),
             )
 
     async def until_ready(self) -> None:
--- a/src/crocusspindle_standins/on_platform/partitioned.py
+++ b/src/crocusspindle_standins/on_platform/partitioned.py
@@ -4,6 +4,9 @@
 beside its settings at each connection to a target, and applies the cut that it names.
 """
 
+import crocusspindle.gateway.start  # noqa: F401 - first, to ignore SIGHUP
+
+# isort: split
 import asyncio
 import json
 import os
--- a/src/crocusspindle_standins/soak/play.py
+++ b/src/crocusspindle_standins/soak/play.py
@@ -8,6 +8,8 @@
 from pathlib import Path
 from typing import Final
 
+from crocusspindle_standins.on_platform import partitioned
+from crocusspindle_standins.on_platform.deployed import deployed_command
 from crocusspindle_standins.on_platform.fleet import (
     GUEST_KEY,
     Fleet,
@@ -49,7 +51,7 @@
         self.fleet = Fleet(
             folder,
             make_target=make_target,
-            program="crocusspindle_standins.on_platform.partitioned",
+            command=deployed_command(folder / "bin", Path(partitioned.__file__)),
         )
         # The fleet starts with version 1; a document of the same version has no effect.
         self._version = 2
--- a/tests/gateway/test_starting_processes.py
+++ b/tests/gateway/test_starting_processes.py
@@ -1,20 +1,18 @@
 """Tests of gateway processes that start while something they need is not ready."""
 
 import asyncio
-import os
-import shlex
 import signal
 import socket
 import subprocess
-import tomllib
-from pathlib import Path
 
 import pytest
 
+from crocusspindle_standins.on_platform.deployed import (
+    deployed_command,
+    deployed_environment,
+)
 from crocusspindle_standins.on_platform.fleet import Fleet
 
-ROOT = Path(__file__).parents[2]
-DEPLOY_FILE = ROOT / "deploy" / "system.toml"
 REACHED_STATUS = 7
 
 
@@ -28,17 +26,6 @@
         await started.stop()
 
 
-def deployed_command(folder: Path) -> list[str]:
-    """Return the command of the deploy file, on the sources of this checkout."""
-    subprocess.run(["sh", ROOT / "deploy" / "build_start", folder], check=True)
-    role = tomllib.loads(DEPLOY_FILE.read_text())["roles"]["gateway"]
-    paths = {"target/bin": folder, "target/deps": ROOT / "src"}
-    words = shlex.split(role["run"])
-    for built, path in paths.items():
-        words = [word.replace(built, str(path)) for word in words]
-    return words
-
-
 @pytest.mark.parametrize("module", ["encodings", "enum", "signal", "crocusspindle"])
 def test_a_signal_to_reload_before_any_import_does_not_end_the_process(
     tmp_path, module
@@ -49,6 +36,7 @@
     imports the first one itself, before it runs any program.
     """
     command = deployed_command(tmp_path / "bin")
+    environment = deployed_environment()
     stand_in = tmp_path / f"{module}.py"
     stand_in.write_text(
         "import posix\n"
@@ -57,7 +45,7 @@
     )
     ended = subprocess.run(
         command,
-        env={**os.environ, "PYTHONPATH": f"{tmp_path}:{ROOT / 'src'}"},
+        env={**environment, "PYTHONPATH": f"{tmp_path}:{environment['PYTHONPATH']}"},
         capture_output=True,
         timeout=20,
         check=False,
