--- a/src/crocusspindle_standins/soak/__main__.py
+++ b/src/crocusspindle_standins/soak/__main__.py
@@ -63,7 +63,7 @@
     return lines
 
 
-def main(seed: int = 1, runs: int = 1, folder: str = "") -> None:
+def main(seed: int = 1, runs: int = 1, folder: str = "", gateways: int = 0) -> None:
     """Play one plan for each of ``runs`` seeds; exit with 1 if there are findings.
 
     Parameters
@@ -72,13 +72,15 @@
         First seed; the others follow it.
     folder
         Folder for the reports and the gateways' logs; a temporary one by default.
+    gateways
+        Number of gateways; drawn by the seed by default.
     """
     # Targets abort connections on purpose; aiohttp would log each of them.
     logging.disable(logging.ERROR)
     path = Path(folder) if folder else Path(tempfile.mkdtemp(prefix="soak-"))
     has_findings = False
     for number in range(int(seed), int(seed) + int(runs)):
-        plan = make_plan(number)
+        plan = make_plan(number, int(gateways))
         run_folder = path / f"seed-{number}"
         run_folder.mkdir(parents=True, exist_ok=True)
         for log in run_folder.glob("g*.log"):
--- a/src/crocusspindle_standins/soak/plan.py
+++ b/src/crocusspindle_standins/soak/plan.py
@@ -10,7 +10,7 @@
 
 RUN_S: Final = 13.0
 TARGETS: Final = 5
-CALLERS_PER_GATEWAY: Final = 5
+CALLERS_PER_GATEWAY: Final = 6
 STEPS: Final = 12
 BETWEEN_STOPS_S: Final = 6.5
 """Time between two stops of one gateway, which restarts in between."""
@@ -47,6 +47,10 @@
 GUEST: Final = 1
 """The caller of each gateway that uses the guest's key."""
 
+BUSY: Final = 5
+"""The caller of each gateway that uses its connection nearly all the time."""
+
+BUSY_PAUSES_S: Final = (0.01, 0.05, 0.2)
 LOADED_S: Final = 0.006
 """Processor time after which a process has loaded its C library. No signal is sent
 earlier."""
@@ -165,10 +169,10 @@
     starts: tuple[tuple[Start, ...], ...]
 
 
-def make_plan(seed: int) -> Plan:
-    """Return the plan of a seed."""
+def make_plan(seed: int, gateways: int = 0) -> Plan:
+    """Return the plan of a seed; ``gateways`` is their number, drawn if it is 0."""
     rng = random.Random(seed)
-    gateways = rng.randint(3, 6)
+    gateways = gateways or rng.randint(3, 6)
     stops = _stops(rng, gateways)
     events = stops + _other_events(rng, gateways)
     events += _signals(random.Random(f"{seed} signals"), gateways, stops)
@@ -179,7 +183,10 @@
             gateway,
             keeps_connection=number > 0,
             is_guest=number == GUEST,
-            steps=tuple(_step(rng) for _ in range(STEPS)),
+            steps=tuple(
+                _step(rng, BUSY_PAUSES_S if number == BUSY else PAUSES_S)
+                for _ in range(STEPS)
+            ),
         )
         for gateway in range(gateways)
         for number in range(CALLERS_PER_GATEWAY)
@@ -326,8 +333,8 @@
     return restores + leavings + revokes
 
 
-def _step(rng: random.Random) -> Step:
-    pause_s, is_post = rng.choice(PAUSES_S), rng.random() < 1 / 2
+def _step(rng: random.Random, pauses_s: tuple[float, ...]) -> Step:
+    pause_s, is_post = rng.choice(pauses_s), rng.random() < 1 / 2
     return Step(
         pause_s,
         method="POST" if is_post else "GET",
--- a/tests/gateway/test_stop_soak.py
+++ b/tests/gateway/test_stop_soak.py
@@ -88,6 +88,12 @@
     assert {plan.gateways for plan in plans} == {3, 4, 5, 6}
 
 
+def test_a_plan_may_have_many_gateways():
+    plan = make_plan(1, gateways=24)
+    assert {caller.gateway for caller in plan.callers} == set(range(24))
+    assert len(plan.starts) == 24
+
+
 def test_each_plan_stops_gateways_at_overlapping_times():
     for plan in map(make_plan, SEEDS):
         stops = [event for event in plan.events if event.action is Action.STOP]
