--- a/tests/gateway/test_starting_processes.py
+++ b/tests/gateway/test_starting_processes.py
@@ -1,9 +1,11 @@
 """Tests of gateway processes that start while something they need is not ready."""
 
 import asyncio
+import os
 import signal
 import socket
 import subprocess
+from contextlib import suppress
 
 import pytest
 
@@ -53,13 +55,36 @@
     assert ended.returncode == REACHED_STATUS
 
 
+@pytest.mark.parametrize("module", ["encodings", "enum", "signal", "crocusspindle"])
+def test_a_signal_to_stop_before_any_import_is_a_planned_stop(tmp_path, module):
+    """Guards against a planned stop in a start that counts as a failed process."""
+    command = deployed_command(tmp_path / "bin")
+    environment = deployed_environment()
+    stand_in = tmp_path / f"{module}.py"
+    stand_in.write_text(
+        "import posix\n"
+        f"posix.kill(posix.getpid(), {signal.SIGTERM.value})\n"
+        f"posix._exit({REACHED_STATUS})\n"
+    )
+    ended = subprocess.run(
+        command,
+        env={**environment, "PYTHONPATH": f"{tmp_path}:{environment['PYTHONPATH']}"},
+        capture_output=True,
+        timeout=20,
+        check=False,
+    )
+    assert ended.returncode == 0
+
+
 async def test_a_signal_to_reload_until_the_end_does_not_end_the_process(fleet):
     """Guards against a settings change that kills a node that is stopping."""
     gateway = fleet.gateways[0]
     gateway.process.send_signal(signal.SIGTERM)
     async with asyncio.timeout(10):
         while gateway.process.returncode is None:
-            gateway.process.send_signal(signal.SIGHUP)
+            # The library's function may read the status of an ended process itself.
+            with suppress(ProcessLookupError):
+                os.kill(gateway.process.pid, signal.SIGHUP)
             await asyncio.sleep(0)
     assert gateway.process.returncode == 0
 
