Keep the soak from reading ends of processes wrongly

Change: signals go by os.kill. If the soak stood still for more than 0.15 s in a stop, the end may be late; its status is checked as before.

--- a/src/crocusspindle_standins/soak/play.py
+++ b/src/crocusspindle_standins/soak/play.py
@@ -36,14 +36,22 @@
 from crocusspindle_standins.soak.plan import (
     LOADED_S,
     QUOTAS,
+    RUN_S,
     TARGETS,
     Action,
     Event,
     Plan,
 )
-from crocusspindle_standins.soak.processes import Processes, until_used, used_s
+from crocusspindle_standins.soak.processes import (
+    Processes,
+    send,
+    until_used,
+    used_s,
+)
 
 SETTLE_S: Final = 0.5
+LAG_CHECK_S: Final = 0.05
+MAX_LAG_S: Final = 0.15
 LEAVES_FOR_S: Final = 4.0
 KILL_AFTER_S: Final = 2.0
 """Time past the grace period after which a process that still runs is killed."""
@@ -108,12 +116,25 @@
                     gateway = self.fleet.gateways[single.gateway]
                     name = f"s{self._plan.seed}-{single.customer}{number}"
                     group.create_task(send_single(name, single, gateway, self.history))
+                group.create_task(self._record_lags())
             await asyncio.sleep(SETTLE_S)
         finally:
             if self._processes is not None:
                 await self._processes.close()
             await self.fleet.stop()
 
+    async def _record_lags(self) -> None:
+        """Record when this process itself stood still, and saw ends of others late."""
+        while (began_s := self.history.now_s()) < RUN_S:
+            await asyncio.sleep(LAG_CHECK_S)
+            ended_s = self.history.now_s()
+            if ended_s - began_s > LAG_CHECK_S + MAX_LAG_S:
+                self.history.mark(f"soak stood still for {ended_s - began_s:.3f} s")
+                self.history.stalls.extend(
+                    Stall(number, began_s, ended_s)
+                    for number in range(self._plan.gateways)
+                )
+
     async def _apply(self, event: Event) -> None:
         await asyncio.sleep(event.at_s)
         name = f"{event.action.value} {event.subject} {event.detail}".rstrip()
@@ -175,7 +196,7 @@
         while True:
             for process in self.processes.live(event.subject):
                 if used_s(process) >= LOADED_S:
-                    process.send_signal(signal.SIGHUP)
+                    send(process, signal.SIGHUP)
             if self.history.now_s() >= until_s:
                 return
             await asyncio.sleep(int(event.detail) / 1e3)
@@ -205,11 +226,10 @@
         began_s = self.history.now_s()
         processes = self.processes.live(event.subject)
         for process in processes:
-            process.send_signal(signal.SIGSTOP)
+            send(process, signal.SIGSTOP)
         await asyncio.sleep(event.lasts_s)
         for process in processes:
-            if process.returncode is None:
-                process.send_signal(signal.SIGCONT)
+            send(process, signal.SIGCONT)
         return began_s, self.history.now_s()
 
     async def _configure(self, event: Event) -> None:
--- a/src/crocusspindle_standins/soak/processes.py
+++ b/src/crocusspindle_standins/soak/processes.py
@@ -1,6 +1,7 @@
 """Start gateways' processes, disturb their starts, and record how each one ends."""
 
 import asyncio
+import os
 import socket
 from asyncio.subprocess import Process
 from collections import defaultdict
@@ -52,8 +53,7 @@
     def tell_to_end(self, process: Process, signal_number: int) -> None:
         """Send a signal that ends a process by plan."""
         self._told_to_end.add(process)
-        if process.returncode is None:
-            process.send_signal(signal_number)
+        send(process, signal_number)
 
     def next_start(self, number: int) -> Start:
         """Return the plan of a gateway's next start."""
@@ -86,7 +86,7 @@
 
     async def _hang_up(self, process: Process, after_s: float) -> None:
         if await until_used(process, after_s):
-            process.send_signal(SIGHUP)
+            send(process, SIGHUP)
 
     async def _hold_port(self, number: int, start: Start) -> None:
         gateway = self._fleet.gateways[number]
@@ -138,6 +138,17 @@
         yield
 
 
+def send(process: Process, signal_number: int) -> None:
+    """Send a signal to a process if it runs.
+
+    The library's own function reads the status of a process that has just ended, which
+    is then unknown to the library's watcher.
+    """
+    if process.returncode is None:
+        with suppress(ProcessLookupError):
+            os.kill(process.pid, signal_number)
+
+
 def used_s(process: Process) -> float:
     """Return the processor time of a process, which a busy host does not stretch."""
     try:
