Count the served callers of a backoff in virtual time

What was seen: test_a_target_gets_nothing_from_a_host_before_its_retry_after_ends failed at load: 832 of 1,757 served (0.98 due), nothing too early.

Cause: the store, the targets and the callers of this test share one process. At load it stands still, the two targets without a backoff hang with it, and the placer ejects them ("silent", 2.5 to 5 s in the logs); the other two want a backoff, so that requests are refused with "no-target". The callers are closed loops that ignore Retry-After: refusals come back within milliseconds, so that a second of them outnumbers the served requests of the whole run.

Ruled out: that targets which only refuse count as proof that there is no common cause, so that both sound ones may be ejected.

Change: the share of served callers is checked in virtual time, where only the named targets fail: real placers and attempt runners, 4 hosts, 4 targets, 8 seeds, open callers. It is stricter: every request is answered (0.98 before), and no request of a host arrives from the moment of the refusal on (0.5 s later before). The test of real processes keeps its bound on backoffs; it keeps 0.98, too, unless a gateway's log says that a sound target was ejected.

How often the log let 0.98 go was not counted.

--- a/tests/gateway/test_backoff_from_targets.py
+++ b/tests/gateway/test_backoff_from_targets.py
@@ -4,10 +4,16 @@
 import time
 from collections import Counter
 
+import logbook
 import pytest
 
+from crocusspindle.core.configuration import RequestKind
+from crocusspindle.ids import ServiceId
 from crocusspindle_standins.on_platform.fleet import Fleet
 from crocusspindle_standins.on_platform.target import PlatformTarget, TargetFault
+from crocusspindle_standins.virtual.fleet import HostSize, VirtualFleet
+from crocusspindle_standins.virtual.loop import VirtualLoop, VirtualTime, run
+from crocusspindle_standins.virtual.traffic import Arrivals, Callers, ServiceLoad
 
 GATEWAYS = 4
 CALLERS = 8
@@ -89,6 +95,17 @@
     return most
 
 
+def ejected(fleet: Fleet) -> set[str]:
+    """Return the identities of the targets that a gateway has ejected."""
+    return {
+        line["target"]
+        for gateway in fleet.gateways
+        for line in gateway.lines()
+        if line["message"] == "target standing changed"
+        and line["standing"] == "ejected"
+    }
+
+
 async def test_a_target_gets_nothing_from_a_host_before_its_retry_after_ends(fleet):
     """Guards against a Retry-After that is ignored or soon forgotten."""
     for target in fleet.targets[:2]:
@@ -96,7 +113,9 @@
     statuses = await call_steadily(fleet, 10.0)
     assert_refused(fleet.targets[:2])
     assert [most_in_a_backoff(fleet, target) for target in fleet.targets[:2]] == [0, 0]
-    assert statuses[OK] >= 0.98 * statuses.total()
+    # The targets run in this process and hang while it stands still.
+    if not ejected(fleet) & {target.identity for target in fleet.targets[2:]}:
+        assert statuses[OK] >= 0.98 * statuses.total()
 
 
 async def test_a_backoff_survives_the_loss_of_the_placer(fleet):
@@ -154,3 +173,59 @@
     assert times_s
     assert not [at_s for at_s in times_s if at_s > times_s[0] + LEAVING_KNOWN_S]
     assert set(statuses) == {OK}
+
+
+VIRTUAL_SERVICE = ServiceId("service-0")
+VIRTUAL_TARGETS = 12
+"""Of three services: four each."""
+
+VIRTUAL_LOAD = ServiceLoad(
+    VIRTUAL_SERVICE,
+    rate_per_s=100.0,
+    aim_ms=800.0,
+    timeout_ms=2_000.0,
+    kind=RequestKind.SAFE,
+)
+
+
+@pytest.fixture
+def play(monkeypatch):
+    """Return a function that plays ten virtual seconds and returns the arrivals.
+
+    Two of four targets refuse with Retry-After.
+    """
+
+    def run_one(seed: int) -> Arrivals:
+        loop = VirtualLoop()
+        monkeypatch.setattr("crocusspindle.clock.time", VirtualTime(loop))
+        fleet = VirtualFleet(loop, [HostSize(100.0)] * GATEWAYS, VIRTUAL_TARGETS, seed)
+        callers = Callers(fleet, seed)
+        callers.targets.work_ms = 20.0
+        names = [
+            target.identity
+            for target in fleet.listed.values()
+            if target.service == VIRTUAL_SERVICE
+        ]
+        for name in names[:2]:
+            callers.targets.retry_after_ms[name] = RETRY_AFTER_S * 1e3
+
+        async def scenario() -> None:
+            await fleet.start_all()
+            await asyncio.sleep(6.0)
+            await callers.send(VIRTUAL_LOAD, 10.0)
+            await asyncio.sleep(2.0)
+
+        with logbook.NullHandler().applicationbound():
+            run(loop, scenario())
+        return callers.arrivals
+
+    return run_one
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_callers_are_served_while_targets_want_a_backoff(play, seed):
+    """Guards against a Retry-After that is forgotten, or that refuses callers."""
+    arrivals = play(seed)
+    assert len({backoff.target for backoff in arrivals.backoffs}) == 2
+    assert arrivals.count_in_backoffs() == 0
+    assert set(arrivals.outcomes) == {"answered"}
