Bound bodies that never end, and eject who sends them

What callers saw: with one target of four that sends bodies without end (200 requests in ten seconds to three gateways, half of them GET), 73, 70 and 69 of 100 GET were served (chunks, no length, 10^12 bytes declared); 57, 43 and 34 requests went to that target, which was not ejected.

Cause: a response counts as answered once its first MB is read. The rest was passed on until the deadline and cut, and nobody learned of it.

Change: three bounds. A body without a length that is longer by far than those of its service isn't passed on if the request may run twice: another target is asked, and its whole body shows that the first target failed. 128 MB are the longest body, declared or sent. What is found after the outcome was reported goes to the placer as one more error, in the message that exists. Counter, detail and line name the bound.

--- a/src/crocusspindle/core/attempt_outcome.py
+++ b/src/crocusspindle/core/attempt_outcome.py
@@ -10,10 +10,10 @@
     The values are the names used in logs, metrics and refusals.
 
     - ``ANSWERED``: a response that is no server error and, if a success, is valid.
-    - ``ERROR``: a server error, or a status that says "not run" without the target's
-      header that guarantees it.
+    - ``ERROR``: a server error, a status that says "not run" without the target's
+      header that guarantees it, or a body that is too long.
     - ``BROKEN``: the connection broke, or the response was invalid.
-    - ``SILENT``: no response before the deadline.
+    - ``SILENT``: no response before the deadline, or none whose body ended.
     - ``UNREACHED``: no connection before the timeout.
     - ``CLOSED``: the connection failed, as when the port refused it.
     - ``SHED``: the target refused the request and guarantees that it did not run it.
--- a/src/crocusspindle/gateway/admission.py
+++ b/src/crocusspindle/gateway/admission.py
@@ -119,6 +119,7 @@
             self._headers(request, customer, body),
             body,
             memory,
+            may_compare=_may_run_twice(route, body),
         )
         content = content_digest(
             request.method,
@@ -276,6 +277,12 @@
         return headers
 
 
+def _may_run_twice(route: RouteRule, body: bytes | AsyncIterator[bytes] | None) -> bool:
+    """Return True if a request may be sent to a second target."""
+    is_buffered = isinstance(body, bytes | None)
+    return is_buffered and route.kind.idempotent and route.attempts > 1
+
+
 def _buffered_bytes(length: int | None, read: int) -> int:
     """Return how much of the rest of a body the connection may hold."""
     return PAUSED_BYTES if length is None else min(PAUSED_BYTES, length - read)
--- a/src/crocusspindle/gateway/attempt_runner.py
+++ b/src/crocusspindle/gateway/attempt_runner.py
@@ -1,7 +1,9 @@
 """Attempt one request until it is answered or may not be retried."""
 
 import asyncio
+import functools
 import random
+from dataclasses import replace
 from typing import Final
 
 from crocusspindle.clock import now_ms
@@ -17,6 +19,7 @@
 from crocusspindle.gateway.paths import Paths
 from crocusspindle.gateway.placing import Placement, Placing
 from crocusspindle.gateway.request_context import RequestContext
+from crocusspindle.gateway.response_bounds import ResponseBound, ResponseBoundError
 from crocusspindle.gateway.responses import (
     LEAVING_REASON,
     LEAVING_RETRY_MS,
@@ -24,6 +27,7 @@
 )
 from crocusspindle.gateway.target_client import AttemptResult, TargetClient
 from crocusspindle.ids import NO_CUSTOMER, ServiceId
+from crocusspindle.log_lines import Logger, log_state_change
 from crocusspindle.metrics import Metrics
 
 HEDGE_RETRY_MS: Final = 150.0
@@ -59,6 +63,7 @@
         self._metrics = metrics
         self._rng = rng
         self._client = client
+        self._log = Logger("attempts")
 
     async def start(self) -> None:
         """Open the client for targets."""
@@ -196,6 +201,40 @@
                 if isinstance(result, AttemptResult) and result is not chosen:
                     result.discard()
 
+    def _apply_bounds(
+        self, context: RequestContext, placement: Placement, result: AttemptResult
+    ) -> None:
+        """Count a bound that a response exceeds, now or while it is passed on."""
+        if result.exceeded is not None:
+            self._metrics.add(instruments.EXCEEDED, bound=result.exceeded.value)
+        if _is_unusual(result):
+            context.unusual.append(placement)
+            # If others send as much, it is what was asked for.
+            context.outgoing = replace(context.outgoing, may_compare=False)
+        if result.is_whole:
+            for other in context.unusual:
+                self._placing.report_body_failure(other)
+            context.unusual.clear()
+        if result.target_response is not None:
+            result.target_response.content.on_exceeded = functools.partial(
+                self._record_exceeded, context, placement
+            )
+
+    def _record_exceeded(
+        self, context: RequestContext, placement: Placement, error: ResponseBoundError
+    ) -> None:
+        self._metrics.add(instruments.EXCEEDED, bound=error.bound.value)
+        log_state_change(
+            self._log,
+            "response exceeded a bound",
+            request=context.request_id,
+            target=placement.target.identity,
+            service=placement.service,
+            bound=error.bound.value,
+            detail=str(error),
+        )
+        self._placing.report_body_failure(placement)
+
     def _may_hedge(self, context: RequestContext, wait_ms: float) -> bool:
         return (
             now_ms() + wait_ms < context.deadline_ms
@@ -245,6 +284,7 @@
                 placement.target, context.outgoing, context.deadline_ms
             )
             outcome = result.outcome
+            self._apply_bounds(context, placement, result)
             if outcome is AttemptOutcome.CRASHED:
                 await self._placing.report_crash(
                     placement, context.content, result.latency_ms
@@ -256,8 +296,14 @@
             if outcome is AttemptOutcome.WITHHELD:
                 self._placing.return_unsent(placement)
             elif outcome is not AttemptOutcome.CRASHED:
+                is_unusual = result is not None and _is_unusual(result)
                 self._placing.report_outcome(
-                    placement, context.content, outcome, latency_ms, signals.limit_per_s
+                    placement,
+                    context.content,
+                    # Another target's response shows whether it was a failure.
+                    AttemptOutcome.ABANDONED if is_unusual else outcome,
+                    latency_ms,
+                    signals.limit_per_s,
                 )
             self._paths.record(placement.target, outcome, began_ms)
             if outcome is AttemptOutcome.ANSWERED:
@@ -285,6 +331,10 @@
             self._metrics.add(instruments.ATTEMPTS, ending=outcome.value)
 
 
+def _is_unusual(result: AttemptResult) -> bool:
+    return result.exceeded is ResponseBound.BODY_UNUSUAL
+
+
 def _last_or_refuse(last_result: AttemptResult | None) -> AttemptResult:
     """Return the last attempt's result if it may have run, else raise ``Refusal``."""
     if last_result is not None and last_result.outcome.may_have_run:
--- a/src/crocusspindle/gateway/instruments.py
+++ b/src/crocusspindle/gateway/instruments.py
@@ -51,6 +51,17 @@
     when_rising="`broken` and `error`: gray targets; `unreached` and `silent`: network "
     "paths or hung targets; `shed`: targets at capacity.",
 )
+EXCEEDED: Final = declare(
+    "gateway_exceeded_bounds",
+    InstrumentKind.COUNTER,
+    unit="responses",
+    labels=("bound",),
+    meaning="Responses of targets that exceeded a bound, by bound: `interim`, `head`, "
+    "`framing`, `body-bytes`, `body-time` (not ended by the deadline), `body-unusual` "
+    "(longer by far than those of its service; another target was asked).",
+    when_rising="A target sends without end: `detail` in `sends` and `response "
+    "exceeded a bound` in the log name it.",
+)
 PLACED: Final = declare(
     "gateway_placed",
     InstrumentKind.COUNTER,
--- a/src/crocusspindle/gateway/placing.py
+++ b/src/crocusspindle/gateway/placing.py
@@ -399,6 +399,15 @@
         to = placement.placer_address
         self.spawn(self._exchange.request(to, note, PEER_SILENT_S, PEER_SILENT_S))
 
+    def report_body_failure(self, placement: Placement) -> None:
+        """Notify the placer of an attempt whose body failed after its outcome."""
+        if placement.placer_address is None:
+            return
+        outcome = ATTEMPT_OUTCOMES.index(AttemptOutcome.ERROR)
+        note = EndedNote(placement.target.identity, 0, outcome, 0)
+        to = placement.placer_address
+        self.spawn(self._exchange.request(to, note, PEER_SILENT_S, PEER_SILENT_S))
+
 
 def _limit_retry_after(
     refused: PlacementRefused, usable_in_ms: float
--- a/src/crocusspindle/gateway/request_context.py
+++ b/src/crocusspindle/gateway/request_context.py
@@ -6,6 +6,7 @@
 from crocusspindle.core.configuration import CustomerRule, RouteRule
 from crocusspindle.core.listed_target import TargetIdentity
 from crocusspindle.gateway.hand_over_headers import HandedOver
+from crocusspindle.gateway.placing import Placement
 from crocusspindle.gateway.target_client import OutgoingRequest
 from crocusspindle.ids import ContentDigest
 
@@ -20,6 +21,7 @@
 
     ``handed_over`` is set if another node handed the request over to this one.
     ``streamed_bytes`` is the length of a body that is streamed, or what is known of it.
+    ``unusual`` has the attempts whose responses had an unusual body.
     """
 
     request_id: str
@@ -29,6 +31,7 @@
     content: ContentDigest
     began_ms: float
     deadline_ms: float
+    unusual: list[Placement] = field(default_factory=list)
     attempt_records: list[dict[str, object]] = field(default_factory=list)
     tried_targets: set[TargetIdentity] = field(default_factory=set)
     running_attempts: int = 0
--- a/src/crocusspindle/gateway/response_body.py
+++ b/src/crocusspindle/gateway/response_body.py
@@ -9,8 +9,13 @@
 
 import aiohttp
 
-from crocusspindle.clock import remaining_s
+from crocusspindle.clock import now_ms, remaining_s
 from crocusspindle.gateway.held_memory import HeldBytes
+from crocusspindle.gateway.response_bounds import (
+    MAX_BODY_BYTES,
+    ResponseBound,
+    ResponseBoundError,
+)
 
 MAX_BUFFERED_BYTES: Final = 1 << 20
 """Responses up to this size are read completely before they are forwarded, so that a
@@ -22,7 +27,11 @@
 """Unsent bytes that the kernel may hold of a caller's connection. It would otherwise
 take megabytes of each, which this process doesn't count."""
 
+FAST_CALLER_BYTES_PER_MS: Final = 4_096
+"""A caller that takes this much is not what holds up a response."""
+
 Write = Callable[[bytes], Awaitable[None]]
+OnExceeded = Callable[[ResponseBoundError], None]
 
 
 class ResponseBody:
@@ -31,11 +40,25 @@
     Its first `MAX_BUFFERED_BYTES` are read before any of it is written. The rest is
     read while it is written: at the target's speed if there is a memory bound and the
     body is within its part of it, else at the caller's.
+
+    If ``unusual_bytes`` is set and the body has no declared length, so much of it is
+    read before any is written. ``on_exceeded`` is called if the body exceeds a bound
+    while it is written, ``on_complete`` with its size once it is read to its end.
     """
 
-    def __init__(self, response: aiohttp.ClientResponse, held: HeldBytes) -> None:
+    def __init__(
+        self,
+        response: aiohttp.ClientResponse,
+        held: HeldBytes,
+        unusual_bytes: int | None = None,
+        on_complete: Callable[[int], None] | None = None,
+    ) -> None:
         self.held = held
         self.is_complete = False
+        self.on_exceeded: OnExceeded | None = None
+        self._on_complete = on_complete
+        has_length = response.content_length is not None
+        self._unusual_bytes = None if has_length else unusual_bytes
         self._response = response
         self._parts: deque[bytes] = deque()
         self._read_bytes = 0
@@ -43,6 +66,7 @@
         self._arrived = asyncio.Event()
         self._failure: Exception | None = None
         self._reading: asyncio.Task[None] | None = None
+        self._reading_since_ms = 0.0
         # Reading goes on: closed here, the target would seem to have failed.
         held.on_drop = self._parts.clear
 
@@ -57,7 +81,9 @@
 
     async def read_prefix(self) -> None:
         """Read what is read before any of the body is written."""
-        while self._read_bytes < MAX_BUFFERED_BYTES:
+        self._check_declared_length()
+        prefix_bytes = max(MAX_BUFFERED_BYTES, self._unusual_bytes or 0)
+        while self._read_bytes < prefix_bytes:
             if not await self._read_part():
                 return
             if self.held.is_dropped:
@@ -67,6 +93,22 @@
         if self._response.content.at_eof():
             self._set_complete()
 
+    @property
+    def is_unusual(self) -> bool:
+        """Return True if the body is longer by far than those seen before."""
+        return (
+            self._unusual_bytes is not None
+            and not self.is_complete
+            and self._read_bytes >= self._unusual_bytes
+        )
+
+    def _check_declared_length(self) -> None:
+        length = self._response.content_length
+        if length is None or self._response.method == "HEAD":
+            return
+        if length > MAX_BODY_BYTES:
+            raise _too_long(f"body of {length} bytes declared")
+
     async def _read_part(self) -> bool:
         """Read one part; return False at the end of the body."""
         part = await self._response.content.read(READ_BYTES)
@@ -78,9 +120,13 @@
         self._unwritten_bytes += len(part)
         self._arrived.set()
         self._count()
+        if self._read_bytes > MAX_BODY_BYTES:
+            raise _too_long(f"body of more than {MAX_BODY_BYTES} bytes")
         return True
 
     def _set_complete(self) -> None:
+        if self._on_complete is not None and not self.is_complete:
+            self._on_complete(self._read_bytes)
         self.is_complete = True
         self._arrived.set()
         self._count()
@@ -98,6 +144,7 @@
     def start_reading(self, deadline_ms: float) -> None:
         """Read the rest until the deadline while the body is written."""
         if not self.is_complete and self._reading is None:
+            self._reading_since_ms = now_ms()
             self._reading = asyncio.create_task(self._read_rest(deadline_ms))
 
     async def _read_rest(self, deadline_ms: float) -> None:
@@ -108,6 +155,9 @@
                     await self._wait_for_turn()
         except (aiohttp.ClientError, OSError, ValueError) as error:
             self._failure = error
+            exceeded = self._exceeded_bound(error)
+            if exceeded is not None and self.on_exceeded is not None:
+                self.on_exceeded(exceeded)
             # The caller can't get a whole response any more.
             self._unwritten_bytes -= sum(len(part) for part in self._parts)
             self._parts.clear()
@@ -116,6 +166,25 @@
             self._arrived.set()
             self._response.close()
 
+    def _exceeded_bound(self, error: Exception) -> ResponseBoundError | None:
+        if isinstance(error, ResponseBoundError):
+            return error
+        if not isinstance(error, TimeoutError) or not self._is_held_up_by_target():
+            return None
+        text = f"body did not end by the deadline, after {self._read_bytes} bytes"
+        return ResponseBoundError(ResponseBound.BODY_TIME, text)
+
+    def _is_held_up_by_target(self) -> bool:
+        """Return True unless the caller takes the body too slowly for its deadline."""
+        if self._unwritten_bytes == 0:
+            return True
+        written_bytes = self._read_bytes - self._unwritten_bytes
+        elapsed_ms = max(1.0, now_ms() - self._reading_since_ms)
+        return (
+            self._response.content_length is None
+            and written_bytes >= FAST_CALLER_BYTES_PER_MS * elapsed_ms
+        )
+
     async def _wait_for_turn(self) -> None:
         """Wait until the part of the bound or the caller allows one more part."""
         memory = self.held.memory
@@ -159,6 +228,10 @@
         self.held.release()
 
 
+def _too_long(text: str) -> ResponseBoundError:
+    return ResponseBoundError(ResponseBound.BODY_BYTES, text)
+
+
 def bound_buffers(transport: asyncio.Transport | None) -> None:
     """Let writing to a caller wait until its kernel has taken everything.
 
--- a/src/crocusspindle/gateway/response_bounds.py
+++ b/src/crocusspindle/gateway/response_bounds.py
@@ -1,6 +1,7 @@
-"""Bound what a target may send beside the bodies of its responses."""
+"""Bound what a target may send in a response."""
 
 from dataclasses import dataclass
+from enum import Enum
 from typing import Final
 
 import aiohttp
@@ -23,9 +24,35 @@
 SLICE_BYTES: Final = 4_096
 """Bytes of a head that are parsed at a time. They may hold a hundred messages."""
 
+MAX_BODY_BYTES: Final = 128 << 20
+"""Bytes of a response's body."""
+
+
+class ResponseBound(Enum):
+    """Name a bound on responses, as in logs and metrics.
+
+    - ``INTERIM``: too many interim responses.
+    - ``HEAD``: too many bytes up to the end of the head.
+    - ``FRAMING``: too many bytes beside head and body.
+    - ``BODY_BYTES``: a body of too many bytes, declared or sent.
+    - ``BODY_TIME``: a body that did not end by the request's deadline.
+    - ``BODY_UNUSUAL``: a body without a length, longer by far than any of its service.
+    """
+
+    INTERIM = "interim"
+    HEAD = "head"
+    FRAMING = "framing"
+    BODY_BYTES = "body-bytes"
+    BODY_TIME = "body-time"
+    BODY_UNUSUAL = "body-unusual"
+
 
 class ResponseBoundError(aiohttp.ClientError):
-    """Report a response that exceeds a bound beside its body."""
+    """Report a response that exceeds a bound."""
+
+    def __init__(self, bound: ResponseBound, text: str) -> None:
+        super().__init__(text)
+        self.bound = bound
 
 
 @dataclass(slots=True)
@@ -47,13 +74,17 @@
             return
         self._interim += 1
         if self._interim > MAX_INTERIM:
-            raise ResponseBoundError(f"more than {MAX_INTERIM} interim responses")
+            raise ResponseBoundError(
+                ResponseBound.INTERIM, f"more than {MAX_INTERIM} interim responses"
+            )
 
     def add_head(self, received: int) -> None:
         """Count bytes before the end of the head; raise ``ResponseBoundError``."""
         self._head_bytes += received
         if self._head_bytes > MAX_HEAD_BYTES:
-            raise ResponseBoundError(f"head of more than {MAX_HEAD_BYTES} bytes")
+            raise ResponseBoundError(
+                ResponseBound.HEAD, f"head of more than {MAX_HEAD_BYTES} bytes"
+            )
 
     def add_rest(self, received: int, body_bytes: int) -> None:
         """Count bytes after the head; raise ``ResponseBoundError``.
@@ -63,4 +94,6 @@
         self._rest_bytes += received
         framing_bytes = self._rest_bytes - body_bytes
         if framing_bytes > MAX_FRAMING_BYTES + FRAMING_FACTOR * body_bytes:
-            raise ResponseBoundError(f"{framing_bytes} bytes beside the body")
+            raise ResponseBoundError(
+                ResponseBound.FRAMING, f"{framing_bytes} bytes beside the body"
+            )
--- a/src/crocusspindle/gateway/target_client.py
+++ b/src/crocusspindle/gateway/target_client.py
@@ -13,10 +13,12 @@
 from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.listed_target import ListedTarget, TargetIdentity
 from crocusspindle.core.target_signals import NO_SIGNALS, TargetSignals
+from crocusspindle.gateway.body_sizes import BodySizes
 from crocusspindle.gateway.dialect import Dialect
 from crocusspindle.gateway.held_memory import RequestMemory, uncounted
 from crocusspindle.gateway.port_probe import PortAnswer, probe
 from crocusspindle.gateway.response_body import ResponseBody
+from crocusspindle.gateway.response_bounds import ResponseBound, ResponseBoundError
 from crocusspindle.gateway.strict_connector import (
     WithheldError,
     check_before_sending,
@@ -33,6 +35,13 @@
     aiohttp.ClientOSError,
     aiohttp.ClientPayloadError,
 )
+BOUND_OUTCOMES: Final = {
+    ResponseBound.BODY_BYTES: AttemptOutcome.ERROR,
+    ResponseBound.BODY_TIME: AttemptOutcome.SILENT,
+}
+"""Outcomes of attempts whose head arrived and whose body exceeded a bound. The path is
+sound then, unlike after a response that broke off."""
+
 MAX_RESPONDED: Final = 64
 """Targets remembered as having responded. One of them tells whether a lost connection
 is a failure of its target or of this node's path."""
@@ -48,7 +57,8 @@
 class OutgoingRequest:
     """Hold a request to a target: its head, and a buffered or streamed body.
 
-    ``memory`` counts the responses to it.
+    ``memory`` counts the responses to it. If ``may_compare``, another target may be
+    asked for the same before an unusual body is passed on.
     """
 
     request_id: str
@@ -57,6 +67,7 @@
     headers: CIMultiDict[str]
     body: bytes | AsyncIterator[bytes] | None
     memory: RequestMemory = field(default_factory=uncounted)
+    may_compare: bool = False
 
 
 @dataclass(slots=True)
@@ -82,6 +93,16 @@
     target_response: TargetResponse | None = None
     detail: str = ""
     signals: TargetSignals = NO_SIGNALS
+    exceeded: ResponseBound | None = None
+
+    @property
+    def is_whole(self) -> bool:
+        """Return True if a valid response was read to its end."""
+        return (
+            self.outcome is AttemptOutcome.ANSWERED
+            and self.target_response is not None
+            and self.target_response.content.is_complete
+        )
 
     def discard(self) -> None:
         """Free the response, which no caller gets."""
@@ -122,6 +143,7 @@
         self._session: aiohttp.ClientSession | None = None
         self._logged: set[tuple[TargetIdentity, str]] = set()
         self._responded: dict[TargetIdentity, ListedTarget] = {}
+        self._body_sizes = BodySizes()
 
     async def start(self) -> None:
         """Open the session."""
@@ -138,8 +160,7 @@
         """Send a request and return its result by the deadline."""
         began_ms = now_ms()
         try:
-            async with asyncio.timeout(remaining_s(deadline_ms)):
-                result = await self._exchange(target, outgoing, deadline_ms)
+            result = await self._exchange(target, outgoing, deadline_ms)
         except WithheldError as error:
             result = AttemptResult(AttemptOutcome.WITHHELD, 0.0, detail=str(error))
         except aiohttp.ConnectionTimeoutError as error:
@@ -150,6 +171,11 @@
             result = AttemptResult(
                 AttemptOutcome.SILENT, 0.0, detail="no response before the deadline"
             )
+        except ResponseBoundError as error:
+            outcome = BOUND_OUTCOMES.get(error.bound, AttemptOutcome.BROKEN)
+            result = AttemptResult(
+                outcome, 0.0, detail=repr(error), exceeded=error.bound
+            )
         except CONNECTION_LOST as error:
             result = AttemptResult(
                 await self._classify_lost_connection(target), 0.0, detail=repr(error)
@@ -203,20 +229,23 @@
         headers[self._dialect.time_left_ms] = str(left_ms)
         token = check_before_sending.set(lambda: self._check_target(target))
         try:
-            response = await self._session.request(
-                outgoing.method,
-                URL(f"http://{target.address}{outgoing.raw_path}", encoded=True),
-                headers=headers,
-                data=outgoing.body,
-                allow_redirects=False,
-                read_bufsize=outgoing.memory.process.read_buffer_bytes,
-            )
+            async with asyncio.timeout(remaining_s(deadline_ms)):
+                response = await self._session.request(
+                    outgoing.method,
+                    URL(f"http://{target.address}{outgoing.raw_path}", encoded=True),
+                    headers=headers,
+                    data=outgoing.body,
+                    allow_redirects=False,
+                    read_bufsize=outgoing.memory.process.read_buffer_bytes,
+                )
         finally:
             check_before_sending.reset(token)
         self._record_response(target)
         try:
             signals = self._read_signals(target, response)
-            result = await self._classify_response(response, outgoing)
+            result = await self._classify_response(
+                target, response, outgoing, deadline_ms
+            )
             result.signals = signals
             return result
         except BaseException:
@@ -253,7 +282,11 @@
         log_state_change(self._log, message, target=target.identity, signal=text)
 
     async def _classify_response(
-        self, response: aiohttp.ClientResponse, outgoing: OutgoingRequest
+        self,
+        target: ListedTarget,
+        response: aiohttp.ClientResponse,
+        outgoing: OutgoingRequest,
+        deadline_ms: float,
     ) -> AttemptResult:
         echoed = response.headers.get(self._dialect.request_id)
         if echoed is not None and echoed != outgoing.request_id:
@@ -265,7 +298,7 @@
         if refused is not None:
             response.close()
             return refused
-        content = await read_prefix(response, outgoing.memory)
+        content = await self._read_content(target, response, outgoing, deadline_ms)
         if response.status in SUCCESS_STATUSES and not self._is_valid_success(response):
             response.close()
             content.close()
@@ -275,6 +308,14 @@
         target_response = TargetResponse(
             response.status, forwarded(response.headers), content
         )
+        if content.is_unusual:
+            return AttemptResult(
+                AttemptOutcome.ERROR,
+                0.0,
+                target_response,
+                "body longer by far than those of the service",
+                exceeded=ResponseBound.BODY_UNUSUAL,
+            )
         failed = response.status >= SERVER_ERROR
         return AttemptResult(
             AttemptOutcome.ERROR if failed else AttemptOutcome.ANSWERED,
@@ -282,6 +323,29 @@
             target_response,
         )
 
+    async def _read_content(
+        self,
+        target: ListedTarget,
+        response: aiohttp.ClientResponse,
+        outgoing: OutgoingRequest,
+        deadline_ms: float,
+    ) -> ResponseBody:
+        service = target.service
+        sizes = self._body_sizes
+        content = ResponseBody(
+            response,
+            outgoing.memory.new_response(),
+            sizes.unusual_bytes(service) if outgoing.may_compare else None,
+            lambda size: sizes.record(service, size),
+        )
+        try:
+            async with asyncio.timeout(remaining_s(deadline_ms)):
+                return await _with_prefix(content)
+        except TimeoutError:
+            raise ResponseBoundError(
+                ResponseBound.BODY_TIME, "body did not end by the deadline"
+            ) from None
+
     def _classify_refusal(
         self, response: aiohttp.ClientResponse
     ) -> AttemptResult | None:
@@ -314,7 +378,10 @@
     response: aiohttp.ClientResponse, memory: RequestMemory
 ) -> ResponseBody:
     """Return a body of which the part to read before writing has been read."""
-    content = ResponseBody(response, memory.new_response())
+    return await _with_prefix(ResponseBody(response, memory.new_response()))
+
+
+async def _with_prefix(content: ResponseBody) -> ResponseBody:
     try:
         await content.read_prefix()
     except BaseException:
--- a/src/crocusspindle_standins/on_platform/target.py
+++ b/src/crocusspindle_standins/on_platform/target.py
@@ -19,6 +19,9 @@
 MAX_QUEUED: Final = 8
 HANG_S: Final = 3600.0
 UNFRAMED_PAUSE_S: Final = 0.02
+ENDLESS_PART: Final = b"." * (1 << 20)
+ENDLESS_PAUSE_S: Final = 0.005
+DECLARED_BYTES: Final = 10**12
 
 CRASHING: Final = "crashes"
 """A request whose path contains this word crashes the target that starts to run it."""
@@ -63,7 +66,8 @@
 
     ``CROSSES`` returns the id of another request, ``CUTS`` truncates the response,
     ``STOPS`` sends half of it and then nothing, and ``UNFRAMED`` sends no length, so
-    that the response lasts until the connection ends.
+    that the response lasts until the connection ends. The bodies of the ``ENDLESS``
+    ones never end: in chunks, without a length, or with one that is never reached.
     """
 
     NONE = "none"
@@ -76,6 +80,23 @@
     STOPS = "stops"
     UNFRAMED = "unframed"
     UNFRAMED_RESETS = "unframed resets"
+    ENDLESS_CHUNKS = "endless chunks"
+    ENDLESS_UNFRAMED = "endless unframed"
+    ENDLESS_DECLARED = "endless declared"
+
+
+ENDLESS: Final = {
+    TargetFault.ENDLESS_CHUNKS: (
+        "Transfer-Encoding: chunked\r\n",
+        b"%x\r\n%b\r\n" % (len(ENDLESS_PART), ENDLESS_PART),
+    ),
+    TargetFault.ENDLESS_UNFRAMED: ("", ENDLESS_PART),
+    TargetFault.ENDLESS_DECLARED: (
+        f"Content-Length: {DECLARED_BYTES}\r\n",
+        ENDLESS_PART,
+    ),
+}
+"""The field that frames the body, if there is one, and the part that is repeated."""
 
 
 @dataclass
@@ -84,8 +105,9 @@
 
     If it ``is_leaving``, its responses say so and its entry does not. If
     ``retry_after_s`` is set, each refusal asks the sender to send nothing for so long.
-    A request that takes the last of the slots runs ``full_slowdown`` times as long. If
-    ``limits_runs``, requests beyond the slots wait until one is free.
+    If ``is_chunked``, its responses have no length. A request that takes the last of
+    the slots runs ``full_slowdown`` times as long. If ``limits_runs``, requests beyond
+    the slots wait until one is free.
     """
 
     identity: str
@@ -99,6 +121,7 @@
     retry_after_s: float | None = None
     long_bytes: int = LONG_BYTES
     is_leaving: bool = False
+    is_chunked: bool = False
     arrivals: list[Arrival] = field(default_factory=list)
     survives_crashing_requests: bool = False
     arrival_times_s: list[float] = field(default_factory=list)
@@ -263,11 +286,21 @@
             headers["Server-Leaving"] = "1"
         if self.fault in (TargetFault.UNFRAMED, TargetFault.UNFRAMED_RESETS):
             return await self._respond_unframed(request, headers)
+        if self.fault in ENDLESS:
+            return await self._respond_endless(request, headers)
+        return await self._respond(request, headers, body)
+
+    async def _respond(
+        self, request: web.BaseRequest, headers: dict[str, str], body: bytes
+    ) -> web.StreamResponse:
         answer = response_body(request.path_qs, body)
         if LONG in request.path_qs:
             answer += bytes(self.long_bytes - len(answer))
         response = web.StreamResponse(headers=headers)
-        response.content_length = len(answer)
+        if self.is_chunked:
+            response.enable_chunked_encoding()
+        else:
+            response.content_length = len(answer)
         await response.prepare(request)
         if self.fault is TargetFault.CUTS:
             await response.write(answer[:3])
@@ -280,6 +313,20 @@
         await response.write_eof(answer)
         return response
 
+    async def _respond_endless(
+        self, request: web.BaseRequest, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        transport = request.transport
+        assert isinstance(transport, asyncio.Transport)
+        framing, part = ENDLESS[self.fault]
+        head = "".join(f"{name}: {text}\r\n" for name, text in headers.items())
+        transport.write(f"HTTP/1.1 200 OK\r\n{head}{framing}\r\n".encode())
+        while not transport.is_closing():
+            if not transport.get_write_buffer_size():
+                transport.write(part)
+            await asyncio.sleep(ENDLESS_PAUSE_S)
+        raise ConnectionResetError
+
     async def _respond_unframed(
         self, request: web.BaseRequest, headers: dict[str, str]
     ) -> web.StreamResponse:
