Count responses that exceed a bound, and let settings name the longest

What operators saw: attempts that ended as `broken` for any reason, and 128 MB as a constant that a service with longer bodies could not raise.

`response_mb` in the settings' `limits` is the longest body (MB, 128 by default). What another node hands back has passed that node's bound and has none here.

Tested: a body above the setting fails with each framing, and one that pauses until the deadline says so; each kind of endless response names its bound.

--- a/src/crocusspindle/gateway/assembly.py
+++ b/src/crocusspindle/gateway/assembly.py
@@ -112,7 +112,12 @@
         metrics,
         rng,
     )
-    client = TargetClient(dialect, placing.record_signals, placing.may_send)
+    client = TargetClient(
+        dialect,
+        placing.record_signals,
+        placing.may_send,
+        settings.max_response_bytes,
+    )
     attempt_runner = AttemptRunner(
         node, client, placing, paths, hand_over, policies, metrics, rng, departure
     )
--- a/src/crocusspindle/gateway/instruments.py
+++ b/src/crocusspindle/gateway/instruments.py
@@ -57,8 +57,8 @@
     unit="responses",
     labels=("bound",),
     meaning="Responses of targets that exceeded a bound, by bound: `interim`, `head`, "
-    "`framing`, `body-bytes`, `body-time` (not ended by the deadline), `body-unusual` "
-    "(longer by far than those of its service; another target was asked).",
+    "`framing`, `parser` (refused by the HTTP library), `body-bytes`, `body-time` (not "
+    "ended by the deadline), `body-unusual` (longer by far than those of its service).",
     when_rising="A target sends without end: `detail` in `sends` and `response "
     "exceeded a bound` in the log name it.",
 )
--- a/src/crocusspindle/gateway/response_body.py
+++ b/src/crocusspindle/gateway/response_body.py
@@ -1,6 +1,7 @@
 """Hold the part of a response that is read from its target and not yet taken."""
 
 import asyncio
+import math
 import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -12,7 +13,6 @@
 from crocusspindle.clock import now_ms, remaining_s
 from crocusspindle.gateway.held_memory import HeldBytes
 from crocusspindle.gateway.response_bounds import (
-    MAX_BODY_BYTES,
     ResponseBound,
     ResponseBoundError,
 )
@@ -44,6 +44,7 @@
     If ``unusual_bytes`` is set and the body has no declared length, so much of it is
     read before any is written. ``on_exceeded`` is called if the body exceeds a bound
     while it is written, ``on_complete`` with its size once it is read to its end.
+    More than ``max_bytes`` are not read, and not declared.
     """
 
     def __init__(
@@ -52,11 +53,13 @@
         held: HeldBytes,
         unusual_bytes: int | None = None,
         on_complete: Callable[[int], None] | None = None,
+        max_bytes: float = math.inf,
     ) -> None:
         self.held = held
         self.is_complete = False
         self.on_exceeded: OnExceeded | None = None
         self._on_complete = on_complete
+        self._max_bytes = max_bytes
         has_length = response.content_length is not None
         self._unusual_bytes = None if has_length else unusual_bytes
         self._response = response
@@ -106,7 +109,7 @@
         length = self._response.content_length
         if length is None or self._response.method == "HEAD":
             return
-        if length > MAX_BODY_BYTES:
+        if length > self._max_bytes:
             raise _too_long(f"body of {length} bytes declared")
 
     async def _read_part(self) -> bool:
@@ -120,8 +123,8 @@
         self._unwritten_bytes += len(part)
         self._arrived.set()
         self._count()
-        if self._read_bytes > MAX_BODY_BYTES:
-            raise _too_long(f"body of more than {MAX_BODY_BYTES} bytes")
+        if self._read_bytes > self._max_bytes:
+            raise _too_long(f"body of more than {self._max_bytes:.0f} bytes")
         return True
 
     def _set_complete(self) -> None:
--- a/src/crocusspindle/gateway/response_bounds.py
+++ b/src/crocusspindle/gateway/response_bounds.py
@@ -24,8 +24,8 @@
 SLICE_BYTES: Final = 4_096
 """Bytes of a head that are parsed at a time. They may hold a hundred messages."""
 
-MAX_BODY_BYTES: Final = 128 << 20
-"""Bytes of a response's body."""
+MAX_BODY_BYTES: Final = 128_000_000
+"""Bytes of a response's body, unless the settings name another bound."""
 
 
 class ResponseBound(Enum):
@@ -34,6 +34,8 @@
     - ``INTERIM``: too many interim responses.
     - ``HEAD``: too many bytes up to the end of the head.
     - ``FRAMING``: too many bytes beside head and body.
+    - ``PARSER``: bytes that the HTTP library refuses: a line or field that is too long,
+      too many fields, or no response at all.
     - ``BODY_BYTES``: a body of too many bytes, declared or sent.
     - ``BODY_TIME``: a body that did not end by the request's deadline.
     - ``BODY_UNUSUAL``: a body without a length, longer by far than any of its service.
@@ -42,6 +44,7 @@
     INTERIM = "interim"
     HEAD = "head"
     FRAMING = "framing"
+    PARSER = "parser"
     BODY_BYTES = "body-bytes"
     BODY_TIME = "body-time"
     BODY_UNUSUAL = "body-unusual"
--- a/src/crocusspindle/gateway/settings.py
+++ b/src/crocusspindle/gateway/settings.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import Any, Final
 
+from crocusspindle.core.memory_bound import BYTES_PER_MB
+from crocusspindle.gateway.response_bounds import MAX_BODY_BYTES
 from crocusspindle.ids import DomainId, HostId
 
 VIEW_FENCE_FRACTION: Final = 0.6
@@ -57,6 +59,7 @@
     """Hold a node's addresses, names, capacity and bounds.
 
     ``memory_mb`` is the memory of the host; if infinite, bodies are not bounded.
+    ``response_mb`` is the longest body of a target's response.
     """
 
     host: HostId
@@ -73,12 +76,18 @@
     link_mbit_s: float = 1_000.0
     cores: float = 1.0
     memory_mb: float = math.inf
+    response_mb: float = MAX_BODY_BYTES / BYTES_PER_MB
 
     @property
     def capacity(self) -> int:
         """Return the capacity of the host in the units of `NodeAddress`."""
         return max(1, round(min(self.link_mbit_s, self.cores * UNITS_PER_CORE)))
 
+    @property
+    def max_response_bytes(self) -> float:
+        """Return how many bytes a response's body may have."""
+        return self.response_mb * BYTES_PER_MB
+
     @property
     def document_bytes_per_ms(self) -> float:
         """Return the rate limit for documents sent to other nodes."""
--- a/src/crocusspindle/gateway/target_client.py
+++ b/src/crocusspindle/gateway/target_client.py
@@ -18,7 +18,11 @@
 from crocusspindle.gateway.held_memory import RequestMemory, uncounted
 from crocusspindle.gateway.port_probe import PortAnswer, probe
 from crocusspindle.gateway.response_body import ResponseBody
-from crocusspindle.gateway.response_bounds import ResponseBound, ResponseBoundError
+from crocusspindle.gateway.response_bounds import (
+    MAX_BODY_BYTES,
+    ResponseBound,
+    ResponseBoundError,
+)
 from crocusspindle.gateway.strict_connector import (
     WithheldError,
     check_before_sending,
@@ -128,6 +132,7 @@
     ``record_signals`` is called with the signals of each response but a 421, which
     another target sends, as soon as its head has arrived. ``may_send`` is asked once
     the connection to a target has opened: until then, news of the target may come.
+    A response's body has ``max_body_bytes`` at most.
     """
 
     def __init__(
@@ -135,7 +140,9 @@
         dialect: Dialect,
         record_signals: RecordSignals | None = None,
         may_send: MaySend = _may_send,
+        max_body_bytes: float = MAX_BODY_BYTES,
     ) -> None:
+        self._max_body_bytes = max_body_bytes
         self._dialect = dialect
         self._may_send = may_send
         self._record_signals = record_signals
@@ -176,6 +183,13 @@
             result = AttemptResult(
                 outcome, 0.0, detail=repr(error), exceeded=error.bound
             )
+        except aiohttp.ClientResponseError as error:
+            result = AttemptResult(
+                AttemptOutcome.BROKEN,
+                0.0,
+                detail=repr(error),
+                exceeded=ResponseBound.PARSER,
+            )
         except CONNECTION_LOST as error:
             result = AttemptResult(
                 await self._classify_lost_connection(target), 0.0, detail=repr(error)
@@ -337,6 +351,7 @@
             outgoing.memory.new_response(),
             sizes.unusual_bytes(service) if outgoing.may_compare else None,
             lambda size: sizes.record(service, size),
+            self._max_body_bytes,
         )
         try:
             async with asyncio.timeout(remaining_s(deadline_ms)):
--- a/src/crocusspindle/platform/settings_file.py
+++ b/src/crocusspindle/platform/settings_file.py
@@ -7,7 +7,9 @@
 from pathlib import Path
 from typing import Any, Final
 
+from crocusspindle.core.memory_bound import BYTES_PER_MB
 from crocusspindle.errors import Finding, SettingsError
+from crocusspindle.gateway.response_bounds import MAX_BODY_BYTES
 from crocusspindle.gateway.settings import Bounds, GatewaySettings
 from crocusspindle.ids import DomainId, HostId
 
@@ -69,6 +71,9 @@
         cores=_positive(limits, "cores", 1.0, source, findings)
         * _positive(limits, "cpu_share", 1.0, source, findings),
         memory_mb=_positive(limits, "memory_mb", math.inf, source, findings),
+        response_mb=_positive(
+            limits, "response_mb", MAX_BODY_BYTES / BYTES_PER_MB, source, findings
+        ),
     )
     if findings:
         raise SettingsError(findings)
--- a/tests/gateway/test_response_bounds.py
+++ b/tests/gateway/test_response_bounds.py
@@ -12,7 +12,9 @@
 from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
 from crocusspindle.gateway.response_bounds import (
+    MAX_BODY_BYTES,
     MAX_INTERIM,
+    ResponseBound,
 )
 from crocusspindle.gateway.target_client import OutgoingRequest, TargetClient
 from crocusspindle.ids import DomainId, ServiceId
@@ -33,6 +35,12 @@
     "chunk extension": (CHUNKED + b"5;e=", b"x" * 1_024),
     "trailers": (CHUNKED + b"1\r\nx\r\n0\r\n", b"A: b\r\n"),
 }
+EXCEEDED = {
+    "interim responses": ResponseBound.INTERIM,
+    "chunk extension": ResponseBound.FRAMING,
+}
+"""The bounds of ours; the others are the library's."""
+
 MAX_SENT_BYTES = 8 << 20
 """What the kernel's buffers take of a connection that nobody reads, and the bounds."""
 
@@ -59,6 +67,18 @@
         self.closed.set()
 
 
+class PausingSender(Sender):
+    """Respond with a start, and wait until the connection is closed."""
+
+    async def __call__(self, reader, writer):
+        with suppress(ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self._prefix)
+            await reader.read()
+        writer.close()
+        self.closed.set()
+
+
 @asynccontextmanager
 async def listed_sender(sender):
     server = await asyncio.start_server(sender, "127.0.0.1", 0)
@@ -74,8 +94,8 @@
     server.close()
 
 
-async def result_of(sender, deadline_ms=5_000.0):
-    client = TargetClient(dialect())
+async def result_of(sender, deadline_ms=5_000.0, max_body_bytes=MAX_BODY_BYTES):
+    client = TargetClient(dialect(), max_body_bytes=max_body_bytes)
     await client.start()
     headers = CIMultiDict({"X-Request-Id": "r1"})
     outgoing = OutgoingRequest("r1", "GET", "/pages/1", headers, None)
@@ -94,6 +114,7 @@
         sender = Sender(*ENDLESS[kind])
         result = await result_of(sender)
         assert result.outcome is AttemptOutcome.BROKEN
+        assert result.exceeded is EXCEEDED.get(kind, ResponseBound.PARSER)
         async with asyncio.timeout(2):
             await sender.closed.wait()
         assert sender.sent_bytes < MAX_SENT_BYTES
@@ -101,6 +122,43 @@
     uvloop.run(check())
 
 
+@pytest.mark.parametrize(
+    "response",
+    [
+        HEAD + b"Content-Length: 5001\r\n\r\n",
+        CHUNKED + b"1389\r\n" + b"x" * 5_001 + b"\r\n0\r\n\r\n",
+        HEAD + b"\r\n" + b"x" * 5_001,
+    ],
+)
+def test_a_body_above_the_bound_of_the_settings_fails(response):
+    """Guards against a setting without effect, and one that counts chunk sizes."""
+
+    async def check():
+        result = await result_of(Sender(response, b"", 1), max_body_bytes=5_000)
+        assert result.outcome is AttemptOutcome.ERROR
+        assert result.exceeded is ResponseBound.BODY_BYTES
+        assert result.target_response is None
+
+    uvloop.run(check())
+
+
+@pytest.mark.parametrize("kind", ["chunked", "declared"])
+def test_a_body_that_pauses_until_the_deadline_says_so(kind):
+    """Guards against a late body that looks like a target that never responded."""
+    framing = b"Content-Length: 10\r\n\r\nx"
+    start = HEAD + framing if kind == "declared" else CHUNKED + b"1\r\nx\r\n"
+
+    async def check():
+        sender = PausingSender(start, b"", 1)
+        result = await result_of(sender, 200.0)
+        assert result.outcome is AttemptOutcome.SILENT
+        assert result.exceeded is ResponseBound.BODY_TIME
+        async with asyncio.timeout(2):
+            await sender.closed.wait()
+
+    uvloop.run(check())
+
+
 def test_interim_responses_within_the_bound_are_passed_over():
     """Guards against a bound that refuses what targets may send."""
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -182,6 +182,20 @@
     assert translate(document, "file").memory_mb == 152
 
 
+def test_the_longest_response_follows_the_settings():
+    """Guards against services with longer bodies whose bound can't be raised."""
+    assert translate(SETTINGS, "file").max_response_bytes == 128_000_000
+    document = {**SETTINGS, "limits": {"response_mb": 1.5}}
+    assert translate(document, "file").max_response_bytes == 1_500_000
+
+
+@pytest.mark.parametrize("response_mb", [0, -1, "much", True, math.nan])
+def test_an_invalid_length_of_responses_is_a_finding(response_mb):
+    """Guards against a bound that refuses every response, or none."""
+    with pytest.raises(SettingsError, match=r"limits\.response_mb"):
+        translate({**SETTINGS, "limits": {"response_mb": response_mb}}, "file")
+
+
 @pytest.mark.parametrize("memory_mb", [0, -1, "much", True, math.nan])
 def test_an_invalid_memory_size_is_a_finding(memory_mb):
     """Guards against a bound that refuses everything, or a host without one."""
