Log and count what a leaving node gives up, and what it had expected

Requests that a leaving node cuts at the end of its grace period were one counter value and a line without the time of the SIGTERM, so that work that was started on a wrong guess looked like work that began early. The line 'given up' now says what the request waited for and when it came after the stop, each attempt what was expected of it and how long the node had left, and gateway_given_up counts by what was waited for.

Measured: tests/gateway/test_planned_stop.py (real processes), test_entry, test_ports and test_departure pass; their stand-ins take the new argument.

--- a/src/crocusspindle/core/departure.py
+++ b/src/crocusspindle/core/departure.py
@@ -83,9 +83,14 @@
     """
 
     def __init__(self) -> None:
+        self.began_ms = math.inf
         self.give_up_ms = math.inf
         self.durations = WorkDurations()
 
+    def begin(self, now_ms: float, give_up_ms: float) -> None:
+        """Leave from now on."""
+        self.began_ms, self.give_up_ms = now_ms, give_up_ms
+
     @property
     def is_leaving(self) -> bool:
         """Return True if the node is leaving."""
@@ -101,3 +106,21 @@
             return True
         end_ms = min(deadline_ms, now_ms + self.durations.expected_ms(route, now_ms))
         return end_ms + DELIVERY_MS <= self.give_up_ms
+
+    def request_fields(self, began_ms: float) -> dict[str, object]:
+        """Return when a request began, for its log line; nothing while the node stays.
+
+        The time is negative if the node began to leave later.
+        """
+        if not self.is_leaving:
+            return {}
+        return {"after_stop_ms": round(began_ms - self.began_ms)}
+
+    def attempt_fields(self, route: RouteRule, now_ms: float) -> dict[str, object]:
+        """Return how long an attempt may take that starts now, for its log record."""
+        if not self.is_leaving:
+            return {}
+        return {
+            "expected_ms": round(self.durations.expected_ms(route, now_ms)),
+            "until_give_up_ms": round(self.give_up_ms - now_ms),
+        }
--- a/src/crocusspindle/gateway/attempt_runner.py
+++ b/src/crocusspindle/gateway/attempt_runner.py
@@ -278,6 +278,7 @@
         context.tried_targets.add(placement.target.identity)
         context.running_attempts += 1
         list_fields = self._placing.list_fields()
+        departure_fields = self._departure.attempt_fields(context.route, began_ms)
         outcome, result = AttemptOutcome.ABANDONED, None
         try:
             result = await self._client.send(
@@ -326,6 +327,7 @@
                     "retry_after_ms": signals.retry_after_ms,
                     "leaving": signals.is_leaving,
                     **list_fields,
+                    **departure_fields,
                 }
             )
             self._metrics.add(instruments.ATTEMPTS, ending=outcome.value)
--- a/src/crocusspindle/gateway/entry.py
+++ b/src/crocusspindle/gateway/entry.py
@@ -1,6 +1,7 @@
 """Serve one caller's request: admit it, send it to a target, respond."""
 
 import asyncio
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import ClassVar, Final
 
@@ -126,9 +127,9 @@
         """Return True if this node is leaving."""
         return self._departure.is_leaving
 
-    def leave(self, give_up_ms: float) -> None:
+    def leave(self, began_ms: float, give_up_ms: float) -> None:
         """Start no work from now on that may not end before ``give_up_ms``."""
-        self._departure.give_up_ms = give_up_ms
+        self._departure.begin(began_ms, give_up_ms)
         self.spawn(self._refuse_late())
 
     def give_up(self) -> None:
@@ -157,9 +158,16 @@
                     _end_at_once(limit)
             await asyncio.sleep(REFUSAL_INTERVAL_S)
 
-    @property
-    def _cancelled_outcome(self) -> str:
-        return "given up" if self._gave_up else "caller left"
+    def _log_cancelled(self, processed: ProcessedRequest) -> None:
+        context = processed.context
+        if context is None:
+            return
+        if not self._gave_up:
+            self._log_end(context, "caller left")
+            return
+        waited_for = _waited_for(processed, context)
+        self._metrics.add(instruments.GIVEN_UP, waited_for=waited_for)
+        self._log_end(context, "given up", {"waited_for": waited_for})
 
     def start_early(
         self, request: web.BaseRequest
@@ -213,8 +221,7 @@
                 raise
             processed.refusal = _refusal_of_leaving_node(processed.context)
         except asyncio.CancelledError:
-            if processed.context is not None:
-                self._log_end(processed.context, self._cancelled_outcome)
+            self._log_cancelled(processed)
             raise
         finally:
             self.running -= 1
@@ -270,7 +277,7 @@
                     request, context, processed.result
                 )
             except asyncio.CancelledError:
-                self._log_end(context, self._cancelled_outcome)
+                self._log_cancelled(processed)
                 raise
             except Refusal as error:
                 refusal = error
@@ -342,11 +349,17 @@
             "content": context.content,
             "quota_wait_ms": round(context.quota_wait_ms),
             "token_returned": context.token_returned,
+            **self._departure.request_fields(context.began_ms),
             "version": configuration.version,
             "proof_age_ms": _age_ms(configuration),
         }
 
-    def _log_end(self, context: RequestContext, outcome: str) -> None:
+    def _log_end(
+        self,
+        context: RequestContext,
+        outcome: str,
+        fields: Mapping[str, object] | None = None,
+    ) -> None:
         self._metrics.add(instruments.RESPONSES, outcome=outcome)
         self._log.info(
             "request ended",
@@ -354,6 +367,7 @@
                 "request": context.request_id,
                 "outcome": outcome,
                 "took_ms": round(now_ms() - context.began_ms),
+                **(fields or {}),
                 **self._log_fields(context),
             },
         )
@@ -375,6 +389,14 @@
         )
 
 
+def _waited_for(processed: ProcessedRequest, context: RequestContext) -> str:
+    """Return what a request waited for as the node gave it up."""
+    if processed.result is not None:
+        return "caller"
+    # The attempts that were cancelled with it have just been recorded.
+    return "response" if context.may_have_run else "place"
+
+
 def _end_at_once(limit: asyncio.Timeout) -> None:
     # One that has expired, and whose request still ends, can't be set again.
     if limit.when() is None:
--- a/src/crocusspindle/gateway/instruments.py
+++ b/src/crocusspindle/gateway/instruments.py
@@ -14,6 +14,17 @@
     when_rising="More 502 and 504 than usual: see `gateway_sendings` for the outcomes "
     "of their attempts. `given up`: requests outlast the grace period.",
 )
+GIVEN_UP: Final = declare(
+    "gateway_given_up",
+    InstrumentKind.COUNTER,
+    unit="requests",
+    labels=("waited_for",),
+    meaning="Requests that a leaving node gave up at the end of its grace period, by "
+    "what they waited for: `response` of a target or another node, `place` at a "
+    "target, `caller` who reads the response.",
+    when_rising="`response`: work outlasted the grace period; `sends` in the line "
+    "`given up` has its target, and what was expected of it.",
+)
 REFUSED: Final = declare(
     "gateway_refused",
     InstrumentKind.COUNTER,
--- a/src/crocusspindle/gateway/ports.py
+++ b/src/crocusspindle/gateway/ports.py
@@ -189,7 +189,7 @@
         grace_ms = self._bounds.current.grace_ms
         give_up_ms = began_ms + give_up_after_ms(grace_ms)
         self._membership.leave()
-        self._entry.leave(give_up_ms)
+        self._entry.leave(began_ms, give_up_ms)
         await self._close_hand_over_port()
         await asyncio.sleep(grace_ms * ACCEPTING_FRACTION / 1e3)
         await self._close_caller_port()
--- a/tests/gateway/test_entry.py
+++ b/tests/gateway/test_entry.py
@@ -77,7 +77,7 @@
     waiting.context.route, waiting.context.deadline_ms = None, 0.0
     entry._departure.allows = lambda route, deadline_ms, at_ms: False
     tasks = [await start(entry) for _ in range(2)]
-    entry.leave(0.0)
+    entry.leave(0.0, 0.0)
     # The refusals of late requests have taken effect, and the requests have not ended.
     await asyncio.sleep(0)
     await asyncio.sleep(0)
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -134,7 +134,11 @@
         await gateway.process.wait()
     assert outcome == "closed"
     (line,) = [line for line in gateway.lines() if line.get("request") == "long"]
-    assert line["outcome"] == "given up"
+    assert line["outcome"] == "given up" and line["waited_for"] == "response"
+    assert 700 < line["after_stop_ms"] < 1_300
+    for attempt in line["sends"]:
+        assert attempt["target"]
+        assert attempt["expected_ms"] < attempt["until_give_up_ms"]
 
 
 async def test_a_grace_period_that_a_reload_raised_is_used_in_full(fleet):
--- a/tests/gateway/test_ports.py
+++ b/tests/gateway/test_ports.py
@@ -31,7 +31,7 @@
     def give_up(self) -> None:
         """Ignore the end."""
 
-    def leave(self, give_up_ms) -> None:
+    def leave(self, began_ms, give_up_ms) -> None:
         """Say from now on that the node is leaving."""
         self.leaving = True
 
