Start late work on a leaving node only if its deadline passes in time

Callers saw: two orders or lookups of one leaving process at a time, read and passed on by it, whose connections closed without an answer.

Cause: a leaving node started work that it expected to end in time, by the longest of the route's recent attempts. A target that hangs, rare long work or a queue makes that guess wrong, and the request is cut as the node gives up. The class is a promise that rests on what others do.

Change: 2.5 s after the stop (0.45 of a short grace period) only work starts whose deadline passes before the node gives up: the node answers at a deadline by itself. What waits for a token or a place then is refused at once, to be sent to another node. A hedge of running work may still start when it is expected to end, since it is another way for that work to end.

--- a/src/crocusspindle/core/departure.py
+++ b/src/crocusspindle/core/departure.py
@@ -2,6 +2,9 @@
 
 A caller that is refused at once repeats its request at another node. One whose request
 is cut off must not repeat it unless it is idempotent.
+
+How long recent work took says little of a target that hangs, or of rare long work. A
+node can keep its word only by what it controls: it answers at a request's deadline.
 """
 
 import math
@@ -29,6 +32,20 @@
 DELIVERY_MS: Final = 50.0
 """Time to pass a target's response on to its caller."""
 
+EXIT_MS: Final = 300.0
+"""How long before the end of the grace period running requests are given up. The
+process exits by itself within this time on a busy host."""
+
+EXIT_FRACTION: Final = 0.12
+"""The same as a fraction of a short grace period."""
+
+GUESS_MS: Final = 2_500.0
+"""How long after its stop a node starts work that is expected to end in time. Most
+callers have looked up another node by then, so that few are refused afterwards."""
+
+GUESS_FRACTION: Final = 0.45
+"""The same as a fraction of a short grace period."""
+
 
 @dataclass(slots=True)
 class _Durations:
@@ -79,17 +96,21 @@
 class Departure:
     """Hold when a node gives up its work, and decide what may still start.
 
-    ``give_up_ms`` is infinite while the node stays.
+    From ``certain_from_ms`` on only work starts whose deadline passes before
+    ``give_up_ms``. All times are infinite while the node stays.
     """
 
     def __init__(self) -> None:
         self.began_ms = math.inf
+        self.certain_from_ms = math.inf
         self.give_up_ms = math.inf
         self.durations = WorkDurations()
 
-    def begin(self, now_ms: float, give_up_ms: float) -> None:
-        """Leave from now on."""
-        self.began_ms, self.give_up_ms = now_ms, give_up_ms
+    def begin(self, now_ms: float, grace_ms: float) -> None:
+        """Leave from now on; the process ends within a grace period."""
+        self.began_ms = now_ms
+        self.certain_from_ms = now_ms + min(GUESS_MS, grace_ms * GUESS_FRACTION)
+        self.give_up_ms = now_ms + give_up_after_ms(grace_ms)
 
     @property
     def is_leaving(self) -> bool:
@@ -97,11 +118,17 @@
         return self.give_up_ms < math.inf
 
     def allows(self, route: RouteRule, deadline_ms: float, now_ms: float) -> bool:
-        """Return True if an attempt that starts now is expected to end in time.
+        """Return True if a request may begin its first attempt or a retry now.
 
-        One that is expected to reach its deadline before counts: its caller gets a
+        One that reaches its deadline in time counts as ended: its caller gets a
         response then.
         """
+        if now_ms < self.certain_from_ms:
+            return self.expects_end(route, deadline_ms, now_ms)
+        return deadline_ms + DELIVERY_MS <= self.give_up_ms
+
+    def expects_end(self, route: RouteRule, deadline_ms: float, now_ms: float) -> bool:
+        """Return True if an attempt that starts now is expected to end in time."""
         if not self.is_leaving:
             return True
         end_ms = min(deadline_ms, now_ms + self.durations.expected_ms(route, now_ms))
@@ -124,3 +151,8 @@
             "expected_ms": round(self.durations.expected_ms(route, now_ms)),
             "until_give_up_ms": round(self.give_up_ms - now_ms),
         }
+
+
+def give_up_after_ms(grace_ms: float) -> float:
+    """Return how long after its stop a node gives up running requests."""
+    return grace_ms - min(EXIT_MS, grace_ms * EXIT_FRACTION)
--- a/src/crocusspindle/gateway/attempt_runner.py
+++ b/src/crocusspindle/gateway/attempt_runner.py
@@ -236,9 +236,12 @@
         self._placing.report_body_failure(placement)
 
     def _may_hedge(self, context: RequestContext, wait_ms: float) -> bool:
+        # The first attempt runs on in any case, and a second one may end before it.
         return (
             now_ms() + wait_ms < context.deadline_ms
-            and self._may_start(context)
+            and self._departure.expects_end(
+                context.route, context.deadline_ms, now_ms()
+            )
             and context.route.kind.idempotent
             and context.arrived_attempts == 0
             and context.route.attempts > 1
--- a/src/crocusspindle/gateway/entry.py
+++ b/src/crocusspindle/gateway/entry.py
@@ -127,9 +127,9 @@
         """Return True if this node is leaving."""
         return self._departure.is_leaving
 
-    def leave(self, began_ms: float, give_up_ms: float) -> None:
-        """Start no work from now on that may not end before ``give_up_ms``."""
-        self._departure.begin(began_ms, give_up_ms)
+    def leave(self, began_ms: float, grace_ms: float) -> None:
+        """Start no work from now on that may not end within the grace period."""
+        self._departure.begin(began_ms, grace_ms)
         self.spawn(self._refuse_late())
 
     def give_up(self) -> None:
--- a/src/crocusspindle/gateway/ports.py
+++ b/src/crocusspindle/gateway/ports.py
@@ -11,6 +11,7 @@
 from crocusspindle.clock import now_ms
 from crocusspindle.core.capacity_left import LEFT_MAX
 from crocusspindle.core.configuration import CallerLimits
+from crocusspindle.core.departure import give_up_after_ms
 from crocusspindle.core.host_choice import HostChoice, OpenHost, caller_capacity
 from crocusspindle.gateway import instruments
 from crocusspindle.gateway.caller_port import CallerServer
@@ -36,13 +37,6 @@
 """Fraction of the grace period in which a leaving node accepts new connections. Callers
 that cached its address connect until then; what may not end in time is refused."""
 
-EXIT_MS: Final = 300.0
-"""How long before the end of the grace period running requests are given up. The
-process exits by itself within this time on a busy host."""
-
-EXIT_FRACTION: Final = 0.12
-"""The same as a fraction of a short grace period."""
-
 REFUSALS_MS: Final = 100.0
 """How long before running requests are given up a leaving node refuses those that
 certainly have not run."""
@@ -189,7 +183,7 @@
         grace_ms = self._bounds.current.grace_ms
         give_up_ms = began_ms + give_up_after_ms(grace_ms)
         self._membership.leave()
-        self._entry.leave(began_ms, give_up_ms)
+        self._entry.leave(began_ms, grace_ms)
         await self._close_hand_over_port()
         await asyncio.sleep(grace_ms * ACCEPTING_FRACTION / 1e3)
         await self._close_caller_port()
@@ -228,9 +222,4 @@
             listener.close()
 
 
-def give_up_after_ms(grace_ms: float) -> float:
-    """Return how long after its SIGTERM a node gives up running requests."""
-    return grace_ms - min(EXIT_MS, grace_ms * EXIT_FRACTION)
-
-
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
--- a/tests/core/test_departure.py
+++ b/tests/core/test_departure.py
@@ -7,10 +7,12 @@
 from crocusspindle.core.configuration import RequestKind, RouteRule, WeightedService
 from crocusspindle.core.departure import (
     FEW_ATTEMPTS,
+    GUESS_MS,
     KNOWN_ATTEMPTS,
     WINDOW_MS,
     Departure,
     WorkDurations,
+    give_up_after_ms,
 )
 from crocusspindle.ids import ServiceId
 
@@ -90,3 +92,39 @@
     departure = Departure()
     departure.give_up_ms = 2_000.0
     assert departure.allows(ROUTE, deadline_ms, now_ms) is allowed
+
+
+GRACE_MS = 6_000.0
+
+
+@pytest.mark.parametrize(
+    ("grace_ms", "after_ms", "left_ms", "allowed"),
+    [
+        (GRACE_MS, GUESS_MS - 1, FAR_MS, True),
+        (GRACE_MS, GUESS_MS, FAR_MS, False),
+        (GRACE_MS, 3_000.0, 2_600.0, True),
+        (GRACE_MS, 3_000.0, 2_700.0, False),
+        (GRACE_MS, 5_600.0, 90.0, False),
+        (2 * GRACE_MS, GUESS_MS, FAR_MS, False),
+        (2 * GRACE_MS, GUESS_MS, 9_000.0, True),
+        (GRACE_MS / 2, 1_400.0, FAR_MS, False),
+        (GRACE_MS / 2, 1_400.0, 1_200.0, True),
+    ],
+)
+def test_late_work_starts_only_if_its_deadline_passes_in_time(
+    grace_ms, after_ms, left_ms, allowed
+):
+    """Guards against late work that a hung target keeps past the grace period."""
+    departure = Departure()
+    departure.durations = durations_after(KNOWN_ATTEMPTS, 50.0)
+    departure.begin(0.0, grace_ms)
+    assert departure.allows(ROUTE, after_ms + left_ms, after_ms) is allowed
+
+
+def test_a_hedge_may_start_late_if_it_is_expected_to_end():
+    """Guards against a running request whose only other way to end is refused."""
+    departure = Departure()
+    departure.durations = durations_after(KNOWN_ATTEMPTS, 50.0)
+    departure.begin(0.0, GRACE_MS)
+    assert departure.expects_end(ROUTE, FAR_MS, 5_000.0)
+    assert not departure.expects_end(ROUTE, FAR_MS, give_up_after_ms(GRACE_MS))
