End idle connections in the kernel as they are closed

Cause: between the last read and the close lies the rest of a turn of the event loop, and a closed transport stops reading at once but closes its socket in a later turn. What arrives in between waits until then, and its caller learns nothing for as long as the host is busy. The class is the one of closings after pauses: a decision by what was read, not by what arrived.

Change: an idle connection is looked at in the kernel once more, and left alone if bytes wait; otherwise it is shut down at that moment, so that the kernel rejects a later request in microseconds. The same at idle and first timeouts. TLS connections close as before.

--- a/src/crocusspindle/caller_connections.py
+++ b/src/crocusspindle/caller_connections.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import Any, Final
 
 from aiohttp import StreamReader, web
@@ -12,6 +13,7 @@
 from aiohttp.http_parser import RawRequestMessage
 
 from crocusspindle.clock import now_ms
+from crocusspindle.idle_close import has_unread, shut_down
 from crocusspindle.pending_reads import call_after_reads, read_arrived
 
 CLOSE_POLL_S: Final = 0.02
@@ -68,11 +70,37 @@
 
     def _close_without_request(self) -> None:
         has_request = bool(self._messages) or self._current_request is not None
-        if not has_request and self.transport is not None:
-            self.transport.close()
+        if has_request or self.transport is None:
+            return
+        if has_unread(self.transport):
+            self._call_after_poll(self.close_without_request)
+            return
+        shut_down(self.transport)
+        self.transport.close()
 
     def _process_keepalive(self) -> None:
-        call_after_reads(super()._process_keepalive)
+        call_after_reads(self._close_after_idle_timeout)
+
+    def _close_after_idle_timeout(self) -> None:
+        if self.is_idle and has_unread(self.transport):
+            self._call_after_poll(self._process_keepalive)
+            return
+        super()._process_keepalive()
+
+    @staticmethod
+    def _call_after_poll(callback: Callable[[], None]) -> None:
+        asyncio.get_running_loop().call_later(CLOSE_POLL_S, callback)
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request was read or waits to be read."""
+        if self.is_idle and not has_unread(self.transport):
+            self.force_close()
+
+    def force_close(self) -> None:
+        """Close the connection at once; an idle one ends in the kernel, too."""
+        if self.is_idle:
+            shut_down(self.transport)
+        super().force_close()
 
 
 class ConnectionRequest(web.BaseRequest):
@@ -107,8 +135,7 @@
         idle = [connection for connection in _connections(server) if connection.is_idle]
         await read_arrived()
         for connection in idle:
-            if connection.is_idle:
-                connection.force_close()
+            connection.close_if_idle()
         # A connection accepted as the port closed is listed only after the next turn.
         await asyncio.sleep(CLOSE_POLL_S)
         if not server.connections:
--- a/tests/gateway/test_closings_after_pauses.py
+++ b/tests/gateway/test_closings_after_pauses.py
@@ -6,12 +6,15 @@
 
 import asyncio
 import socket
+import threading
 import time
 
 import pytest
 import uvloop
 from aiohttp import web
 
+from crocusspindle import caller_connections
+from crocusspindle.clock import now_ms
 from crocusspindle.core.configuration import CallerLimits
 from crocusspindle.core.departure import give_up_after_ms
 from crocusspindle.gateway import listener
@@ -209,3 +212,81 @@
         return await callers[0].received()
 
     assert run(scenario()).startswith(RESPONSE_START)
+
+
+def test_a_request_that_arrives_just_before_its_connection_closes_is_answered(
+    monkeypatch,
+):
+    """Guards against a leaving node that reads, then closes what arrived since."""
+
+    async def scenario():
+        node = Node(QuickEntry())
+        await node.start()
+        caller = Caller(node.port)
+        await asyncio.sleep(0.05)
+        read_arrived = caller_connections.read_arrived
+        sent = []
+
+        async def read_and_receive(*turns) -> None:
+            await read_arrived(*turns)
+            if not sent:
+                sent.append(caller.send())
+
+        monkeypatch.setattr(caller_connections, "read_arrived", read_and_receive)
+        await drain_and_stop(node)
+        return await caller.received()
+
+    assert run(scenario()).startswith(RESPONSE_START)
+
+
+REJECTION_LIMIT_S = 0.1
+
+
+@pytest.mark.parametrize("closing", ["drain", "idle timeout", "first timeout"])
+def test_a_request_that_crosses_the_close_is_rejected_at_once(monkeypatch, closing):
+    """Guards against a closed connection that stays open while the node is busy."""
+    idle_ms = IDLE_S * 1e3 if closing != "drain" else 60_000.0
+    limits = CallerLimits(idle_timeout_ms=idle_ms, header_timeout_ms=idle_ms)
+    took_s = []
+
+    def call_during_pause(port: int, caller: Caller, closed: threading.Event) -> None:
+        closed.wait(10)
+        began_s = time.monotonic()
+        try:
+            caller.send()
+            received = caller.socket.recv(READ_BYTES)
+        except ConnectionError:
+            received = b""
+        took_s.append(time.monotonic() - began_s)
+        assert received == b""
+        caller.socket.close()
+
+    async def scenario():
+        server = CallerServer(QuickEntry(), lambda: limits)
+        listening = await Listener.open("127.0.0.1:0", server)
+        caller = Caller(listening.port)
+        if closing == "idle timeout":
+            caller.send()
+            reader = asyncio.to_thread(caller.socket.recv, READ_BYTES)
+            assert (await reader).startswith(RESPONSE_START)
+        closed = threading.Event()
+        shut_down = caller_connections.shut_down
+
+        def close_and_pause(transport) -> None:
+            shut_down(transport)
+            if transport is not None:
+                closed.set()
+                time.sleep(PAUSE_S)
+
+        monkeypatch.setattr(caller_connections, "shut_down", close_and_pause)
+        calling = asyncio.to_thread(call_during_pause, listening.port, caller, closed)
+        task = asyncio.create_task(calling)
+        await asyncio.sleep(0.05)
+        if closing == "drain":
+            until_ms = now_ms() + PAUSE_S * 1e3
+            await caller_connections.close_connections(server, until_ms)
+        await task
+        listening.close()
+
+    run(scenario())
+    assert took_s[0] < REJECTION_LIMIT_S
