Let the soak excuse only requests that were sent early in the grace period

The users' rule excuses a request that is cut at the end of the grace period only if it was sent in its first 3 s. The soak's grace period is 3 s, so that it excused every request that a target still worked on, and never saw late work that a leaving node cuts off. Now the first half counts.

--- a/benchmarks/late_requests.py
+++ b/benchmarks/late_requests.py
@@ -2,7 +2,8 @@
 
 Real processes: three nodes before four targets, whose work is drawn anew for each
 order. ``known`` plays send orders of the route before the stop, so that the leaving
-node knows how long they take. A row sums up the plays of one kind.
+node knows how long they take. In ``hanging`` plays some of the targets stop responding
+a second before the stop. A row sums up the plays of one kind.
 """
 
 import asyncio
@@ -28,13 +29,16 @@
     Gateway,
     configuration,
 )
-from crocusspindle_standins.on_platform.target import PlatformTarget
+from crocusspindle_standins.on_platform.target import PlatformTarget, TargetFault
 from crocusspindle_standins.single_attempt import single_attempt_session
 
 GRACE_S: Final = 6.0
 WORKS_S: Final = (0.05, 0.2, 0.4, 0.6, 0.9, 1.3, 1.9, 2.8)
 LEARNING_S: Final = 12.0
 CALLS_PER_S: Final = 20.0
+TARGETS: Final = 8
+HANGING_TARGETS: Final = 3
+HANGING_BEFORE_S: Final = 1.0
 NOT_RUN: Final = 503
 DEADLINE_MS: Final = 6_000
 RESULTS_PATH: Final = Path("benchmarks/results/late-requests.csv")
@@ -50,6 +54,7 @@
     """
 
     known: bool
+    hanging: bool
     sent: int
     served: int
     refused: int
@@ -123,17 +128,21 @@
     return names.get(status, "cut_off" if ran and not status else "other")
 
 
-async def _play(known: bool) -> Iterable[tuple[float, str]]:
+async def _play(known: bool, hanging: bool) -> Iterable[tuple[float, str]]:
     with tempfile.TemporaryDirectory() as folder:
         fleet = GracefulFleet(Path(folder), make_target=VaryingTarget)
         try:
-            await fleet.start(targets=8)
+            await fleet.start(targets=TARGETS)
             await fleet.configure(_configuration())
             await asyncio.sleep(2.0)
             gateway = fleet.gateways[0]
             assert gateway.process is not None
             if known:
                 await _send(gateway.caller_url, "before", LEARNING_S)
+            if hanging:
+                for target in fleet.targets[:HANGING_TARGETS]:
+                    target.fault = TargetFault.HANGS
+                await asyncio.sleep(HANGING_BEFORE_S)
             gateway.process.send_signal(signal.SIGTERM)
             sent = await _send(gateway.caller_url, "after", GRACE_S)
             return [
@@ -147,18 +156,19 @@
 def main(plays: int = 3) -> None:
     """Play each kind some times, and write the table."""
     rows = []
-    for known in (False, True):
+    for known, hanging in itertools.product((False, True), repeat=2):
         outcomes = list(
             itertools.chain.from_iterable(
-                asyncio.run(_play(known)) for _ in range(plays)
+                asyncio.run(_play(known, hanging)) for _ in range(plays)
             )
         )
         counts = Counter(outcome for _, outcome in outcomes)
         late = sum(o == "cut_off" and at_s > GRACE_S / 2 for at_s, o in outcomes)
         names = ("served", "refused", "unreached", "cut_off", "other")
         figures = {name: counts[name] for name in names}
-        rows.append(Row(known, len(outcomes), **figures, cut_off_late=late))
-        print(rows[-1], flush=True)
+        row = Row(known, hanging, len(outcomes), **figures, cut_off_late=late)
+        rows.append(row)
+        print(row, flush=True)
     write_table(Row, rows, RESULTS_PATH)
 
 
--- a/src/crocusspindle_standins/soak/checks.py
+++ b/src/crocusspindle_standins/soak/checks.py
@@ -42,6 +42,9 @@
 """A request sent later after SIGTERM is answered even if its target is still at work in
 the last fraction of the grace period."""
 
+SENT_FRACTION: Final = 1 / 2
+"""The same as a fraction of a short grace period."""
+
 
 @dataclass(frozen=True, slots=True)
 class Finding:
@@ -222,7 +225,8 @@
         return True
     last_s = stop.at_s + stop.grace_s * (1 - LAST_FRACTION)
     is_at_work = any(run.ended_s >= last_s for run in runs)
-    was_sent_early = request.sent_s <= stop.at_s + SENT_LIMIT_S
+    sent_limit_s = min(SENT_LIMIT_S, stop.grace_s * SENT_FRACTION)
+    was_sent_early = request.sent_s <= stop.at_s + sent_limit_s
     return is_at_work and was_sent_early and request.ended_s >= last_s
 
 
--- a/tests/gateway/test_stop_soak.py
+++ b/tests/gateway/test_stop_soak.py
@@ -137,6 +137,7 @@
         ("planned stop", [STOP, replace(CLOSED, status=504, began_s=9.22), RUN]),
         ("planned stop", [STOP, replace(CLOSED, began_s=9.205), RUN]),
         ("planned stop", [STOP, replace(GIVEN_UP, ended_s=12.4), LONG_RUN]),
+        ("planned stop", [STOP, replace(GIVEN_UP, sent_s=11.6), LONG_RUN]),
         ("planned stop", [STOP, CLOSED, replace(RUN, broke_off_s=11.25)]),
         ("planned stop", [STOP, LATE, Disruption(1, 11.0, 11.1)]),
         ("planned stop", [STOP, LATE, Disruption(0, 6.0, 7.9)]),
