Answer what a leaving node gives up, and send what is ready behind it

Callers of pipelined requests lost whole series: where a target never answered the first of them, those behind it on its connection ended without a response as the process ended, also those whose targets had answered seconds before, and those that the node had read and not started.

Cause: at the end of a drain connections were cut with all that they held. Responses leave in the order of the requests, so one that hangs holds back all behind it. The class: an end that is decided for a connection, though it concerns one request.

Change: at that moment the node ends the requests that still run with 504 (reason given-up), refuses those that have not run with 503, and sends what is ready behind them, for 0.1 s at most. A caller is told at once in place of a reset. Responses that have begun run on until the end as before.

--- a/src/crocusspindle/gateway/entry.py
+++ b/src/crocusspindle/gateway/entry.py
@@ -28,6 +28,7 @@
 from crocusspindle.gateway.quota import NO_KEEPER_RETRY_MS, Quota
 from crocusspindle.gateway.request_context import RequestContext
 from crocusspindle.gateway.responses import (
+    GIVEN_UP_REASON,
     LEAVING_REASON,
     LEAVING_RETRY_MS,
     HeldResponse,
@@ -144,6 +145,16 @@
             if processed.context is None or processed.context.certainly_not_run:
                 _end_at_once(limit)
 
+    def end_running(self) -> None:
+        """End all requests that wait for a response, and tell their callers.
+
+        Responses behind them on their connections are sent then. Those that have begun
+        run on.
+        """
+        self._refuses_waiting = True
+        for _, limit in self._processing.values():
+            _end_at_once(limit)
+
     async def _refuse_late(self) -> None:
         while True:
             for processed, limit in self._processing.values():
@@ -158,16 +169,30 @@
                     _end_at_once(limit)
             await asyncio.sleep(REFUSAL_INTERVAL_S)
 
+    def _refusal_as_leaving(self, processed: ProcessedRequest) -> Refusal:
+        context = processed.context
+        if context is None or context.certainly_not_run:
+            return Refusal(503, LEAVING_REASON, LEAVING_RETRY_MS)
+        # An attempt may also have begun between the decision to refuse and its effect.
+        fields = self._count_given_up(processed, context)
+        return Refusal(504, GIVEN_UP_REASON, fields=fields)
+
     def _log_cancelled(self, processed: ProcessedRequest) -> None:
         context = processed.context
         if context is None:
             return
-        if not self._gave_up:
+        if self._gave_up:
+            fields = self._count_given_up(processed, context)
+            self._log_end(context, "given up", fields)
+        else:
             self._log_end(context, "caller left")
-            return
+
+    def _count_given_up(
+        self, processed: ProcessedRequest, context: RequestContext
+    ) -> dict[str, object]:
         waited_for = _waited_for(processed, context)
         self._metrics.add(instruments.GIVEN_UP, waited_for=waited_for)
-        self._log_end(context, "given up", {"waited_for": waited_for})
+        return {"waited_for": waited_for}
 
     def start_early(
         self, request: web.BaseRequest
@@ -219,7 +244,7 @@
         except TimeoutError:
             if not limit.expired():
                 raise
-            processed.refusal = _refusal_of_leaving_node(processed.context)
+            processed.refusal = self._refusal_as_leaving(processed)
         except asyncio.CancelledError:
             self._log_cancelled(processed)
             raise
@@ -394,7 +419,7 @@
     if processed.result is not None:
         return "caller"
     # The attempts that were cancelled with it have just been recorded.
-    return "response" if context.may_have_run else "place"
+    return "place" if context.certainly_not_run else "response"
 
 
 def _end_at_once(limit: asyncio.Timeout) -> None:
@@ -409,12 +434,6 @@
         task.result().release()
 
 
-def _refusal_of_leaving_node(context: RequestContext | None) -> Refusal:
-    # An attempt may have begun between the decision to refuse and its effect.
-    may_have_run = context is not None and not context.certainly_not_run
-    return Refusal(502 if may_have_run else 503, LEAVING_REASON, LEAVING_RETRY_MS)
-
-
 def _refusal_after(context: RequestContext, result: AttemptResult) -> Refusal:
     if not context.may_have_run:
         return Refusal(503, f"target-{result.outcome.value}", 200.0)
--- a/src/crocusspindle/gateway/ports.py
+++ b/src/crocusspindle/gateway/ports.py
@@ -41,6 +41,9 @@
 """How long before running requests are given up a leaving node refuses those that
 certainly have not run."""
 
+LAST_RESPONSES_MS: Final = 100.0
+"""How long a node sends responses after it has given up what still runs."""
+
 READY_MARGIN_MS: Final = 500.0
 """A node reports itself not ready this long before the revocation time has passed since
 the last confirmation of its configuration, so that callers have moved to other nodes
@@ -192,6 +195,8 @@
         self._entry.refuse_waiting()
         await close_connections(self._caller_server, give_up_ms)
         self._log_connections("drained")
+        self._entry.end_running()
+        await close_connections(self._caller_server, give_up_ms + LAST_RESPONSES_MS)
 
     def _log_connections(self, message: str) -> None:
         log_state_change(
--- a/src/crocusspindle/gateway/responses.py
+++ b/src/crocusspindle/gateway/responses.py
@@ -15,6 +15,7 @@
 
 RETRYABLE_STATUSES: Final = frozenset({429, 503})
 LEAVING_REASON: Final = "leaving"
+GIVEN_UP_REASON: Final = "given-up"
 LEAVING_RETRY_MS: Final = 100.0
 """Callers may retry soon: another node accepts the request."""
 
--- a/tests/gateway/test_ports.py
+++ b/tests/gateway/test_ports.py
@@ -39,6 +39,9 @@
     def refuse_waiting(self) -> None:
         """Ignore the request to refuse."""
 
+    def end_running(self) -> None:
+        """Ignore the request to end."""
+
     def start_early(self, request):
         """Start no pipelined request early, as a leaving node does."""
 
