Let targets hang around planned stops in the soak

A request that meets a target which stops responding as its gateway leaves was rare in the soak's plans.

--- a/src/crocusspindle_standins/soak/plan.py
+++ b/src/crocusspindle_standins/soak/plan.py
@@ -176,6 +176,7 @@
     stops = _stops(rng, gateways)
     events = stops + _other_events(rng, gateways)
     events += _signals(random.Random(f"{seed} signals"), gateways, stops)
+    events += _hangs(random.Random(f"{seed} hangs"), stops)
     events += _cuts(random.Random(f"{seed} cuts"), gateways)
     events += _restores(random.Random(f"{seed} restores"))
     callers = tuple(
@@ -245,6 +246,22 @@
     return Event(at_s, Action.HANG_UP, gateway, interval_ms, lasts_s)
 
 
+def _hangs(rng: random.Random, stops: list[Event]) -> list[Event]:
+    """Let targets stop responding around some of the planned stops."""
+    return [
+        Event(
+            round(max(0.1, stop.at_s + rng.uniform(-1.0, 1.5)), 3),
+            Action.DISTURB,
+            target,
+            "hangs",
+            round(rng.uniform(1.0, 3.0), 3),
+        )
+        for stop in stops
+        if rng.random() < 1 / 2
+        for target in rng.sample(range(TARGETS), 2)
+    ]
+
+
 def _singles(rng: random.Random, gateways: int) -> Iterator[Single]:
     """Let one customer send 4 to 7 times its quota at drawn moments, beside others."""
     at_s = FIRST_SINGLE_S
--- a/tests/gateway/test_stop_soak.py
+++ b/tests/gateway/test_stop_soak.py
@@ -104,6 +104,15 @@
         assert second_s - first_s < 3.0
 
 
+def test_targets_hang_around_some_stops():
+    for plan in map(make_plan, SEEDS):
+        stops_s = [e.at_s for e in plan.events if e.action is Action.STOP]
+        hangs = [e for e in plan.events if e.detail == "hangs" and e.lasts_s >= 1.0]
+        near = [h for h in hangs if any(-1.1 < h.at_s - s < 1.6 for s in stops_s)]
+        assert len(near) >= len(stops_s) // 8
+    assert any(e.detail == "hangs" for e in make_plan(SEED_OF_RUN).events)
+
+
 def test_callers_send_all_kinds_of_requests():
     steps = [step for caller in make_plan(1).callers for step in caller.steps]
     assert {step.method for step in steps} == {"GET", "POST"}
