End the wait of a retry that a leaving node may not start

Callers would see: a lookup whose target has responded with an error, and whose retry waits for a place at a full service, ends with a closed connection as the leaving node gives up; no target works on it.

Cause: a leaving node ends the waits of requests that certainly have not run. One that may have run waited on for its retry, up to its deadline, though the place it waits for is refused when it comes. The node held a response and sent none.

Change: a retry that waits checks every 50 ms whether it may still start, and ends with the last attempt's result if not. A place that is granted as the wait ends is returned.

Evidence: test_a_retry_that_waits_on_a_leaving_node_ends_with_what_it_has; both rows fail on the code before (no result within a second). Found by reading; not seen in a drill.

--- a/src/crocusspindle/gateway/attempt_runner.py
+++ b/src/crocusspindle/gateway/attempt_runner.py
@@ -34,6 +34,9 @@
 """Delay before a refused hedge is requested again. Slots become free often, and a
 request whose target hangs has no other way to complete."""
 
+RETRY_POLL_S: Final = 0.05
+"""How often a retry that waits for its target checks whether it may still start."""
+
 MAX_TARGETS_TRIED: Final = 4
 """Maximum number of targets to which a request is sent if none of them runs it. If half
 of the targets refuse, one request in sixteen meets four that do."""
@@ -87,7 +90,7 @@
             if self._hands_over and self._paths.is_lost(service):
                 return await self._send_elsewhere(context, service, last_result)
             kind = _next_kind(context)
-            placement = await self._request_placement(
+            placement = await self._wait_for_placement(
                 context, service, kind, last_result
             )
             if isinstance(placement, AttemptResult):
@@ -121,6 +124,44 @@
             return last_result
         raise Refusal(503, "no-path", NO_PATH_RETRY_MS)
 
+    async def _wait_for_placement(
+        self,
+        context: RequestContext,
+        service: ServiceId,
+        kind: AttemptKind,
+        last_result: AttemptResult | None,
+    ) -> Placement | AttemptResult:
+        """Request a target; end with what there is once a retry may not start."""
+        placing = self._request_placement(context, service, kind, last_result)
+        if not context.may_have_run:
+            # A leaving node refuses it while it waits.
+            return await placing
+        waiting = asyncio.create_task(placing)
+        try:
+            while True:
+                done, _ = await asyncio.wait((waiting,), timeout=RETRY_POLL_S)
+                if done:
+                    return waiting.result()
+                if not self._may_start(context):
+                    self._end_wait(waiting)
+                    return _last_or_refuse(last_result)
+        except asyncio.CancelledError:
+            self._end_wait(waiting)
+            raise
+
+    def _end_wait(self, waiting: asyncio.Task[Placement | AttemptResult]) -> None:
+        waiting.cancel()
+        waiting.add_done_callback(self._return_late_placement)
+
+    def _return_late_placement(
+        self, waiting: asyncio.Task[Placement | AttemptResult]
+    ) -> None:
+        if waiting.cancelled() or waiting.exception() is not None:
+            return
+        placement = waiting.result()
+        if isinstance(placement, Placement):
+            self._placing.return_unsent(placement)
+
     async def _request_placement(
         self,
         context: RequestContext,
--- a/tests/gateway/test_attempt_runner.py
+++ b/tests/gateway/test_attempt_runner.py
@@ -1,6 +1,8 @@
 """Tests of how the attempts of one request are counted."""
 
+import asyncio
 import random
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -70,10 +72,9 @@
         return AttemptResult(self.outcomes.pop(0), 0.0)
 
 
-async def attempts(outcomes, handed_over=None):
-    """Send one request; return its placement requests and the kinds of attempts."""
-    placing = Placing()
-    runner = AttemptRunner(
+def make_runner(outcomes, placing, departure):
+    """Return a runner whose attempts end as told."""
+    return AttemptRunner(
         SimpleNamespace(host=HostId("n0"), domain=DomainId("a")),
         Client(outcomes),
         placing,
@@ -82,12 +83,16 @@
         Policies(),
         SimpleNamespace(add=lambda *_, **__: None),
         random.Random(1),
-        Departure(),
+        departure,
     )
+
+
+def make_context(route=ROUTE, handed_over=None):
+    """Return a request that has just begun."""
     began_ms = now_ms()
-    context = RequestContext(
+    return RequestContext(
         "r",
-        ROUTE,
+        route,
         None,
         OutgoingRequest("r", "POST", "/", CIMultiDict(), b""),
         NO_CONTENT,
@@ -95,7 +100,13 @@
         began_ms + 4_000.0,
         handed_over=handed_over,
     )
-    await runner.send(context)
+
+
+async def attempts(outcomes, handed_over=None):
+    """Send one request; return its placement requests and the kinds of attempts."""
+    placing = Placing()
+    context = make_context(handed_over=handed_over)
+    await make_runner(outcomes, placing, Departure()).send(context)
     return placing.asked, [record["kind"] for record in context.attempt_records]
 
 
@@ -121,3 +132,51 @@
     mark = HandedOver("10.1.0.1", 0.0, 1, was_placed=True, arrived_attempts=0)
     asked, kinds = await attempts([AttemptOutcome.ANSWERED], mark)
     assert asked[0].counted and kinds == ["again"]
+
+
+GRACE_MS = 6_000.0
+LATE_MS = 3_000.0
+
+
+class FullPlacing(Placing):
+    """Grant the first request a target; let retries wait for a place for ever."""
+
+    def __init__(self, grants_at_end):
+        super().__init__()
+        self.grants_at_end = grants_at_end
+        self.returned = []
+
+    async def place(self, service, request):
+        placement = await super().place(service, request)
+        if request.retry:
+            try:
+                await asyncio.Event().wait()
+            except asyncio.CancelledError:
+                if not self.grants_at_end:
+                    raise
+        return placement
+
+    def return_unsent(self, placement):
+        self.returned.append(placement)
+
+
+@pytest.mark.parametrize("grants_at_end", [False, True])
+async def test_a_retry_that_waits_on_a_leaving_node_ends_with_what_it_has(
+    grants_at_end,
+):
+    """Guards against a leaving node that has a target's response and sends none.
+
+    A place that is granted as the wait ends is returned.
+    """
+    placing, departure = FullPlacing(grants_at_end), Departure()
+    runner = make_runner([AttemptOutcome.ERROR], placing, departure)
+    route = replace(ROUTE, kind=RequestKind.SAFE)
+    sending = asyncio.create_task(runner.send(make_context(route)))
+    async with asyncio.timeout(1):
+        while len(placing.asked) < 2:
+            await asyncio.sleep(0.01)
+    departure.begin(now_ms() - LATE_MS, GRACE_MS)
+    done, _ = await asyncio.wait((sending,), timeout=1)
+    assert done and sending.result().outcome is AttemptOutcome.ERROR
+    await asyncio.sleep(0.01)
+    assert len(placing.returned) == grants_at_end
