Look at idle connections without a descriptor of its own

Callers would see: on a node whose connections have taken all descriptors, a request that arrives as its idle connection closes ends without a response, or hangs while the node is busy.

Cause: the last look into the kernel and the shutdown duplicated the connection's descriptor. Without a free one both failed silently, and the connection closed by what was read, as before they were added.

Change: the descriptor is borrowed, not duplicated. It also saves two system calls a look.

--- a/src/crocusspindle/idle_close.py
+++ b/src/crocusspindle/idle_close.py
@@ -13,8 +13,10 @@
 
 def has_unread(transport: asyncio.Transport | None) -> bool:
     """Return True if bytes wait in the connection's socket."""
-    with suppress(OSError), _own_socket(transport) as own:
-        return own is not None and bool(own.recv(1, socket.MSG_PEEK))
+    # The caller may have left, or nothing waits.
+    with suppress(OSError), _borrowed_socket(transport) as borrowed:
+        if borrowed is not None:
+            return bool(borrowed.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
     return False
 
 
@@ -22,20 +24,16 @@
     """End the connection now, so that the kernel rejects what arrives later."""
     if transport is None or transport.get_write_buffer_size():
         return
-    # The caller may have left, or no descriptor may be left.
-    with suppress(OSError), _own_socket(transport) as own:
-        if own is not None:
-            own.shutdown(socket.SHUT_RDWR)
+    with suppress(OSError), _borrowed_socket(transport) as borrowed:
+        if borrowed is not None:
+            borrowed.shutdown(socket.SHUT_RDWR)
 
 
 @contextmanager
-def _own_socket(
+def _borrowed_socket(
     transport: asyncio.Transport | None,
 ) -> Iterator[socket.socket | None]:
-    """Yield a socket object of the connection; None if it is closed or uses TLS.
-
-    Raise ``OSError`` if no descriptor is left.
-    """
+    """Yield the connection's socket; None if it is closed or uses TLS."""
     # The descriptor of a transport that is closed may be another connection's.
     if (
         transport is None
@@ -45,6 +43,9 @@
         yield None
         return
     shared = transport.get_extra_info("socket")
-    with socket.fromfd(shared.fileno(), shared.family, shared.type) as own:
-        own.setblocking(False)
-        yield own
+    # A duplicate would need a descriptor, and there may be none left.
+    borrowed = socket.socket(shared.family, shared.type, fileno=shared.fileno())
+    try:
+        yield borrowed
+    finally:
+        borrowed.detach()
