Look for unread requests on connections that use TLS, too

Callers saw: with the command node and TLS, a request that arrives as a leaving node closes its idle connection ends without a response.

Cause: the last look into the kernel left out connections that use TLS. Only the shutdown has to: it would skip the close of the TLS layer. Bytes that wait are a request or the caller's own close in both cases.

--- a/src/crocusspindle/idle_close.py
+++ b/src/crocusspindle/idle_close.py
@@ -24,6 +24,9 @@
     """End the connection now, so that the kernel rejects what arrives later."""
     if transport is None or transport.get_write_buffer_size():
         return
+    if transport.get_extra_info("sslcontext") is not None:
+        # Without TLS's own close, the caller would see a truncated stream.
+        return
     with suppress(OSError), _borrowed_socket(transport) as borrowed:
         if borrowed is not None:
             borrowed.shutdown(socket.SHUT_RDWR)
@@ -33,13 +36,9 @@
 def _borrowed_socket(
     transport: asyncio.Transport | None,
 ) -> Iterator[socket.socket | None]:
-    """Yield the connection's socket; None if it is closed or uses TLS."""
+    """Yield the connection's socket, which may carry TLS; None if it is closed."""
     # The descriptor of a transport that is closed may be another connection's.
-    if (
-        transport is None
-        or transport.is_closing()
-        or transport.get_extra_info("sslcontext") is not None
-    ):
+    if transport is None or transport.is_closing():
         yield None
         return
     shared = transport.get_extra_info("socket")
--- a/tests/product/test_caller_server.py
+++ b/tests/product/test_caller_server.py
@@ -1,10 +1,17 @@
 import asyncio
+import socket
+import ssl
 
 import pytest
+import uvloop
 from aiohttp import web
 
+from crocusspindle import caller_connections
+from crocusspindle.caller_connections import close_connections
+from crocusspindle.clock import now_ms
 from crocusspindle.services.caller_server import CallerServer
 from crocusspindle.settings_schema import CallerSettings
+from tests.product.certificates import make_certificate, write_pem_files
 
 SETTINGS = CallerSettings(host="127.0.0.1", port=0, slow_sender_ms=300)
 
@@ -67,3 +74,55 @@
         assert b"200 OK" in await reader.readuntil(b"ok")
         await asyncio.sleep(SETTINGS.slow_sender_ms / 1e3 * 1.5)
     writer.close()
+
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+def connect_securely(port):
+    """Return a connection that has exchanged a request and its response."""
+    context = ssl.create_default_context()
+    context.check_hostname, context.verify_mode = False, ssl.CERT_NONE
+    connection = socket.create_connection(("127.0.0.1", port), 10)
+    caller = context.wrap_socket(connection)
+    caller.sendall(REQUEST)
+    assert caller.recv(1_000).startswith(b"HTTP/1.1 200 OK")
+    return caller
+
+
+@pytest.mark.parametrize(
+    "make_loop", [asyncio.new_event_loop, uvloop.new_event_loop], ids=["std", "uvloop"]
+)
+def test_a_secure_request_that_arrives_as_its_connection_closes_is_answered(
+    monkeypatch, tmp_path, make_loop
+):
+    """Guards against a leaving node that reads, then closes what arrived since."""
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(*write_pem_files(tmp_path, make_certificate("node")))
+
+    async def handle(request):
+        return web.Response(text="ok")
+
+    async def scenario():
+        server = CallerServer(handle, SETTINGS)
+        loop = asyncio.get_running_loop()
+        listening = await loop.create_server(server, "127.0.0.1", 0, ssl=context)
+        port = listening.sockets[0].getsockname()[1]
+        caller = await asyncio.to_thread(connect_securely, port)
+        read_arrived = caller_connections.read_arrived
+        sent = []
+
+        async def read_and_receive(*turns) -> None:
+            await read_arrived(*turns)
+            if not sent:
+                sent.append(caller.sendall(REQUEST))
+
+        monkeypatch.setattr(caller_connections, "read_arrived", read_and_receive)
+        await close_connections(server, now_ms() + 500.0)
+        received = await asyncio.to_thread(caller.recv, 1_000)
+        listening.close()
+        caller.close()
+        return received
+
+    with asyncio.Runner(loop_factory=make_loop) as runner:
+        assert runner.run(scenario()).startswith(b"HTTP/1.1 200 OK")
