Check again whether a hedge may start once its wait is over

Targets saw: a leaving node sends them hedges in its last moments and cuts them off.

Cause: whether a hedge is expected to end in time was decided before the wait for it, which is up to a second and more; the node may have begun to leave since, or have less time left.

Evidence: test_a_leaving_node_starts_no_hedge_that_can_not_end fails on the code before (two targets asked for, one due). Found by reading.

--- a/src/crocusspindle/gateway/attempt_runner.py
+++ b/src/crocusspindle/gateway/attempt_runner.py
@@ -224,7 +224,7 @@
             wait_ms = placement.hedge_after_ms
             while second is None and self._may_hedge(context, wait_ms):
                 done, _ = await asyncio.wait((first,), timeout=wait_ms / 1e3)
-                if done:
+                if done or not self._may_hedge(context, 0.0):
                     break
                 second = await self._start_hedge(context, service)
                 wait_ms = HEDGE_RETRY_MS
--- a/tests/gateway/test_attempt_runner.py
+++ b/tests/gateway/test_attempt_runner.py
@@ -37,8 +37,9 @@
 class Placing:
     """Grant a target to each placement request, and record the requests."""
 
-    def __init__(self):
+    def __init__(self, hedge_after_ms=1_000.0):
         self.asked = []
+        self.hedge_after_ms = hedge_after_ms
 
     async def place(self, service, request):
         self.asked.append(request)
@@ -50,7 +51,7 @@
             2,
             Readiness.READY,
         )
-        return Placement(service, target, 1_000.0)
+        return Placement(service, target, self.hedge_after_ms)
 
     def list_fields(self):
         return {}
@@ -180,3 +181,30 @@
     assert done and sending.result().outcome is AttemptOutcome.ERROR
     await asyncio.sleep(0.01)
     assert len(placing.returned) == grants_at_end
+
+
+HEDGE_AFTER_MS = 50.0
+FIRST_S = 0.2
+
+
+async def test_a_leaving_node_starts_no_hedge_that_can_not_end():
+    """Guards against work that a leaving node starts and cuts off at once.
+
+    The node began to leave while the request waited to be hedged.
+    """
+    placing, departure = Placing(HEDGE_AFTER_MS), Departure()
+    runner = make_runner([], placing, departure)
+
+    async def send(*attempt):
+        await asyncio.sleep(FIRST_S)
+        return AttemptResult(AttemptOutcome.ANSWERED, 0.0)
+
+    runner._client = SimpleNamespace(send=send)
+    route = replace(ROUTE, kind=RequestKind.SAFE)
+    sending = asyncio.create_task(runner.send(make_context(route)))
+    async with asyncio.timeout(1):
+        while not placing.asked:
+            await asyncio.sleep(0)
+    departure.begin(now_ms() - GRACE_MS, GRACE_MS)
+    assert (await sending).outcome is AttemptOutcome.ANSWERED
+    assert len(placing.asked) == 1
