Ask whether a request may start before each node it is handed over to

Callers would see: an order that a leaving node hands over late, since the nodes before did not take it, ends with a closed connection as the node gives up. A refusal in time would have sent it to another node.

Cause: a leaving node decides whether work may start, then tries one node after the other until the request's deadline.

Evidence: test_a_leaving_node_hands_over_to_no_further_node; both rows fail without the check (the second node is asked). Found by reading.

--- a/src/crocusspindle/gateway/attempt_runner.py
+++ b/src/crocusspindle/gateway/attempt_runner.py
@@ -110,6 +110,9 @@
     def _may_start(self, context: RequestContext) -> bool:
         return self._departure.allows(context.route, context.deadline_ms, now_ms())
 
+    def _expects_end(self, context: RequestContext) -> bool:
+        return self._departure.expects_end(context.route, context.deadline_ms, now_ms())
+
     async def _send_elsewhere(
         self,
         context: RequestContext,
@@ -119,7 +122,7 @@
         if context.handed_over is None:
             if last_result is not None:
                 last_result.discard()
-            return await self._hand_over.send(context, service)
+            return await self._hand_over.send(context, service, self._may_start)
         if last_result is not None and last_result.outcome.may_have_run:
             return last_result
         raise Refusal(503, "no-path", NO_PATH_RETRY_MS)
@@ -280,9 +283,7 @@
         # The first attempt runs on in any case, and a second one may end before it.
         return (
             now_ms() + wait_ms < context.deadline_ms
-            and self._departure.expects_end(
-                context.route, context.deadline_ms, now_ms()
-            )
+            and self._expects_end(context)
             and context.route.kind.idempotent
             and context.arrived_attempts == 0
             and context.route.attempts > 1
@@ -310,7 +311,7 @@
         self, context: RequestContext, service: ServiceId
     ) -> AttemptResult:
         try:
-            return await self._hand_over.send(context, service)
+            return await self._hand_over.send(context, service, self._expects_end)
         except Refusal as refusal:
             # The first attempt may still get a response.
             return AttemptResult(AttemptOutcome.SHED, 0.0, detail=refusal.reason)
--- a/src/crocusspindle/gateway/hand_over.py
+++ b/src/crocusspindle/gateway/hand_over.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from contextlib import suppress
 from typing import ClassVar, Final
 
@@ -30,7 +31,11 @@
 from crocusspindle.gateway.placers import Placers
 from crocusspindle.gateway.placing import PEER_SILENT_S
 from crocusspindle.gateway.request_context import RequestContext
-from crocusspindle.gateway.responses import Refusal
+from crocusspindle.gateway.responses import (
+    LEAVING_REASON,
+    LEAVING_RETRY_MS,
+    Refusal,
+)
 from crocusspindle.gateway.strict_connector import single_use_session
 from crocusspindle.gateway.target_client import (
     CONNECTION_LOST,
@@ -70,6 +75,13 @@
 )
 """Refusals that concern the node that took the request, not the request."""
 
+MayStart = Callable[[RequestContext], bool]
+
+
+def _may_start(context: RequestContext) -> bool:
+    """Return True; the default."""
+    return True
+
 
 class HandOver(Service):
     """Hand requests over to another node, once, and bound those taken from others."""
@@ -119,14 +131,24 @@
         if self._session is not None:
             await self._session.close()
 
-    async def send(self, context: RequestContext, service: ServiceId) -> AttemptResult:
+    async def send(
+        self,
+        context: RequestContext,
+        service: ServiceId,
+        may_start: MayStart = _may_start,
+    ) -> AttemptResult:
         """Return the response to a request that another node runs.
 
-        Raise ``Refusal`` if no node takes it, or with the reason of the one that did.
+        ``may_start`` is asked before each node. Raise ``Refusal`` if no node takes the
+        request, or with the reason of the one that did.
         """
+        reason, retry_after_ms = "no-path", NO_PATH_RETRY_MS
         for host in await self._nodes(service):
             if now_ms() >= context.deadline_ms:
                 break
+            if not may_start(context):
+                reason, retry_after_ms = LEAVING_REASON, LEAVING_RETRY_MS
+                break
             result = await self._send_to(host, context, service)
             if result is not None and not self._may_try_another(context, result):
                 return result
@@ -137,7 +159,7 @@
                 break
         if context.may_have_run:
             raise Refusal(502, "hand-over-lost")
-        raise Refusal(503, "no-path", NO_PATH_RETRY_MS)
+        raise Refusal(503, reason, retry_after_ms)
 
     @staticmethod
     def _may_try_another(context: RequestContext, result: AttemptResult) -> bool:
--- a/tests/gateway/test_hand_over_client.py
+++ b/tests/gateway/test_hand_over_client.py
@@ -59,7 +59,9 @@
         return ANSWERS[behaviour]()
 
 
-async def send(behaviours, idempotent=False, running_attempts=0, takers=None):
+async def send(
+    behaviours, idempotent=False, running_attempts=0, takers=None, **options
+):
     """Hand one request over; return its end, the arrivals and the context."""
     takers = takers or Takers(behaviours)
     runner = web.ServerRunner(web.Server(takers.respond))
@@ -91,7 +93,7 @@
     context.running_attempts = running_attempts
     await hand_over.start()
     try:
-        end = await hand_over.send(context, BOOKS)
+        end = await hand_over.send(context, BOOKS, **options)
     except Refusal as error:
         end = error
     finally:
@@ -106,6 +108,22 @@
     assert arrived == 2 and result.target_response.body == b"whole"
 
 
+@pytest.mark.parametrize(
+    ("first", "idempotent", "status"),
+    [("has no path", False, 503), ("breaks", True, 502)],
+)
+async def test_a_leaving_node_hands_over_to_no_further_node(first, idempotent, status):
+    """Guards against work that a leaving node starts late and cuts off.
+
+    The first node took until too late.
+    """
+    takers = Takers([first, "answers"])
+    end, arrived, _ = await send(
+        [], idempotent, takers=takers, may_start=lambda context: takers.arrived == 0
+    )
+    assert arrived == 1 and end.status == status
+
+
 @pytest.mark.parametrize("first", ["leaves at work", "lost its target", "breaks"])
 async def test_an_order_that_may_run_elsewhere_is_not_sent_again(first):
     """Guards against an order that runs twice, or is refused as not run."""
