Hand what slow callers still read to the kernel as a process ends

Callers would see: a response that its target has ended, and that a leaving node holds whole, breaks off as the node gives up, since its caller reads slowly. No target is at work on it then.

Cause: the kernel may hold little of a response, so that this process counts the rest of it as its memory. At the end of a drain that bound keeps whole responses in a process that is about to end, while the kernel would send them on without it.

Change: 0.1 s before the node gives up, with the refusal of what waits, the bound of the kernel's buffers goes back to the system's default.

A host's kernel has to have room for what the process held.

--- a/src/crocusspindle/gateway/ports.py
+++ b/src/crocusspindle/gateway/ports.py
@@ -23,6 +23,7 @@
 from crocusspindle.gateway.listener import Listener
 from crocusspindle.gateway.membership import Membership
 from crocusspindle.gateway.reload import LiveBounds
+from crocusspindle.gateway.response_body import unbound_kernel_buffer
 from crocusspindle.gateway.settings import GatewaySettings
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
@@ -190,6 +191,9 @@
         self._log_connections("caller port closed")
         await close_connections(self._caller_server, give_up_ms - REFUSALS_MS)
         self._entry.refuse_waiting()
+        for connection in self._caller_server.connections:
+            # Slow callers get the responses that this process holds after its end.
+            unbound_kernel_buffer(connection.transport)
         await close_connections(self._caller_server, give_up_ms)
         self._log_connections("drained")
 
--- a/src/crocusspindle/gateway/response_body.py
+++ b/src/crocusspindle/gateway/response_body.py
@@ -27,6 +27,8 @@
 """Unsent bytes that the kernel may hold of a caller's connection. It would otherwise
 take megabytes of each, which this process doesn't count."""
 
+SYSTEM_DEFAULT: Final = 0
+
 FAST_CALLER_BYTES_PER_MS: Final = 4_096
 """A caller that takes this much is not what holds up a response."""
 
@@ -244,9 +246,17 @@
     if transport is None:
         return
     transport.set_write_buffer_limits(high=0)
+    _limit_unsent(transport, KERNEL_UNSENT_BYTES)
+
+
+def unbound_kernel_buffer(transport: asyncio.Transport | None) -> None:
+    """Let the kernel take what is left of a response; it sends on without a process."""
+    if transport is not None and not transport.is_closing():
+        _limit_unsent(transport, SYSTEM_DEFAULT)
+
+
+def _limit_unsent(transport: asyncio.Transport, limit_bytes: int) -> None:
     sock = transport.get_extra_info("socket")
     if sock is not None:
         with suppress(OSError):
-            sock.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, KERNEL_UNSENT_BYTES
-            )
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, limit_bytes)
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -1,6 +1,7 @@
 """Tests of a host's memory while callers read slowly, on one real gateway process."""
 
 import asyncio
+import signal
 import socket
 from collections import Counter
 from contextlib import asynccontextmanager, suppress
@@ -235,6 +236,23 @@
         await until(is_released, fleet)
 
 
+async def test_a_response_that_a_leaving_process_holds_is_delivered(tmp_path):
+    """Guards against a process that ends with responses which callers still read."""
+    async with running_fleet(tmp_path, 300) as fleet:
+        gateway = fleet.gateways[0]
+        callers = [SlowCaller(n) for n in range(LEAST_UPLOADS)]
+        for caller in callers:
+            await caller.send(fleet)
+        await until(has_free_targets_and_holds, fleet, len(callers) * LONG_BYTES // 2)
+        gateway.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(NEVER_DUE_S):
+            assert await gateway.process.wait() == 0
+            for caller in callers:
+                await caller.read(pause_s=0.0)
+                caller.close()
+        assert {caller.body_bytes >= LONG_BYTES for caller in callers} == {True}
+
+
 async def test_callers_that_leave_release_what_they_held(tmp_path):
     """Guards against memory that stays counted, or used, for callers that are gone."""
     async with running_fleet(tmp_path, 200) as fleet:
