Read the configuration, too, on a node whose copy was confirmed too long ago

Cause: a node whose list of targets grows too old reads the list for itself, and nothing else.

Ruled out: a lost push (no reader had the new version), the operator's write (the store acknowledged and held it), the routing of requests (each used what its host had in force).

Change: the watch reads both tables once either reaches its limit, the list first, 1.65 s and 1.75 s. A read that fails ends there, so that an outage still costs a node one call; its retry pause holds for the tables that were not confirmed only. Meanwhile a node that still lacks a confirmation after 50 ms asks six peers, which read at the same time: the store may turn away or hang this node only.

--- a/src/crocusspindle/gateway/assembly.py
+++ b/src/crocusspindle/gateway/assembly.py
@@ -12,6 +12,7 @@
 from crocusspindle.core.view import NodeAddress
 from crocusspindle.errors import Finding, SettingsError
 from crocusspindle.gateway.admission import Admission
+from crocusspindle.gateway.age_watch import AgeWatch
 from crocusspindle.gateway.attempt_runner import AttemptRunner
 from crocusspindle.gateway.crash_sharing import CrashSharing
 from crocusspindle.gateway.dialect import Dialect
@@ -22,7 +23,6 @@
 from crocusspindle.gateway.held_memory import HeldMemory
 from crocusspindle.gateway.host_load import HostLoad
 from crocusspindle.gateway.line_log import LineHandler
-from crocusspindle.gateway.list_watch import ListWatch
 from crocusspindle.gateway.membership import Membership
 from crocusspindle.gateway.paths import Paths
 from crocusspindle.gateway.placers import Placers
@@ -153,7 +153,7 @@
         exchange,
         fleet_state,
         platform_reader,
-        ListWatch(fleet_state, platform_reader),
+        AgeWatch(fleet_state, platform_reader),
         quota,
         membership,
         HostLoad(settings, membership, metrics),
--- a/src/crocusspindle/gateway/platform_reader.py
+++ b/src/crocusspindle/gateway/platform_reader.py
@@ -98,7 +98,7 @@
     PINGED = "another node asked"
     NO_READER = "no reader answered"
     DOCUMENTS_DEFERRED = "the reader has no room for whole contents"
-    OLD_LIST = "the list of targets was confirmed too long ago"
+    OLD_STATE = "configuration or targets were confirmed too long ago"
 
 
 class PlatformReader(Service):
@@ -263,7 +263,10 @@
     async def read_once(
         self, reason: ReadReason, tables: Collection[Table] = tuple(Table)
     ) -> None:
-        """Read tables once, unless this node follows them already."""
+        """Read tables once, in order, unless this node follows them already.
+
+        Stop at the first one that can't be read.
+        """
         async with self._reads_once:
             if not self.active:
                 await self._read_once(reason, tables)
@@ -271,10 +274,8 @@
     async def _read_once(self, reason: ReadReason, tables: Collection[Table]) -> None:
         self._reset()
         log_state_change(self._log, "reads the platform once", reason=reason.value)
-        for table in self._row_handlers:
+        for table in tables:
             began_ms = now_ms()
-            if table not in tables:
-                continue
             if (
                 table is Table.FLEET
                 and self._fleet_state.view.age_ms(began_ms) < OWN_READ_MS
--- a/src/crocusspindle_standins/virtual/fleet.py
+++ b/src/crocusspindle_standins/virtual/fleet.py
@@ -14,10 +14,10 @@
 from crocusspindle.core.policies import ALL_POLICIES
 from crocusspindle.core.reader_choice import ReaderChoice
 from crocusspindle.core.view import NodeAddress
+from crocusspindle.gateway.age_watch import AgeWatch
 from crocusspindle.gateway.crash_sharing import CrashSharing
 from crocusspindle.gateway.exchange import Exchange
 from crocusspindle.gateway.fleet_state import FleetState
-from crocusspindle.gateway.list_watch import ListWatch
 from crocusspindle.gateway.membership import Membership
 from crocusspindle.gateway.placers import Placers
 from crocusspindle.gateway.platform_reader import PlatformReader, view_key
@@ -97,7 +97,7 @@
             ByteRateLimiter(size.link_mbit_s * BYTES_PER_MS * DOCUMENTS_LINK_FRACTION),
             rng,
         )
-        self.list_watch = ListWatch(self.fleet_state, self.platform_reader)
+        self.age_watch = AgeWatch(self.fleet_state, self.platform_reader)
         self.membership.is_ready = lambda: self.fleet_state.view.content is not None
 
     async def start(self) -> None:
@@ -105,7 +105,7 @@
         for service in (
             self.exchange,
             self.platform_reader,
-            self.list_watch,
+            self.age_watch,
             self.membership,
             self.crashes,
             self.placers,
@@ -119,7 +119,7 @@
             self.placers,
             self.crashes,
             self.membership,
-            self.list_watch,
+            self.age_watch,
             self.platform_reader,
             self.exchange,
         ):
--- a/tests/gateway/test_list_age.py
+++ b/tests/gateway/test_list_age.py
@@ -1,4 +1,4 @@
-"""Bound the time from a target's leaving until no host sends it work."""
+"""Bound the time from a change in the store until every host applies it."""
 
 import asyncio
 import random
@@ -10,16 +10,21 @@
 from crocusspindle.core.listed_target import Readiness
 from crocusspindle.core.reader_choice import READER_ROLE
 from crocusspindle.core.view import rank_by_capacity
-from crocusspindle_standins.virtual.fleet import HostSize, VirtualFleet
+from crocusspindle_standins.virtual.fleet import ROUTES, HostSize, VirtualFleet
 from crocusspindle_standins.virtual.loop import VirtualLoop, VirtualTime, run
 
 HOSTS = 24
 TARGETS = 30
+FIRST_READERS = 6
 STARTED_S = 6.0
 KNOWN_S = 1.8
 """A leaving target gets no work 2 s after the acknowledgement; the rest is for sending
 a request."""
 
+PROPAGATION_S = 2.0
+"""Requests sent later than this after the acknowledgement of a configuration are
+handled by it."""
+
 
 async def lose_reader(fleet: VirtualFleet) -> None:
     """Kill the reader."""
@@ -52,12 +57,30 @@
     fleet.store.hangs = lambda host: host in readers
 
 
+def first_readers(fleet: VirtualFleet) -> set[str]:
+    """Return the hosts that would read one after the other."""
+    nodes = [node.address for node in fleet.nodes.values()]
+    return set(rank_by_capacity(READER_ROLE, nodes)[:FIRST_READERS])
+
+
+async def refuse_first_readers(fleet: VirtualFleet) -> None:
+    """Let the store turn away the reader and the hosts that would follow it."""
+    fleet.store.refuses = first_readers(fleet).__contains__
+
+
+async def hang_first_readers(fleet: VirtualFleet) -> None:
+    """Let the store's responses hang for the reader and those that would follow it."""
+    fleet.store.hangs = first_readers(fleet).__contains__
+
+
 DISTURBANCES = [
     lose_reader,
     lose_first_readers,
     cut_reader_off,
     refuse_reader,
     hang_reader,
+    refuse_first_readers,
+    hang_first_readers,
 ]
 
 
@@ -97,3 +120,34 @@
 
     with logbook.NullHandler().applicationbound():
         run(loop, scenario())
+
+
+@pytest.mark.parametrize("seed", [1, 2, 11, 12, 17, 21])
+@pytest.mark.parametrize("disturb", DISTURBANCES, ids=lambda d: d.__name__)
+def test_all_hosts_apply_a_configuration_in_time(
+    monkeypatch, disturb: Callable[[VirtualFleet], Awaitable[None]], seed: int
+):
+    """Guards against hosts that serve a replaced configuration while readers fail."""
+    loop = VirtualLoop()
+    monkeypatch.setattr("crocusspindle.clock.time", VirtualTime(loop))
+    rng = random.Random(seed)
+
+    async def scenario() -> None:
+        fleet = VirtualFleet(loop, [HostSize(100.0)] * HOSTS, TARGETS, seed)
+        await fleet.start_all()
+        await asyncio.sleep(STARTED_S + rng.uniform(0.0, 1.0))
+        await asyncio.sleep(rng.uniform(0.0, 0.5))
+        await disturb(fleet)
+        await asyncio.sleep(rng.uniform(0.0, 1.3))
+        fleet.configure(ROUTES)
+        await asyncio.sleep(PROPAGATION_S)
+        late = [
+            name
+            for name, node in fleet.nodes.items()
+            if node.fleet_state.configuration.version != fleet.configuration_version
+            and node.address.ip not in fleet.network.cut_off
+        ]
+        assert not late
+
+    with logbook.NullHandler().applicationbound():
+        run(loop, scenario())
