Refuse a late request only if its attempt has not just been allowed

Callers would see: an order that a leaving node allowed in the last moment is cut off as it is sent, and answered 502.

Cause: an attempt that was allowed begins in the next turn of the event loop. If the node looked for late requests within that turn, as when the time for guesses ended, the request counted as not running, and was refused in the turn after that, with its attempt under way.

Change: what is late is looked at again a turn later, when such an attempt runs. What has ended meanwhile is left out.

Evidence: test_an_attempt_that_begins_as_late_requests_are_refused_goes_on fails on the code before (the request ends). test_a_caller_that_leaves_as_ late_requests_are_refused_ends_no_refusals fails if what has ended is not left out. test_requests_that_are_refused_already_do_not_end_the_refusals looks one turn later, at the same state as before: it still fails if a limit that has expired is set again (tried). Found by reading.

--- a/src/crocusspindle/gateway/entry.py
+++ b/src/crocusspindle/gateway/entry.py
@@ -146,18 +146,29 @@
 
     async def _refuse_late(self) -> None:
         while True:
-            for processed, limit in self._processing.values():
-                context = processed.context
-                if (
-                    context is not None
-                    and context.certainly_not_run
-                    and not self._departure.allows(
-                        context.route, context.deadline_ms, now_ms()
-                    )
-                ):
+            late = [
+                key
+                for key, (processed, _) in self._processing.items()
+                if self._is_late(processed)
+            ]
+            # An attempt that was allowed before begins in this turn of the event loop.
+            await asyncio.sleep(0)
+            for key in late:
+                if key not in self._processing:
+                    continue
+                processed, limit = self._processing[key]
+                if self._is_late(processed):
                     _end_at_once(limit)
             await asyncio.sleep(REFUSAL_INTERVAL_S)
 
+    def _is_late(self, processed: ProcessedRequest) -> bool:
+        context = processed.context
+        return (
+            context is not None
+            and context.certainly_not_run
+            and not self._departure.allows(context.route, context.deadline_ms, now_ms())
+        )
+
     def _log_cancelled(self, processed: ProcessedRequest) -> None:
         context = processed.context
         if context is None:
--- a/tests/gateway/test_entry.py
+++ b/tests/gateway/test_entry.py
@@ -79,8 +79,8 @@
     tasks = [await start(entry) for _ in range(2)]
     entry.leave(0.0, 0.0)
     # The refusals of late requests have taken effect, and the requests have not ended.
-    await asyncio.sleep(0)
-    await asyncio.sleep(0)
+    for _ in range(3):
+        await asyncio.sleep(0)
     assert len(entry._processing) == len(tasks)
     entry.refuse_waiting()
     async with asyncio.timeout(1):
@@ -89,6 +89,49 @@
     await entry.cancel_tasks()
 
 
+async def test_an_attempt_that_begins_as_late_requests_are_refused_goes_on(
+    entry, waiting
+):
+    """Guards against an order that a leaving node cuts off as it sends it."""
+    waiting.context.route, waiting.context.deadline_ms = None, 0.0
+    loop = asyncio.get_running_loop()
+
+    def allows(route, deadline_ms, at_ms):
+        # The attempt's task has been created, and has not run.
+        loop.call_soon(setattr, waiting.context, "certainly_not_run", False)
+        return False
+
+    entry._departure.allows = allows
+    task = await start(entry)
+    entry.leave(0.0, 0.0)
+    await asyncio.sleep(0.05)
+    assert not task.done()
+    task.cancel()
+    await entry.cancel_tasks()
+
+
+async def test_a_caller_that_leaves_as_late_requests_are_refused_ends_no_refusals(
+    entry, waiting
+):
+    """Guards against late requests that are not refused for the rest of a drain."""
+    waiting.context.route, waiting.context.deadline_ms = None, 0.0
+    left = await start(entry)
+
+    def allows(route, deadline_ms, at_ms):
+        left.cancel()
+        return False
+
+    entry._departure.allows = allows
+    entry.leave(0.0, 0.0)
+    for _ in range(5):
+        await asyncio.sleep(0)
+    assert left.cancelled()
+    async with asyncio.timeout(1):
+        processed = await (await start(entry))
+    assert processed.refusal.status == NOT_RUN
+    await entry.cancel_tasks()
+
+
 async def test_a_request_that_arrives_while_waiting_ones_are_refused_is_too(entry):
     """Guards against a late request that waits until the process ends."""
     entry.refuse_waiting()
