Try another node when the one that took a request gives it up

Callers would see: an idempotent request that was handed over to a node which leaves ends with 504, though another node could run it. The connection broke before, and another node was tried.

The reason given-up of a taker counts like a broken connection now; an order is not sent again. Two rows of test_hand_over_client.py fail on the code before (504; one node asked of two due).

--- a/src/crocusspindle/gateway/hand_over.py
+++ b/src/crocusspindle/gateway/hand_over.py
@@ -32,6 +32,7 @@
 from crocusspindle.gateway.placing import PEER_SILENT_S
 from crocusspindle.gateway.request_context import RequestContext
 from crocusspindle.gateway.responses import (
+    GIVEN_UP_REASON,
     LEAVING_REASON,
     LEAVING_RETRY_MS,
     Refusal,
@@ -281,6 +282,10 @@
         try:
             reason = response.headers.get(REFUSED)
             content = await read_prefix(response, outgoing.memory)
+            if reason == GIVEN_UP_REASON:
+                content.close()
+                # As if the connection had broken: another node may do better.
+                return AttemptResult(AttemptOutcome.BROKEN, 0.0, detail=reason)
             if reason is not None:
                 content.close()
                 # What the other node sent before it refused reached targets as well.
--- a/tests/gateway/test_hand_over_client.py
+++ b/tests/gateway/test_hand_over_client.py
@@ -32,6 +32,7 @@
     "leaves at work": lambda: refusal(502, "leaving"),
     "is over rate": lambda: refusal(429, "rate"),
     "lost its target": lambda: refusal(502, "target-broken"),
+    "gives up": lambda: refusal(504, "given-up", attempts=1),
 }
 
 
@@ -124,7 +125,9 @@
     assert arrived == 1 and end.status == status
 
 
-@pytest.mark.parametrize("first", ["leaves at work", "lost its target", "breaks"])
+@pytest.mark.parametrize(
+    "first", ["leaves at work", "lost its target", "breaks", "gives up"]
+)
 async def test_an_order_that_may_run_elsewhere_is_not_sent_again(first):
     """Guards against an order that runs twice, or is refused as not run."""
     end, arrived, context = await send([first, "answers"])
@@ -135,8 +138,10 @@
         assert end.target_response is None and end.outcome.may_have_run
 
 
-async def test_an_idempotent_request_whose_taker_is_lost_goes_to_another():
-    result, arrived, context = await send(["breaks", "answers"], idempotent=True)
+@pytest.mark.parametrize("first", ["breaks", "gives up"])
+async def test_an_idempotent_request_whose_taker_is_lost_goes_to_another(first):
+    """Guards against a request that fails though another node may serve it."""
+    result, arrived, context = await send([first, "answers"], idempotent=True)
     assert arrived == 2 and result.target_response.body == b"whole"
     assert context.running_attempts == 0
 
