Bound a response in time once, and look up its declared length once

Cause: the bounds on bodies set a second time limit for each response beside that for its head, and looked its length up in the headers twice (three times for a body that is written as it arrives). One limit serves both: whether the head has arrived tells what the deadline cut off.

--- a/src/crocusspindle/gateway/response_body.py
+++ b/src/crocusspindle/gateway/response_body.py
@@ -60,8 +60,8 @@
         self.on_exceeded: OnExceeded | None = None
         self._on_complete = on_complete
         self._max_bytes = max_bytes
-        has_length = response.content_length is not None
-        self._unusual_bytes = None if has_length else unusual_bytes
+        self._declared_bytes = response.content_length
+        self._unusual_bytes = unusual_bytes if self._declared_bytes is None else None
         self._response = response
         self._parts: deque[bytes] = deque()
         self._read_bytes = 0
@@ -106,10 +106,10 @@
         )
 
     def _check_declared_length(self) -> None:
-        length = self._response.content_length
-        if length is None or self._response.method == "HEAD":
+        length = self._declared_bytes
+        if length is None or length <= self._max_bytes:
             return
-        if length > self._max_bytes:
+        if self._response.method != "HEAD":
             raise _too_long(f"body of {length} bytes declared")
 
     async def _read_part(self) -> bool:
@@ -184,7 +184,7 @@
         written_bytes = self._read_bytes - self._unwritten_bytes
         elapsed_ms = max(1.0, now_ms() - self._reading_since_ms)
         return (
-            self._response.content_length is None
+            self._declared_bytes is None
             and written_bytes >= FAST_CALLER_BYTES_PER_MS * elapsed_ms
         )
 
--- a/src/crocusspindle/gateway/target_client.py
+++ b/src/crocusspindle/gateway/target_client.py
@@ -236,30 +236,49 @@
     async def _exchange(
         self, target: ListedTarget, outgoing: OutgoingRequest, deadline_ms: float
     ) -> AttemptResult:
+        response: aiohttp.ClientResponse | None = None
+        left_s = remaining_s(deadline_ms)
+        try:
+            async with asyncio.timeout(left_s):
+                response = await self._request(target, outgoing, left_s)
+                return await self._read_response(target, response, outgoing)
+        except TimeoutError:
+            if response is None:
+                raise
+            raise ResponseBoundError(
+                ResponseBound.BODY_TIME, "body did not end by the deadline"
+            ) from None
+
+    async def _request(
+        self, target: ListedTarget, outgoing: OutgoingRequest, left_s: float
+    ) -> aiohttp.ClientResponse:
         assert self._session is not None
         headers = CIMultiDict(outgoing.headers)
         headers[self._dialect.target_identity] = target.identity
-        left_ms = max(1, int(remaining_s(deadline_ms) * 1e3))
-        headers[self._dialect.time_left_ms] = str(left_ms)
+        headers[self._dialect.time_left_ms] = str(max(1, int(left_s * 1e3)))
         token = check_before_sending.set(lambda: self._check_target(target))
         try:
-            async with asyncio.timeout(remaining_s(deadline_ms)):
-                response = await self._session.request(
-                    outgoing.method,
-                    URL(f"http://{target.address}{outgoing.raw_path}", encoded=True),
-                    headers=headers,
-                    data=outgoing.body,
-                    allow_redirects=False,
-                    read_bufsize=outgoing.memory.process.read_buffer_bytes,
-                )
+            return await self._session.request(
+                outgoing.method,
+                URL(f"http://{target.address}{outgoing.raw_path}", encoded=True),
+                headers=headers,
+                data=outgoing.body,
+                allow_redirects=False,
+                read_bufsize=outgoing.memory.process.read_buffer_bytes,
+            )
         finally:
             check_before_sending.reset(token)
+
+    async def _read_response(
+        self,
+        target: ListedTarget,
+        response: aiohttp.ClientResponse,
+        outgoing: OutgoingRequest,
+    ) -> AttemptResult:
         self._record_response(target)
         try:
             signals = self._read_signals(target, response)
-            result = await self._classify_response(
-                target, response, outgoing, deadline_ms
-            )
+            result = await self._classify_response(target, response, outgoing)
             result.signals = signals
             return result
         except BaseException:
@@ -300,7 +319,6 @@
         target: ListedTarget,
         response: aiohttp.ClientResponse,
         outgoing: OutgoingRequest,
-        deadline_ms: float,
     ) -> AttemptResult:
         echoed = response.headers.get(self._dialect.request_id)
         if echoed is not None and echoed != outgoing.request_id:
@@ -312,7 +330,7 @@
         if refused is not None:
             response.close()
             return refused
-        content = await self._read_content(target, response, outgoing, deadline_ms)
+        content = await self._read_content(target, response, outgoing)
         if response.status in SUCCESS_STATUSES and not self._is_valid_success(response):
             response.close()
             content.close()
@@ -342,7 +360,6 @@
         target: ListedTarget,
         response: aiohttp.ClientResponse,
         outgoing: OutgoingRequest,
-        deadline_ms: float,
     ) -> ResponseBody:
         service = target.service
         sizes = self._body_sizes
@@ -353,13 +370,7 @@
             lambda size: sizes.record(service, size),
             self._max_body_bytes,
         )
-        try:
-            async with asyncio.timeout(remaining_s(deadline_ms)):
-                return await _with_prefix(content)
-        except TimeoutError:
-            raise ResponseBoundError(
-                ResponseBound.BODY_TIME, "body did not end by the deadline"
-            ) from None
+        return await _with_prefix(content)
 
     def _classify_refusal(
         self, response: aiohttp.ClientResponse
