Run the targets of the lost-path tests in a process of their own

Cause: the stand-in targets ran in the process of the test, beside its callers and the store, and stood still with it on a busy machine. Sound targets then looked silent and were ejected. Callers that had stood still also sent all that was due at once, where the tests ask for 80 requests a second.

TargetProcess starts one process for the targets of a test; it does nothing else and ends with its connection to the test. SeparateTarget has the interface of PlatformTarget: settings take effect in the process, records are read there. Callers catch up at most 0.1 s; they send as many requests as before, and all bounds and shares stay as they are.

--- a/tests/gateway/test_lost_paths.py
+++ b/tests/gateway/test_lost_paths.py
@@ -13,11 +13,13 @@
     end_cut,
     write_cut,
 )
+from crocusspindle_standins.on_platform.separate_targets import TargetProcess
 
 GATEWAYS = 6
 CUT_OFF = 4
 TARGETS = 8
 CALLS_PER_S = 80.0
+CATCH_UP_S = 0.1
 FAST_S = 3.0
 """Time after a cut began from which its callers must be served nearly as often."""
 
@@ -47,14 +49,15 @@
 @pytest.fixture
 async def fleet(tmp_path):
     program = "crocusspindle_standins.on_platform.partitioned"
-    started = Fleet(tmp_path, program=program)
-    try:
-        await started.start(GATEWAYS, TARGETS)
-        for target in started.targets:
-            target.work_s = 0.05
-        yield started
-    finally:
-        await started.stop()
+    with TargetProcess() as process:
+        started = Fleet(tmp_path, program=program, make_target=process.target)
+        try:
+            await started.start(GATEWAYS, TARGETS)
+            for target in started.targets:
+                target.work_s = 0.05
+            yield started
+        finally:
+            await started.stop()
 
 
 def cut_off(fleet: Fleet, gateways, mode: CutMode, targets=None) -> None:
@@ -82,12 +85,13 @@
         )
         served.add(gateway, status)
 
-    began_s = time.monotonic()
+    due_s = time.monotonic()
     async with asyncio.TaskGroup() as group:
         for number in range(round(for_s * CALLS_PER_S)):
             group.create_task(call(number))
-            due_s = began_s + (number + 1) / CALLS_PER_S
-            await asyncio.sleep(max(0.0, due_s - time.monotonic()))
+            # Callers that stood still don't send all that is due in one burst.
+            due_s = max(due_s, time.monotonic() - CATCH_UP_S) + 1.0 / CALLS_PER_S
+            await asyncio.sleep(due_s - time.monotonic())
     return served
 
 
