Attribute requests to the gateway that sent them in the tests of backoffs

Cause, in two parts. And the tests attributed each arrival to the gateway that its caller had used, though another gateway sends a request that was handed over. Seen at load 22 on eight cores with targets in a process of their own: request r20, sent to g0 and handed over to g1, which sent it to t1 0.51 s after t1's refusal of another request by g0, counted as a request of g0 within its backoff (0.5 s are excused). The product kept to the backoffs of both gateways.

The targets run in a process of their own; an arrival counts for each gateway whose log says that it sent the request to this target, and for the one that the caller used if no log has it. Bounds and shares stay as they are.

--- a/tests/gateway/test_backoff_from_targets.py
+++ b/tests/gateway/test_backoff_from_targets.py
@@ -10,6 +10,7 @@
 from crocusspindle.core.configuration import RequestKind
 from crocusspindle.ids import ServiceId
 from crocusspindle_standins.on_platform.fleet import Fleet
+from crocusspindle_standins.on_platform.separate_targets import TargetProcess
 from crocusspindle_standins.on_platform.target import PlatformTarget, TargetFault
 from crocusspindle_standins.virtual.fleet import HostSize, VirtualFleet
 from crocusspindle_standins.virtual.loop import VirtualLoop, VirtualTime, run
@@ -31,12 +32,13 @@
 
 @pytest.fixture
 async def fleet(tmp_path):
-    started = Fleet(tmp_path)
-    try:
-        await started.start(GATEWAYS, targets=4)
-        yield started
-    finally:
-        await started.stop()
+    with TargetProcess() as process:
+        started = Fleet(tmp_path, make_target=process.target)
+        try:
+            await started.start(GATEWAYS, targets=4)
+            yield started
+        finally:
+            await started.stop()
 
 
 def refuse_with_retry_after(
@@ -79,13 +81,31 @@
     return statuses
 
 
+def logged_senders(fleet: Fleet, target: PlatformTarget) -> dict[str, set[str]]:
+    """Return which gateways sent each request to a target, by their logs.
+
+    A request that was handed over is not sent by the gateway that its caller used.
+    """
+    senders: dict[str, set[str]] = {}
+    for gateway in fleet.gateways:
+        for line in gateway.lines():
+            if line["message"] != "request ended":
+                continue
+            if any(send.get("target") == target.identity for send in line["sends"]):
+                senders.setdefault(line["request"], set()).add(gateway.name)
+    return senders
+
+
 def most_in_a_backoff(fleet: Fleet, target: PlatformTarget) -> int:
     """Return the most requests that one gateway sent within one backoff."""
     most = 0
     by_gateway: dict[str, list[tuple[float, float | None]]] = {}
+    senders = logged_senders(fleet, target)
     for arrival in target.arrivals:
-        gateway = fleet.sent_through[arrival.request_id]
-        by_gateway.setdefault(gateway, []).append((arrival.at_s, arrival.retry_after_s))
+        used = fleet.sent_through[arrival.request_id]
+        for gateway in senders.get(arrival.request_id, {used}):
+            times = (arrival.at_s, arrival.retry_after_s)
+            by_gateway.setdefault(gateway, []).append(times)
     for arrivals in by_gateway.values():
         for began_s, retry_after_s in arrivals:
             if retry_after_s is None:
