--- a/src/crocusspindle/core/departure.py
+++ b/src/crocusspindle/core/departure.py
@@ -3,8 +3,8 @@
 A caller that is refused at once repeats its request at another node. One whose request
 is cut off must not repeat it unless it is idempotent.
 
-How long recent work took says little of a target that hangs, or of rare long work. A
-node can keep its word only by what it controls: it answers at a request's deadline.
+How long recent work took says little about a target that hangs, or about rare long
+work. A node can guarantee only that it responds at a request's deadline.
 """
 
 import math
