Refuse responses with an invalid status or protocol

What callers saw: a target sent status 000, and its callers got "HTTP/1.1 0 " with its stamp and body. 001, 099, 600 and 999 were passed on as well, 101 as "Switching Protocols" though nobody had asked for it, and 200 after HTTP/2.0, HTTP/0.9, RTSP/1.0 or ICE/1.0. An interim response of 000 ended the request.

Cause: what the HTTP library's parser accepts was taken for a response. It accepts any three digits and some other protocols.

Now the head of each response, an interim one too, is checked where the parser hands it on: a status of 200 to 599, or 1xx but 101 (RFC 9110, section 15), and HTTP/1.0 or 1.1. Any other response ends its attempt as "broken", like one that broke off: a GET goes to another target, an order gets 502. The bound in logs and metrics is "malformed".

Its last tests run a gateway process and read the bytes that callers get; sound statuses and heads have tests, too.

--- a/src/crocusspindle/response_bounds.py
+++ b/src/crocusspindle/response_bounds.py
@@ -20,6 +20,8 @@
 """The same for each byte of the body, which may come in chunks of a byte."""
 
 INTERIM_STATUSES: Final = frozenset(range(100, 200)) - {101}
+FINAL_STATUSES: Final = frozenset(range(200, 600))
+"""RFC 9110, section 15. No request asks for 101."""
 
 SLICE_BYTES: Final = 4_096
 """Bytes of a head that are parsed at a time. They may hold a hundred messages."""
@@ -36,6 +38,7 @@
     - ``FRAMING``: too many bytes beside head and body.
     - ``PARSER``: bytes that the HTTP library refuses: a line or field that is too long,
       too many fields, or no response at all.
+    - ``MALFORMED``: a head that the library lets pass and that no valid response has.
     - ``BODY_BYTES``: a body of too many bytes, declared or sent.
     - ``BODY_TIME``: a body that did not end by the request's deadline.
     - ``BODY_UNUSUAL``: a body without a length, longer by far than any of its service.
@@ -45,6 +48,7 @@
     HEAD = "head"
     FRAMING = "framing"
     PARSER = "parser"
+    MALFORMED = "malformed"
     BODY_BYTES = "body-bytes"
     BODY_TIME = "body-time"
     BODY_UNUSUAL = "body-unusual"
--- a/src/crocusspindle/strict_response.py
+++ b/src/crocusspindle/strict_response.py
@@ -1,4 +1,4 @@
-"""Read responses, and fail those that are too long or end early."""
+"""Read responses, and fail those that are malformed, too long or end early."""
 
 import asyncio
 import socket
@@ -6,12 +6,14 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_parser import RawResponseMessage
 
 from crocusspindle.response_bounds import (
     SLICE_BYTES,
     ResponseBoundError,
     ResponseBounds,
 )
+from crocusspindle.response_heads import HeadText, check_head
 
 
 class StrictResponseHandler(ResponseHandler):
@@ -21,7 +23,8 @@
     with the last bytes, the event loop reports a normal end of stream, and a caller
     would get a truncated response as complete. The socket still holds the error then.
 
-    A response that exceeds `ResponseBounds` fails, and its connection is closed.
+    A response that exceeds `ResponseBounds` or has an invalid head fails, and its
+    connection is closed.
     """
 
     _exceeded = False
@@ -29,6 +32,13 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self._bounds = ResponseBounds()
+        self._head_text = HeadText()
+
+    def set_response_params(self, *args: Any, **options: Any) -> None:
+        """Expect the next response of the connection."""
+        self._bounds = ResponseBounds()
+        self._head_text = HeadText()
+        super().set_response_params(*args, **options)
 
     def data_received(self, data: bytes) -> None:
         """Parse what has arrived, as far as it is within the bounds."""
@@ -40,6 +50,7 @@
                 part = data[start : start + SLICE_BYTES]
                 start += len(part)
                 self._bounds.add_head(len(part))
+                self._head_text.add(part)
                 super().data_received(part)
                 if start >= len(data):
                     return
@@ -51,11 +62,14 @@
             self._exceed(error)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
-        """Pass on a head; drop it if there are too many interim ones."""
+        """Pass on a valid head; drop it if there are too many interim ones."""
         if self._exceeded:
             return
+        message: RawResponseMessage = data[0]
         try:
-            self._bounds.add_message(data[0].code)
+            self._head_text.end_head()
+            check_head(message)
+            self._bounds.add_message(message.code)
         except ResponseBoundError as error:
             self._exceed(error)
             return
--- a/src/crocusspindle_standins/on_platform/target.py
+++ b/src/crocusspindle_standins/on_platform/target.py
@@ -2,18 +2,17 @@
 
 import asyncio
 import json
-import socket
-import struct
 import time
 from collections import Counter
 from contextlib import AbstractAsyncContextManager, nullcontext
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Final
+from typing import Final, NoReturn
 
 from aiohttp import web
 
 from crocusspindle_standins.on_platform.store import TableStore
+from crocusspindle_standins.raw_server import reset
 
 TABLE: Final = "servers"
 MAX_QUEUED: Final = 8
@@ -108,7 +107,9 @@
     If ``is_chunked``, its responses have no length. A request that takes the last of
     the slots runs ``full_slowdown`` times as long. If ``limits_runs``, requests beyond
     the slots wait until one is free. If there is a ``gate``, requests whose body has
-    arrived wait until it is set.
+    arrived wait until it is set. If there is a ``raw_response``, it is sent in place of
+    each response, with the request's id for ``{id}``. If it ``resets_early``, that
+    happens before the body is read, and the connection is reset.
     """
 
     identity: str
@@ -124,6 +125,8 @@
     is_leaving: bool = False
     gate: asyncio.Event | None = None
     is_chunked: bool = False
+    raw_response: bytes | None = None
+    resets_early: bool = False
     arrivals: list[Arrival] = field(default_factory=list)
     survives_crashing_requests: bool = False
     arrival_times_s: list[float] = field(default_factory=list)
@@ -265,6 +268,9 @@
 
     async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
         request_id = request.headers["X-Request-Id"]
+        if self.raw_response is not None and self.resets_early:
+            self.ran[request_id] += 1
+            self._respond_raw(request, self.raw_response)
         body = await request.content.read()
         self.ran[request_id] += 1
         self.seen.append({**request.headers, "path": request.path_qs})
@@ -279,6 +285,8 @@
             request.transport.abort()
             raise ConnectionResetError
         await self._work()
+        if self.raw_response is not None:
+            self._respond_raw(request, self.raw_response)
         if self.fault is TargetFault.ERRORS:
             return web.Response(status=500, headers={"X-Server-Stamp": "failed"})
         if self.fault is TargetFault.CROSSES:
@@ -317,6 +325,17 @@
         await response.write_eof(answer)
         return response
 
+    def _respond_raw(self, request: web.BaseRequest, response: bytes) -> NoReturn:
+        transport = request.transport
+        assert isinstance(transport, asyncio.Transport)
+        request_id = request.headers["X-Request-Id"].encode()
+        transport.write(response.replace(b"{id}", request_id))
+        if self.resets_early:
+            reset(transport)
+        else:
+            transport.close()
+        raise ConnectionResetError
+
     async def _respond_endless(
         self, request: web.BaseRequest, headers: dict[str, str]
     ) -> web.StreamResponse:
@@ -342,8 +361,6 @@
         await asyncio.sleep(UNFRAMED_PAUSE_S)
         transport.write(b" and a second")
         if self.fault is TargetFault.UNFRAMED_RESETS:
-            sock = transport.get_extra_info("socket")
-            linger = struct.pack("ii", 1, 0)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            reset(transport)
         transport.abort()
         raise ConnectionResetError
--- /dev/null
+++ b/tests/gateway/test_broken_responses.py
@@ -0,0 +1,228 @@
+"""Send responses that are none in the protocol to the client for targets."""
+
+import asyncio
+
+import pytest
+import uvloop
+from multidict import CIMultiDict
+
+from crocusspindle.clock import now_ms
+from crocusspindle.core.attempt_outcome import AttemptOutcome
+from crocusspindle.core.listed_target import ListedTarget, Readiness, TargetIdentity
+from crocusspindle.gateway.target_client import OutgoingRequest, TargetClient
+from crocusspindle.ids import DomainId, ServiceId
+from crocusspindle.platform.dialect import dialect
+from crocusspindle_standins.on_platform.fleet import HOST, KEY, Fleet
+from crocusspindle_standins.raw_server import RawServer
+
+DEADLINE_MS = 5_000.0
+BODY = b"whole"
+CHUNKS = b"5\r\nwhole\r\n0\r\n\r\n"
+LENGTH = b"Content-Length: 5\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+
+
+def response(
+    fields: bytes = LENGTH,
+    body: bytes = BODY,
+    status: bytes = b"200",
+    version: bytes = b"HTTP/1.1",
+) -> bytes:
+    """Return a response to the request of the tests, with a target's stamp."""
+    start = version + b" " + status + b" Reason\r\n"
+    own = b"X-Request-Id: r1\r\nX-Server-Stamp: s\r\n"
+    return start + own + fields + b"\r\n" + body
+
+
+def outcome_of(sent, method="GET", body=None, **server_options):
+    """Return the outcome of a request, its status and its body if that is whole."""
+
+    async def exchange():
+        client = TargetClient(dialect())
+        await client.start()
+        async with RawServer(sent, **server_options) as server:
+            target = ListedTarget(
+                TargetIdentity("t0"),
+                ServiceId("s"),
+                server.address,
+                DomainId("a"),
+                2,
+                Readiness.READY,
+            )
+            headers = CIMultiDict({"X-Request-Id": "r1"})
+            outgoing = OutgoingRequest("r1", method, "/p", headers, body)
+            result = await client.send(target, outgoing, now_ms() + DEADLINE_MS)
+        await client.stop()
+        if result.target_response is None:
+            return result.outcome, None, None
+        content = result.target_response.content
+        whole = result.target_response.body if content.is_complete else None
+        return result.outcome, result.target_response.status, whole
+
+    return uvloop.run(exchange())
+
+
+def assert_broken(sent):
+    """Check that no caller gets any of a response."""
+    assert outcome_of(sent) == (AttemptOutcome.BROKEN, None, None)
+
+
+@pytest.mark.parametrize("status", [b"000", b"001", b"099", b"101", b"600", b"999"])
+def test_a_status_that_no_response_has_is_not_passed_on(status):
+    """Guards against a caller that gets a status outside of 200 to 599."""
+    assert_broken(response(status=status))
+
+
+@pytest.mark.parametrize(
+    "version", [b"HTTP/0.9", b"HTTP/2.0", b"RTSP/1.0", b"ICE/1.0", b"ICY", b"HTTP/1.11"]
+)
+def test_a_version_that_was_not_asked_for_is_not_passed_on(version):
+    """Guards against a response in a syntax that this client does not read."""
+    assert_broken(response(version=version))
+
+
+def test_an_interim_response_has_a_valid_status():
+    """Guards against a status of 000 that ends a request before its response."""
+    assert_broken(b"HTTP/1.1 000 Reason\r\n\r\n" + response())
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        b"!#$%&'*+-.^_`|~09azAZ: v\r\n" + LENGTH,
+        b"A:\r\nB: \r\nC:c\r\nD: d\t e \r\n" + LENGTH,
+        b"A: \x80\xff\xc3\xa9\r\n" + LENGTH,
+        LENGTH + b"A: " + b"x" * 8_000 + b"\r\n",
+        b"A: b\r\n" * 100 + LENGTH,
+        b"connection: close\r\ncontent-length: 5\r\n",
+        b"",
+    ],
+)
+@pytest.mark.parametrize("version", [b"HTTP/1.0", b"HTTP/1.1"])
+def test_a_sound_head_is_passed_on(fields, version):
+    """Guards against a check that refuses what targets may send."""
+    expected = (AttemptOutcome.ANSWERED, 200, BODY)
+    assert outcome_of(response(fields, version=version)) == expected
+
+
+@pytest.mark.parametrize("body", [BODY, b"\n a\n\tb\r\n c\n\n d"])
+def test_lines_of_a_body_are_not_taken_for_fields(body):
+    """Guards against a check of heads that reads on into the body."""
+    length = b"Content-Length: %d\r\n" % len(body)
+    interim = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+    expected = (AttemptOutcome.ANSWERED, 200, body)
+    for count in range(3):
+        assert outcome_of(interim * count + response(length, body)) == expected
+        assert outcome_of(interim * count + response(b"", body)) == expected
+
+
+@pytest.mark.parametrize("coding", [b"chunked", b"Chunked", b" chunked "])
+def test_chunks_are_passed_on(coding):
+    fields = b"Transfer-Encoding: " + coding + b"\r\n"
+    body = b"5;a=b\r\nwhole\r\n0\r\nTrailer: t\r\n\r\n"
+    expected = (AttemptOutcome.ANSWERED, 200, BODY)
+    assert outcome_of(response(fields, body)) == expected
+
+
+@pytest.mark.parametrize("status", [200, 206, 299, 301, 399, 404, 451, 499, 500, 599])
+def test_a_sound_status_is_passed_on(status):
+    outcome = AttemptOutcome.ERROR if status >= 500 else AttemptOutcome.ANSWERED
+    sent = response(status=b"%d" % status)
+    assert outcome_of(sent) == (outcome, status, BODY)
+
+
+@pytest.mark.parametrize(
+    ("status", "fields", "method"),
+    [
+        (204, b"", "GET"),
+        (304, b"", "GET"),
+        (200, LENGTH, "HEAD"),
+        (200, CHUNKED, "HEAD"),
+        (200, b"", "HEAD"),
+    ],
+)
+def test_a_response_without_a_body_is_passed_on(status, fields, method):
+    sent = response(fields, b"", b"%d" % status)
+    assert outcome_of(sent, method) == (AttemptOutcome.ANSWERED, status, b"")
+
+
+BROKEN = {
+    "status": response(status=b"000"),
+}
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    started = Fleet(tmp_path)
+    try:
+        await started.start(gateways=1)
+        yield started
+    finally:
+        await started.stop()
+
+
+def let_targets_send(fleet, sent, count=None):
+    """Let targets of a fleet send a response, with the id of each request."""
+    for target in fleet.targets[:count]:
+        target.raw_response = sent.replace(b" r1", b" {id}")
+
+
+async def raw_call(fleet, request_id, method="GET", path="/pages/1"):
+    """Return all bytes that a caller gets for one request."""
+    gateway = fleet.gateways[0]
+    reader, writer = await asyncio.open_connection(gateway.ip, gateway.ports[0])
+    length = "Content-Length: 0\r\n" if method == "POST" else ""
+    head = (
+        f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {request_id}\r\n"
+        f"X-Api-Key: {KEY}\r\nConnection: close\r\n{length}\r\n"
+    )
+    writer.write(head.encode())
+    async with asyncio.timeout(DEADLINE_MS / 1e3):
+        received = await reader.read()
+    writer.close()
+    return received
+
+
+@pytest.mark.parametrize("kind", BROKEN)
+async def test_callers_get_no_broken_response(fleet, kind):
+    """Guards against a caller that takes the response of a target in trouble."""
+    let_targets_send(fleet, BROKEN[kind])
+    for number in range(4):
+        received = await raw_call(fleet, f"p{number}", "POST", "/orders/1")
+        assert received.startswith((b"HTTP/1.1 502 ", b"HTTP/1.1 503 "))
+        assert BODY not in received and b"X-Server-Stamp" not in received
+        ran = fleet.ran(f"p{number}")
+        assert ran == (1 if received.startswith(b"HTTP/1.1 502 ") else 0)
+
+
+@pytest.mark.parametrize("kind", BROKEN)
+async def test_a_get_that_meets_a_broken_response_is_served_elsewhere(fleet, kind):
+    """Guards against callers that lose what a sound target would have sent."""
+    let_targets_send(fleet, BROKEN[kind], 1)
+    for number in range(40):
+        received = await raw_call(fleet, f"g{number}")
+        assert received.startswith(b"HTTP/1.1 200 ") and b"answer to" in received
+    assert 1 <= fleet.targets[0].ran.total() <= 3
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        response(b"Empty: \r\nTab: a\tb\r\nTwice: 1\r\nTwice: 2\r\n" + LENGTH),
+        response("Name: caf\u00e9\r\n".encode() + LENGTH),
+        response(status=b"299"),
+        response(status=b"451"),
+        response(status=b"599"),
+        response(b"", version=b"HTTP/1.0"),
+        b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + response(CHUNKED, CHUNKS),
+    ],
+)
+async def test_callers_get_a_sound_response_as_it_is(fleet, sent):
+    """Guards against a check that changes or refuses what targets may send."""
+    let_targets_send(fleet, sent)
+    final = sent.rpartition(b"HTTP/")[2]
+    status, _, *fields = final.partition(b"\r\n\r\n")[0].split(b"\r\n")
+    received = await raw_call(fleet, "g1")
+    assert received.startswith(b"HTTP/1.1 " + status.split()[1])
+    assert received.endswith(b"\r\n\r\n" + BODY)
+    assert set(fields) - {CHUNKED.strip()} <= set(received.split(b"\r\n"))
