--- a/tests/gateway/test_broken_responses.py
+++ b/tests/gateway/test_broken_responses.py
@@ -12,6 +12,7 @@
 from crocusspindle.gateway.target_client import OutgoingRequest, TargetClient
 from crocusspindle.ids import DomainId, ServiceId
 from crocusspindle.platform.dialect import dialect
+from crocusspindle.response_bounds import SLICE_BYTES
 from crocusspindle_standins.on_platform.fleet import HOST, KEY, Fleet
 from crocusspindle_standins.raw_server import RawServer
 
@@ -86,6 +87,52 @@
     assert_broken(b"HTTP/1.1 000 Reason\r\n\r\n" + response())
 
 
+@pytest.mark.parametrize(
+    "name",
+    [
+        b"Transfer-Encoding ",
+        b"Transfer-Encoding\t",
+        b"Content-Length ",
+        b"Connection ",
+        b"Upgrade ",
+        b"A ",
+        b"A b",
+        b"A\tb",
+        b" A",
+        b"\tA",
+        b" Transfer-Encoding",
+        b"Transfer-Encoding\x01",
+        b"A\x00b",
+        b"A\x01",
+        b"A\x0b",
+        b"A\x1b",
+        b"A\x7f",
+        b"A\rb",
+        b"A\xff",
+        b"A(b",
+        b"",
+    ],
+)
+@pytest.mark.parametrize("is_first", [False, True])
+def test_a_field_whose_name_is_no_token_is_not_passed_on(name, is_first):
+    """Guards against lines that caller and gateway read as different fields."""
+    field = name + b": chunked\r\n"
+    sent = response(field, CHUNKS)
+    if is_first:
+        sent = response(b"", CHUNKS).replace(b"X-Request", field + b"X-Request")
+    assert_broken(sent)
+    assert_broken(b"HTTP/1.1 103 Early Hints\r\n" + field + b"\r\n" + response())
+
+
+def test_a_field_that_goes_on_in_the_next_line_is_not_passed_on():
+    """Guards against lines that are taken for a part of the stamp before them."""
+    assert_broken(response(b"A: b\r\n c\r\n" + LENGTH))
+    assert_broken(response(b"Content-Length:\r\n 5\r\n"))
+    for size in range(SLICE_BYTES - 80, SLICE_BYTES):
+        # The end of what is parsed at once falls into the line's end.
+        assert_broken(response(b"A: " + b"x" * size + b"\r\n y\r\n" + LENGTH))
+
+
 @pytest.mark.parametrize(
     "fields",
     [
@@ -148,6 +195,8 @@
 
 BROKEN = {
     "status": response(status=b"000"),
+    "name": response(b"Transfer-Encoding : chunked\r\n", CHUNKS),
+    "line": response(b" Transfer-Encoding: chunked\r\n", CHUNKS),
 }
 
 
