Refuse responses with a control byte in a field's value

What callers saw: the target's field "A: b<VT>c" ended their connection without any response, a GET's too, though three sound targets were there.

Cause: the library's parser passes control bytes but NUL, CR and LF on in values, and its writer refuses to write them. The attempt had counted as answered by then, so that the target was never ejected.

Now such a value ends the attempt as "broken" where the head is read (RFC 9110, section 5.5: they are invalid). Tabs, bytes above 0x7f and empty values pass as before.

--- a/src/crocusspindle/response_heads.py
+++ b/src/crocusspindle/response_heads.py
@@ -16,7 +16,7 @@
 
 LINES: Final = re.compile(
     rb"[\r\n]*+HTTP/1\.[01] \d{3}[\t -~\x80-\xff]*+\r?\n"
-    rb"(?:[!#$%&'*+\-.^_`|~0-9A-Za-z]++:[^\r\n]*+\r?\n)*+"
+    rb"(?:[!#$%&'*+\-.^_`|~0-9A-Za-z]++:[\t -~\x80-\xff]*+\r?\n)*+"
 )
 """Status line and fields: RFC 9110, section 5; RFC 9112, sections 2 to 5. The parser
 tells little of other lines: it joins one that begins with a blank to the one before."""
--- a/tests/gateway/test_broken_responses.py
+++ b/tests/gateway/test_broken_responses.py
@@ -133,6 +133,12 @@
         assert_broken(response(b"A: " + b"x" * size + b"\r\n y\r\n" + LENGTH))
 
 
+@pytest.mark.parametrize("octet", [*range(9), *range(10, 32), 127])
+def test_a_field_whose_value_holds_a_control_byte_is_not_passed_on(octet):
+    """Guards against values that are invalid in any field."""
+    assert_broken(response(b"A: b" + bytes([octet]) + b"c\r\n" + LENGTH))
+
+
 @pytest.mark.parametrize(
     "fields",
     [
@@ -197,6 +203,7 @@
     "status": response(status=b"000"),
     "name": response(b"Transfer-Encoding : chunked\r\n", CHUNKS),
     "line": response(b" Transfer-Encoding: chunked\r\n", CHUNKS),
+    "value": response(b"A: b\x01c\r\n" + LENGTH),
 }
 
 
