Refuse responses with a transfer coding that was not asked for

What callers saw: the sizes and ends of chunks as the body of a 200, for "Transfer-Encoding: chunked, gzip", "xchunked" or an empty one; coded bytes without their coding for "gzip" and "gzip, chunked".

Cause: the library reads a body until the connection ends if the last coding is not "chunked", and takes other codings for none; the field itself is not passed on.

No request of ours has TE, so that "chunked" is the only coding that a response may have, once, and none in HTTP/1.0 (RFC 9112, sections 6.1 and 7). Any other response ends its attempt as "broken".

--- a/src/crocusspindle/response_heads.py
+++ b/src/crocusspindle/response_heads.py
@@ -1,8 +1,10 @@
 """Check the heads of responses for what the HTTP library lets pass."""
 
 import re
+from collections.abc import Mapping, Sequence
 from typing import Final
 
+from aiohttp import HttpVersion11
 from aiohttp.http_parser import RawResponseMessage
 
 from crocusspindle.response_bounds import (
@@ -24,11 +26,22 @@
 BLANK_LINE: Final = re.compile(rb"\r?\n")
 MAX_LOGGED_BYTES: Final = 40
 
+CODINGS: Final[Mapping[bool, Sequence[list[str]]]] = {
+    True: ([], ["chunked"]),
+    False: ([],),
+}
+"""Transfer codings of a response, by whether its version has any, to a request
+without ``TE``: RFC 9112, sections 6.1 and 7."""
+
 
 def check_head(message: RawResponseMessage) -> None:
-    """Raise ``ResponseBoundError`` for an invalid status."""
+    """Raise ``ResponseBoundError`` for an invalid status or transfer coding."""
     if message.code not in STATUSES:
         raise _malformed(f"status {message.code:03}")
+    codings = message.headers.getall("Transfer-Encoding", [])
+    allowed = CODINGS[message.version >= HttpVersion11]
+    if [coding.strip().lower() for coding in codings] not in allowed:
+        raise _malformed(f"transfer codings {codings}")
 
 
 class HeadText:
--- a/tests/gateway/test_broken_responses.py
+++ b/tests/gateway/test_broken_responses.py
@@ -133,6 +133,31 @@
         assert_broken(response(b"A: " + b"x" * size + b"\r\n y\r\n" + LENGTH))
 
 
+@pytest.mark.parametrize(
+    "codings",
+    [
+        b"gzip, chunked",
+        b"chunked, gzip",
+        b"gzip",
+        b"xchunked",
+        b"identity",
+        b"chunked, chunked",
+        b"chunked\r\nTransfer-Encoding: chunked",
+        b"chunked, identity",
+        b"\x0bchunked",
+        b"",
+    ],
+)
+def test_a_transfer_coding_that_was_not_asked_for_is_not_passed_on(codings):
+    """Guards against coded or framed bytes that a caller takes for the body."""
+    assert_broken(response(b"Transfer-Encoding: " + codings + b"\r\n", CHUNKS))
+
+
+def test_a_version_without_transfer_codings_has_none():
+    """Guards against chunks of a target that does not know them."""
+    assert_broken(response(CHUNKED, CHUNKS, version=b"HTTP/1.0"))
+
+
 @pytest.mark.parametrize("octet", [*range(9), *range(10, 32), 127])
 def test_a_field_whose_value_holds_a_control_byte_is_not_passed_on(octet):
     """Guards against values that are invalid in any field."""
@@ -203,6 +228,7 @@
     "status": response(status=b"000"),
     "name": response(b"Transfer-Encoding : chunked\r\n", CHUNKS),
     "line": response(b" Transfer-Encoding: chunked\r\n", CHUNKS),
+    "coding": response(b"Transfer-Encoding: chunked, gzip\r\n", CHUNKS),
     "value": response(b"A: b\x01c\r\n" + LENGTH),
 }
 
--- a/tests/gateway/test_drawn_responses.py
+++ b/tests/gateway/test_drawn_responses.py
@@ -47,6 +47,10 @@
     b"HTTP/9.9 200 OK",
     b"200 OK",
     b"",
+    b"HTTP/1.1 000 None",
+    b"HTTP/1.1 101 Switching",
+    b"HTTP/1.1 600 More",
+    b"RTSP/1.0 200 OK",
 )
 FIELDS = (
     b"A: b",
@@ -56,7 +60,13 @@
     b"A: " + b"x" * 9_000,
     b" folded",
     b"\x00: \xff",
+    b"Transfer-Encoding : chunked",
+    b" Transfer-Encoding: chunked",
+    b"Transfer-Encoding: gzip",
+    b"A: b\x0bc",
 )
+PASSED_ON_LINES = (*STATUS_LINES[:2], b"HTTP/1.1 204 None")
+PASSED_ON_FIELDS = (b"A: b", b"A:")
 LENGTHS = (b"-1", b"1e3", b"", b"+5", b"5, 6", b"0x10")
 
 
@@ -302,6 +312,9 @@
     """Check one outcome against what was sent."""
     if outcome is AttemptOutcome.ANSWERED and body is not None:
         assert response.request_id != "other"
+        assert response.status_line in PASSED_ON_LINES
+        assert set(response.fields) <= set(PASSED_ON_FIELDS)
+        assert response.framing != "chunked" or b"1.0" not in response.status_line
         is_empty = b" 204 " in response.status_line
         allowed = {b""} if is_empty else response.whole_bodies()
         assert response.has_stamp and body in allowed
