Test that serve takes no part before a reset for a whole body

Handled already, by StrictResponseHandler: a target responds to a long upload at once with a 200 without a length, sends a part of its body and resets the connection while the upload is being written. No caller got that part. The tests vary the size of the part (5 to 400,000 bytes), the pause before the reset (0 to 20 ms) and how the body is sent, and one runs a gateway process. They pass on, like those of bodies whose end is in doubt (two lengths, a length beside chunks, bytes behind 204 and 304, bad trailers). No product code changes.

--- a/tests/gateway/test_broken_responses.py
+++ b/tests/gateway/test_broken_responses.py
@@ -21,6 +21,7 @@
 CHUNKS = b"5\r\nwhole\r\n0\r\n\r\n"
 LENGTH = b"Content-Length: 5\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
+UPLOAD_PART = bytes(20_000)
 
 
 def response(
@@ -35,6 +36,13 @@
     return start + own + fields + b"\r\n" + body
 
 
+async def upload():
+    """Yield a body that takes long to send."""
+    for _ in range(100):
+        yield UPLOAD_PART
+        await asyncio.sleep(0.001)
+
+
 def outcome_of(sent, method="GET", body=None, **server_options):
     """Return the outcome of a request, its status and its body if that is whole."""
 
@@ -158,6 +166,23 @@
     assert_broken(response(CHUNKED, CHUNKS, version=b"HTTP/1.0"))
 
 
+@pytest.mark.parametrize(
+    ("status", "fields", "body"),
+    [
+        (204, LENGTH, BODY),
+        (304, LENGTH, BODY),
+        (200, LENGTH + b"Content-Length: 3\r\n", BODY),
+        (200, b"Content-Length: 5, 3\r\n", BODY),
+        (200, LENGTH + CHUNKED, CHUNKS),
+        (200, CHUNKED + LENGTH, CHUNKS),
+        (200, CHUNKED, b"5\r\nwhole\r\n0\r\nA b: c\r\n\r\n"),
+    ],
+)
+def test_a_body_whose_end_is_in_doubt_is_not_passed_on(status, fields, body):
+    """Guards against bytes that caller and gateway count to different responses."""
+    assert_broken(response(fields, body, b"%d" % status))
+
+
 @pytest.mark.parametrize("octet", [*range(9), *range(10, 32), 127])
 def test_a_field_whose_value_holds_a_control_byte_is_not_passed_on(octet):
     """Guards against values that are invalid in any field."""
@@ -224,6 +249,25 @@
     assert outcome_of(sent, method) == (AttemptOutcome.ANSWERED, status, b"")
 
 
+@pytest.mark.parametrize("pause_s", [0.0, 0.001, 0.02])
+@pytest.mark.parametrize("body", [bytes(4_000_000), "upload"])
+@pytest.mark.parametrize("size", [5, 70_000, 400_000])
+def test_a_part_before_a_reset_is_never_whole(pause_s, body, size):
+    """Guards against a reset during an upload that looks like the end of a body."""
+    sent = response(b"", bytes(size))
+    body = upload() if body == "upload" else body
+    outcome, _, whole = outcome_of(sent, "POST", body, resets=True, pause_s=pause_s)
+    assert outcome is AttemptOutcome.BROKEN and whole is None
+
+
+@pytest.mark.parametrize("body", [bytes(4_000_000), "upload"])
+def test_a_whole_body_before_the_end_of_an_upload_is_passed_on(body):
+    """Guards against a target that may not respond before it has read a request."""
+    body = upload() if body == "upload" else body
+    expected = (AttemptOutcome.ANSWERED, 200, BODY)
+    assert outcome_of(response(b""), "POST", body) == expected
+
+
 BROKEN = {
     "status": response(status=b"000"),
     "name": response(b"Transfer-Encoding : chunked\r\n", CHUNKS),
@@ -308,3 +352,14 @@
     assert received.startswith(b"HTTP/1.1 " + status.split()[1])
     assert received.endswith(b"\r\n\r\n" + BODY)
     assert set(fields) - {CHUNKED.strip()} <= set(received.split(b"\r\n"))
+
+
+async def test_a_part_before_a_reset_reaches_no_caller_of_an_upload(fleet):
+    """Guards against a reset during an upload that ends the caller's response."""
+    let_targets_send(fleet, response(b"", b"a first part"))
+    for target in fleet.targets:
+        target.resets_early = True
+    for _ in range(8):
+        upload_body = bytes(2_900_000)
+        status, body, _ = await fleet.call("/orders/1", "POST", data=upload_body)
+        assert status in (502, 503) and b"part" not in body
