--- a/src/crocusspindle/gateway/strict_connector.py
+++ b/src/crocusspindle/gateway/strict_connector.py
@@ -1,7 +1,5 @@
 """Open connections that may be withheld once they have opened."""
 
-import asyncio
-import functools
 from collections.abc import Callable
 from contextvars import ContextVar
 from typing import Any
@@ -11,7 +9,6 @@
 
 from crocusspindle.services.targets import CONNECT_TIMEOUT_S
 from crocusspindle.shielded_connector import ShieldedConnector
-from crocusspindle.strict_response import StrictResponseHandler
 
 
 class WithheldError(aiohttp.ClientError):
@@ -45,8 +42,9 @@
 
     Connections come from ``own_ip`` if it is given.
     """
+    local = None if own_ip is None else (own_ip, 0)
     session = aiohttp.ClientSession(
-        connector=_strict_connector(own_ip),
+        connector=_CheckingConnector(limit=0, force_close=True, local_addr=local),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
@@ -56,14 +54,3 @@
     # count against the fleet's retry budget, so this is turned off.
     session._retry_connection = False
     return session
-
-
-def _strict_connector(own_ip: str | None) -> aiohttp.TCPConnector:
-    local = None if own_ip is None else (own_ip, 0)
-    connector = _CheckingConnector(limit=0, force_close=True, local_addr=local)
-    loop = asyncio.get_running_loop()
-    # The library has no public way to set the class of its connections, and its types
-    # allow only the default class.
-    factory: Any = functools.partial(StrictResponseHandler, loop=loop)
-    connector._factory = factory
-    return connector
--- a/src/crocusspindle/shielded_connector.py
+++ b/src/crocusspindle/shielded_connector.py
@@ -1,6 +1,7 @@
 """Open connections whose descriptors are closed exactly once."""
 
 import asyncio
+import functools
 import socket
 from typing import Any, Final
 from weakref import WeakKeyDictionary
@@ -10,6 +11,7 @@
 from aiohttp.client_proto import ResponseHandler
 
 from crocusspindle.pending_reads import read_arrived
+from crocusspindle.strict_response import StrictResponseHandler
 
 OPENING_TURNS: Final = 8
 """Turns of the event loop that take over a connected socket."""
@@ -25,6 +27,8 @@
     connection may have it, of another caller or target, and breaks. So whoever waits
     for a connection, with a deadline or until it is cancelled, leaves the opening to
     itself: it ends within a few turns of the event loop, and the connection is closed.
+
+    Its connections fail responses that are no valid ones.
     """
 
     def __init__(self, **options: Any) -> None:
@@ -35,6 +39,10 @@
         self._sockets: WeakKeyDictionary[asyncio.Task[Any], socket.socket] = (
             WeakKeyDictionary()
         )
+        # The library has no public way to set the class of its connections, and its
+        # types allow only the default class.
+        factory: Any = functools.partial(StrictResponseHandler, loop=self._loop)
+        self._factory = factory
 
     def _create_socket(self, address: AddrInfoType) -> socket.socket:
         family, kind, protocol, _, _ = address
--- a/tests/gateway/test_hand_over_client.py
+++ b/tests/gateway/test_hand_over_client.py
@@ -57,6 +57,10 @@
         if behaviour == "breaks":
             request.transport.abort()
             raise ConnectionResetError
+        if behaviour == "sends no status":
+            request.transport.write(b"HTTP/1.1 000 None\r\n\r\nwhole")
+            request.transport.close()
+            raise ConnectionResetError
         return ANSWERS[behaviour]()
 
 
@@ -126,7 +130,8 @@
 
 
 @pytest.mark.parametrize(
-    "first", ["leaves at work", "lost its target", "breaks", "gives up"]
+    "first",
+    ["leaves at work", "lost its target", "breaks", "sends no status", "gives up"],
 )
 async def test_an_order_that_may_run_elsewhere_is_not_sent_again(first):
     """Guards against an order that runs twice, or is refused as not run."""
@@ -138,7 +143,7 @@
         assert end.target_response is None and end.outcome.may_have_run
 
 
-@pytest.mark.parametrize("first", ["breaks", "gives up"])
+@pytest.mark.parametrize("first", ["breaks", "sends no status", "gives up"])
 async def test_an_idempotent_request_whose_taker_is_lost_goes_to_another(first):
     """Guards against a request that fails though another node may serve it."""
     result, arrived, context = await send([first, "answers"], idempotent=True)
