--- a/src/crocusspindle/services/hand_over.py
+++ b/src/crocusspindle/services/hand_over.py
@@ -15,6 +15,7 @@
 from crocusspindle.errors import PeerError
 from crocusspindle.ids import CustomerId, MemberId, ServiceId, ViewNumber
 from crocusspindle.kernel import Service
+from crocusspindle.response_bounds import FINAL_STATUSES
 from crocusspindle.services.control import ControlService
 from crocusspindle.services.coordinator import COORDINATOR_UNFIT, CoordinatorService
 from crocusspindle.services.handed_over_request import RequestFailure
@@ -370,6 +371,8 @@
     # A response with another request's id must not reach this caller.
     if head.request != call.request:
         raise PeerError("the coordinator responded to another request")
+    if head.status not in FINAL_STATUSES:
+        raise PeerError(f"the coordinator responded with status {head.status}")
     return CoordinatorResponse(
         status=head.status,
         headers=[(header.name, header.value) for header in head.headers],
--- a/tests/services/test_broken_responses.py
+++ b/tests/services/test_broken_responses.py
@@ -9,6 +9,7 @@
 from crocusspindle.clock import now_ms
 from crocusspindle.core.decisions import AttemptEnd
 from crocusspindle.errors import (
+    PeerError,
     PlatformUnavailableError,
     PlatformUnknownError,
 )
@@ -18,7 +19,9 @@
 from crocusspindle.platform.fleet_platform import Table
 from crocusspindle.platform.http import HttpPlatform
 from crocusspindle.platform.table_store import TableStore
+from crocusspindle.services.hand_over import _response_from
 from crocusspindle.services.targets import TargetClient, TargetRequest
+from crocusspindle.wire import fleet_pb2 as wire
 from crocusspindle_standins.raw_server import RawServer
 from tests.gateway.test_broken_responses import (
     BROKEN,
@@ -83,6 +86,15 @@
     assert end is AttemptEnd.FAILED
 
 
+@pytest.mark.parametrize("status", [0, 101, 600])
+def test_a_status_that_no_response_has_is_not_taken_from_a_peer(status):
+    """Guards against a node of an earlier version that passes it on."""
+    head = wire.AnswerHead(request="r1", status=status)
+    request = TargetRequest("r1", CustomerId("c"), "GET", "/", CIMultiDict(), 0.0)
+    with pytest.raises(PeerError):
+        _response_from(head, None, request)
+
+
 async def test_an_object_that_ends_with_a_reset_is_not_read():
     """Guards against a part of a stored object that is taken for all of it."""
     async with RawServer(response(b"", PART), resets=True) as server:
