--- a/src/crocusspindle/gateway/instruments.py
+++ b/src/crocusspindle/gateway/instruments.py
@@ -68,10 +68,11 @@
     unit="responses",
     labels=("bound",),
     meaning="Responses of targets that exceeded a bound, by bound: `interim`, `head`, "
-    "`framing`, `parser` (refused by the HTTP library), `body-bytes`, `body-time` (not "
-    "ended by the deadline), `body-unusual` (longer by far than those of its service).",
-    when_rising="A target sends without end: `detail` in `sends` and `response "
-    "exceeded a bound` in the log name it.",
+    "`framing`, `parser` (refused by the HTTP library), `malformed` (a head that is "
+    "not valid in HTTP/1), `body-bytes`, `body-time` (not ended by the deadline), "
+    "`body-unusual` (longer by far than those of its service).",
+    when_rising="A target sends without end, or what is no response: `detail` in "
+    "`sends` and `response exceeded a bound` in the log name it.",
 )
 PLACED: Final = declare(
     "gateway_placed",
