Free the bodies of refused requests at once

What callers saw: a process that held the bodies of requests that it had refused, and on a small host ended for its memory.

Cause: the entry kept the refusal, its traceback kept the frames that had read the body, and a frame kept the refusal: a reference cycle that only the garbage collector ends. Seconds and megabytes later, at the rate of a crowd.

The new test fails before.

--- a/src/crocusspindle/gateway/entry.py
+++ b/src/crocusspindle/gateway/entry.py
@@ -251,7 +251,9 @@
                 self._processing[id(processed)] = (processed, limit)
                 await self._send(request, processed)
         except Refusal as refusal:
-            processed.refusal = refusal
+            # Its traceback would keep the body that was read, in a reference cycle.
+            refusal.__cause__ = refusal.__context__ = None
+            processed.refusal = refusal.with_traceback(None)
         except TimeoutError:
             if not limit.expired():
                 raise
--- a/tests/gateway/test_entry.py
+++ b/tests/gateway/test_entry.py
@@ -1,6 +1,8 @@
 """Tests of requests that wait while their node stops."""
 
 import asyncio
+import gc
+import weakref
 from contextlib import suppress
 from types import SimpleNamespace
 
@@ -10,6 +12,7 @@
 from crocusspindle.core.spend_result import Admitted
 from crocusspindle.gateway.entry import Entry, ProcessedRequest
 from crocusspindle.gateway.request_context import RequestContext
+from crocusspindle.gateway.responses import Refusal
 from crocusspindle.platform.dialect import dialect
 
 NOT_RUN = 503
@@ -234,3 +237,29 @@
     )
     await entry._spend(context, None)
     assert waited == [longest_ms]
+
+
+async def test_a_refused_request_keeps_nothing_of_what_it_read(entry, waiting):
+    """Guards against bodies of refused requests that stay until garbage collection."""
+
+    class Body(bytearray):
+        """Can be referenced weakly."""
+
+    bodies = []
+
+    async def admit(request, request_id, began_ms, handed_over):
+        body = Body(b"read")
+        bodies.append(weakref.ref(body))
+        try:
+            raise TimeoutError
+        except TimeoutError as error:
+            raise Refusal(NOT_RUN, "memory", 1.0) from error
+
+    waiting.admit = admit
+    gc.disable()
+    try:
+        processed = await entry._process(SimpleNamespace(headers={}))
+        assert processed.refusal is not None
+        assert bodies[0]() is None
+    finally:
+        gc.enable()
