Bound the connections of callers and the heads that they hold

What callers saw: a process that ran out of memory or descriptors, so that all its callers lost their requests, or that answered nobody any more.

Cause, at every port where callers are read and in both commands: - The library bounds each line of a head, not their sum: 256 lines of 16 KB are legal to it. After an error each further read added an error that holds its bytes. Empty lines before a request were read without end. - No port of `serve` bounded its connections, and `node` counted only those with a request. The operators' and metrics' ports had no bound at all. - The kernel's receive buffers, which count as memory of the host, grew to some 450 KB for each connection that was not read fast enough. - Pipelined requests kept 32 parsed heads for each connection.

Why this works: one class reads all ports. It feeds the library parts of 16 KB, refuses with 431 what is neither a request nor part of a body beyond twice the limit of a line, drops what follows an error, and tells a table what its heads take. The table closes idle connections at a bound by memory and descriptors, those without a request first, and at the bound on heads those that hold most. Listening sockets bound the receive buffer.

--- a/src/crocusspindle/gateway/assembly.py
+++ b/src/crocusspindle/gateway/assembly.py
@@ -4,7 +4,13 @@
 import random
 import secrets
 
+from crocusspindle.connection_table import ConnectionTable
 from crocusspindle.core.byte_rate_limiter import ByteRateLimiter
+from crocusspindle.core.connection_bound import (
+    ConnectionBound,
+    max_connections,
+    max_head_bytes,
+)
 from crocusspindle.core.departure import Departure
 from crocusspindle.core.memory_bound import MemoryBound, bound_bytes
 from crocusspindle.core.policies import Policies
@@ -56,6 +62,13 @@
     return MemoryBound(bound_bytes(settings.memory_mb))
 
 
+def _connection_bound(settings: GatewaySettings) -> ConnectionBound:
+    return ConnectionBound(
+        max_connections(settings.memory_mb, settings.file_descriptors),
+        max_head_bytes(settings.memory_mb),
+    )
+
+
 def build(
     source: SettingsSource,
     settings: GatewaySettings,
@@ -141,7 +154,7 @@
         metrics,
         bounds,
         lines,
-        memory,
+        ConnectionTable(_connection_bound(settings)),
     )
     # Planned restarts may overlap; SIGKILL ends a process that must not drain.
     kernel = Kernel(
--- a/src/crocusspindle/gateway/caller_port.py
+++ b/src/crocusspindle/gateway/caller_port.py
@@ -15,16 +15,13 @@
 from aiohttp.http_writer import StreamWriter
 
 from crocusspindle.caller_connections import CallerConnection, create_request
+from crocusspindle.connection_table import ConnectionTable
 from crocusspindle.core.configuration import CallerLimits
 from crocusspindle.gateway.entry import Entry, ProcessedRequest, release_result
 
 Limits = Callable[[], CallerLimits]
 
 SERVER_ERROR: Final = 500
-LINGER_S: Final = 2.0
-"""How long to read what a caller sends after its response: closing a connection with
-unread bytes resets it, and the caller would lose the response."""
-
 MAX_HEADERS: Final = 256
 
 TIMER_EARLY_S: Final = 0.002
@@ -38,51 +35,31 @@
 class CallerProtocol(CallerConnection):
     """Serve one connection of a caller."""
 
-    __slots__ = (
-        "_entry",
-        "_first_request_timer",
-        "_limits",
-        "_started_early",
-    )
+    __slots__ = ("_entry", "_started_early")
 
     def __init__(
         self,
         manager: web.Server,
         entry: Entry,
         limits: CallerLimits,
-        **options: Any,
+        table: ConnectionTable | None = None,
     ) -> None:
+        wait_ms = max(limits.header_timeout_ms, limits.idle_timeout_ms)
         super().__init__(
             manager,
-            **options,
+            table,
+            limits.header_bytes,
+            wait_ms / 1e3,
             keepalive_timeout=limits.idle_timeout_ms / 1e3,
-            access_log=None,
-            max_line_size=limits.header_bytes,
-            max_field_size=limits.header_bytes,
             max_headers=MAX_HEADERS,
-            lingering_time=LINGER_S,
             auto_decompress=False,
         )
-        self._first_request_timer: asyncio.TimerHandle | None = None
-        self._limits = limits
         self._entry = entry
         # Keeps the message beside the task: its id() is unique only while it exists.
         self._started_early: dict[int, tuple[Any, asyncio.Task[ProcessedRequest]]] = {}
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Start the timer that closes a connection without a first request.
-
-        Connections with an incomplete header would otherwise use up the node's file
-        descriptors, and other callers would be refused.
-        """
-        super().connection_made(transport)
-        wait_s = max(self._limits.header_timeout_ms, self._limits.idle_timeout_ms) / 1e3
-        loop = asyncio.get_running_loop()
-        self._first_request_timer = loop.call_later(wait_s, self.close_without_request)
-
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Cancel the timer and the requests started early."""
-        self.record_header_received()
+        """Cancel the requests started early."""
         for _, task in self._started_early.values():
             task.cancel()
             task.add_done_callback(release_result)
@@ -152,12 +129,6 @@
             return
         super()._process_keepalive()
 
-    def record_header_received(self) -> None:
-        """Record that a complete request header was received."""
-        if self._first_request_timer is not None:
-            self._first_request_timer.cancel()
-            self._first_request_timer = None
-
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -188,23 +159,20 @@
     """Create the protocol of each connection; cancel handlers of callers that leave."""
 
     def __init__(
-        self, entry: Entry, limits: Limits, read_buffer_bytes: int | None = None
+        self, entry: Entry, limits: Limits, table: ConnectionTable | None = None
     ) -> None:
         super().__init__(
             self._serve, request_factory=create_request, handler_cancellation=True
         )
         self._entry = entry
         self._limits = limits
-        self._options: dict[str, Any] = {}
-        if read_buffer_bytes is not None:
-            self._options["read_bufsize"] = read_buffer_bytes
+        self._table = ConnectionTable() if table is None else table
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol of a new connection."""
-        return CallerProtocol(self, self._entry, self._limits(), **self._options)
+        return CallerProtocol(self, self._entry, self._limits(), self._table)
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         protocol = request.protocol
         assert isinstance(protocol, CallerProtocol)
-        protocol.record_header_received()
         return await self._entry.handle(request, protocol.pop_started(request))
--- a/src/crocusspindle/gateway/instruments.py
+++ b/src/crocusspindle/gateway/instruments.py
@@ -154,6 +154,22 @@
     when_rising="Another program writes to these tables: see `row rejected` in the log "
     "for the row and what is wrong with it. The other rows are in force.",
 )
+CALLER_CONNECTIONS: Final = declare(
+    "gateway_caller_connections",
+    InstrumentKind.GAUGE,
+    unit="connections",
+    meaning="Open connections of callers.",
+    when_rising="At the bound idle ones are closed, and new ones if there are none.",
+)
+CLOSED_AT_BOUND: Final = declare(
+    "gateway_connections_closed",
+    InstrumentKind.GAUGE,
+    unit="connections",
+    meaning="Connections closed at a bound since the start, by `reason`: `idle` and "
+    "`refused` for their number, `heads` for the memory of their heads.",
+    when_rising="Callers open more connections than the host has room for: see "
+    "`connections are closed at a bound` in the log.",
+)
 REJECTED_MESSAGES: Final = declare(
     "gateway_rejected_messages",
     InstrumentKind.COUNTER,
--- a/src/crocusspindle/gateway/listener.py
+++ b/src/crocusspindle/gateway/listener.py
@@ -6,6 +6,7 @@
 from contextlib import suppress
 from typing import Final
 
+from crocusspindle.connection_table import limit_receive_buffer
 from crocusspindle.gateway.open_ports import open_when_free
 from crocusspindle.pending_reads import read_arrived
 
@@ -37,6 +38,7 @@
         async def listen() -> Listener:
             listening = socket.create_server((host, int(port)), backlog=BACKLOG)
             listening.setblocking(False)
+            limit_receive_buffer(listening)
             server = await loop.create_server(factory, sock=listening, backlog=BACKLOG)
             return cls(server, listening, factory)
 
--- a/src/crocusspindle/gateway/ports.py
+++ b/src/crocusspindle/gateway/ports.py
@@ -7,10 +7,16 @@
 
 from aiohttp import web
 
-from crocusspindle.caller_connections import abort_connections, close_connections
+from crocusspindle.caller_connections import (
+    BoundServer,
+    abort_connections,
+    close_connections,
+)
 from crocusspindle.clock import now_ms
+from crocusspindle.connection_table import ConnectionTable
 from crocusspindle.core.capacity_left import LEFT_MAX
 from crocusspindle.core.configuration import CallerLimits
+from crocusspindle.core.connection_bound import ConnectionBound
 from crocusspindle.core.departure import give_up_after_ms
 from crocusspindle.core.host_choice import HostChoice, OpenHost, caller_capacity
 from crocusspindle.gateway import instruments
@@ -18,7 +24,6 @@
 from crocusspindle.gateway.dialect import Dialect
 from crocusspindle.gateway.entry import Entry
 from crocusspindle.gateway.fleet_state import FleetState
-from crocusspindle.gateway.held_memory import HeldMemory
 from crocusspindle.gateway.line_log import LineHandler
 from crocusspindle.gateway.listener import Listener
 from crocusspindle.gateway.membership import Membership
@@ -45,6 +50,12 @@
 LAST_RESPONSES_MS: Final = 100.0
 """How long a node sends responses after it has given up what still runs."""
 
+OWN_CONNECTIONS: Final = 32
+"""Connections of the platform's checks and of what reads the metrics."""
+
+OWN_HEAD_BYTES: Final = 1 << 20
+"""Memory of the heads of their requests."""
+
 READY_MARGIN_MS: Final = 500.0
 """A node reports itself not ready this long before the revocation time has passed since
 the last confirmation of its configuration, so that callers have moved to other nodes
@@ -67,7 +78,7 @@
         metrics: Metrics,
         bounds: LiveBounds,
         lines: LineHandler,
-        memory: HeldMemory | None = None,
+        callers: ConnectionTable | None = None,
     ) -> None:
         self._bounds = bounds
         self._lines = lines
@@ -81,8 +92,8 @@
         self._caller_listener: Listener | None = None
         self._hand_over_listener: Listener | None = None
         self._other_listeners: list[Listener] = []
-        read_buffer_bytes = None if memory is None else memory.read_buffer_bytes
-        self._caller_server = CallerServer(entry, self._limits, read_buffer_bytes)
+        self._callers = ConnectionTable() if callers is None else callers
+        self._caller_server = CallerServer(entry, self._limits, self._callers)
         self._choice = HostChoice([])
         self._choice_key: tuple[Any, ...] = ()
         self._all_open = False
@@ -97,12 +108,13 @@
         self._hand_over_listener = await Listener.open(
             f"{settings.ip}:{settings.peer_port}", self._caller_server
         )
-        for address, handler in (
-            (settings.ready_address, self._ready),
-            (settings.where_address, self._where),
-            (f"{settings.ip}:{settings.metrics_port}", self._scrape),
+        own = ConnectionTable(ConnectionBound(OWN_CONNECTIONS, OWN_HEAD_BYTES))
+        for address, handler, table in (
+            (settings.ready_address, self._ready, own),
+            (settings.where_address, self._where, self._callers),
+            (f"{settings.ip}:{settings.metrics_port}", self._scrape, own),
         ):
-            server = web.Server(handler, access_log=None)
+            server = BoundServer(handler, table)
             self._other_listeners.append(await Listener.open(address, server))
         self._all_open = True
         self._membership.is_ready = self._is_ready
@@ -179,6 +191,9 @@
         stale_responses = self._fleet_state.stale_responses
         self._metrics.set(instruments.STALE_RESPONSES, stale_responses)
         self._metrics.set(instruments.REJECTED_ROWS, self._fleet_state.rejected_rows)
+        self._metrics.set(instruments.CALLER_CONNECTIONS, len(self._callers))
+        for reason, count in self._callers.closed.items():
+            self._metrics.set(instruments.CLOSED_AT_BOUND, count, reason=reason.value)
         return web.Response(body=self._metrics.render(), content_type="text/plain")
 
     async def drain(self) -> None:
--- a/src/crocusspindle/gateway/settings.py
+++ b/src/crocusspindle/gateway/settings.py
@@ -59,6 +59,7 @@
     """Hold a node's addresses, names, capacity and bounds.
 
     ``memory_mb`` is the memory of the host; if infinite, bodies are not bounded.
+    ``file_descriptors`` is how many each process may open.
     ``response_mb`` is the longest body of a target's response.
     """
 
@@ -76,6 +77,7 @@
     link_mbit_s: float = 1_000.0
     cores: float = 1.0
     memory_mb: float = math.inf
+    file_descriptors: float = math.inf
     response_mb: float = MAX_BODY_BYTES / BYTES_PER_MB
 
     @property
--- a/src/crocusspindle/platform/settings_file.py
+++ b/src/crocusspindle/platform/settings_file.py
@@ -2,6 +2,7 @@
 
 import math
 import os
+import resource
 import tomllib
 from collections.abc import Mapping
 from pathlib import Path
@@ -71,6 +72,9 @@
         cores=_positive(limits, "cores", 1.0, source, findings)
         * _positive(limits, "cpu_share", 1.0, source, findings),
         memory_mb=_positive(limits, "memory_mb", math.inf, source, findings),
+        file_descriptors=_positive(
+            limits, "file_descriptors", _own_descriptors(), source, findings
+        ),
         response_mb=_positive(
             limits, "response_mb", MAX_BODY_BYTES / BYTES_PER_MB, source, findings
         ),
@@ -80,6 +84,11 @@
     return settings
 
 
+def _own_descriptors() -> float:
+    most, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return math.inf if most == resource.RLIM_INFINITY else float(most)
+
+
 def _positive(
     limits: Any, name: str, default: float, source: str, findings: list[Finding]
 ) -> float:
--- a/src/crocusspindle/services/ports.py
+++ b/src/crocusspindle/services/ports.py
@@ -21,6 +21,8 @@
     close_connections,
 )
 from crocusspindle.clock import now_ms
+from crocusspindle.connection_table import ConnectionTable, limit_receive_buffer
+from crocusspindle.core.connection_bound import ConnectionBound
 from crocusspindle.core.directory_dump import dump
 from crocusspindle.core.operation_records import OperationName, decode_record
 from crocusspindle.errors import PeerError
@@ -60,6 +62,17 @@
 """Time that a port gives running requests when it stops: less than the kernel gives a
 service to stop."""
 
+ADDITIONAL_PART: Final = 8
+"""Fraction of the connections, as a divisor, that may be open above their maximum."""
+
+HEADS_BYTES: Final = 16_000_000
+"""Maximum memory of the heads of all callers' requests."""
+
+HTTP_CONNECTIONS: Final = 64
+"""Maximum open connections of the operators' port, and of the metrics' port."""
+
+HTTP_HEADS_BYTES: Final = 2_000_000
+
 ABORT_TIMEOUT_S: Final = 0.2
 """Time that requests whose connections were closed have to end."""
 
@@ -276,15 +289,21 @@
         self._tls = tls
         self._listener: asyncio.Server | None = None
         self._server: CallerServer | None = None
+        most = settings.max_connections
+        # The additional ones are told that there are too many.
+        self._table = ConnectionTable(
+            ConnectionBound(most + most // ADDITIONAL_PART, HEADS_BYTES)
+        )
 
     @property
     def connections(self) -> int:
         """Return the number of open connections of callers."""
-        return 0 if self._server is None else len(self._server.connections)
+        return len(self._table)
 
     async def start(self) -> None:
         """Listen for callers."""
-        self._server = CallerServer(self._handle, self._settings)
+        self._server = CallerServer(self._handle, self._settings, self._table)
+        limit_receive_buffer(self._socket)
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
             self._server, sock=self._socket, ssl=self._tls, backlog=BACKLOG
@@ -352,6 +371,9 @@
         self._runner: web.AppRunner | None = None
         self._listener: asyncio.Server | None = None
         self._leaving = False
+        self._table = ConnectionTable(
+            ConnectionBound(HTTP_CONNECTIONS, HTTP_HEADS_BYTES)
+        )
 
     async def start(self) -> None:
         """Listen for requests."""
@@ -363,8 +385,9 @@
         await self._runner.setup()
         server = self._runner.server
         assert server is not None
+        limit_receive_buffer(self._socket)
         self._listener = await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(server, access_log=None),
+            lambda: CallerConnection(server, self._table),
             sock=self._socket,
             ssl=self._tls,
             backlog=BACKLOG,
--- a/tests/product/test_caller_server.py
+++ b/tests/product/test_caller_server.py
@@ -126,3 +126,32 @@
 
     with asyncio.Runner(loop_factory=make_loop) as runner:
         assert runner.run(scenario()).startswith(b"HTTP/1.1 200 OK")
+
+
+HEAD_LIMIT = SETTINGS.max_header_bytes
+
+
+@pytest.mark.parametrize(
+    ("content", "status"),
+    [
+        (b"GET / HTTP/1.1\r\nHost: h\r\n" + b"X-A: %b\r\n" % (b"a" * 900) * 50, b"431"),
+        (b"\r\n" * 20_000, b"431"),
+        (b"\0" * 30_000, b"400"),
+    ],
+    ids=["fields", "empty lines", "no request"],
+)
+async def test_what_never_becomes_a_request_is_refused_as_it_arrives(
+    port, content, status
+):
+    """Guards against heads without end that fill the memory of the node."""
+    response = await send(port, content)
+    assert response.split()[1] == status
+    assert b"Crocusspindle-Outcome: not-run" in response
+
+
+async def test_long_lines_within_the_limits_are_served(port):
+    """Guards against a bound on heads that refuses what the settings allow."""
+    path = b"/" + b"p" * (HEAD_LIMIT - 20)
+    field = b"X-A: " + b"a" * (HEAD_LIMIT - 200)
+    request = b"GET %b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n%b\r\n\r\n"
+    assert b"200 OK" in await send(port, b"\r\n" + request % (path, field))
