Read at most four tickets of operators at a time

What operators saw: with many long tickets at once the process of a node ran out of memory, as each was read whole, up to 4 MB.

Others wait, for as long as a ticket may take to arrive, and then get 503; a ticket of which nothing was read has no effect.

--- a/src/crocusspindle/services/operator_port.py
+++ b/src/crocusspindle/services/operator_port.py
@@ -36,6 +36,9 @@
 MAX_TICKET_BYTES: Final = 4 * 1024 * 1024
 """Maximum ticket size: all 32,000 routes at about 100 bytes each."""
 
+MAX_TICKETS_READ: Final = 4
+"""Tickets that are read at a time."""
+
 BODY_TIMEOUT_S: Final = 15.0
 MAX_LIST_LIMIT: Final = 1_000
 DEFAULT_LIST_LIMIT: Final = 100
@@ -84,6 +87,18 @@
         self._backend = backend
         self._principals = tuple(principals)
         self._metrics = metrics
+        self._reading = asyncio.Semaphore(MAX_TICKETS_READ)
+
+    async def _read_ticket(self, request: web.Request) -> bytes:
+        try:
+            async with asyncio.timeout(BODY_TIMEOUT_S):
+                await self._reading.acquire()
+        except TimeoutError:
+            raise _RefusalError(503, "too many tickets are being sent") from None
+        try:
+            return await _read_body(request)
+        finally:
+            self._reading.release()
 
     @web.middleware
     async def respond(self, request: web.Request, handler: Handler) -> web.Response:
@@ -106,7 +121,7 @@
         principal = request[_PRINCIPAL]
         if principal.role is Role.VIEWER:
             raise _RefusalError(403, "viewers submit no tickets")
-        document = await _read_body(request)
+        document = await self._read_ticket(request)
         summary = await self._backend.validate(document)
         findings = check_permissions(principal, summary)
         if findings:
@@ -120,7 +135,7 @@
 
     async def validate(self, request: web.Request) -> web.Response:
         """Check a ticket and the permissions of its sender; record nothing."""
-        summary = await self._backend.validate(await _read_body(request))
+        summary = await self._backend.validate(await self._read_ticket(request))
         findings = check_permissions(request[_PRINCIPAL], summary)
         if findings:
             raise _RefusalError(403, "not allowed", findings)
