Make bodies that stand still give up their memory

What callers saw: uploads of legal size that stop just short of their end filled the memory of a process until it ended.

Cause: short bodies were accepted at any number, a body that stood still kept its room until its deadline, refused bodies were read and parsed on for two seconds, and `node` counted no bodies.

Now a new short body is refused while requests' bodies fill the bound, and a body that stands still for half a second while others wait for memory gets 503: nothing of it was sent to a target. What still arrives after a refusal for memory is dropped, and the connection closes. `node` has the same count, with `caller.held_body_bytes`, and reads a body for no longer than the request's deadline.

--- a/src/crocusspindle/core/memory_bound.py
+++ b/src/crocusspindle/core/memory_bound.py
@@ -159,9 +159,19 @@
         return holding is next(requests, None)
 
     def refuses_body(self, length: int) -> bool:
-        """Return True if a new request with a body of this length is refused."""
-        is_large = length > LARGE_BODY_BYTES
-        return is_large and self.held_bytes >= self.bound * REFUSAL_FRACTION
+        """Return True if a new request with a body of this length is refused.
+
+        Short ones are refused only while the bound is full of requests' bodies.
+        """
+        if length <= LARGE_BODY_BYTES:
+            is_full = length > 0 and self.held_bytes >= self.bound
+            return is_full and self.response_to_drop() is None
+        return self.held_bytes >= self.bound * REFUSAL_FRACTION
+
+    @property
+    def presses_back(self) -> bool:
+        """Return True while bodies wait for memory."""
+        return self.held_bytes >= self.bound * BACK_PRESSURE_FRACTION
 
     def may_read_ahead(self, customer: CustomerId | None) -> bool:
         """Return True if a response may be read faster than its caller takes it.
--- a/src/crocusspindle/gateway/admission.py
+++ b/src/crocusspindle/gateway/admission.py
@@ -26,6 +26,7 @@
 from crocusspindle.gateway.responses import (
     LEAVING_REASON,
     LEAVING_RETRY_MS,
+    MEMORY_REASON,
     Refusal,
 )
 from crocusspindle.gateway.target_client import OutgoingRequest
@@ -45,6 +46,9 @@
 """Fraction of a request's time that its body may wait for memory. Those that waited
 until their deadlines were sent in their last milliseconds, and got 504."""
 
+STALL_MS: Final = 500.0
+"""How long a body may stand still while others wait for memory."""
+
 MEMORY_RETRY_MS: Final = 1_000.0
 """Slow callers and long bodies hold memory for seconds."""
 
@@ -226,7 +230,7 @@
         limit = configuration.limits.body_bytes
         while len(prefix) <= BODY_BUFFER_BYTES:
             if not await self._memory.may_read_body(held, wait_until_ms):
-                raise Refusal(503, "memory", MEMORY_RETRY_MS)
+                raise Refusal(503, MEMORY_REASON, MEMORY_RETRY_MS)
             chunk = await self._read_chunk(request, deadline_ms, held)
             if not chunk:
                 break
@@ -242,23 +246,25 @@
 
     def _check_memory(self, length: int) -> None:
         if self._memory.refuses_body(length):
-            raise Refusal(503, "memory", MEMORY_RETRY_MS)
+            raise Refusal(503, MEMORY_REASON, MEMORY_RETRY_MS)
 
     @staticmethod
     async def _read_chunk(
         request: web.BaseRequest, deadline_ms: float, held: HeldBytes
     ) -> bytes:
-        left_s = max(0.0, (deadline_ms - now_ms()) / 1e3)
-        try:
-            async with asyncio.timeout(left_s):
-                return await request.content.readany()
-        except TimeoutError as error:
-            if held.has_waited:
-                # The time was lost here, not by the caller.
-                raise Refusal(503, "memory", MEMORY_RETRY_MS) from error
-            raise Refusal(408, "body-too-slow") from error
-        except (ValueError, web.RequestPayloadError) as error:
-            raise Refusal(400, "malformed-body") from error
+        while True:
+            left_ms = deadline_ms - now_ms()
+            try:
+                async with asyncio.timeout(max(0.0, min(left_ms, STALL_MS)) / 1e3):
+                    return await request.content.readany()
+            except TimeoutError as error:
+                if held.must_progress or (left_ms <= STALL_MS and held.has_waited):
+                    # It makes room for others, or its own time was lost here.
+                    raise Refusal(503, MEMORY_REASON, MEMORY_RETRY_MS) from error
+                if left_ms <= STALL_MS:
+                    raise Refusal(408, "body-too-slow") from error
+            except (ValueError, web.RequestPayloadError) as error:
+                raise Refusal(400, "malformed-body") from error
 
     def _headers(
         self,
--- a/src/crocusspindle/gateway/entry.py
+++ b/src/crocusspindle/gateway/entry.py
@@ -7,6 +7,7 @@
 
 from aiohttp import web
 
+from crocusspindle.caller_connections import drop_body
 from crocusspindle.clock import now_ms
 from crocusspindle.core.attempt_outcome import AttemptOutcome
 from crocusspindle.core.configuration import (
@@ -31,6 +32,7 @@
     GIVEN_UP_REASON,
     LEAVING_REASON,
     LEAVING_RETRY_MS,
+    MEMORY_REASON,
     HeldResponse,
     Refusal,
     refusal_response,
@@ -328,6 +330,8 @@
         self._metrics.add(instruments.REFUSED, reason=refusal.reason)
         self._log_refusal(processed, refusal)
         response = refusal_response(refusal, processed.request_id, self._dialect)
+        if refusal.reason == MEMORY_REASON and request.body_exists:
+            drop_body(request, response)
         if self._hand_over.is_taken(request):
             arrived = 0 if context is None else context.arrived_attempts
             response.headers.update(refusal_headers(refusal.reason, arrived))
@@ -359,7 +363,7 @@
         if result.target_response is None:
             raise _refusal_after(context, result)
         if result.target_response.content.held.is_dropped:
-            raise Refusal(502, "memory")
+            raise Refusal(502, MEMORY_REASON)
         response = await send_target_response(
             request, result.target_response, context.deadline_ms
         )
--- a/src/crocusspindle/gateway/held_memory.py
+++ b/src/crocusspindle/gateway/held_memory.py
@@ -57,6 +57,11 @@
         self.resize(0)
         self.memory.bound.remove(self)
 
+    @property
+    def must_progress(self) -> bool:
+        """Return True if a body that stands still has to make room for others."""
+        return self.memory.bound.presses_back
+
     @property
     def may_read_ahead(self) -> bool:
         """Return True if the response may be read faster than its caller takes it."""
--- a/src/crocusspindle/gateway/responses.py
+++ b/src/crocusspindle/gateway/responses.py
@@ -23,6 +23,9 @@
 """After these statuses the rest of the request may still be arriving."""
 
 
+MEMORY_REASON: Final = "memory"
+
+
 class Refusal(CrocusspindleError):
     """End a request with a response of the fleet itself."""
 
--- a/src/crocusspindle/services/entry.py
+++ b/src/crocusspindle/services/entry.py
@@ -10,14 +10,23 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from crocusspindle import instruments
+from crocusspindle.caller_connections import drop_body
 from crocusspindle.clock import now_ms
 from crocusspindle.core.caller_addresses import caller_addresses
 from crocusspindle.core.decisions import Outcome
 from crocusspindle.core.directory import key_digest
 from crocusspindle.core.loans import Ineligible, OverRate, Spent
+from crocusspindle.core.memory_bound import MemoryBound
 from crocusspindle.core.model import Customer, Route
 from crocusspindle.core.operation_records import OperationName, StoredResponse
 from crocusspindle.core.rendezvous import order
+from crocusspindle.gateway.admission import STALL_MS
+from crocusspindle.gateway.held_memory import (
+    PAUSED_BYTES,
+    HeldBytes,
+    HeldMemory,
+    RequestMemory,
+)
 from crocusspindle.ids import CustomerId, DomainId, MemberId, OperationKey
 from crocusspindle.kernel import Service
 from crocusspindle.log_lines import Logger, log_state_change
@@ -51,6 +60,12 @@
 OWN_PATH_PREFIX: Final = "/.well-known/crocusspindle/"
 OPERATION_KEY: Final = "Idempotency-Key"
 MAX_OPERATION_KEY_CHARS: Final = 200
+BODY_ERRORS: Final = (
+    ClientError,
+    HttpProcessingError,
+    ConnectionError,
+    web.RequestPayloadError,
+)
 MAX_TIMEOUT_MS: Final = 600_000.0
 
 PRIVATE_HEADERS: Final = frozenset(
@@ -94,6 +109,8 @@
         self._logger = Logger("entry")
         self._request_numbers = itertools.count(1)
         self._request_id_prefix = secrets.token_hex(6)
+        bound = MemoryBound(settings.caller.held_body_bytes)
+        self._memory = HeldMemory(bound)
         self._named_operations: set[asyncio.Task[web.StreamResponse]] = set()
         self.running = 0
 
@@ -115,6 +132,8 @@
             reason = refused.error_response.reason
             self._metrics.add(instruments.REFUSALS, service=service, reason=reason)
             response = refused.error_response.response(name)
+            if refused.error_response is error_responses.BODY_MEMORY:
+                drop_body(request, response)
         except Exception as error:
             # After an internal error the request may have run, and the response has to
             # say so.
@@ -228,7 +247,25 @@
     ) -> web.StreamResponse:
         self._check_eligible(customer.customer)
         deadline_ms = self._deadline_ms(request, route)
-        body, body_rest = await self._read_body(request)
+        memory = self._memory.request(customer.customer, name)
+        try:
+            return await self._read_and_run(
+                request, name, customer, credential, route, deadline_ms, memory
+            )
+        finally:
+            memory.release()
+
+    async def _read_and_run(
+        self,
+        request: web.BaseRequest,
+        name: str,
+        customer: Customer,
+        credential: bytes,
+        route: Route,
+        deadline_ms: float,
+        memory: RequestMemory,
+    ) -> web.StreamResponse:
+        body, body_rest = await self._read_body(request, deadline_ms, memory)
         spent = await self._spend_token(customer)
         idempotent = request.method in route.idempotent_methods
         service = self._control.directory.service(route.service)
@@ -340,7 +377,7 @@
         return now_ms() + min(requested_ms, max_ms)
 
     async def _read_body(
-        self, request: web.BaseRequest
+        self, request: web.BaseRequest, deadline_ms: float, memory: RequestMemory
     ) -> tuple[bytes, AsyncIterator[bytes] | None]:
         """Return the start of the body, and an iterator over the rest of a longer one.
 
@@ -350,14 +387,44 @@
         if not request.body_exists:
             return b"", None
         limit = self._settings.caller.body_buffer_bytes
+        length = request.content_length
+        reserved = limit if length is None else min(length, limit)
+        if self._memory.refuses_body(reserved):
+            raise RefusedError(error_responses.BODY_MEMORY)
+        # What the connection holds beside the buffer counts, too.
+        held = memory.body()
+        held.resize(reserved + min(reserved, PAUSED_BYTES))
         body_start = bytearray()
         while len(body_start) < limit:
-            chunk = await self._read_chunk(request)
+            chunk = await self._read_start_chunk(request, deadline_ms, held)
             if not chunk:
+                held.finish(len(body_start))
                 return bytes(body_start), None
             body_start += chunk
+        held.finish(len(body_start) + PAUSED_BYTES)
         return bytes(body_start), self._read_rest(request)
 
+    async def _read_start_chunk(
+        self, request: web.BaseRequest, deadline_ms: float, held: HeldBytes
+    ) -> bytes:
+        """Read a part of the body before its request is sent anywhere.
+
+        While bodies fill the memory, one that stands still makes room for others.
+        """
+        until_ms = min(deadline_ms, now_ms() + self._settings.caller.slow_sender_ms)
+        while True:
+            try:
+                wait_ms = max(0.0, min(until_ms - now_ms(), STALL_MS))
+                async with asyncio.timeout(wait_ms / 1e3):
+                    return await request.content.readany()
+            except TimeoutError:
+                if held.must_progress:
+                    raise RefusedError(error_responses.BODY_MEMORY) from None
+                if now_ms() >= until_ms:
+                    raise RefusedError(error_responses.SLOW_SENDER) from None
+            except BODY_ERRORS:
+                raise RefusedError(error_responses.TRUNCATED_BODY) from None
+
     async def _read_rest(self, request: web.BaseRequest) -> AsyncIterator[bytes]:
         while chunk := await self._read_chunk(request):
             yield chunk
@@ -368,7 +435,7 @@
                 return await request.content.readany()
         except TimeoutError:
             raise RefusedError(error_responses.SLOW_SENDER) from None
-        except (ClientError, HttpProcessingError, ConnectionError):
+        except BODY_ERRORS:
             raise RefusedError(error_responses.TRUNCATED_BODY) from None
 
     async def _spend_token(self, customer: Customer) -> Spent:
--- a/src/crocusspindle/services/error_responses.py
+++ b/src/crocusspindle/services/error_responses.py
@@ -115,6 +115,9 @@
 SLOW_SENDER: Final = ErrorResponse(
     408, "slow-sender", "the body did not arrive in time"
 )
+BODY_MEMORY: Final = ErrorResponse(
+    503, "memory", "this node holds too many bodies; use another address"
+)
 TRUNCATED_BODY: Final = ErrorResponse(400, "body-cut", "the body ended early")
 BAD_TIMEOUT: Final = ErrorResponse(
     400, "timeout", "Crocusspindle-Timeout-Ms must be a number of ms above 0"
--- a/src/crocusspindle/settings_schema.py
+++ b/src/crocusspindle/settings_schema.py
@@ -62,7 +62,7 @@
         default=16_384,
         ge=1024,
         description="Maximum bytes of the request line and of each header line; "
-        "above it: 400.",
+        "above it: 400. A head of more than twice as much: 431.",
     )
     body_buffer_bytes: int = Field(
         default=262_144,
@@ -75,7 +75,13 @@
     )
     max_connections: PositiveInt = Field(
         default=2_000,
-        description="Maximum number of open caller connections; above it: 503.",
+        description="Maximum number of open caller connections; above it: 503. "
+        "Idle ones are closed first, and beyond an eighth more new ones.",
+    )
+    held_body_bytes: PositiveInt = Field(
+        default=67_108_864,
+        description="Maximum bytes of all bodies buffered in memory; new ones get 503 "
+        "above it, and from three quarters of it if they are longer than 64 KiB.",
     )
 
 
