--- a/src/crocusspindle/gateway/admission.py
+++ b/src/crocusspindle/gateway/admission.py
@@ -17,6 +17,7 @@
 from crocusspindle.gateway.hand_over_headers import REQUEST_HEADERS, HandedOver
 from crocusspindle.gateway.held_memory import (
     PAUSED_BYTES,
+    STALL_MS,
     HeldBytes,
     HeldMemory,
     RequestMemory,
@@ -46,9 +47,6 @@
 """Fraction of a request's time that its body may wait for memory. Those that waited
 until their deadlines were sent in their last milliseconds, and got 504."""
 
-STALL_MS: Final = 500.0
-"""How long a body may stand still while others wait for memory."""
-
 MEMORY_RETRY_MS: Final = 1_000.0
 """Slow callers and long bodies hold memory for seconds."""
 
--- a/src/crocusspindle/gateway/held_memory.py
+++ b/src/crocusspindle/gateway/held_memory.py
@@ -19,6 +19,9 @@
 PAUSED_BYTES: Final = 2 * READ_BUFFER_BYTES
 """What the library may read from a connection before it pauses it."""
 
+STALL_MS: Final = 500.0
+"""How long a body may stand still while others wait for memory."""
+
 RECHECK_S: Final = 1.0
 """How often what waits for released bytes counts its own buffers again."""
 
--- a/src/crocusspindle/services/caller_server.py
+++ b/src/crocusspindle/services/caller_server.py
@@ -15,6 +15,8 @@
 
 SERVER_ERROR: Final = 500
 KEEP_ALIVE_S: Final = 3_630.0
+LINGER_S: Final = 10.0
+"""How long to read what a caller sends after its response."""
 MAX_DETAIL_CHARS: Final = 200
 
 
@@ -32,6 +34,7 @@
             settings.max_header_bytes,
             settings.slow_sender_ms / 1e3,
             keepalive_timeout=KEEP_ALIVE_S,
+            lingering_time=LINGER_S,
         )
         self._server = manager
 
--- a/src/crocusspindle/services/entry.py
+++ b/src/crocusspindle/services/entry.py
@@ -20,9 +20,9 @@
 from crocusspindle.core.model import Customer, Route
 from crocusspindle.core.operation_records import OperationName, StoredResponse
 from crocusspindle.core.rendezvous import order
-from crocusspindle.gateway.admission import STALL_MS
 from crocusspindle.gateway.held_memory import (
     PAUSED_BYTES,
+    STALL_MS,
     HeldBytes,
     HeldMemory,
     RequestMemory,
@@ -249,43 +249,31 @@
         deadline_ms = self._deadline_ms(request, route)
         memory = self._memory.request(customer.customer, name)
         try:
-            return await self._read_and_run(
-                request, name, customer, credential, route, deadline_ms, memory
+            body, body_rest = await self._read_body(request, deadline_ms, memory)
+            spent = await self._spend_token(customer)
+            idempotent = request.method in route.idempotent_methods
+            service = self._control.directory.service(route.service)
+            call = CallerRequest(
+                request=name,
+                customer=customer.customer,
+                service=route.service,
+                method=request.method,
+                path=request.raw_path
+                if hasattr(request, "raw_path")
+                else request.path_qs,
+                headers=_target_headers(request),
+                weight=customer.weight * customer.rate_per_s,
+                deadline_ms=deadline_ms,
+                idempotent=idempotent,
+                may_hedge=idempotent and service is not None and service.hedge,
+                credential=credential,
+                body=body,
+                body_rest=body_rest,
             )
+            return await self._run_detached_if_named(request, call, spent)
         finally:
             memory.release()
 
-    async def _read_and_run(
-        self,
-        request: web.BaseRequest,
-        name: str,
-        customer: Customer,
-        credential: bytes,
-        route: Route,
-        deadline_ms: float,
-        memory: RequestMemory,
-    ) -> web.StreamResponse:
-        body, body_rest = await self._read_body(request, deadline_ms, memory)
-        spent = await self._spend_token(customer)
-        idempotent = request.method in route.idempotent_methods
-        service = self._control.directory.service(route.service)
-        call = CallerRequest(
-            request=name,
-            customer=customer.customer,
-            service=route.service,
-            method=request.method,
-            path=request.raw_path if hasattr(request, "raw_path") else request.path_qs,
-            headers=_target_headers(request),
-            weight=customer.weight * customer.rate_per_s,
-            deadline_ms=deadline_ms,
-            idempotent=idempotent,
-            may_hedge=idempotent and service is not None and service.hedge,
-            credential=credential,
-            body=body,
-            body_rest=body_rest,
-        )
-        return await self._run_detached_if_named(request, call, spent)
-
     async def _run_detached_if_named(
         self, request: web.BaseRequest, call: CallerRequest, spent: Spent
     ) -> web.StreamResponse:
--- a/tests/crowds/crowd.py
+++ b/tests/crowds/crowd.py
@@ -10,6 +10,10 @@
 from enum import Enum
 from pathlib import Path
 
+import aiohttp
+
+from crocusspindle_standins.single_attempt import single_attempt_session
+
 CONNECTIONS = 300
 """Connections of a crowd."""
 
@@ -295,3 +299,44 @@
         with suppress(asyncio.CancelledError):
             await watching
     usage.sample(pid, ports)
+
+
+OK = 200
+OTHER_PORTS = [
+    Behavior.LONG_HEADS,
+    Behavior.EMPTY_LINES,
+    Behavior.NO_REQUESTS,
+    Behavior.BODIES,
+    Behavior.PIPELINED,
+    Behavior.SILENT,
+]
+"""What presses ports other than the callers'."""
+
+
+def cases(port_names: list[str]) -> list[tuple[str, Behavior]]:
+    """Return what presses which port; the first one is the callers'."""
+    callers, *others = port_names
+    return [
+        *((callers, behavior) for behavior in Behavior),
+        *((name, behavior) for name in others for behavior in OTHER_PORTS),
+    ]
+
+
+def case_id(value: str | Behavior) -> str:
+    """Return the name of a part of a case."""
+    return value.name.lower() if isinstance(value, Behavior) else value
+
+
+async def until_served(url: str, headers: dict[str, str]) -> None:
+    """Send ordinary requests, each on a new connection, until one is served."""
+    async with asyncio.timeout(NEVER_DUE_S):
+        while True:
+            # The process may refuse or close a connection while it is pressed.
+            with suppress(aiohttp.ClientError, OSError):
+                async with (
+                    single_attempt_session() as session,
+                    session.get(url, headers=headers) as response,
+                ):
+                    if response.status == OK and await response.read():
+                        return
+            await asyncio.sleep(0.1)
--- a/tests/crowds/test_node_crowds.py
+++ b/tests/crowds/test_node_crowds.py
@@ -1,10 +1,8 @@
 """Tests of a process of ``node`` while callers that don't behave press its ports."""
 
-import asyncio
 import resource
-from contextlib import asynccontextmanager, suppress
+from contextlib import asynccontextmanager
 
-import aiohttp
 import pytest
 
 from crocusspindle_standins.fleet import (
@@ -15,10 +13,8 @@
     sha256,
 )
 from crocusspindle_standins.processes import HOST
-from crocusspindle_standins.single_attempt import single_attempt_session
-from tests.crowds.crowd import NEVER_DUE_S, Behavior, Crowd, Port, watched
+from tests.crowds.crowd import Crowd, Port, case_id, cases, until_served, watched
 
-OK = 200
 MEMORY_MB = 152
 """Memory of the smallest hosts."""
 
@@ -33,14 +29,6 @@
     "body_buffer_bytes": 65_536,
 }
 KEY = "key-of-the-crowd"
-OTHER_BEHAVIORS = [
-    Behavior.LONG_HEADS,
-    Behavior.EMPTY_LINES,
-    Behavior.NO_REQUESTS,
-    Behavior.BODIES,
-    Behavior.PIPELINED,
-    Behavior.SILENT,
-]
 PORTS = ["callers", "operators", "metrics"]
 LAYOUT = Layout(
     1,
@@ -92,21 +80,11 @@
     return Port(HOST, number, fields("GET", get), fields("POST", post))
 
 
-async def until_served(fleet):
-    """Send ordinary requests, each on a new connection, until one is served."""
+async def until_one_is_served(fleet):
+    """Wait until an ordinary caller is served."""
     url = f"{fleet.nodes[0].caller_url}/desk/item"
     headers = {"Authorization": f"Bearer {KEY}"}
-    async with asyncio.timeout(NEVER_DUE_S):
-        while True:
-            # The process may refuse or close a connection while it is pressed.
-            with suppress(aiohttp.ClientError, OSError):
-                async with (
-                    single_attempt_session() as session,
-                    session.get(url, headers=headers) as response,
-                ):
-                    if response.status == OK and await response.read():
-                        return
-            await asyncio.sleep(0.1)
+    await until_served(url, headers)
 
 
 @asynccontextmanager
@@ -125,20 +103,12 @@
             approvals={"desk": {"ward": {"approved_by": "owner"}}},
         )
         await fleet.until_applied(number, fleet.nodes)
-        await until_served(fleet)
+        await until_one_is_served(fleet)
         yield fleet
 
 
 @pytest.mark.crowd
-@pytest.mark.parametrize(
-    ("port_name", "behavior"),
-    [
-        (name, behavior)
-        for name in PORTS
-        for behavior in (Behavior if name == "callers" else OTHER_BEHAVIORS)
-    ],
-    ids=lambda value: value.name.lower() if isinstance(value, Behavior) else value,
-)
+@pytest.mark.parametrize(("port_name", "behavior"), cases(PORTS), ids=case_id)
 async def test_a_node_outlives_a_crowd(tmp_path, port_name, behavior):
     """Guards against a process that a crowd of callers ends or cuts off from others."""
     async with running_node(tmp_path) as fleet:
@@ -149,10 +119,10 @@
         try:
             async with watched(node.running.process.pid, addresses) as usage:
                 await crowd.press()
-                await until_served(fleet)
+                await until_one_is_served(fleet)
         finally:
             crowd.leave()
-        await until_served(fleet)
+        await until_one_is_served(fleet)
         assert node.running.alive
         assert usage.memory_bytes < MEMORY_MB * 1e6, usage
         assert usage.descriptors <= FILE_DESCRIPTORS - OTHER_DESCRIPTORS, usage
--- a/tests/crowds/test_serve_crowds.py
+++ b/tests/crowds/test_serve_crowds.py
@@ -1,17 +1,13 @@
 """Tests of a gateway process while callers that don't behave press one of its ports."""
 
-import asyncio
 import resource
-from contextlib import asynccontextmanager, suppress
+from contextlib import asynccontextmanager
 
-import aiohttp
 import pytest
 
 from crocusspindle_standins.on_platform.fleet import HOST, KEY, Fleet, configuration
-from crocusspindle_standins.single_attempt import single_attempt_session
-from tests.crowds.crowd import NEVER_DUE_S, Behavior, Crowd, Port, watched
+from tests.crowds.crowd import Crowd, Port, case_id, cases, until_served, watched
 
-OK = 200
 MEMORY_MB = 152
 """Memory of the smallest hosts."""
 
@@ -24,15 +20,6 @@
 TENANTS = {"club": {"api_keys": [KEY], "per_s": 5_000, "burst": 5_000}}
 LIMITS = {"header_bytes": 16_384, "body_bytes": 3_000_000, "idle_timeout_s": 15}
 
-CALLER_BEHAVIORS = list(Behavior)
-OTHER_BEHAVIORS = [
-    Behavior.LONG_HEADS,
-    Behavior.EMPTY_LINES,
-    Behavior.NO_REQUESTS,
-    Behavior.BODIES,
-    Behavior.PIPELINED,
-    Behavior.SILENT,
-]
 PORTS = ["callers", "hand-over", "where", "ready", "metrics"]
 
 
@@ -80,39 +67,21 @@
     try:
         await fleet.start(gateways=1)
         await fleet.configure(configuration(2, tenants=TENANTS, limits=LIMITS))
-        await until_served(fleet)
+        await until_one_is_served(fleet)
         yield fleet
     finally:
         await fleet.stop()
 
 
-async def until_served(fleet):
-    """Send ordinary requests, each on a new connection, until one is served."""
+async def until_one_is_served(fleet):
+    """Wait until an ordinary caller is served."""
     url = fleet.gateways[0].caller_url + "/pages/a"
     headers = {"Host": HOST, "X-Request-Id": "ordinary", "X-Api-Key": KEY}
-    async with asyncio.timeout(NEVER_DUE_S):
-        while True:
-            # The process may refuse or close a connection while it is pressed.
-            with suppress(aiohttp.ClientError, OSError):
-                async with (
-                    single_attempt_session() as session,
-                    session.get(url, headers=headers) as response,
-                ):
-                    if response.status == OK and await response.read():
-                        return
-            await asyncio.sleep(0.1)
+    await until_served(url, headers)
 
 
 @pytest.mark.crowd
-@pytest.mark.parametrize(
-    ("port_name", "behavior"),
-    [
-        (name, behavior)
-        for name in PORTS
-        for behavior in (CALLER_BEHAVIORS if name == "callers" else OTHER_BEHAVIORS)
-    ],
-    ids=lambda value: value.name.lower() if isinstance(value, Behavior) else value,
-)
+@pytest.mark.parametrize(("port_name", "behavior"), cases(PORTS), ids=case_id)
 async def test_a_gateway_outlives_a_crowd(tmp_path, port_name, behavior):
     """Guards against a process that a crowd of callers ends or cuts off from others."""
     async with running_gateway(tmp_path) as fleet:
@@ -123,10 +92,10 @@
         try:
             async with watched(gateway.process.pid, addresses) as usage:
                 await crowd.press()
-                await until_served(fleet)
+                await until_one_is_served(fleet)
         finally:
             crowd.leave()
-        await until_served(fleet)
+        await until_one_is_served(fleet)
         assert gateway.process.returncode is None
         assert usage.memory_bytes < MEMORY_MB * 1e6, usage
         assert usage.descriptors <= FILE_DESCRIPTORS - FILES, usage
