Answer requests with malformed bodies at once

What callers saw: after a chunk that is none, a request waited for its deadline, since the library's parser leaves the reader of the body waiting.

The library's log of that error, a traceback for each such connection, is left out. Parts that arrive on a connection that is closing are no longer counted as a head.

--- a/src/crocusspindle/caller_connections.py
+++ b/src/crocusspindle/caller_connections.py
@@ -145,7 +145,7 @@
         if not data:
             self._parse(data)
         position = 0
-        while position < len(data) and not self._is_refused:
+        while position < len(data) and not self._drops_input:
             size = BODY_PART_BYTES if self._reads_body else HEAD_PART_BYTES
             self._parse(data[position : position + size])
             position += size
@@ -154,6 +154,10 @@
         elif self._head_began_s is None:
             self._head_began_s = asyncio.get_running_loop().time()
 
+    @property
+    def _drops_input(self) -> bool:
+        return self._is_refused or self._close or self._force_close
+
     @property
     def _reads_body(self) -> bool:
         return not self._body.is_eof()
@@ -207,6 +211,11 @@
             error = web.RequestPayloadError("the body of the request is malformed")
             self._body.set_exception(error)
 
+    def log_exception(self, *args: Any, **kw: Any) -> None:
+        """Log an error of the server; callers' malformed bodies are none."""
+        if not isinstance(kw.get("exc_info"), web.RequestPayloadError):
+            super().log_exception(*args, **kw)
+
     def recount(self) -> int:
         """Return about how much memory the heads of this connection take."""
         heads = [message for message, _ in self._messages]
--- a/tests/product/test_caller_server.py
+++ b/tests/product/test_caller_server.py
@@ -155,3 +155,25 @@
     field = b"X-A: " + b"a" * (HEAD_LIMIT - 200)
     request = b"GET %b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n%b\r\n\r\n"
     assert b"200 OK" in await send(port, b"\r\n" + request % (path, field))
+
+
+async def test_a_malformed_body_is_answered_at_once_and_logged_nowhere(caplog):
+    """Guards against readers that wait for a body of which no more can come."""
+
+    async def read(request):
+        try:
+            await request.content.read()
+        except web.RequestPayloadError:
+            return web.Response(status=400, text="malformed")
+        return web.Response()
+
+    runner = web.ServerRunner(CallerServer(read, SETTINGS))
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    head = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    number = site._server.sockets[0].getsockname()[1]
+    assert b" 400 " in await send(number, head + b"1\r\na\r\nno chunk\r\n")
+    assert b" 400 " in await send(number, head + b"1;" + b"e" * 60_000)
+    await runner.cleanup()
+    assert not caplog.records
