--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -52,7 +52,7 @@
 [limits]
 cpu_share = 0.86
 cores = 1
-memory_mb = 300
+memory_mb = {memory_mb}
 file_descriptors = 4100
 link_mbps = 1000.0
 disk_mb = 0
@@ -132,6 +132,7 @@
     case: Path
     folder: Path
     budget_extra: int = 58
+    memory_mb: int = 300
     store: TableStore = field(default_factory=TableStore)
     targets: list[PlatformTarget] = field(default_factory=list)
     gateways: list[Gateway] = field(default_factory=list)
@@ -202,6 +203,7 @@
             ready=gateway.ready,
             directory=free_port(gateway.ip),
             budget_extra=self.budget_extra,
+            memory_mb=self.memory_mb,
             store=self._store_address,
         )
         gateway.settings.write_text(text)
