--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -370,6 +370,11 @@
         deployment.note(f"TROUBLE={int(has_trouble())}")
 
         async def run() -> int:
+            playing = asyncio.current_task()
+            assert playing is not None
+            # All that was started ends, also if this process is stopped.
+            loop = asyncio.get_running_loop()
+            loop.add_signal_handler(signal.SIGTERM, playing.cancel)
             try:
                 async with asyncio.timeout(110.0):
                     return HELD if await play(deployment) else BROKEN
